Serve real sockets: one program round the decision module

Cause: the module ran only on the simulator's wire. deckfall.net puts it behind clients, hosts, discovery and peers on one event loop; the settings reader is shared.

--- /dev/null
+++ b/src/main/java/deckfall/net/Node.java
@@ -0,0 +1,372 @@
+package deckfall.net;
+
+import deckfall.Brain;
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Request;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One api gateway: the event loop on which everything runs, the clock, the timers, the decision module and the
+ * table of open requests. It carries out what the module decides and tells it what came of it.
+ */
+public final class Node implements Actions {
+    private static final double MARGIN_MS = 20; // the answer must reach the client within its time
+    private static final long ACCEPT_ON_MS = 500; // after SIGTERM: new connections still come for a while
+    private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
+    private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
+    private static final long POLL_MS = 20; // how often a drain looks whether all is answered
+    private static final double MICROS_PER_MS = 1000;
+    private static final int NO_REPORT = 0;
+    private static final double[] EMPTY = new double[NO_REPORT];
+
+    /** Something that the module is to be told. */
+    private interface Event {
+        void tell(double now, Brain brain);
+    }
+
+    final NodeConfig config;
+    final Clock clock = new Clock();
+    final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    final EventLoop loop = group.next();
+    private final Brain brain = new Brain(this);
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private final Map<String, OpenRequest> open = new HashMap<>();
+    private final ClientServer clients;
+    private final HostClient hosts;
+    private final Discovery discovery;
+    private final PeerLink peers;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private boolean telling;
+    private boolean draining;
+    private boolean over; // the drain's time is up: nothing more is sent
+    private long repeats;
+
+    Node(NodeConfig config) {
+        this.config = config;
+        this.clients = new ClientServer(this);
+        this.hosts = new HostClient(this);
+        this.discovery = new Discovery(this);
+        this.peers = new PeerLink(this);
+    }
+
+    /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
+    public static void main(String configFile) {
+        try {
+            Node node = new Node(NodeConfig.read(configFile));
+            node.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
+        } catch (NodeConfig.BadConfig | java.io.IOException e) {
+            System.err.println("deckfall: " + e.getMessage());
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
+    /** Returns once clients are served. */
+    void start() throws java.io.IOException {
+        onLoop(() -> {
+            tell((now, b) -> b.start(now, config.settings()));
+            peers.start();
+            if (config.known().hasNonNull(Discovery.LIST)) {
+                hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
+            }
+            discovery.start();
+            clients.start();
+        });
+    }
+
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    private void onLoop(Step step) throws java.io.IOException {
+        try {
+            loop.submit(() -> {
+                step.run();
+                return null;
+            }).sync();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new java.io.IOException("interrupted", e);
+        } catch (Exception e) { // netty rethrows what the step threw, whatever its kind
+            throw new java.io.IOException("can't start: " + e.getMessage(), e);
+        }
+    }
+
+    static void log(String line) {
+        System.err.println(line);
+    }
+
+    // ---- telling the module
+
+    /**
+     * Tells the module in order, and never from inside itself: what its own actions bring about at once waits
+     * until it has returned.
+     */
+    private void tell(Event event) {
+        events.add(event);
+        if (telling) {
+            return;
+        }
+        telling = true;
+        try {
+            for (Event next = events.poll(); next != null; next = events.poll()) {
+                try {
+                    next.tell(clock.now(), brain);
+                } catch (RuntimeException e) { // the guard of its deadline still answers the request concerned
+                    log("defect: the module threw " + e);
+                    e.printStackTrace();
+                }
+            }
+        } finally {
+            telling = false;
+        }
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    /** Takes a request whole from its client; the entry owns the message from here on. */
+    void taken(Request r, FullHttpRequest message, ClientServer.Connection client) {
+        String id = r.id();
+        while (open.containsKey(id)) { // the module knows requests by id, and a client may repeat one
+            id = r.id() + '#' + ++repeats;
+        }
+        Request told = id.equals(r.id()) ? r : new Request(id, r.deadlineMs(), r.retry(), r.requestClass(),
+                r.customer(), r.plan(), r.units(), r.first(), r.spread());
+        OpenRequest entry = new OpenRequest(told, message, r.id(), client);
+        open.put(id, entry);
+        client.holds(entry);
+        double left = r.deadlineMs() - clock.now();
+        entry.guard = loop.schedule(() -> deadline(entry), micros(left), TimeUnit.MICROSECONDS);
+        tell((now, b) -> b.request(now, told));
+    }
+
+    /** When the answer must have left for a client that waits this long from its sending. */
+    static double deadline(double now, double expiresInMs) {
+        return now + Math.max(1, expiresInMs - MARGIN_MS);
+    }
+
+    private static long micros(double ms) {
+        return (long) (Math.max(0, ms) * MICROS_PER_MS);
+    }
+
+    boolean full() {
+        return open.size() >= config.maxOpen();
+    }
+
+    /** Rule 1: attempts end with the client's time, and what the module then leaves unanswered fails here. */
+    private void deadline(OpenRequest r) {
+        endAttempts(r);
+        if (!r.closed()) {
+            log("defect: no answer from the module in time, request failed");
+            answer(r, HttpResponseStatus.GATEWAY_TIMEOUT, 0);
+        }
+    }
+
+    private void endAttempts(OpenRequest r) {
+        for (Attempt a : List.copyOf(r.attempts)) {
+            if (!a.ended) {
+                a.abandon();
+                attemptEnded(a, Outcome.TIMEOUT, null);
+            }
+        }
+    }
+
+    void clientLeft(OpenRequest r) {
+        if (r.closed()) {
+            return;
+        }
+        r.close();
+        tell((now, b) -> b.clientLeft(now, r.request.id()));
+        forgetIfOver(r);
+    }
+
+    /** The end of an attempt, told once; the first whole 200 goes to the client unchanged. */
+    void attemptEnded(Attempt a, Outcome outcome, FullHttpResponse response) {
+        if (a.ended) {
+            return;
+        }
+        a.ended = true;
+        OpenRequest r = a.owner;
+        r.out--;
+        if (outcome == Outcome.OK) {
+            ClientServer.Connection client = r.close();
+            if (client != null) {
+                client.serve(response);
+            }
+        }
+        boolean closed = r.closed();
+        double took = clock.now() - a.sentAt;
+        double[] report = response == null ? EMPTY : hosts.report(response);
+        tell((now, b) -> b.attemptEnded(now,
+                new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, 0, 0, report)));
+        forgetIfOver(r);
+    }
+
+    private void forgetIfOver(OpenRequest r) {
+        if (r.closed() && r.out == 0 && open.remove(r.request.id(), r)) {
+            r.guard.cancel(false);
+            r.message.release();
+        }
+    }
+
+    void hostsTold(ListKind kind, List<Discovery.Entry> entries) {
+        hosts.listed(kind, entries);
+        List<Host> list = new ArrayList<>(entries.size());
+        entries.forEach(e -> list.add(e.host()));
+        tell((now, b) -> b.hosts(now, kind, list));
+    }
+
+    void probed(String host, Outcome outcome, double took, double[] report) {
+        tell((now, b) -> b.probed(now, host, outcome, took, report));
+    }
+
+    void peerSaid(int peer, byte[] data) {
+        tell((now, b) -> b.peerSaid(now, peer, data));
+    }
+
+    // ---- what the module does
+
+    @Override
+    public void send(String id, String host, double timeoutMs) {
+        OpenRequest r = open.get(id);
+        if (r == null) {
+            return;
+        }
+        double now = clock.now();
+        Attempt a = new Attempt(this, r, host, now);
+        r.attempts.add(a);
+        r.out++;
+        if (over || r.closed() || now >= r.request.deadlineMs()
+                || a.number >= config.settings().limits().maxAttempts()) {
+            attemptEnded(a, Outcome.MOOT, null);
+            return;
+        }
+        if (timeoutMs > 0) {
+            loop.schedule(() -> {
+                if (!a.ended) {
+                    a.abandon();
+                    attemptEnded(a, Outcome.TIMEOUT, null);
+                }
+            }, micros(timeoutMs), TimeUnit.MICROSECONDS);
+        }
+        hosts.send(a);
+    }
+
+    @Override
+    public void cancel(String id, int attempt) {
+        OpenRequest r = open.get(id);
+        if (r == null || attempt < 0 || attempt >= r.attempts.size() || r.attempts.get(attempt).ended) {
+            return;
+        }
+        Attempt a = r.attempts.get(attempt);
+        a.abandon();
+        attemptEnded(a, Outcome.CANCELLED, null);
+    }
+
+    @Override
+    public void refuse(String id, double retryAfterMs) {
+        answer(open.get(id), HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs);
+    }
+
+    @Override
+    public void fail(String id) {
+        answer(open.get(id), HttpResponseStatus.BAD_GATEWAY, 0);
+    }
+
+    private void answer(OpenRequest r, HttpResponseStatus status, double retryAfterMs) {
+        ClientServer.Connection client = r == null ? null : r.close();
+        if (client != null) {
+            client.answer(status, retryAfterMs);
+        }
+        if (r != null) {
+            forgetIfOver(r);
+        }
+    }
+
+    @Override
+    public void timer(double delayMs, String token) {
+        loop.schedule(() -> tell((now, b) -> b.timer(now, token)), micros(delayMs), TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void probe(String host) {
+        hosts.probe(host);
+    }
+
+    @Override
+    public void tell(int peer, byte[] data) {
+        peers.send(peer, data);
+    }
+
+    /** There is no counter on these sockets, so a call can't get through. */
+    @Override
+    public void count(String counter, double amount, double lifetimeMs) {
+        tell((now, b) -> b.counted(now, counter, Outcome.CONNECT_FAILED, 0));
+    }
+
+    /** Discovery is always watched. */
+    @Override
+    public void watchHosts() { }
+
+    // ---- the end
+
+    private void drainAndHalt() {
+        loop.execute(this::drain);
+        try {
+            drained.await(EXIT_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
+    /** Accepts on for a while, since clients still come; answers all; then lets the process end. */
+    void drain() {
+        draining = true;
+        loop.schedule(() -> {
+            clients.stopAccepting();
+            awaitEmpty();
+        }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> {
+            over = true;
+            for (OpenRequest r : List.copyOf(open.values())) {
+                endAttempts(r); // the module refuses or fails it, as its further attempts are void now
+            }
+            for (OpenRequest r : List.copyOf(open.values())) {
+                if (!r.closed()) { // still held
+                    answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
+                }
+            }
+        }, DRAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void awaitEmpty() {
+        if (open.isEmpty() && clients.idle()) {
+            drained.countDown();
+        } else {
+            loop.schedule(this::awaitEmpty, POLL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Ends everything at once, for tests. */
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -0,0 +1,122 @@
+package deckfall.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Gateway.Settings;
+import deckfall.wire.Fields;
+import deckfall.wire.SettingsReader;
+import deckfall.wire.WireFault;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.StringJoiner;
+import java.util.TreeMap;
+
+/** What this api gateway was told at its start; anything missing or malformed is a {@link BadConfig}. */
+record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress peerListen,
+        List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, JsonNode known, Settings settings,
+        double connectTimeoutMs, double idleMs, int maxOpen) {
+    private static final int PORT_MAX = 65_535;
+    private static final int HEX = 16;
+    private static final int DEFAULT_SOCKETS = 1024;
+    private static final double DEFAULT_CONNECT_MS = 250;
+    private static final double DEFAULT_IDLE_MS = 15_000;
+    private static final double DEFAULT_MAX_OPEN = 20_000;
+
+    /** One plain line on what is wrong with the configuration. */
+    static final class BadConfig extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadConfig(String message) {
+            super(message);
+        }
+    }
+
+    static NodeConfig read(String file) throws BadConfig {
+        if (file == null || file.isEmpty()) {
+            throw new BadConfig("NODE_CONFIG names no file");
+        }
+        try {
+            return of(new ObjectMapper().readTree(Files.readAllBytes(Path.of(file))));
+        } catch (IOException e) {
+            throw new BadConfig("can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
+        } catch (WireFault | IllegalArgumentException e) {
+            throw new BadConfig(file + ": " + e.getMessage());
+        }
+    }
+
+    static NodeConfig of(JsonNode root) {
+        if (!root.isObject()) {
+            throw new IllegalArgumentException("not a JSON object");
+        }
+        Map<String, String> pairs = new TreeMap<>();
+        flatten("", root.path("settings"), pairs);
+        pairs.put("rng_seed", Long.toString(Long.parseUnsignedLong(text(root, "seed"), HEX)));
+        Fields fields = new Fields(pairs);
+        Settings settings = SettingsReader.read(fields);
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (JsonNode peer : root.path("peers")) {
+            peers.add(address(peer.asText()));
+        }
+        boolean mail = settings.limits().peers() && root.hasNonNull("peer_listen");
+        return new NodeConfig(address(text(root, "listen")), address(text(root, "discovery")),
+                mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
+                root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
+                root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS), root.path("known"), settings,
+                fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS),
+                fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS),
+                (int) fields.number("limits.max_open", DEFAULT_MAX_OPEN));
+    }
+
+    /** Nested settings under the names that the simulator's wire gives them. */
+    private static void flatten(String path, JsonNode node, Map<String, String> pairs) {
+        String below = path.isEmpty() ? "" : path + ".";
+        if (node.isObject()) {
+            node.fields().forEachRemaining(e -> flatten(below + e.getKey(), e.getValue(), pairs));
+        } else if (node.isArray() && node.size() > 0 && node.get(0).isObject()) {
+            pairs.put(below + "count", Integer.toString(node.size()));
+            for (int i = 0; i < node.size(); i++) {
+                flatten(below + i, node.get(i), pairs);
+            }
+        } else if (node.isArray()) {
+            StringJoiner list = new StringJoiner(",");
+            node.forEach(value -> list.add(value.asText()));
+            pairs.put(path, list.toString());
+        } else if (!node.isNull() && !node.isMissingNode()) {
+            pairs.put(path, node.asText());
+        }
+    }
+
+    private static String text(JsonNode root, String name) {
+        JsonNode value = root.path(name);
+        if (!value.isTextual() || value.asText().isEmpty()) {
+            throw new IllegalArgumentException("missing or malformed '" + name + "'");
+        }
+        return value.asText();
+    }
+
+    /** Numbers and a port: there are no names to look up. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        if (ip == null) {
+            throw new IllegalArgumentException("bad address '" + text + "'");
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        if (port < 0 || port > PORT_MAX) {
+            throw new IllegalArgumentException("bad port in '" + text + "'");
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("bad address '" + text + "'", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/net/OpenRequest.java
@@ -0,0 +1,38 @@
+package deckfall.net;
+
+import deckfall.Gateway.Request;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request in the table: its client, until answered or gone, and its attempts. */
+final class OpenRequest {
+    final Request request;
+    final FullHttpRequest message; // held until the entry leaves the table
+    final String traceId;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    private ClientServer.Connection client;
+    private boolean closed;
+    int out; // attempts that have not ended
+    Future<?> guard;
+
+    OpenRequest(Request request, FullHttpRequest message, String traceId, ClientServer.Connection client) {
+        this.request = request;
+        this.message = message;
+        this.traceId = traceId;
+        this.client = client;
+    }
+
+    boolean closed() {
+        return closed;
+    }
+
+    /** The client to answer, for the one caller that ends the request; null for all later ones (rule 1). */
+    ClientServer.Connection close() {
+        ClientServer.Connection owed = client;
+        closed = true;
+        client = null;
+        return owed;
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -0,0 +1,68 @@
+package deckfall.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Messages between api gateways: datagrams, which may come late, damaged, from strangers or not at all. */
+final class PeerLink extends SimpleChannelInboundHandler<DatagramPacket> {
+    private static final int MAX_BYTES = 256;
+    private static final int EVERYONE = -1;
+
+    private final Node node;
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+    private Channel channel;
+
+    PeerLink(Node node) {
+        this.node = node;
+        for (int i = 0; i < node.config.peers().size(); i++) {
+            numbers.put(node.config.peers().get(i), i);
+        }
+    }
+
+    void start() {
+        if (node.config.peerListen() == null) {
+            return;
+        }
+        // One byte more than a message may have shows which ones are too long.
+        channel = new Bootstrap().group(node.loop).channel(NioDatagramChannel.class).handler(this)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES + 1))
+                .bind(node.config.peerListen()).addListener(f -> {
+                    if (!f.isSuccess()) {
+                        Node.log("no messages from peers: " + f.cause().getMessage());
+                    }
+                }).channel();
+    }
+
+    void send(int peer, byte[] data) {
+        InetSocketAddress to = peer == EVERYONE ? node.config.peersAll()
+                : peer >= 0 && peer < node.config.peers().size() ? node.config.peers().get(peer) : null;
+        if (channel == null || to == null || data.length > MAX_BYTES) {
+            return;
+        }
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(data), to), channel.voidPromise());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+        Integer peer = numbers.get(packet.sender());
+        int length = packet.content().readableBytes();
+        if (peer != null && length > 0 && length <= MAX_BYTES) {
+            node.peerSaid(peer, ByteBufUtil.getBytes(packet.content()));
+        }
+    }
+
+    /** A lost message is normal, and so is an error that an earlier one brought back. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
+}
--- a/src/main/java/deckfall/wire/Fields.java
+++ b/src/main/java/deckfall/wire/Fields.java
@@ -4,9 +4,14 @@
 import java.util.TreeMap;
 
 /** The name=value pairs of one line; names the field at fault when one is missing or malformed. */
-final class Fields {
+public final class Fields {
     private final Map<String, String> values = new TreeMap<>();
 
+    /** Fields that were read elsewhere, under the same names. */
+    public Fields(Map<String, String> values) {
+        this.values.putAll(values);
+    }
+
     /** Reads pairs set apart by single spaces; {@code textField}, where not null, runs to the end of the line. */
     Fields(String text) {
         int at = 0;
@@ -59,7 +64,7 @@
         throw new WireFault("bad number in '" + name + "': '" + value + "'");
     }
 
-    double number(String name, double absent) {
+    public double number(String name, double absent) {
         return has(name) ? number(name) : absent;
     }
 
--- a/src/main/java/deckfall/wire/SettingsReader.java
+++ b/src/main/java/deckfall/wire/SettingsReader.java
@@ -12,10 +12,10 @@
 import java.util.List;
 
 /** Translates the pairs of a start message; absent keys mean that the thing they speak of is not there. */
-final class SettingsReader {
+public final class SettingsReader {
     private SettingsReader() { }
 
-    static Settings read(Fields f) {
+    public static Settings read(Fields f) {
         Limits limits = new Limits(f.count("limits.max_attempts", 1), f.flag("limits.may_duplicate", false),
                 f.flag("limits.cancel", false), f.flag("limits.probes", false),
                 f.flag("limits.peer_messages", false), f.flag("limits.retry_after", false),
--- a/src/main/java/deckfall/wire/WireFault.java
+++ b/src/main/java/deckfall/wire/WireFault.java
@@ -1,7 +1,7 @@
 package deckfall.wire;
 
 /** A line that cannot be read; the message tells what is wrong with it. */
-final class WireFault extends RuntimeException {
+public final class WireFault extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     WireFault(String message) {
