Start in half the time, tell every refused client when to come back, test over loopback sockets

Ruled out: netty's machine id and logger look-ups (no difference beyond noise). Cause, build that never ended: Node.start returned before the listener was bound, so the rehearsal was refused and its node never stopped; start now waits for the bind. Cause, refusals: Brain.finish and decide told no wait where the store had room; all tell one now. Lives of peers are compared by difference, since 32 bits of Unix milliseconds run over (the inherited comparison then never hears a restarted peer again; tested).

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -22,6 +22,7 @@
     private static final double LAG_MS = 60; // a told figure's age on arrival: half a gap and the way
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Keepers and tells
+    private static final double RETRY_MIN_MS = 100; // shortest wait that a refusal tells
     private static final int KEEPERS = 2; // gateways of a set that keep its books: one may be down
     private static final double ANSWER_MS = 150; // a due answer is missing after so long
     private static final double SILENT_MS = 1000; // a peer that missed an answer is not asked so long
@@ -342,10 +343,12 @@
                 : c.open < Math.max(1, (int) (limit * part(now, c))));
     }
 
+    /** When the store will have filled enough; every refusal tells a time to come back. */
     private double retryAfter(Customer c, double units) {
-        if (!set.limits().retryAfter() || c.plan.rate() <= 0) return 0;
-        double lack = Math.max(0, units - c.level);
-        return Math.min(set.limits().maxRetryAfterMs(), 1000 * lack / c.plan.rate());
+        if (!set.limits().retryAfter()) return 0;
+        double longest = set.limits().maxRetryAfterMs();
+        double lack = c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : 0;
+        return Math.min(longest, Math.max(RETRY_MIN_MS, lack));
     }
 
     /** Takes units from the quota's and the ceiling's stores, or gives them back where negative. */
@@ -485,7 +488,9 @@
         Peer peer = peers[from];
         boolean sameLife = peer.met && tell.epoch() == peer.epoch;
         // Overtaken on the way, told twice, or from before the sender's restart.
-        boolean late = sameLife ? !Tell.after(tell.serial(), peer.heardSerial) : tell.epoch() < peer.epoch;
+        // Lives are compared by difference: their field runs over every 50 days of Unix time.
+        boolean late = sameLife ? !Tell.after(tell.serial(), peer.heardSerial)
+                : tell.epoch() - peer.epoch < 0;
         if (peer.met && late) return;
         peer.met = true;
         peer.epoch = tell.epoch();
@@ -655,7 +660,9 @@
         boolean harmless = ask.ran() == null || spec.effect() == Effect.REPEATABLE
                 || spec.effect() == Effect.KEYED && spec.scope() == Gateway.Scope.ALL;
         close(ask);
-        if (harmless) act.refuse(ask.request.id(), 0);
+        // Overload lasts longer than any client heeds, so it is told the longest wait.
+        double wait = set.limits().retryAfter() ? set.limits().maxRetryAfterMs() : 0;
+        if (harmless) act.refuse(ask.request.id(), wait);
         else act.fail(ask.request.id());
     }
 
--- a/src/main/java/deckfall/Main.java
+++ b/src/main/java/deckfall/Main.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 
-/** The command line: {@code serve} is one real api gateway, {@code wirehost} the module on the simulator's wire. */
+/**
+ * The command line: {@code serve} is one real api gateway, {@code wirehost} the module on the simulator's wire,
+ * {@code rehearse} a short run of the former for the build.
+ */
 public final class Main {
     private static final int USAGE = 2;
 
@@ -12,9 +15,10 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> deckfall.net.Node.main(System.getenv("NODE_CONFIG"));
+            case "rehearse" -> deckfall.net.Rehearsal.run();
             case "wirehost" -> deckfall.wire.Main.main(args);
             default -> {
-                System.err.println("usage: deckfall serve | wirehost");
+                System.err.println("usage: deckfall serve | rehearse | wirehost");
                 System.exit(USAGE);
             }
         }
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -62,7 +62,8 @@
         maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
     }
 
-    void start() {
+    /** Clients are served once this is done. */
+    ChannelFuture start() {
         ChannelFuture bound = new ServerBootstrap().group(node.group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -74,12 +75,7 @@
                     }
                 }).bind(node.config.listen());
         listener = bound.channel();
-        bound.addListener(f -> {
-            if (!f.isSuccess()) {
-                Node.log("deckfall: can't listen: " + f.cause().getMessage());
-                Runtime.getRuntime().halt(1);
-            }
-        });
+        return bound;
     }
 
     /** After this only requests that already came are answered. */
@@ -94,7 +90,6 @@
         return connections.isEmpty();
     }
 
-    /** Only at the address of this is known to a test that lets the system choose the port. */
     Channel listener() {
         return listener;
     }
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -48,6 +48,7 @@
     private final ObjectMapper json = new ObjectMapper();
     private Channel channel;
     private Future<?> timeout;
+    private boolean failing;
     private long version = -1; // -1: the whole list is still to come
 
     Discovery(Node node) {
@@ -107,6 +108,7 @@
             try (InputStream in = new ByteBufInputStream(response.content())) {
                 list = json.readTree(in);
             }
+            failing = false;
             boolean whole = list.path("full").asBoolean();
             List<Entry> entries = entries(list);
             version = list.path("version").asLong(-1);
@@ -128,7 +130,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            Node.log("discovery: " + cause.getMessage());
+            if (!failing) { // one line for a spell of failures, however often it is asked
+                Node.log("discovery: " + cause.getMessage());
+            }
+            failing = true;
             ctx.close();
         }
     }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -12,6 +12,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,8 +34,11 @@
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final double MICROS_PER_MS = 1000;
-    private static final int NO_REPORT = 0;
-    private static final double[] EMPTY = new double[NO_REPORT];
+    private static final double[] NO_REPORT = new double[0];
+
+    static { // netty else looks for other loggers first, which a restart has no time for
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
 
     /** Something that the module is to be told. */
     private interface Event {
@@ -70,40 +76,29 @@
             Node node = new Node(NodeConfig.read(configFile));
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
-        } catch (NodeConfig.BadConfig | java.io.IOException e) {
+        } catch (NodeConfig.BadConfig | IOException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
     }
 
     /** Returns once clients are served. */
-    void start() throws java.io.IOException {
-        onLoop(() -> {
-            tell((now, b) -> b.start(now, config.settings()));
-            peers.start();
-            if (config.known().hasNonNull(Discovery.LIST)) {
-                hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
-            }
-            discovery.start();
-            clients.start();
-        });
-    }
-
-    private interface Step {
-        void run() throws Exception;
-    }
-
-    private void onLoop(Step step) throws java.io.IOException {
+    void start() throws IOException {
         try {
             loop.submit(() -> {
-                step.run();
-                return null;
-            }).sync();
+                tell((now, b) -> b.start(now, config.settings()));
+                peers.start();
+                if (config.known().hasNonNull(Discovery.LIST)) {
+                    hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
+                }
+                discovery.start();
+                return clients.start();
+            }).sync().getNow().sync();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new java.io.IOException("interrupted", e);
-        } catch (Exception e) { // netty rethrows what the step threw, whatever its kind
-            throw new java.io.IOException("can't start: " + e.getMessage(), e);
+            throw new IOException("interrupted", e);
+        } catch (Exception e) { // netty throws what failed as it is, checked or not
+            throw new IOException("can't start: " + e.getMessage(), e);
         }
     }
 
@@ -213,7 +208,7 @@
         }
         boolean closed = r.closed();
         double took = clock.now() - a.sentAt;
-        double[] report = response == null ? EMPTY : hosts.report(response);
+        double[] report = response == null ? NO_REPORT : hosts.report(response);
         tell((now, b) -> b.attemptEnded(now,
                 new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, 0, 0, report)));
         forgetIfOver(r);
@@ -330,7 +325,7 @@
     private void drainAndHalt() {
         loop.execute(this::drain);
         try {
-            drained.await(EXIT_MS, TimeUnit.MILLISECONDS);
+            awaitDrained(EXIT_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -365,7 +360,16 @@
         }
     }
 
-    /** Ends everything at once, for tests. */
+    boolean awaitDrained(long ms) throws InterruptedException {
+        return drained.await(ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** The port of the listener, where the configuration left it to the system. */
+    int port() {
+        return ((java.net.InetSocketAddress) clients.listener().localAddress()).getPort();
+    }
+
+    /** Ends everything at once and answers nothing. */
     void stop() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
--- /dev/null
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -0,0 +1,62 @@
+package deckfall.net;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * One short life of a node that is its own host, peer and discovery, so that each part runs once. The build keeps
+ * the classes that it loads in an archive, from which a restarted node starts in half the time.
+ */
+public final class Rehearsal {
+    private static final int ENOUGH = 64; // bytes that hold a status line
+    private static final int PATIENCE_MS = 10_000;
+    private static final String CONFIG = """
+            {"name": "rehearsal", "listen": "%1$s", "discovery": "%1$s", "seed": "1", "peer_listen": "%1$s",
+             "peers": ["%1$s", "%1$s"], "known": {"version": 1, "full": true, "servers": [{"id": "self",
+               "addr": "%1$s", "zone": "a", "kind": "k", "cell": 0, "state": "ready", "weight": 1,
+               "started_ms": 0}]},
+             "settings": {"ordinal": 0, "balancers": 2, "az": "a", "limits": {"max_attempts": 3, "cancel": true,
+               "peer_messages": true, "retry_after": true, "max_retry_after_ms": 500},
+               "specifics": {"max_units": 4, "mail_per_s": 40}, "classes": [{"name": "view",
+               "effect": "repeatable", "goal_time_ms": 300, "hard_limit_ms": 600}],
+               "plans": [{"name": "p", "units_per_s": 10, "depth": 10, "cap_rate": 20, "never_over_depth": 20}]}}
+            """;
+    private static final String REQUEST = "GET %s HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %s\r\nX-Plan: p\r\n"
+            + "X-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: 600\r\nX-Quota: units=1,spread=%d,first=0\r\n"
+            + "Connection: close\r\n\r\n";
+
+    private Rehearsal() { }
+
+    /** Returns when all has been gone through. */
+    public static void run() throws IOException {
+        int port;
+        try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        String address = at.getAddress().getHostAddress() + ':' + port;
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(CONFIG.formatted(address))));
+        try {
+            node.start();
+            ask(at, "/healthz", "0", 1);
+            ask(at, "/view/alone", "1", 1);
+            ask(at, "/view/shared", "2", 2);
+        } finally {
+            node.stop(); // or a build would never end
+        }
+    }
+
+    private static void ask(InetSocketAddress at, String path, String id, int spread) throws IOException {
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.getOutputStream().write(REQUEST.formatted(path, id, spread).getBytes(StandardCharsets.US_ASCII));
+            if (socket.getInputStream().readNBytes(ENOUGH).length == 0) {
+                throw new IOException("no answer to " + path);
+            }
+        }
+    }
+}
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -248,4 +248,17 @@
         assertEquals(3, g.sent.size());
         assertEquals(List.of("o3", "o4"), g.refused);
     }
+
+    /** A life's number is cut from Unix time and runs over; a peer that starts after that is still the later one. */
+    @Test
+    void aPeersNextLifeIsHeardAlsoWhereItsNumberHasRunOver() {
+        FakeGateway g = new FakeGateway(1000, FakeGateway.settings(0, 2)).withHosts("a1");
+        Tell.Entry e = new Tell.Entry(false, true, false, false, false, 42, 0, 0, 2, 0, 4, 4, 0, 1, 0);
+        for (int life : new int[] {Integer.MAX_VALUE - 5, Integer.MIN_VALUE + 5}) {
+            int before = g.told.size();
+            g.brain.peerSaid(g.now, 1, new Tell(life, 0, 1, 0, List.of(e)).bytes());
+            g.pass(200);
+            assertTrue(g.told.size() > before, "no answer to life " + life);
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -0,0 +1,422 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.bytes;
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.headers;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.ok;
+import static deckfall.net.Sockets.order;
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Registry;
+import deckfall.net.Sockets.Server;
+import io.netty.buffer.PooledByteBufAllocator;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** A node between real sockets: each test is a failure that must not cost a request or break a rule. */
+class NodeTest {
+    private static final Logger LEAKS = Logger.getLogger("io.netty.util.ResourceLeakDetector");
+    private static final List<String> LEAKED = new CopyOnWriteArrayList<>();
+    private static final Handler NOTE = new Handler() {
+        @Override
+        public void publish(LogRecord r) {
+            LEAKED.add(r.getMessage());
+        }
+
+        @Override
+        public void flush() { }
+
+        @Override
+        public void close() { }
+    };
+
+    private final Deque<Closeable> ends = new ArrayDeque<>();
+    private Registry registry;
+
+    @BeforeAll
+    static void noteLeaks() {
+        LEAKS.addHandler(NOTE);
+    }
+
+    /** A buffer that was not released shows once it has been collected and another is taken. */
+    @AfterAll
+    static void noBufferWasLeaked() {
+        for (int i = 0; i < 5; i++) {
+            System.gc();
+            PooledByteBufAllocator.DEFAULT.buffer(64).release();
+        }
+        LEAKS.removeHandler(NOTE);
+        assertEquals(List.of(), LEAKED);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Closeable c : ends) {
+            c.close();
+        }
+    }
+
+    private <T extends Closeable> T kept(T end) {
+        ends.push(end);
+        return end;
+    }
+
+    private Server host(Sockets.Answer answer) throws IOException {
+        return kept(new Server(answer));
+    }
+
+    private static void echo(Message m, java.net.Socket s) throws IOException {
+        s.getOutputStream().write(ok("for " + m.header("X-Trace-Id") + " " + m.text()));
+    }
+
+    private Node nodeWith(String... entries) throws IOException {
+        registry = kept(new Registry(list(1, true, entries)));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"));
+        ends.push(node::stop);
+        return node;
+    }
+
+    private Node nodeBefore(Server... hosts) throws IOException {
+        String[] entries = new String[hosts.length];
+        for (int i = 0; i < hosts.length; i++) {
+            entries[i] = entry("h" + i, hosts[i].address(), "ready");
+        }
+        return nodeWith(entries);
+    }
+
+    private Client client(Node node) throws IOException {
+        return kept(new Client(node));
+    }
+
+    private static String deadAddress() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + s.getLocalPort();
+        }
+    }
+
+    @Test
+    void requestAndAnswerPassUnchanged() throws Exception {
+        byte[] body = new byte[60_000];
+        for (int i = 0; i < body.length; i++) {
+            body[i] = (byte) (i * 31);
+        }
+        Server host = host((m, s) -> {
+            s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n"));
+            s.getOutputStream().write(body);
+        });
+        Client c = client(nodeBefore(host));
+        Message answer = c.send(order("id-1", "two copies")).receive();
+        assertEquals(200, answer.status());
+        assertArrayEquals(body, answer.body());
+        Message sent = host.next();
+        assertEquals("POST /order/x HTTP/1.1", sent.start());
+        assertEquals("id-1", sent.header("X-Trace-Id"));
+        assertEquals("key-id-1", sent.header("Idempotency-Key"));
+        assertEquals("two copies", sent.text());
+        assertTrue(Integer.parseInt(sent.header("X-Expires-In-Ms")) <= Sockets.PATIENCE_MS);
+        assertEquals(200, c.send(view("id-2", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals("GET /view/id-2?z=3 HTTP/1.1", host.next().start());
+    }
+
+    @Test
+    void aHostThatRefusesConnectionsCostsNoRequest() throws Exception {
+        Server host = host(NodeTest::echo);
+        Node node = nodeWith(entry("dead", deadAddress(), "ready"), entry("live", host.address(), "ready"));
+        for (int i = 0; i < 10; i++) {
+            assertEquals("for o" + i + " b", client(node).send(order("o" + i, "b")).receive().text());
+        }
+        assertEquals(10, host.asked.size());
+    }
+
+    /** It may have run, so the client must not be told that a further try is harmless (rule 2). */
+    @Test
+    void aKeyedRequestWhoseConnectionsBreakFailsAndIsNotRefused() throws Exception {
+        Server host = host((m, s) -> s.close());
+        int status = client(nodeBefore(host)).send(order("o", "b")).receive().status();
+        assertEquals(502, status);
+        assertEquals(3, host.asked.size());
+    }
+
+    @Test
+    void aRequestThatNeverRanIsRefusedWithATimeToComeBack() throws Exception {
+        Server host = host((m, s) -> s.getOutputStream()
+                .write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
+        Message answer = client(nodeBefore(host)).send(order("o", "b")).receive();
+        assertEquals(429, answer.status());
+        assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+    }
+
+    @Test
+    void excessIsRefusedAtOnceWithATimeToComeBack() throws Exception {
+        Server host = host(NodeTest::echo);
+        Client c = client(nodeBefore(host));
+        String tiny = view("t", Sockets.PATIENCE_MS).replace("X-Plan: free", "X-Plan: tiny");
+        assertEquals(200, c.send(tiny).receive().status());
+        Message answer = c.send(tiny).receive();
+        assertEquals(429, answer.status());
+        assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+        assertEquals(1, host.asked.size());
+    }
+
+    @Test
+    void halfAnAnswerIsNeverServed() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        Server host = host((m, s) -> {
+            if (asked.incrementAndGet() > 1) {
+                echo(m, s);
+                return;
+            }
+            s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"));
+            s.close();
+        });
+        assertEquals("for v ", client(nodeBefore(host)).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(2, asked.get());
+    }
+
+    @Test
+    void anAttemptEndsWithItsClient() throws Exception {
+        Server host = host((m, s) -> { });
+        Client c = client(nodeBefore(host));
+        c.send(view("v", Sockets.PATIENCE_MS));
+        assertNotNull(host.next());
+        c.close();
+        assertNotNull(host.ended.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+    }
+
+    /** What comes after the client's time must reach nobody: not that client, nor the next request. */
+    @Test
+    void aLateAnswerReachesNoOtherRequest() throws Exception {
+        CountDownLatch timeIsUp = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            if (m.header("X-Trace-Id").equals("slow")) {
+                timeIsUp.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            }
+            echo(m, s);
+        });
+        Client c = client(nodeBefore(host));
+        assertNotEquals(200, c.send(view("slow", 300)).receive().status());
+        timeIsUp.countDown();
+        for (int i = 0; i < 5; i++) {
+            assertEquals("for v" + i + " ", c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+        }
+    }
+
+    @Test
+    void badRequestsAreToldSoAndReachNoHost() throws Exception {
+        Server host = host(NodeTest::echo);
+        Node node = nodeBefore(host);
+        String good = view("v", 1000);
+        for (String bad : List.of(good.replace("X-Plan: free\r\n", ""), good.replace("X-Plan: free", "X-Plan: none"),
+                good.replace("/view/", "/nothing/"), good.replace("units=1", "units=x"),
+                good.replace("b4d65521", "zzd65521"), good.replace("In-Ms: 1000", "In-Ms: soon"),
+                good.replace("spread=1,", ""), good.replace("GET", "POST").replace("\r\n\r\n",
+                        "\r\nContent-Length: 0\r\n\r\n"),
+                order("o", "b").replace("Idempotency-Key", "X-Other"), "nonsense\r\n\r\n")) {
+            assertEquals(400, client(node).send(bad).receive().status(), bad);
+        }
+        assertEquals(404, client(node).send("GET /favicon.ico HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+        assertEquals(413, client(node).send("POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", 1000)
+                + "Idempotency-Key: k\r\nContent-Length: 65537\r\n\r\n").receive().status());
+        assertEquals(200, client(node).send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+        assertEquals(List.of(), host.asked);
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
+        Client c = client(nodeBefore(host(NodeTest::echo)));
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 40; i++) {
+            all.append(view("p" + i, Sockets.PATIENCE_MS));
+        }
+        c.send(all.toString());
+        for (int i = 0; i < 40; i++) {
+            assertEquals("for p" + i + " ", c.receive().text());
+        }
+    }
+
+    /** The module knows requests by id; a client that sends one again must not take the first one's place. */
+    @Test
+    void oneIdOpenTwiceGetsTwoAnswers() throws Exception {
+        CountDownLatch both = new CountDownLatch(2);
+        Server host = host((m, s) -> {
+            both.countDown();
+            both.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            echo(m, s);
+        });
+        Node node = nodeBefore(host);
+        Client a = client(node).send(view("same", Sockets.PATIENCE_MS));
+        Client b = client(node).send(view("same", Sockets.PATIENCE_MS));
+        assertEquals("for same ", a.receive().text());
+        assertEquals("for same ", b.receive().text());
+    }
+
+    @Test
+    void aDrainingHostGetsNothingNewAndAMovedOneIsFollowed() throws Exception {
+        Server old = host(NodeTest::echo);
+        Server fresh = host(NodeTest::echo);
+        Node node = nodeBefore(old);
+        Client c = client(node);
+        assertEquals(200, c.send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        awaitWatches(1);
+        registry.news.add(list(2, false, entry("h0", old.address(), "draining"),
+                entry("h1", deadAddress(), "ready")));
+        registry.news.add(list(3, false, entry("h1", fresh.address(), "ready")));
+        awaitWatches(3);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, c.send(view("b" + i, Sockets.PATIENCE_MS)).receive().status());
+        }
+        assertEquals(1, old.asked.size());
+        assertEquals(5, fresh.asked.size());
+    }
+
+    @Test
+    void aFullListDropsTheHostsThatItDoesNotName() throws Exception {
+        Server old = host(NodeTest::echo);
+        Server fresh = host(NodeTest::echo);
+        Node node = nodeBefore(old);
+        awaitWatches(1);
+        registry.news.add(list(9, true, entry("h1", fresh.address(), "ready")));
+        awaitWatches(2);
+        assertEquals(200, client(node).send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals(0, old.asked.size());
+    }
+
+    /** The first calls of a watch that is broken again and again, and still goes on from the version held. */
+    @Test
+    void aBrokenWatchGoesOnFromItsVersion() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        Server broken = kept(new Server((m, s) -> {
+            if (!m.start().contains("from=")) {
+                s.getOutputStream().write(ok(list(7, true)));
+            } else if (calls.incrementAndGet() < 4) {
+                s.close();
+            }
+        }));
+        ends.push(Sockets.node(Sockets.config(broken.address(), "127.0.0.1:0"))::stop);
+        for (int i = 0; i < 5; i++) {
+            String call = broken.next().start();
+            assertEquals(i > 0, call.contains("from=7&"), call);
+        }
+    }
+
+    private void awaitWatches(int count) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (registry.server.asked.stream().filter(m -> m.start().contains("from=")).count() < count) {
+            assertTrue(System.nanoTime() < end, "no watch came");
+            Thread.sleep(5);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return s.getLocalPort();
+        }
+    }
+
+    @Test
+    void peersAreAskedInShortDatagramsAndStrangersPassedOver() throws Exception {
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+                DatagramSocket stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            int port = freePort();
+            String mine = "127.0.0.1:" + port;
+            Server host = host(NodeTest::echo);
+            registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+            Node node = Sockets.node(Sockets.config(registry.server.address(), mine, mine,
+                    "127.0.0.1:" + peer.getLocalPort()));
+            ends.push(node::stop);
+            InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+            for (DatagramSocket from : List.of(stranger, peer)) {
+                for (int size : new int[] {0, 1, 40, 256, 257, 4000}) {
+                    from.send(new DatagramPacket(new byte[size], size, to));
+                }
+            }
+            // Several customers, since the node itself keeps the books of some of them.
+            for (int i = 0; i < 8; i++) {
+                String shared = view("s" + i, Sockets.PATIENCE_MS).replace("spread=1", "spread=2")
+                        .replace("b4d65521", "b4d6552" + i);
+                assertEquals(200, client(node).send(shared).receive().status());
+            }
+            peer.setSoTimeout(Sockets.PATIENCE_MS);
+            DatagramPacket told = new DatagramPacket(new byte[1000], 1000);
+            peer.receive(told);
+            assertTrue(told.getLength() > 0 && told.getLength() <= 256);
+        }
+    }
+
+    @Test
+    void whatIsOpenAtADrainIsAnsweredAndItsConnectionClosed() throws Exception {
+        CountDownLatch draining = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            draining.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            echo(m, s);
+        });
+        Node node = nodeBefore(host);
+        Client busy = client(node).send(view("v", Sockets.PATIENCE_MS));
+        Client idle = client(node);
+        assertNotNull(host.next());
+        node.loop.submit(node::drain).sync();
+        Client late = client(node).send(view("w", Sockets.PATIENCE_MS)); // clients still come for a while
+        draining.countDown();
+        for (Client c : List.of(busy, late)) {
+            Message answer = c.receive();
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            assertNull(c.receive());
+        }
+        assertNull(idle.receive());
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    /** Nothing may be left open when the process is killed: what still runs then is failed or refused before. */
+    @Test
+    void aDrainEndsWhatAHostNeverAnswers() throws Exception {
+        Server host = host((m, s) -> { });
+        Node node = nodeBefore(host);
+        Client c = client(node).send(order("o", "b"));
+        assertNotNull(host.next());
+        node.loop.submit(node::drain).sync();
+        assertEquals(502, c.receive().status());
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    @Test
+    void aBadConfigurationIsOnePlainLine() {
+        for (String bad : List.of("[]", "{}", Sockets.config("nowhere", "127.0.0.1:0"),
+                Sockets.config("127.0.0.1:1", "127.0.0.1:0").replace("by_key", "by_luck"))) {
+            Exception e = assertThrows(RuntimeException.class,
+                    () -> NodeConfig.of(new com.fasterxml.jackson.databind.ObjectMapper().readTree(bad)));
+            assertEquals(1, e.getMessage().lines().count());
+        }
+        NodeConfig.BadConfig missing = assertThrows(NodeConfig.BadConfig.class, () -> NodeConfig.read("/no/such/file"));
+        assertEquals(1, missing.getMessage().lines().count());
+    }
+}
