--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -22,7 +22,7 @@
     private static final double LAG_MS = 60; // a told figure's age on arrival: half a gap and the way
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Keepers and tells
-    private static final double RETRY_MIN_MS = 100; // shortest wait that a refusal tells
+    private static final double RETRY_MIN_MS = TICK_MS; // shortest wait that a refusal tells
     private static final int KEEPERS = 2; // gateways of a set that keep its books: one may be down
     private static final double ANSWER_MS = 150; // a due answer is missing after so long
     private static final double SILENT_MS = 1000; // a peer that missed an answer is not asked so long
@@ -345,10 +345,12 @@
 
     /** When the store will have filled enough; every refusal tells a time to come back. */
     private double retryAfter(Customer c, double units) {
-        if (!set.limits().retryAfter()) return 0;
+        return waitTold(c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : 0);
+    }
+
+    private double waitTold(double ms) {
         double longest = set.limits().maxRetryAfterMs();
-        double lack = c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : 0;
-        return Math.min(longest, Math.max(RETRY_MIN_MS, lack));
+        return set.limits().retryAfter() ? Math.min(longest, Math.max(RETRY_MIN_MS, ms)) : 0;
     }
 
     /** Takes units from the quota's and the ceiling's stores, or gives them back where negative. */
@@ -660,9 +662,8 @@
         boolean harmless = ask.ran() == null || spec.effect() == Effect.REPEATABLE
                 || spec.effect() == Effect.KEYED && spec.scope() == Gateway.Scope.ALL;
         close(ask);
-        // Overload lasts longer than any client heeds, so it is told the longest wait.
-        double wait = set.limits().retryAfter() ? set.limits().maxRetryAfterMs() : 0;
-        if (harmless) act.refuse(ask.request.id(), wait);
+        // A place may be had once what is held now has left.
+        if (harmless) act.refuse(ask.request.id(), waitTold(ask.cls.queue.size() * ask.cls.releaseGap));
         else act.fail(ask.request.id());
     }
 
