Outlive a lack of descriptors; the guards against a broken module and idle crowds tested

Cause, descriptors: a probe with 60 descriptors and 120 clients ended the event loop with NoClassDefFoundError: the warning that none was left was the first line of the JDK's log handler, which opens the time zones' file for it. Node.plainLogs replaces that handler. Ruled out: netty's acceptor, which pauses and goes on. Cause, idle crowds: ClientServer.Connection.channelActive counted the evicted connection until its end was told, and so closed the new one too (the test fails without the two lines).

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -30,7 +30,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Map;
 
@@ -111,8 +110,10 @@
         public void channelActive(ChannelHandlerContext ctx) {
             // Rather an idle client's connection than no descriptor left for anyone.
             if (connections.size() >= maxConnections && !idle.isEmpty()) {
-                Iterator<Connection> longest = idle.iterator();
-                longest.next().channel.close();
+                Connection longest = idle.iterator().next();
+                idle.remove(longest); // now, as its end is told only later
+                connections.remove(longest);
+                longest.channel.close();
             }
             connections.add(this);
             idle.add(this);
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -3,6 +3,7 @@
 import deckfall.Brain;
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Events;
 import deckfall.Gateway.Host;
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
@@ -22,6 +23,10 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 
 /**
  * One api gateway: the event loop on which everything runs, the clock, the timers, the decision module and the
@@ -36,20 +41,16 @@
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_REPORT = new double[0];
 
-    static { // netty else looks for other loggers first, which a restart has no time for
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-    }
-
     /** Something that the module is to be told. */
     private interface Event {
-        void tell(double now, Brain brain);
+        void tell(double now, Events module);
     }
 
     final NodeConfig config;
     final Clock clock = new Clock();
     final NioEventLoopGroup group = new NioEventLoopGroup(1);
     final EventLoop loop = group.next();
-    private final Brain brain = new Brain(this);
+    private final Events module;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ClientServer clients;
@@ -63,7 +64,13 @@
     private long repeats;
 
     Node(NodeConfig config) {
+        this(config, Brain::new);
+    }
+
+    /** With a module of the caller's making. */
+    Node(NodeConfig config, Function<Actions, Events> maker) {
         this.config = config;
+        this.module = maker.apply(this);
         this.clients = new ClientServer(this);
         this.hosts = new HostClient(this);
         this.discovery = new Discovery(this);
@@ -72,6 +79,7 @@
 
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
     public static void main(String configFile) {
+        plainLogs();
         try {
             Node node = new Node(NodeConfig.read(configFile));
             node.start();
@@ -86,7 +94,7 @@
     void start() throws IOException {
         try {
             loop.submit(() -> {
-                tell((now, b) -> b.start(now, config.settings()));
+                tell((now, m) -> m.start(now, config.settings()));
                 peers.start();
                 if (config.known().hasNonNull(Discovery.LIST)) {
                     hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
@@ -102,6 +110,30 @@
         }
     }
 
+    /**
+     * One plain line for each thing that netty warns of. The system's own handler reads the time zones' file for
+     * its first line, and where that line says that no descriptor is left, this would end the event loop.
+     */
+    static void plainLogs() {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        Logger root = Logger.getLogger("");
+        for (Handler h : root.getHandlers()) {
+            root.removeHandler(h);
+        }
+        root.addHandler(new Handler() {
+            @Override
+            public void publish(LogRecord r) {
+                log(r.getLevel() + " " + r.getMessage() + (r.getThrown() == null ? "" : " " + r.getThrown()));
+            }
+
+            @Override
+            public void flush() { }
+
+            @Override
+            public void close() { }
+        });
+    }
+
     static void log(String line) {
         System.err.println(line);
     }
@@ -121,7 +153,7 @@
         try {
             for (Event next = events.poll(); next != null; next = events.poll()) {
                 try {
-                    next.tell(clock.now(), brain);
+                    next.tell(clock.now(), module);
                 } catch (RuntimeException e) { // the guard of its deadline still answers the request concerned
                     log("defect: the module threw " + e);
                     e.printStackTrace();
@@ -149,7 +181,7 @@
         client.holds(entry);
         double left = r.deadlineMs() - clock.now();
         entry.guard = loop.schedule(() -> deadline(entry), micros(left), TimeUnit.MICROSECONDS);
-        tell((now, b) -> b.request(now, told));
+        tell((now, m) -> m.request(now, told));
     }
 
     /** When the answer must have left for a client that waits this long from its sending. */
@@ -188,7 +220,7 @@
             return;
         }
         r.close();
-        tell((now, b) -> b.clientLeft(now, r.request.id()));
+        tell((now, m) -> m.clientLeft(now, r.request.id()));
         forgetIfOver(r);
     }
 
@@ -209,7 +241,7 @@
         boolean closed = r.closed();
         double took = clock.now() - a.sentAt;
         double[] report = response == null ? NO_REPORT : hosts.report(response);
-        tell((now, b) -> b.attemptEnded(now,
+        tell((now, m) -> m.attemptEnded(now,
                 new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, 0, 0, report)));
         forgetIfOver(r);
     }
@@ -225,15 +257,15 @@
         hosts.listed(kind, entries);
         List<Host> list = new ArrayList<>(entries.size());
         entries.forEach(e -> list.add(e.host()));
-        tell((now, b) -> b.hosts(now, kind, list));
+        tell((now, m) -> m.hosts(now, kind, list));
     }
 
     void probed(String host, Outcome outcome, double took, double[] report) {
-        tell((now, b) -> b.probed(now, host, outcome, took, report));
+        tell((now, m) -> m.probed(now, host, outcome, took, report));
     }
 
     void peerSaid(int peer, byte[] data) {
-        tell((now, b) -> b.peerSaid(now, peer, data));
+        tell((now, m) -> m.peerSaid(now, peer, data));
     }
 
     // ---- what the module does
@@ -297,7 +329,7 @@
 
     @Override
     public void timer(double delayMs, String token) {
-        loop.schedule(() -> tell((now, b) -> b.timer(now, token)), micros(delayMs), TimeUnit.MICROSECONDS);
+        loop.schedule(() -> tell((now, m) -> m.timer(now, token)), micros(delayMs), TimeUnit.MICROSECONDS);
     }
 
     @Override
@@ -313,7 +345,7 @@
     /** There is no counter on these sockets, so a call can't get through. */
     @Override
     public void count(String counter, double amount, double lifetimeMs) {
-        tell((now, b) -> b.counted(now, counter, Outcome.CONNECT_FAILED, 0));
+        tell((now, m) -> m.counted(now, counter, Outcome.CONNECT_FAILED, 0));
     }
 
     /** Discovery is always watched. */
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -33,6 +33,7 @@
 
     /** Returns when all has been gone through. */
     public static void run() throws IOException {
+        Node.plainLogs();
         int port;
         try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -15,6 +15,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Events;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Request;
+import deckfall.Gateway.Settings;
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
@@ -34,6 +42,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -408,6 +418,103 @@
         assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
     }
 
+    /** A module that does only what a test says of a request. */
+    private record Scripted(BiConsumer<Double, Request> script) implements Events {
+        @Override
+        public void start(double now, Settings settings) { }
+
+        @Override
+        public void hosts(double now, ListKind kind, List<Host> hosts) { }
+
+        @Override
+        public void request(double now, Request r) {
+            script.accept(now, r);
+        }
+
+        @Override
+        public void streamStarted(double now, String id, int attempt) { }
+
+        @Override
+        public void attemptEnded(double now, AttemptResult r) { }
+
+        @Override
+        public void clientLeft(double now, String id) { }
+
+        @Override
+        public void timer(double now, String token) { }
+
+        @Override
+        public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) { }
+
+        @Override
+        public void peerSaid(double now, int peer, byte[] data) { }
+
+        @Override
+        public void counted(double now, String counter, Outcome outcome, double total) { }
+    }
+
+    private Node scripted(Function<Actions, Events> module) throws IOException {
+        registry = kept(new Registry(list(1, true)));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"), module);
+        ends.push(node::stop);
+        return node;
+    }
+
+    /** What the module forgets or breaks on is failed, not refused: it may have run (rules 1 and 2). */
+    @Test
+    void aModuleThatThrowsStillCostsNoAnswer() throws Exception {
+        Node node = scripted(act -> new Scripted((now, r) -> {
+            if (r.requestClass().equals("view")) {
+                throw new IllegalStateException("made up by the test");
+            }
+            act.refuse(r.id(), 100);
+        }));
+        Client c = client(node);
+        assertEquals(504, c.send(view("v", 300)).receive().status());
+        assertEquals(429, c.send(order("o", "b")).receive().status());
+    }
+
+    /** Only the first final answer goes out; a second one would be taken for the next request's. */
+    @Test
+    void aModuleThatAnswersTwiceIsHeardOnce() throws Exception {
+        Node node = scripted(act -> new Scripted((now, r) -> {
+            if (r.requestClass().equals("view")) {
+                act.fail(r.id());
+            }
+            act.refuse(r.id(), 100);
+            act.refuse(r.id(), 100);
+        }));
+        Client c = client(node);
+        assertEquals(502, c.send(view("v", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals(429, c.send(order("o", "b")).receive().status());
+        assertEquals(502, c.send(view("w", Sockets.PATIENCE_MS)).receive().status());
+    }
+
+    /** Idle clients may not use up the descriptors that others need, nor may a busy one be cut off for them. */
+    @Test
+    void idleConnectionsGiveWayBeforeDescriptorsRunOut() throws Exception {
+        CountDownLatch crowded = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            if (m.header("X-Trace-Id").equals("held")) {
+                crowded.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            }
+            echo(m, s);
+        });
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"sockets\": 1024", "\"sockets\": 20"));
+        ends.push(node::stop);
+        Client held = client(node).send(view("held", Sockets.PATIENCE_MS));
+        assertNotNull(host.next());
+        Client first = client(node);
+        for (int i = 0; i < 30; i++) {
+            assertEquals("for v" + i + " ", client(node).send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+        }
+        assertNull(first.receive());
+        crowded.countDown();
+        assertEquals("for held ", held.receive().text());
+    }
+
     @Test
     void aBadConfigurationIsOnePlainLine() {
         for (String bad : List.of("[]", "{}", Sockets.config("nowhere", "127.0.0.1:0"),
--- /dev/null
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -0,0 +1,109 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.net.Sockets.Message;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as the platform starts and ends it. */
+class ProcessTest {
+    private static final int DESCRIPTORS = 100;
+
+    @TempDir
+    private Path dir;
+    private Process process;
+    private int port;
+
+    @AfterEach
+    void end() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private void start(String config) throws IOException {
+        Path file = Files.writeString(dir.resolve("config.json"), config);
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"", java,
+                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "deckfall.Main", "serve");
+        b.environment().put("NODE_CONFIG", file.toString());
+        process = b.redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .redirectError(dir.resolve("log").toFile()).start();
+    }
+
+    private void startServing() throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        start(Sockets.config("127.0.0.1:1", "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
+                "127.0.0.1:" + port + "\", \"disc"));
+        awaitReady();
+    }
+
+    private void awaitReady() throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (!ready()) {
+            assertTrue(process.isAlive() && System.nanoTime() < end, "not ready");
+            Thread.sleep(20);
+        }
+    }
+
+    private boolean ready() {
+        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            s.setSoTimeout(Sockets.PATIENCE_MS);
+            s.getOutputStream().write(Sockets.bytes("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"));
+            Message answer = Sockets.read(s.getInputStream());
+            return answer != null && answer.status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** The event loop once died of this: the warning that no descriptor was left itself needed one. */
+    @Test
+    void runningOutOfDescriptorsPasses() throws Exception {
+        startServing();
+        List<Socket> crowd = new ArrayList<>();
+        for (int i = 0; i < 2 * DESCRIPTORS; i++) {
+            crowd.add(new Socket(InetAddress.getLoopbackAddress(), port));
+        }
+        Path log = dir.resolve("log");
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (!Files.readString(log).contains("Too many open files")) {
+            assertTrue(System.nanoTime() < end, "descriptors did not run out");
+            Thread.sleep(20);
+        }
+        for (Socket s : crowd) {
+            s.close();
+        }
+        awaitReady();
+    }
+
+    @Test
+    void sigtermEndsItInOrder() throws Exception {
+        startServing();
+        process.destroy();
+        assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    @Test
+    void aBadConfigurationEndsItWithOneLine() throws Exception {
+        start("{\"name\": \"n0\"}");
+        assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(1, process.exitValue());
+        assertEquals(1, Files.readAllLines(dir.resolve("log")).size());
+    }
+}
--- a/src/test/java/deckfall/net/Sockets.java
+++ b/src/test/java/deckfall/net/Sockets.java
@@ -1,6 +1,9 @@
 package deckfall.net;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Brain;
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.Events;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
@@ -17,6 +20,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /** The other ends of a node's sockets, on ports that the system chooses. */
 final class Sockets {
@@ -228,7 +232,11 @@
     }
 
     static Node node(String config) throws IOException {
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)));
+        return node(config, Brain::new);
+    }
+
+    static Node node(String config, Function<Actions, Events> module) throws IOException {
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)), module);
         node.start();
         return node;
     }
