--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -182,7 +182,7 @@
                 answer(id == null ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, 0);
             } else if (node.full()) {
                 request.release();
-                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
             } else {
                 node.taken(read, request, this);
             }
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -34,7 +34,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -69,6 +68,8 @@
         public void close() { }
     };
 
+    private static final String DEAD = "127.0.0.1:1"; // below the ports that the system gives out
+
     private final Deque<Closeable> ends = new ArrayDeque<>();
     private Registry registry;
 
@@ -127,12 +128,6 @@
         return kept(new Client(node));
     }
 
-    private static String deadAddress() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + s.getLocalPort();
-        }
-    }
-
     @Test
     void requestAndAnswerPassUnchanged() throws Exception {
         byte[] body = new byte[60_000];
@@ -160,7 +155,7 @@
     @Test
     void aHostThatRefusesConnectionsCostsNoRequest() throws Exception {
         Server host = host(NodeTest::echo);
-        Node node = nodeWith(entry("dead", deadAddress(), "ready"), entry("live", host.address(), "ready"));
+        Node node = nodeWith(entry("dead", DEAD, "ready"), entry("live", host.address(), "ready"));
         for (int i = 0; i < 10; i++) {
             assertEquals("for o" + i + " b", client(node).send(order("o" + i, "b")).receive().text());
         }
@@ -298,7 +293,7 @@
         assertEquals(200, c.send(view("a", Sockets.PATIENCE_MS)).receive().status());
         awaitWatches(1);
         registry.news.add(list(2, false, entry("h0", old.address(), "draining"),
-                entry("h1", deadAddress(), "ready")));
+                entry("h1", DEAD, "ready")));
         registry.news.add(list(3, false, entry("h1", fresh.address(), "ready")));
         awaitWatches(3);
         for (int i = 0; i < 5; i++) {
