Take SIGHUP: reread the file, follow discovery to its new address

To blame: Node.main installed a hook for the end of the process and nothing for SIGHUP, which the JVM takes as the order to end.

Now the signal is taken before the file is first read (Reload). It is reread on the signal's own thread; Discovery turns to the new agent with a call for the whole list and no longer hears the old one. A file that can't be read costs one line. Entries of a list are read one by one: Discovery.entries threw the whole list away for one malformed entry, and its next call asked for the same again.

Checked: SIGHUP thrice with bad files in between, SIGTERM after it (exit 0), an old agent that answers after the move, four malformed entries among good ones.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -102,7 +102,7 @@
             if (e.host().state() == HostState.GONE) {
                 pools.remove(id);
                 close(old);
-            } else if (!same) {
+            } else if (!same && e.address() != null) {
                 pools.put(id, new Pool(e.address(), e.host().startedMs()));
                 close(old);
             }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -80,10 +80,12 @@
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
     public static void main(String configFile) {
         plainLogs();
+        Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
             Node node = new Node(NodeConfig.read(configFile));
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
+            reload.follow(node);
         } catch (NodeConfig.BadConfig | IOException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
@@ -134,6 +136,11 @@
         });
     }
 
+    /** Takes from a new configuration what may change while clients are served; the rest waits for a restart. */
+    void reload(NodeConfig fresh) {
+        loop.execute(() -> discovery.move(fresh.discovery()));
+    }
+
     static void log(String line) {
         System.err.println(line);
     }
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -333,6 +333,49 @@
         }
     }
 
+    /** One entry that can't be read once threw the whole list away, and again each time it was asked for. */
+    @Test
+    void aMalformedEntryCostsOnlyItsOwnHost() throws Exception {
+        Server known = host(NodeTest::echo);
+        Server fresh = host(NodeTest::echo);
+        Node node = nodeBefore(known);
+        awaitWatches(1);
+        registry.news.add(list(2, false, entry("h0", known.address(), "resting"), entry("h7", "nowhere", "ready"),
+                "{}", entry("h1", fresh.address(), "ready")));
+        awaitWatches(2);
+        Client c = client(node);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, c.send(view("a" + i, Sockets.PATIENCE_MS)).receive().status());
+        }
+        assertEquals(0, known.asked.size()); // what it wants is not known, so it gets nothing new
+        assertEquals(5, fresh.asked.size());
+    }
+
+    /** The old agent may have an answer under way, whose hosts are those of before the move. */
+    @Test
+    void anAgentThatWasLeftIsNotHeard() throws Exception {
+        Server gone = host(NodeTest::echo);
+        Server fresh = host(NodeTest::echo);
+        CountDownLatch moved = new CountDownLatch(1);
+        Server old = kept(new Server((m, s) -> {
+            moved.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            s.getOutputStream().write(ok(list(900, true, entry("h0", gone.address(), "ready"))));
+        }));
+        Node node = Sockets.node(Sockets.config(old.address(), "127.0.0.1:0"));
+        ends.push(node::stop);
+        assertNotNull(old.next());
+        registry = kept(new Registry(list(1, true, entry("h1", fresh.address(), "ready"))));
+        node.reload(NodeConfig.of(new com.fasterxml.jackson.databind.ObjectMapper()
+                .readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))));
+        awaitWatches(1);
+        moved.countDown();
+        assertNotNull(old.ended.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        for (int i = 0; i < 5; i++) {
+            assertEquals("for v" + i + " ", client(node).send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+        }
+        assertEquals(5, fresh.asked.size());
+    }
+
     private void awaitWatches(int count) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
         while (registry.server.asked.stream().filter(m -> m.start().contains("from=")).count() < count) {
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -47,11 +47,28 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
-        start(Sockets.config("127.0.0.1:1", "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
-                "127.0.0.1:" + port + "\", \"disc"));
+        start(config("127.0.0.1:1"));
         awaitReady();
     }
 
+    private String config(String discovery) {
+        return Sockets.config(discovery, "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
+                "127.0.0.1:" + port + "\", \"disc");
+    }
+
+    private void hangUp(String config) throws Exception {
+        Files.writeString(dir.resolve("config.json"), config);
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private void awaitLog(String part) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (!Files.readString(dir.resolve("log")).contains(part)) {
+            assertTrue(process.isAlive() && System.nanoTime() < end, "not logged: " + part);
+            Thread.sleep(20);
+        }
+    }
+
     private void awaitReady() throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
         while (!ready()) {
@@ -79,12 +96,7 @@
         for (int i = 0; i < 2 * DESCRIPTORS; i++) {
             crowd.add(new Socket(InetAddress.getLoopbackAddress(), port));
         }
-        Path log = dir.resolve("log");
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (!Files.readString(log).contains("Too many open files")) {
-            assertTrue(System.nanoTime() < end, "descriptors did not run out");
-            Thread.sleep(20);
-        }
+        awaitLog("Too many open files");
         for (Socket s : crowd) {
             s.close();
         }
@@ -99,6 +111,26 @@
         assertEquals(0, process.exitValue());
     }
 
+    /** SIGHUP once ended the process; each new file moves discovery, and one that can't be read moves nothing. */
+    @Test
+    void sighupFollowsDiscoveryAndSigtermStillEndsIt() throws Exception {
+        try (Sockets.Registry first = new Sockets.Registry(Sockets.list(7, true));
+                Sockets.Registry second = new Sockets.Registry(Sockets.list(3, true))) {
+            startServing();
+            for (Sockets.Registry next : List.of(first, second, first)) {
+                hangUp("{\"name\": \"n0\"}");
+                awaitLog("the settings stay as they were");
+                assertTrue(ready());
+                hangUp(config(next.server.address()));
+                assertEquals("GET /v1/servers HTTP/1.1", next.server.next().start());
+                assertTrue(next.server.next().start().contains(next == first ? "from=7&" : "from=3&"));
+            }
+            process.destroy();
+            assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(0, process.exitValue());
+        }
+    }
+
     @Test
     void aBadConfigurationEndsItWithOneLine() throws Exception {
         start("{\"name\": \"n0\"}");
