Read hosts' answers strictly; reuse a connection only when nothing else stands on it

A probe that logged each read with its request then showed the cause: a head with the line 'no colon here' was read as good. Netty's answer decoder ends a header's name at a blank, and finds no fault with a line that has no colon at all (HttpObjectDecoder.splitHeader, for answers only).

To blame besides: HostClient.Connection.channelRead put the connection back while its read was still being decoded; the check for answers bounded by the connection's end came behind the aggregator, which sets a length itself, so it never fired; the aggregator hid half a message on an idle connection.

Now HostConnection decodes without the aggregator. It returns to its pool after the read, looks into the socket again before it is reused, closes on any byte that comes unasked, takes no head without a length or with two, and ends a spoilt answer at once (also one that stops halfway, after 250 ms) as SPOILT: it may have run, and says nothing of the host. Attempts' timers end with them.

--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -24,9 +24,9 @@
     /** How a list of hosts is to be read: changes, all, what was held before a restart, or none (a call failed). */
     public enum ListKind { CHANGES, FULL, CACHED, FAILED }
 
-    /** How an attempt, a probe or a counter call ended. */
+    /** How an attempt, a probe or a counter call ended; SPOILT: an answer came that can't be read. */
     public enum Outcome {
-        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT;
+        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, SPOILT;
 
         /** True where the outcome proves that the host never ran the request. */
         public boolean neverRan() {
--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -2,15 +2,17 @@
 
 import deckfall.Gateway.Outcome;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.util.concurrent.Future;
 
 /** One attempt of an open request at one host. */
-final class Attempt extends HostClient.Exchange {
+final class Attempt extends HostConnection.Exchange {
     final OpenRequest owner;
     final int number;
     final String host;
     final double sentAt;
     private final Node node;
     boolean ended;
+    private Future<?> timeout;
 
     Attempt(Node node, OpenRequest owner, String host, double sentAt) {
         this.node = node;
@@ -20,6 +22,17 @@
         this.sentAt = sentAt;
     }
 
+    /** Its end stops this timer, or there would be one for each attempt of the last minutes. */
+    void limit(Future<?> timer) {
+        timeout = timer;
+    }
+
+    void stopTimer() {
+        if (timeout != null) {
+            timeout.cancel(false);
+        }
+    }
+
     @Override
     void ended(Outcome outcome, FullHttpResponse response) {
         node.attemptEnded(this, outcome, response);
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -197,7 +197,7 @@
             FullHttpResponse to = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                     from.content().retain());
             String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
-            if (type != null) {
+            if (type != null && type.chars().allMatch(c -> c >= ' ' && c <= '~')) { // else not to be passed on
                 to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
             }
             write(to);
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -6,8 +6,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
@@ -15,14 +13,9 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -35,10 +28,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-/** Connections to hosts, one request at a time on each, and what became of what was sent. */
+/** The pools of connections to hosts, and what is sent on them. */
 final class HostClient {
     private static final String HOST = "backend.local";
-    private static final String NEVER_RAN = "X-Never-Ran";
     private static final String REPORT = "Endpoint-Load-Metrics";
     private static final double IDLE_SHARE = 0.6; // of the time after which a host may close an idle connection
     private static final long SWEEP_MS = 500;
@@ -60,34 +52,32 @@
         node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Something asked of a host that ends exactly once; its owner ignores what comes after. */
-    abstract static class Exchange {
-        private Connection connection;
-
-        /** How it ended; the response, where there is one, is only lent. */
-        abstract void ended(Outcome outcome, FullHttpResponse response);
-
-        /** Stops waiting: its connection closes, so late bytes can never reach another request. */
-        final void abandon() {
-            Connection c = connection;
-            connection = null;
-            if (c != null) {
-                c.drop();
-            }
-        }
-    }
-
     /** The connections to one host at one address in one life of its process. */
-    private static final class Pool {
+    private static final class Pool implements HostConnection.Home {
         final InetSocketAddress address;
         final double startedMs;
-        final ArrayDeque<Connection> idle = new ArrayDeque<>(); // the last used at the end
+        final ArrayDeque<HostConnection> idle = new ArrayDeque<>(); // the last used at the end
         boolean closed;
 
         Pool(InetSocketAddress address, double startedMs) {
             this.address = address;
             this.startedMs = startedMs;
         }
+
+        @Override
+        public boolean closed() {
+            return closed;
+        }
+
+        @Override
+        public void resting(HostConnection c) {
+            idle.addLast(c);
+        }
+
+        @Override
+        public void gone(HostConnection c) {
+            idle.remove(c);
+        }
     }
 
     // ---- the list
@@ -121,7 +111,7 @@
     private void close(Pool pool) {
         if (pool != null) {
             pool.closed = true;
-            List.copyOf(pool.idle).forEach(c -> c.channel.close());
+            List.copyOf(pool.idle).forEach(HostConnection::close);
         }
     }
 
@@ -129,8 +119,8 @@
         node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
         double before = node.clock.now() - node.config.idleMs() * IDLE_SHARE;
         for (Pool pool : pools.values()) {
-            while (!pool.idle.isEmpty() && pool.idle.peekFirst().idleSince < before) {
-                pool.idle.pollFirst().channel.close();
+            while (!pool.idle.isEmpty() && pool.idle.peekFirst().idleSince() < before) {
+                pool.idle.pollFirst().close();
             }
         }
     }
@@ -141,9 +131,9 @@
             return true;
         }
         for (Pool pool : pools.values()) {
-            Connection c = pool.idle.pollFirst();
+            HostConnection c = pool.idle.pollFirst();
             if (c != null) {
-                c.channel.close();
+                c.close();
                 return true;
             }
         }
@@ -183,7 +173,7 @@
         List<String> names = node.config.settings().reportNames();
         String path = names.isEmpty() ? "/healthz" : "/load";
         double sentAt = node.clock.now();
-        Exchange probe = new Exchange() {
+        HostConnection.Exchange probe = new HostConnection.Exchange() {
             private boolean over;
 
             @Override
@@ -202,21 +192,21 @@
             return message;
         });
         node.loop.schedule(() -> {
-            if (probe.connection != null) {
+            if (probe.under()) {
                 probe.abandon();
                 probe.ended(Outcome.TIMEOUT, null);
             }
         }, (long) PROBE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void start(String host, Exchange x, Message message) {
+    private void start(String host, HostConnection.Exchange x, Message message) {
         Pool pool = pools.get(host);
         if (pool == null) {
             x.ended(Outcome.CONNECT_FAILED, null); // its address was taken from the list
             return;
         }
-        for (Connection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
-            if (c.channel.isActive()) {
+        for (HostConnection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
+            if (c.ready()) {
                 c.write(x, message.build());
                 return;
             }
@@ -232,16 +222,14 @@
         FullHttpRequest build();
     }
 
-    private void connect(Pool pool, Exchange x, Message message) {
+    private void connect(Pool pool, HostConnection.Exchange x, Message message) {
         connections++;
-        Connection c = new Connection(pool);
-        c.exchange = x;
-        x.connection = c;
+        HostConnection c = new HostConnection(pool, node.clock);
+        c.await(x);
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel ch) {
-                c.channel = ch;
-                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY), c);
+                c.attach(ch);
             }
         }).connect(pool.address);
         connecting.addListener(f -> {
@@ -251,113 +239,12 @@
                 return;
             }
             connecting.channel().closeFuture().addListener(closed -> connections--);
-            if (c.exchange == x) {
+            if (c.awaits(x)) {
                 c.write(x, message.build());
             }
         });
     }
 
-    /** One connection to a host. */
-    private final class Connection extends ChannelInboundHandlerAdapter {
-        private final Pool pool;
-        private SocketChannel channel;
-        private Exchange exchange;
-        private boolean written; // the request's last byte has left
-        private double idleSince;
-
-        Connection(Pool pool) {
-            this.pool = pool;
-        }
-
-        void write(Exchange x, FullHttpRequest message) {
-            exchange = x;
-            x.connection = this;
-            written = false;
-            channel.writeAndFlush(message).addListener(f -> {
-                if (exchange != x) {
-                    return;
-                }
-                written = f.isSuccess();
-                if (!written) {
-                    lost();
-                    channel.close();
-                }
-            });
-        }
-
-        /** What was asked here ended without an answer. It may have run only once its last byte had left. */
-        private void lost() {
-            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
-        }
-
-        private void end(Outcome outcome, FullHttpResponse response) {
-            Exchange x = exchange;
-            exchange = null;
-            if (x != null) {
-                x.connection = null;
-                x.ended(outcome, response);
-            }
-        }
-
-        void drop() {
-            exchange = null;
-            if (channel != null) {
-                channel.close();
-            }
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            FullHttpResponse response = (FullHttpResponse) message;
-            try {
-                if (exchange == null) {
-                    channel.close(); // nobody asked, or nobody waits any more
-                } else if (response.decoderResult().isFailure() || !HttpUtil.isContentLengthSet(response)
-                        && !HttpUtil.isTransferEncodingChunked(response)) {
-                    // An answer that the end of the connection bounds can't be told from a broken one.
-                    lost();
-                    channel.close();
-                } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                    boolean reusable = written && HttpUtil.isKeepAlive(response) && !pool.closed;
-                    Exchange x = exchange;
-                    exchange = null;
-                    x.connection = null;
-                    if (reusable) {
-                        idleSince = node.clock.now();
-                        pool.idle.addLast(this);
-                    } else {
-                        channel.close();
-                    }
-                    x.ended(outcome(response), response);
-                }
-            } finally {
-                response.release();
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            pool.idle.remove(this);
-            lost();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            lost();
-            channel.close();
-        }
-    }
-
-    private static Outcome outcome(FullHttpResponse response) {
-        int code = response.status().code();
-        if (code == HttpResponseStatus.OK.code()) {
-            return Outcome.OK;
-        }
-        boolean turnedAway = code == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
-                || code == HttpResponseStatus.GATEWAY_TIMEOUT.code();
-        return turnedAway && "1".equals(response.headers().get(NEVER_RAN)) ? Outcome.FULL : Outcome.ERROR;
-    }
-
     // ---- load reports
 
     double[] report(FullHttpResponse response) {
@@ -372,8 +259,11 @@
         for (String part : text.substring(text.indexOf(' ') + 1).split(",")) {
             int equals = part.indexOf('=');
             try {
-                told.put(part.substring(0, Math.max(0, equals)).trim(),
-                        Double.valueOf(part.substring(equals + 1).trim()));
+                double value = Double.parseDouble(part.substring(equals + 1).trim());
+                if (!Double.isFinite(value)) {
+                    return new double[0];
+                }
+                told.put(part.substring(0, Math.max(0, equals)).trim(), value);
             } catch (NumberFormatException e) {
                 return new double[0];
             }
--- /dev/null
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -0,0 +1,326 @@
+package deckfall.net;
+
+import deckfall.Gateway.Outcome;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One connection to a host. It carries one exchange at a time, puts its answer together, and goes back to its pool
+ * only when nothing stands on it beyond that answer: what a host sends unasked would be taken for the next answer.
+ */
+final class HostConnection extends ChannelInboundHandlerAdapter {
+    private static final String NEVER_RAN = "X-Never-Ran";
+    private static final long STALL_MS = 250; // an answer that has begun and is not whole after so long is no answer
+    private static final int INTERIM_MAX = 16; // 1xx answers ahead of one
+
+    /** Where a connection rests between exchanges. */
+    interface Home {
+        boolean closed();
+
+        void resting(HostConnection c);
+
+        void gone(HostConnection c);
+    }
+
+    private final Home home;
+    private final Clock clock;
+    private final Decoder decoder = new Decoder();
+    private SocketChannel channel;
+    private Exchange exchange;
+    private boolean written; // the request's last byte has left
+    private boolean begun; // of the answer, something has come
+    private HttpResponse head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private int interim;
+    private boolean clean; // answered, and nothing has come since
+    private Future<?> stall;
+    private double idleSince;
+
+    HostConnection(Home home, Clock clock) {
+        this.home = home;
+        this.clock = clock;
+    }
+
+    /** Something asked of a host that ends exactly once; its owner ignores what comes after. */
+    abstract static class Exchange {
+        private HostConnection connection;
+
+        /** How it ended; the response, where there is one, is only lent. */
+        abstract void ended(Outcome outcome, FullHttpResponse response);
+
+        final boolean under() {
+            return connection != null;
+        }
+
+        /** Stops waiting: its connection closes, so late bytes can never reach another request. */
+        final void abandon() {
+            HostConnection c = connection;
+            connection = null;
+            if (c != null) {
+                c.exchange = null;
+                c.close();
+            }
+        }
+    }
+
+    /** Reads answers; their lines may hold anything but what leaves their length open. */
+    private final class Decoder extends HttpResponseDecoder {
+        Decoder() {
+            super(new HttpDecoderConfig().setHeadersFactory(StrictHeaders.ofAnswers()));
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+            if (exchange == null) { // nobody asked, or nobody waits any more: also half a message is one too many
+                ReferenceCountUtil.release(bytes);
+                close();
+                return;
+            }
+            begun = true;
+            super.channelRead(ctx, bytes);
+        }
+
+        /** The decoder takes a line with a blank and no colon for a name and no value; such a head is noise. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (line[start + length] != ':') {
+                throw new IllegalArgumentException("no colon behind a header's name");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+
+        boolean leftOver() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
+    void attach(SocketChannel ch) {
+        channel = ch;
+        ch.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
+    }
+
+    void await(Exchange x) {
+        exchange = x;
+        x.connection = this;
+    }
+
+    boolean awaits(Exchange x) {
+        return exchange == x;
+    }
+
+    double idleSince() {
+        return idleSince;
+    }
+
+    /**
+     * Whether an idle connection may carry the next exchange. What stands unread in its socket is read first: a
+     * second copy of the last answer, or the host's end, may have come since the loop last looked.
+     */
+    boolean ready() {
+        if (channel.isActive()) {
+            ((NioUnsafe) channel.unsafe()).read();
+        }
+        return channel.isActive();
+    }
+
+    void write(Exchange x, FullHttpRequest message) {
+        await(x);
+        written = begun = clean = false;
+        interim = 0;
+        channel.writeAndFlush(message).addListener(f -> {
+            if (exchange != x) {
+                return;
+            }
+            written = f.isSuccess();
+            if (!written) {
+                lost();
+                close();
+            }
+        });
+    }
+
+    /** What was asked here ended without an answer. It may have run only once its last byte had left. */
+    void lost() {
+        end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+    }
+
+    /** No answer will come of this, whatever else comes; the host has run the request all the same. */
+    private void spoilt() {
+        end(Outcome.SPOILT, null);
+        close();
+    }
+
+    private void end(Outcome outcome, FullHttpResponse response) {
+        Exchange x = exchange;
+        exchange = null;
+        if (x != null) {
+            x.connection = null;
+            x.ended(outcome, response);
+        }
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (exchange == null) {
+                close();
+            } else if (((HttpObject) message).decoderResult().isFailure()) {
+                spoilt();
+            } else {
+                if (message instanceof HttpResponse) {
+                    begin((HttpResponse) message);
+                }
+                if (message instanceof HttpContent && exchange != null) {
+                    goOn((HttpContent) message);
+                }
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(HttpResponse response) {
+        head = response;
+        boolean ahead = isInterim();
+        boolean empty = response.status().equals(HttpResponseStatus.NO_CONTENT)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        boolean chunked = HttpUtil.isTransferEncodingChunked(response);
+        long length = HttpUtil.getContentLength(response, -1L);
+        // An answer that the end of the connection bounds can't be told from a broken one.
+        boolean bounded = ahead || empty || chunked || length >= 0;
+        if (!bounded || length > ClientServer.MAX_BODY || ahead && ++interim > INTERIM_MAX
+                || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            spoilt();
+        }
+    }
+
+    private boolean isInterim() {
+        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
+    private void goOn(HttpContent content) {
+        if (body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BODY) {
+            spoilt();
+            return;
+        }
+        if (!body.isReadable()) {
+            body.release();
+            body = content.content().retain();
+        } else if (content.content().isReadable()) {
+            CompositeByteBuf all = body instanceof CompositeByteBuf ? (CompositeByteBuf) body
+                    : channel.alloc().compositeBuffer().addComponent(true, body);
+            body = all.addComponent(true, content.content().retain());
+        }
+        if (!(content instanceof LastHttpContent)) {
+            return;
+        }
+        if (isInterim()) {
+            begun = decoder.leftOver();
+        } else {
+            FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body,
+                    head.headers(), EmptyHttpHeaders.INSTANCE);
+            clean = written && HttpUtil.isKeepAlive(head) && !decoder.leftOver();
+            body = Unpooled.EMPTY_BUFFER;
+            try {
+                end(outcome(whole), whole);
+            } finally {
+                whole.release();
+            }
+            if (!clean) {
+                close();
+            }
+        }
+        head = null;
+    }
+
+    /** Only now has all been read that came with the answer; before, what is right behind it was not seen. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (exchange != null) {
+            watch();
+            return;
+        }
+        if (stall != null) {
+            stall.cancel(false);
+            stall = null;
+        }
+        if (clean && channel.isActive() && !home.closed()) {
+            clean = false; // once only: what comes from now on closes it
+            idleSince = clock.now();
+            home.resting(this);
+        } else if (home.closed()) {
+            close();
+        }
+    }
+
+    /** A host that stops inside its answer keeps the connection open, so nothing else would ever tell. */
+    private void watch() {
+        if (!begun || stall != null) {
+            return;
+        }
+        Exchange x = exchange;
+        stall = channel.eventLoop().schedule(() -> {
+            stall = null;
+            if (exchange == x && begun) {
+                spoilt();
+            }
+        }, STALL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private static Outcome outcome(FullHttpResponse response) {
+        int code = response.status().code();
+        if (code == HttpResponseStatus.OK.code()) {
+            return Outcome.OK;
+        }
+        boolean turnedAway = code == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+                || code == HttpResponseStatus.GATEWAY_TIMEOUT.code();
+        return turnedAway && "1".equals(response.headers().get(NEVER_RAN)) ? Outcome.FULL : Outcome.ERROR;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        home.gone(this);
+        if (stall != null) {
+            stall.cancel(false);
+        }
+        lost();
+        body.release();
+        body = Unpooled.EMPTY_BUFFER;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        lost();
+        close();
+    }
+}
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -237,6 +237,7 @@
             return;
         }
         a.ended = true;
+        a.stopTimer();
         OpenRequest r = a.owner;
         r.out--;
         if (outcome == Outcome.OK) {
@@ -293,12 +294,10 @@
             return;
         }
         if (timeoutMs > 0) {
-            loop.schedule(() -> {
-                if (!a.ended) {
-                    a.abandon();
-                    attemptEnded(a, Outcome.TIMEOUT, null);
-                }
-            }, micros(timeoutMs), TimeUnit.MICROSECONDS);
+            a.limit(loop.schedule(() -> {
+                a.abandon();
+                attemptEnded(a, Outcome.TIMEOUT, null);
+            }, micros(timeoutMs), TimeUnit.MICROSECONDS));
         }
         hosts.send(a);
     }
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -27,107 +27,23 @@
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
-import io.netty.buffer.PooledByteBufAllocator;
-import java.io.Closeable;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
 /** A node between real sockets: each test is a failure that must not cost a request or break a rule. */
-class NodeTest {
-    private static final Logger LEAKS = Logger.getLogger("io.netty.util.ResourceLeakDetector");
-    private static final List<String> LEAKED = new CopyOnWriteArrayList<>();
-    private static final Handler NOTE = new Handler() {
-        @Override
-        public void publish(LogRecord r) {
-            LEAKED.add(r.getMessage());
-        }
-
-        @Override
-        public void flush() { }
-
-        @Override
-        public void close() { }
-    };
-
+class NodeTest extends SocketTest {
     private static final String DEAD = "127.0.0.1:1"; // below the ports that the system gives out
 
-    private final Deque<Closeable> ends = new ArrayDeque<>();
-    private Registry registry;
-
-    @BeforeAll
-    static void noteLeaks() {
-        LEAKS.addHandler(NOTE);
-    }
-
-    /** A buffer that was not released shows once it has been collected and another is taken. */
-    @AfterAll
-    static void noBufferWasLeaked() {
-        for (int i = 0; i < 5; i++) {
-            System.gc();
-            PooledByteBufAllocator.DEFAULT.buffer(64).release();
-        }
-        LEAKS.removeHandler(NOTE);
-        assertEquals(List.of(), LEAKED);
-    }
-
-    @AfterEach
-    void close() throws IOException {
-        for (Closeable c : ends) {
-            c.close();
-        }
-    }
-
-    private <T extends Closeable> T kept(T end) {
-        ends.push(end);
-        return end;
-    }
-
-    private Server host(Sockets.Answer answer) throws IOException {
-        return kept(new Server(answer));
-    }
-
-    private static void echo(Message m, java.net.Socket s) throws IOException {
-        s.getOutputStream().write(ok("for " + m.header("X-Trace-Id") + " " + m.text()));
-    }
-
-    private Node nodeWith(String... entries) throws IOException {
-        registry = kept(new Registry(list(1, true, entries)));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"));
-        ends.push(node::stop);
-        return node;
-    }
-
-    private Node nodeBefore(Server... hosts) throws IOException {
-        String[] entries = new String[hosts.length];
-        for (int i = 0; i < hosts.length; i++) {
-            entries[i] = entry("h" + i, hosts[i].address(), "ready");
-        }
-        return nodeWith(entries);
-    }
-
-    private Client client(Node node) throws IOException {
-        return kept(new Client(node));
-    }
-
     @Test
     void requestAndAnswerPassUnchanged() throws Exception {
         byte[] body = new byte[60_000];
@@ -376,14 +292,6 @@
         assertEquals(5, fresh.asked.size());
     }
 
-    private void awaitWatches(int count) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (registry.server.asked.stream().filter(m -> m.start().contains("from=")).count() < count) {
-            assertTrue(System.nanoTime() < end, "no watch came");
-            Thread.sleep(5);
-        }
-    }
-
     private static int freePort() throws IOException {
         try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             return s.getLocalPort();
