Read clients strictly, within time limits; silent and idle connections give way

To blame: ClientServer closed the longest idle connection for room, so a silent crowd pushed out the regulars; nothing ended silence or half a request; whole idle connections stayed for good.

Checked one by one over sockets: two lengths, a length with a coding, odd lengths, doubled protocol headers, a GET with a body (went on without its length: a host read a second request), units, sets and times out of range or not plain numbers, a set that this gateway is not in (its keepers would be held for silent), an id that is open (was renamed and served), a body too long (the aggregator answered 413 ahead of the answers still due and kept the connection's books wrong), Expect.

Now RequestReader puts requests together on strict headers, RequestTerms holds what they say against the settings, and ClientServer ends what is silent or unfinished after 2 s, closes never-used connections first, then idle ones, and looks into the socket before it does. A connection that brings bad requests is answered, but read only every 200 ms.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -1,9 +1,6 @@
 package deckfall.net;
 
-import deckfall.Gateway.Effect;
-import deckfall.Gateway.Plan;
 import deckfall.Gateway.Request;
-import deckfall.Gateway.RequestClass;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -14,51 +11,52 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.Map;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 
-/** Accepts clients, reads their requests, and writes the one answer to each. */
+/** Accepts clients and writes the one answer to each request; decides which connections stay open. */
 final class ClientServer {
     static final int MAX_BODY = 64 * 1024;
     private static final int BACKLOG = 512;
     private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
-    private static final double SOCKET_SHARE = 0.45; // of all descriptors; hosts may have as many
+    private static final double SOCKET_SHARE = 0.42; // of all descriptors; the program itself needs some, too
+    private static final double PRESSED_SHARE = 0.5; // of the connections that fit: then idle ones give way early
+    private static final long SWEEP_MS = 100;
+    private static final double READ_MS = 2000; // for a request, from its first byte or the connection's start
+    private static final double GIVES_WAY_MS = 2200; // idle for so long, a connection may be closed for room
+    private static final double IDLE_MS = 20_000; // idle for so long, it is closed
+    private static final int ASKED_ONCE = 1; // requests on a connection that is not likely to bring another
+    private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
+    private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
     private static final double MS_PER_SECOND = 1000;
-    private static final int HEX = 16;
-    private static final int CUSTOMER_DIGITS = 16;
-    private static final long CUSTOMER_END = 1L << 33;
-    private static final int ID_MAX = 64;
     private static final String READY = "/healthz";
 
     private final Node node;
-    private final Map<String, RequestClass> classes = new HashMap<>();
-    private final Map<String, Plan> plans = new HashMap<>();
+    private final RequestTerms terms;
     private final LinkedHashSet<Connection> connections = new LinkedHashSet<>();
+    private final LinkedHashSet<Connection> unused = new LinkedHashSet<>(); // no request came yet; the oldest first
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // longest idle first
     private final int maxConnections;
     private Channel listener;
 
     ClientServer(Node node) {
         this.node = node;
-        node.config.settings().classes().forEach(c -> classes.put(c.name(), c));
-        node.config.settings().plans().forEach(p -> plans.put(p.name(), p));
-        maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
+        this.terms = new RequestTerms(node.config.settings());
+        this.maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
     }
 
     /** Clients are served once this is done. */
@@ -69,19 +67,21 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY),
-                                new Connection(ch));
+                        RequestReader reader = new RequestReader(node.clock);
+                        reader.addTo(ch.pipeline());
+                        ch.pipeline().addLast(new Connection(ch, reader));
                     }
                 }).bind(node.config.listen());
         listener = bound.channel();
+        node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
     /** After this only requests that already came are answered. */
     void stopAccepting() {
         listener.close();
-        for (Connection c : new LinkedHashSet<>(idle)) {
-            c.channel.close();
+        for (LinkedHashSet<Connection> from : List.of(unused, idle)) {
+            List.copyOf(from).forEach(c -> giveUp(c, from));
         }
     }
 
@@ -93,40 +93,93 @@
         return listener;
     }
 
+    // ---- which connections stay
+
+    /** Silence, and a request that does not get on, end here; so do idle connections, sooner where there are many. */
+    private void sweep() {
+        node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+        double now = node.clock.now();
+        for (Connection c : List.copyOf(connections)) {
+            if (c.overdue(now - READ_MS)) {
+                c.timeOut();
+            }
+        }
+        boolean pressed = connections.size() > maxConnections * PRESSED_SHARE;
+        for (Connection c : List.copyOf(idle)) {
+            if (c.idleSince > now - GIVES_WAY_MS) {
+                break; // so are all behind it
+            }
+            if (pressed || c.requests <= ASKED_ONCE || c.idleSince < now - IDLE_MS) {
+                giveUp(c, idle);
+            }
+        }
+    }
+
+    /** Rather a silent connection, then an idle one, than no descriptor left for anyone; one in use never. */
+    private boolean makeRoom() {
+        for (LinkedHashSet<Connection> from : List.of(unused, idle)) {
+            for (Connection c : List.copyOf(from)) {
+                if (giveUp(c, from)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Ends a connection unless a request stands unread in its socket: closing that away would lose it. */
+    private boolean giveUp(Connection c, LinkedHashSet<Connection> from) {
+        if (c.channel.isActive() && c.channel.config().isAutoRead()) {
+            ((NioUnsafe) c.channel.unsafe()).read();
+        }
+        boolean free = from.contains(c);
+        if (free) {
+            c.leave(); // now, as its end is told only later
+            c.channel.close();
+        }
+        return free;
+    }
+
     /** One client connection: one request at a time, in order; what is sent ahead waits its turn. */
     final class Connection extends ChannelInboundHandlerAdapter {
         private final SocketChannel channel;
-        private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>();
+        private final RequestReader reader;
+        private final ArrayDeque<Object> waiting = new ArrayDeque<>(); // requests, and at the end what is unreadable
         private OpenRequest current;
         private boolean busy;
         private boolean keepAlive = true;
         private boolean ended; // the last answer is on its way
+        private double idleSince = node.clock.now();
+        private int requests;
+        private int faults;
+        private boolean paused;
 
-        Connection(SocketChannel channel) {
+        Connection(SocketChannel channel, RequestReader reader) {
             this.channel = channel;
+            this.reader = reader;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            // Rather an idle client's connection than no descriptor left for anyone.
-            if (connections.size() >= maxConnections && !idle.isEmpty()) {
-                Connection longest = idle.iterator().next();
-                idle.remove(longest); // now, as its end is told only later
-                connections.remove(longest);
-                longest.channel.close();
-            }
-            connections.add(this);
-            idle.add(this);
-            if (connections.size() > maxConnections) {
+            if (connections.size() >= maxConnections && !makeRoom()) {
+                ended = true;
                 channel.close();
+                return;
             }
+            connections.add(this);
+            unused.add(this);
         }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
+        private void leave() {
             connections.remove(this);
+            unused.remove(this);
             idle.remove(this);
-            waiting.forEach(FullHttpRequest::release);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            leave();
+            waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
             ended = true;
             OpenRequest left = current;
@@ -136,50 +189,89 @@
             }
         }
 
+        /** Whether no request has come for too long on a connection that owes one. */
+        private boolean overdue(double since) {
+            boolean silent = requests == 0 && idleSince < since;
+            return !busy && !ended && channel.config().isAutoRead() && (silent || reader.unfinishedSince(since));
+        }
+
+        private void timeOut() {
+            keepAlive = false;
+            if (reader.unfinishedSince(node.clock.now())) {
+                answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
+            } else {
+                leave();
+                channel.close();
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            // Ahead of an answer that is still due it would be taken to belong to that one; then the client waits.
+            if (event == RequestReader.Asks.TO_GO_ON && !busy && !ended && waiting.isEmpty()) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                        Unpooled.EMPTY_BUFFER), channel.voidPromise());
+            }
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            FullHttpRequest request = (FullHttpRequest) message;
             if (ended) {
-                request.release();
+                ReferenceCountUtil.release(message);
                 return;
             }
-            waiting.add(request);
+            waiting.add(message);
             next();
             if (waiting.size() >= PIPELINED) {
                 channel.config().setAutoRead(false);
             }
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            next();
+        }
+
+        /** Goes on with what was sent ahead, but only as fast as the client takes the answers. */
         private void next() {
-            while (!busy && !ended && !waiting.isEmpty()) {
-                FullHttpRequest request = waiting.poll();
-                if (!channel.config().isAutoRead() && waiting.isEmpty()) {
-                    channel.config().setAutoRead(true);
+            while (!busy && !ended && !waiting.isEmpty() && channel.isWritable()) {
+                Object message = waiting.poll();
+                if (waiting.isEmpty() && !paused) {
+                    readOn();
                 }
                 busy = true;
+                requests++;
+                unused.remove(this);
                 idle.remove(this);
-                handle(request);
+                if (message instanceof RequestReader.Unreadable) {
+                    keepAlive = false; // where the next request would begin is not known
+                    answer(((RequestReader.Unreadable) message).status(), 0);
+                } else {
+                    handle((FullHttpRequest) message);
+                }
             }
         }
 
-        private void handle(FullHttpRequest request) {
-            if (request.decoderResult().isFailure()) {
-                keepAlive = false; // where the next request would begin is not known
-                request.release();
-                answer(HttpResponseStatus.BAD_REQUEST, 0);
-                return;
+        private void readOn() {
+            if (!channel.config().isAutoRead()) {
+                reader.resume();
+                channel.config().setAutoRead(true);
             }
+        }
+
+        private void handle(FullHttpRequest request) {
             keepAlive = HttpUtil.isKeepAlive(request);
             if (request.uri().equals(READY)) {
                 request.release();
                 answer(node.draining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
                 return;
             }
-            String id = request.headers().get(Names.ID);
-            Request read = read(request, id);
-            if (read == null) {
+            Request read = terms.read(request, node.clock.now());
+            if (read == null || node.knows(read.id())) {
+                boolean unknown = !request.headers().contains(RequestTerms.ID);
                 request.release();
-                answer(id == null ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, 0);
+                fault();
+                answer(unknown ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, 0);
             } else if (node.full()) {
                 request.release();
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
@@ -188,6 +280,21 @@
             }
         }
 
+        /** A client that goes on asking what can't be served gets its answers, but not all of the processor. */
+        private void fault() {
+            if (++faults < FAULTS || paused) {
+                return;
+            }
+            paused = true;
+            channel.config().setAutoRead(false);
+            node.loop.schedule(() -> {
+                paused = false;
+                if (!ended && waiting.size() < PIPELINED) {
+                    readOn();
+                }
+            }, PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+
         void holds(OpenRequest r) {
             current = r;
         }
@@ -225,6 +332,7 @@
                 return;
             }
             channel.writeAndFlush(response, channel.voidPromise());
+            idleSince = node.clock.now();
             idle.add(this);
             if (!waiting.isEmpty()) { // not at once: an answer may be given while the request is being taken
                 node.loop.execute(this::next);
@@ -236,68 +344,4 @@
             channel.close();
         }
     }
-
-    /** Header names of the protocol. */
-    static final class Names {
-        static final String ID = "X-Trace-Id";
-        static final String PLAN = "X-Plan";
-        static final String CUSTOMER = "X-Customer";
-        static final String EXPIRES = "X-Expires-In-Ms";
-        static final String QUOTA = "X-Quota";
-        static final String RETRY = "X-Second-Try";
-        static final String KEY = "Idempotency-Key";
-
-        private Names() { }
-    }
-
-    /** The request as the module knows it, or null where it is missing or has malformed what it must say. */
-    private Request read(FullHttpRequest message, String id) {
-        HttpHeaders h = message.headers();
-        RequestClass cls = classes.get(firstPart(message.uri()));
-        String plan = h.get(Names.PLAN);
-        String customer = h.get(Names.CUSTOMER);
-        String expires = h.get(Names.EXPIRES);
-        String quota = h.get(Names.QUOTA);
-        if (cls == null || id == null || id.isEmpty() || id.length() > ID_MAX || plan == null
-                || !plans.containsKey(plan) || customer == null || customer.length() != CUSTOMER_DIGITS
-                || expires == null || quota == null) {
-            return null;
-        }
-        boolean safe = cls.effect() == Effect.REPEATABLE;
-        boolean fits = safe ? message.method().equals(HttpMethod.GET) : message.method().equals(HttpMethod.POST);
-        if (!fits || cls.effect() == Effect.KEYED && !h.contains(Names.KEY)) {
-            return null;
-        }
-        try {
-            long number = Long.parseLong(customer, HEX);
-            long left = Integer.parseInt(expires);
-            double units = -1;
-            int spread = -1;
-            int first = -1;
-            for (String part : quota.split(",")) {
-                int equals = part.indexOf('=');
-                String value = part.substring(equals + 1).trim();
-                switch (equals < 0 ? "" : part.substring(0, equals).trim()) {
-                    case "units" -> units = Double.parseDouble(value);
-                    case "spread" -> spread = Integer.parseInt(value);
-                    case "first" -> first = Integer.parseInt(value);
-                    default -> { } // a later version may say more
-                }
-            }
-            boolean right = number >= 0 && number < CUSTOMER_END && left > 0 && units > 0 && units < Integer.MAX_VALUE
-                    && spread > 0 && first >= 0;
-            return !right ? null : new Request(id, Node.deadline(node.clock.now(), left), h.contains(Names.RETRY),
-                    cls.name(), number, plan, units, first, spread);
-        } catch (NumberFormatException e) {
-            return null;
-        }
-    }
-
-    private static String firstPart(String uri) {
-        int end = 1;
-        while (end < uri.length() && uri.charAt(end) != '/' && uri.charAt(end) != '?') {
-            end++;
-        }
-        return uri.length() < 2 ? "" : uri.substring(1, end);
-    }
 }
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -34,7 +34,7 @@
     private static final String REPORT = "Endpoint-Load-Metrics";
     private static final double IDLE_SHARE = 0.6; // of the time after which a host may close an idle connection
     private static final long SWEEP_MS = 500;
-    private static final double SOCKET_SHARE = 0.45; // of all descriptors; clients may have as many
+    private static final double SOCKET_SHARE = 0.36; // of all descriptors; the program itself needs some, too
     private static final double PROBE_TIMEOUT_MS = 250;
 
     private final Node node;
@@ -152,12 +152,12 @@
                 from.content().retainedDuplicate());
         HttpHeaders h = to.headers();
         h.set(HttpHeaderNames.HOST, HOST);
-        h.set(ClientServer.Names.ID, a.owner.traceId);
-        h.set(ClientServer.Names.EXPIRES,
+        h.set(RequestTerms.ID, a.owner.request.id());
+        h.set(RequestTerms.EXPIRES,
                 Long.toString((long) Math.max(1, a.owner.request.deadlineMs() - node.clock.now())));
-        String key = from.headers().get(ClientServer.Names.KEY);
+        String key = from.headers().get(RequestTerms.KEY);
         if (key != null) {
-            h.set(ClientServer.Names.KEY, key);
+            h.set(RequestTerms.KEY, key);
         }
         String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
         if (type != null) {
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -2,7 +2,6 @@
 
 import deckfall.Gateway.Outcome;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -201,7 +200,7 @@
                     begin((HttpResponse) message);
                 }
                 if (message instanceof HttpContent && exchange != null) {
-                    goOn((HttpContent) message);
+                    goOn(ctx, (HttpContent) message);
                 }
             }
         } finally {
@@ -228,19 +227,12 @@
         return head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
 
-    private void goOn(HttpContent content) {
+    private void goOn(ChannelHandlerContext ctx, HttpContent content) {
         if (body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BODY) {
             spoilt();
             return;
         }
-        if (!body.isReadable()) {
-            body.release();
-            body = content.content().retain();
-        } else if (content.content().isReadable()) {
-            CompositeByteBuf all = body instanceof CompositeByteBuf ? (CompositeByteBuf) body
-                    : channel.alloc().compositeBuffer().addComponent(true, body);
-            body = all.addComponent(true, content.content().retain());
-        }
+        body = RequestReader.joined(ctx, body, content.content());
         if (!(content instanceof LastHttpContent)) {
             return;
         }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -33,7 +33,6 @@
  * table of open requests. It carries out what the module decides and tells it what came of it.
  */
 public final class Node implements Actions {
-    private static final double MARGIN_MS = 20; // the answer must reach the client within its time
     private static final long ACCEPT_ON_MS = 500; // after SIGTERM: new connections still come for a while
     private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
@@ -61,7 +60,6 @@
     private boolean telling;
     private boolean draining;
     private boolean over; // the drain's time is up: nothing more is sent
-    private long repeats;
 
     Node(NodeConfig config) {
         this(config, Brain::new);
@@ -175,25 +173,19 @@
         return draining;
     }
 
+    /** Whether a request of this id is open: a second one would be answered with what was made for the first. */
+    boolean knows(String id) {
+        return open.containsKey(id);
+    }
+
     /** Takes a request whole from its client; the entry owns the message from here on. */
     void taken(Request r, FullHttpRequest message, ClientServer.Connection client) {
-        String id = r.id();
-        while (open.containsKey(id)) { // the module knows requests by id, and a client may repeat one
-            id = r.id() + '#' + ++repeats;
-        }
-        Request told = id.equals(r.id()) ? r : new Request(id, r.deadlineMs(), r.retry(), r.requestClass(),
-                r.customer(), r.plan(), r.units(), r.first(), r.spread());
-        OpenRequest entry = new OpenRequest(told, message, r.id(), client);
-        open.put(id, entry);
+        OpenRequest entry = new OpenRequest(r, message, client);
+        open.put(r.id(), entry);
         client.holds(entry);
         double left = r.deadlineMs() - clock.now();
         entry.guard = loop.schedule(() -> deadline(entry), micros(left), TimeUnit.MICROSECONDS);
-        tell((now, m) -> m.request(now, told));
-    }
-
-    /** When the answer must have left for a client that waits this long from its sending. */
-    static double deadline(double now, double expiresInMs) {
-        return now + Math.max(1, expiresInMs - MARGIN_MS);
+        tell((now, m) -> m.request(now, r));
     }
 
     private static long micros(double ms) {
--- a/src/main/java/deckfall/net/OpenRequest.java
+++ b/src/main/java/deckfall/net/OpenRequest.java
@@ -10,17 +10,15 @@
 final class OpenRequest {
     final Request request;
     final FullHttpRequest message; // held until the entry leaves the table
-    final String traceId;
     final List<Attempt> attempts = new ArrayList<>(2);
     private ClientServer.Connection client;
     private boolean closed;
     int out; // attempts that have not ended
     Future<?> guard;
 
-    OpenRequest(Request request, FullHttpRequest message, String traceId, ClientServer.Connection client) {
+    OpenRequest(Request request, FullHttpRequest message, ClientServer.Connection client) {
         this.request = request;
         this.message = message;
-        this.traceId = traceId;
         this.client = client;
     }
 
--- /dev/null
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -0,0 +1,174 @@
+package deckfall.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeadersFactory;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Puts the requests of one connection together, or passes on that what comes can't be read: then nothing more is, as
+ * where a further request would begin is not known. It answers nothing itself, since answers have their order.
+ */
+final class RequestReader extends ChannelInboundHandlerAdapter {
+    private static final HttpHeadersFactory HEADERS = StrictHeaders.ofRequests(RequestTerms.SINGLE);
+    private static final double NONE = -1;
+
+    /** In the place of a request: the connection ends with this answer. */
+    record Unreadable(HttpResponseStatus status) { }
+
+    /** The client sends the body only once it is told that its head was read. */
+    enum Asks { TO_GO_ON }
+
+    private final Clock clock;
+    private final Decoder decoder = new Decoder();
+    private HttpRequest head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private boolean over;
+    private double since = NONE; // when an unfinished request began to come
+
+    RequestReader(Clock clock) {
+        this.clock = clock;
+    }
+
+    private final class Decoder extends HttpRequestDecoder {
+        Decoder() {
+            super(new HttpDecoderConfig().setHeadersFactory(HEADERS));
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+            if (over) {
+                ReferenceCountUtil.release(bytes);
+                return;
+            }
+            if (since == NONE) {
+                since = clock.now();
+            }
+            super.channelRead(ctx, bytes);
+        }
+
+        boolean leftOver() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
+    void addTo(ChannelPipeline pipeline) {
+        pipeline.addLast(new HttpResponseEncoder(), decoder, this);
+    }
+
+    /** Whether something unfinished has been coming since before then. */
+    boolean unfinishedSince(double then) {
+        return since != NONE && since < then;
+    }
+
+    /** The client was not read for a while, and its time starts anew. */
+    void resume() {
+        since = since == NONE ? NONE : clock.now();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            Throwable fault = ((HttpObject) message).decoderResult().cause();
+            if (over) {
+                return;
+            }
+            if (fault != null) {
+                refuse(ctx, fault instanceof TooLongFrameException ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                        : HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            if (message instanceof HttpRequest) {
+                begin(ctx, (HttpRequest) message);
+            }
+            if (message instanceof HttpContent && !over) {
+                goOn(ctx, (HttpContent) message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(ChannelHandlerContext ctx, HttpRequest request) {
+        head = request;
+        boolean known = request.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                || request.protocolVersion().equals(HttpVersion.HTTP_1_0)
+                && !HttpUtil.isTransferEncodingChunked(request);
+        if (!known) {
+            refuse(ctx, HttpResponseStatus.BAD_REQUEST);
+        } else if (HttpUtil.getContentLength(request, 0L) > ClientServer.MAX_BODY) {
+            refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE); // before any of it is read
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            ctx.fireUserEventTriggered(Asks.TO_GO_ON);
+        } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
+            refuse(ctx, HttpResponseStatus.EXPECTATION_FAILED);
+        }
+    }
+
+    private void goOn(ChannelHandlerContext ctx, HttpContent content) {
+        if (body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BODY) {
+            refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        body = joined(ctx, body, content.content());
+        if (content instanceof LastHttpContent) {
+            DefaultFullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
+                    head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
+            head = null;
+            body = Unpooled.EMPTY_BUFFER;
+            since = decoder.leftOver() ? clock.now() : NONE;
+            ctx.fireChannelRead(whole);
+        }
+    }
+
+    /** Parts of a body one behind the other, without a copy; the first is taken over, the second retained. */
+    static ByteBuf joined(ChannelHandlerContext ctx, ByteBuf body, ByteBuf part) {
+        if (!part.isReadable()) {
+            return body;
+        }
+        if (!body.isReadable()) {
+            body.release();
+            return part.retain();
+        }
+        CompositeByteBuf all = body instanceof CompositeByteBuf ? (CompositeByteBuf) body
+                : ctx.alloc().compositeBuffer().addComponent(true, body);
+        return all.addComponent(true, part.retain());
+    }
+
+    private void refuse(ChannelHandlerContext ctx, HttpResponseStatus status) {
+        end();
+        ctx.fireChannelRead(new Unreadable(status));
+    }
+
+    private void end() {
+        over = true;
+        since = NONE;
+        head = null;
+        body.release();
+        body = Unpooled.EMPTY_BUFFER;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        end();
+        ctx.fireChannelInactive();
+    }
+}
