Books that no claim, return or message can refill; what never left is decided early

Read in the code and shown by tests: Brain.customer opened new, full books for each plan that was claimed in a customer's name; a gateway that had forgotten a customer counted its use from nought, and hearTell booked the difference as units given back, which filled the keeper's store; an answer on another plan was dropped, so its keeper counted as silent for all customers; one message of a life yet to begin made its sender's own words seem late for weeks; customers were kept for 60 s without a bound.

Now the first claim stands while the customer is remembered, units given back are bounded by what was granted or open, the table holds 20,000 customers and an idle one is forgotten after 20 s or twice the time its slowest store fills in.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -13,7 +13,10 @@
     // Housekeeping
     private static final double TICK_MS = 20; // held requests expire and tells leave on this beat
     private static final double SWEEP_MS = 5000; // how often customers and hosts long gone are forgotten
-    private static final double FORGET_MS = 60_000; // a store idle this long is full again
+    private static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
+    private static final double FILLED = 2; // times the time in which its slowest store fills from nothing
+    private static final int CUSTOMERS_MAX = 20_000; // books kept; a new customer beyond them is refused
+    private static final double CLOCKS_APART_MS = 60_000; // a life that begins later than this is no life
     // Admission by parts
     private static final double DEMAND_MS = 2000; // averaging of demand: longer than gaps between requests
     private static final double EVEN_PRIOR = 0.05; // of the rate, added to a set's demand: all have a part
@@ -81,6 +84,7 @@
     private static final double RETRY_MAX = 20; // most further attempts saved up
     private static final double WINDOW_SHARE = 0.9; // of a key's window: the rest covers the way to the host
     private static final double DEADLINE_MS = 40; // refuse or fail this long before a deadline: two beats
+    private static final double UNSENT_SHARE = 0.4; // of its time: then what never left is decided
 
     private final Actions act;
     private final Map<String, ClassState> classes = new LinkedHashMap<>();
@@ -157,7 +161,8 @@
         Customer c = plan == null ? null : customer(now, r.customer(), plan, r.first(), r.spread());
         Ask ask = new Ask(r, cls, c, now);
         asks.put(r.id(), ask);
-        switch (c == null ? Verdict.IN : judge(now, c, r.units())) {
+        boolean stranger = plan != null && c == null; // there is no room for its books
+        switch (stranger ? Verdict.OUT : c == null ? Verdict.IN : judge(now, c, r.units())) {
             case IN -> letIn(now, ask);
             case OUT -> decide(now, ask, false);
             default -> question(now, ask, 0);
@@ -192,6 +197,7 @@
         if (!a.out) return;
         a.out = false;
         a.neverRan = r.outcome().neverRan();
+        a.unsent = a.neverRan && r.outcome() != Outcome.FULL;
         inFlight--;
         a.server.out.remove(a);
         a.server.outWork = a.server.out.isEmpty() ? 0 : a.server.outWork - a.work;
@@ -239,9 +245,14 @@
 
     private enum Verdict { IN, OUT, ASK }
 
+    /**
+     * A customer's books; null where there is no room for new ones. The plan and the set that came first
+     * stand as long as it is remembered: who claims others gets no fresh stores and moves no keeper.
+     */
     private Customer customer(double now, long id, int plan, int first, int spread) {
         Customer c = customers.get(id);
-        if (c == null || c.planNumber != plan) {
+        if (c == null && customers.size() >= CUSTOMERS_MAX) return null;
+        if (c == null) {
             Plan p = set.plans().get(plan);
             int wide = Math.max(1, Math.min(spread, peers.length));
             int[] keepers = State.ranked(id, first, wide, peers.length, KEEPERS);
@@ -344,8 +355,8 @@
     }
 
     /** When the store will have filled enough; every refusal tells a time to come back. */
-    private double retryAfter(Customer c, double units) {
-        return waitTold(c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : 0);
+    private static double refillMs(Customer c, double units) {
+        return c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : 0;
     }
 
     private double waitTold(double ms) {
@@ -399,7 +410,8 @@
         if (in) letIn(now, ask);
         if (in) return;
         close(ask);
-        act.refuse(ask.request.id(), retryAfter(ask.customer, ask.request.units()));
+        Customer c = ask.customer;
+        act.refuse(ask.request.id(), waitTold(c == null ? FORGET_MS : refillMs(c, ask.request.units())));
     }
 
     /** Silence of a peer shows only where an answer was due: then it is passed over for a while. */
@@ -493,7 +505,9 @@
         // Lives are compared by difference: their field runs over every 50 days of Unix time.
         boolean late = sameLife ? !Tell.after(tell.serial(), peer.heardSerial)
                 : tell.epoch() - peer.epoch < 0;
-        if (peer.met && late) return;
+        // A life that has yet to begin would make all that its sender says from now on seem late.
+        boolean unborn = tell.epoch() - (int) (long) now > CLOCKS_APART_MS;
+        if (peer.met && late || unborn) return;
         peer.met = true;
         peer.epoch = tell.epoch();
         peer.heardSerial = tell.serial();
@@ -512,6 +526,7 @@
         int place = Math.floorMod(peer.number - e.first(), peers.length);
         if (e.spread() > peers.length || place >= e.spread()) return; // a set that cannot be
         Customer c = customer(now, e.customer(), e.plan(), e.first(), e.spread());
+        if (c == null) return;
         if (IntStream.of(c.keepers).noneMatch(k -> k == set.me())) return;
         boolean unsure = unsure(now, c);
         boolean adopts = e.view() && (unsure || keeper(now, c, 0) == peer.number);
@@ -523,9 +538,12 @@
         c.others = Math.max(0, c.others + e.demand() - m.demand * Math.exp(-(now - m.demandAt) / DEMAND_MS));
         m.demand = e.demand();
         m.demandAt = now;
+        // Given back is at most what was granted or open. A count that falls further began anew, since its
+        // sender had forgotten the customer, and would fill the store.
+        double back = m.granted + m.open * set.sharing().maxUnits();
         c.othersOpen += e.open() - m.open;
         m.open = e.open();
-        double spent = m.known && !adopts ? Tell.ahead(e.used(), m.booked) : 0;
+        double spent = m.known && !adopts ? Math.max(-back, Tell.ahead(e.used(), m.booked)) : 0;
         m.known = true;
         c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), c.level - spent));
         boolean gives = e.ceiling() && c.plan.ceilingRate() > 0;
@@ -548,8 +566,13 @@
     /** A keeper's word: the store and the others' demand, and what of the wanted units is granted. */
     private void hearAnswer(double now, Peer peer, Tell.Entry e, int mySerial, boolean toThisLife) {
         Customer c = customers.get(e.customer());
-        if (c == null || c.planNumber != e.plan() || !toThisLife) return;
+        if (c == null || !toThisLife) return;
         touch(now, c);
+        if (c.planNumber != e.plan()) { // one of the two was told a wrong plan: this grants nothing
+            List<Ask> asked = c.pending.stream().filter(a -> a.keeper == peer.number).toList();
+            asked.forEach(a -> decide(now, a, false));
+            return;
+        }
         Member m = c.member(peer);
         if (e.ceiling() && e.given() > m.taken) {
             c.ceiling = Math.min(ceilingHold(c) - c.unsent, c.ceiling + e.given() - m.taken);
@@ -641,6 +664,9 @@
     private double giveUpAt(Ask ask) {
         double end = ask.request.deadlineMs() - DEADLINE_MS;
         if (ask.ran() != null) return end;
+        // What reached no host by half of the client's time has cost it that time for nothing.
+        double time = ask.request.deadlineMs() - ask.arrived;
+        if (!ask.leftWhole()) end = Math.min(end, ask.arrived + UNSENT_SHARE * time);
         double aim = ask.cls.spec.aimMs();
         double useful = ask.cls.spec.lateValue() >= LATE_WORTH_KEPT ? end : Math.min(end, ask.arrived + aim);
         double hold = useful - ask.arrived - FINISH_SHARE * ask.work();
@@ -927,10 +953,18 @@
         }
     }
 
+    /** From then on an idle customer's stores are as full as those of a new one: forgetting gives nothing. */
+    private static double forgetMs(Plan p) {
+        double quota = p.rate() > 0 ? p.burst() / p.rate() : 0;
+        double ceiling = p.ceilingRate() > 0 ? p.ceilingBurst() / p.ceilingRate() : 0;
+        return Math.max(FORGET_MS, FILLED * 1000 * Math.max(quota, ceiling));
+    }
+
     private void sweep(double now) {
         if (now - sweptAt < SWEEP_MS) return;
         sweptAt = now;
-        customers.values().removeIf(c -> now - c.touchedAt > FORGET_MS && c.open == 0 && c.pending.isEmpty());
+        customers.values().removeIf(c -> now - c.touchedAt > forgetMs(c.plan)
+                && c.open == 0 && c.pending.isEmpty());
         servers.values().removeIf(s -> !s.listed && s.out.isEmpty());
     }
 }
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -182,7 +182,7 @@
         final double work;
         boolean out = true;
         boolean neverRan;
-        boolean cancelled;
+        boolean unsent; // it never came whole to the host
         boolean overdue;
 
         Attempt(Ask ask, Server server, double sentAt, double work) {
@@ -226,6 +226,11 @@
             return attempts.stream().filter(a -> !a.neverRan).findFirst().orElse(null);
         }
 
+        /** Whether an attempt may have come whole to a host. */
+        boolean leftWhole() {
+            return attempts.stream().anyMatch(a -> !a.unsent);
+        }
+
         boolean anyOut() {
             return attempts.stream().anyMatch(a -> a.out);
         }
--- /dev/null
+++ b/src/test/java/deckfall/BooksTest.java
@@ -0,0 +1,75 @@
+package deckfall;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import deckfall.Gateway.*;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The books of customers: no claim, no return and no message may fill a store, and none may be kept for good. */
+class BooksTest {
+    /** A liar once emptied the first plan's store, named another, and got both full again, time after time. */
+    @Test
+    void anotherPlanInACustomersNameOpensNoNewBooks() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1");
+        int asked = 0;
+        while (g.refused.isEmpty() && asked < 1000) {
+            g.ask("s" + asked++, "read", "small", 1, 1, 1);
+        }
+        assertFalse(g.refused.isEmpty());
+        int before = g.refused.size();
+        for (int i = 0; i < 5; i++) {
+            g.ask("f" + i, "read", i % 2 == 0 ? "capped" : "small", 1, 1, 1);
+        }
+        assertEquals(before + 5, g.refused.size());
+    }
+
+    /** What never reached a host is decided well before half of the client's time is over. */
+    @Test
+    void aRequestThatFindsNoHostIsRefusedEarly() {
+        FakeGateway g = FakeGateway.alone();
+        g.ask("r", "pay");
+        g.pass(1400);
+        assertEquals(List.of("r"), g.refused);
+        FakeGateway h = FakeGateway.alone().withHosts("a1");
+        h.ask("r", "read");
+        h.pass(1400);
+        h.end("r", 0, Outcome.CONNECT_FAILED, 1400);
+        assertEquals(List.of("r"), h.refused);
+    }
+
+    /** A message whose life has yet to begin would make its sender's own words seem late for weeks. */
+    @Test
+    void aLifeThatHasNotBegunSilencesNoPeer() {
+        FakeGateway g = new FakeGateway(1_000_000, FakeGateway.settings(0, 2)).withHosts("a1");
+        Tell.Entry entry = new Tell.Entry(false, true, false, false, false, 5, 0, 0, 2, 1, 0, 1, 1, 0, 0);
+        g.brain.peerSaid(g.now, 1, new Tell(1_900_000_000, 0, 1, 0, List.of(entry)).bytes());
+        g.pass(1000);
+        assertEquals(0, g.told.size());
+        g.brain.peerSaid(g.now, 1, new Tell(1_000_000, 0, 1, 0, List.of(entry)).bytes());
+        g.pass(1000);
+        assertEquals(1, g.told.size());
+    }
+
+    /** A gateway that forgot a customer counts its use from nought again; that gives nothing back. */
+    @Test
+    void aCountThatBeginsAnewFillsNoStore() {
+        for (long customer = 1; customer < 20; customer++) {
+            FakeGateway g = new FakeGateway(1_000_000, FakeGateway.settings(0, 2)).withHosts("a1");
+            g.pass(5000);
+            tellUse(g, customer, 1, 0);
+            tellUse(g, customer, 2, 1000); // all of the store is used elsewhere
+            g.ask("before", "read", "small", customer, 1, 2);
+            tellUse(g, customer, 3, 0);
+            g.ask("after", "read", "small", customer, 1, 2);
+            g.pass(100);
+            assertEquals(0, g.sends("before"), "customer " + customer);
+            assertEquals(0, g.sends("after"), "customer " + customer);
+        }
+    }
+
+    private static void tellUse(FakeGateway g, long customer, int serial, double used) {
+        Tell.Entry entry = new Tell.Entry(false, false, false, false, false, customer, 0, 0, 2, used, 0, 1, 0, 0, 0);
+        g.brain.peerSaid(g.now, 1, new Tell(1_000_000, 0, serial, 0, List.of(entry)).bytes());
+    }
+}
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -252,7 +252,7 @@
     /** A life's number is cut from Unix time and runs over; a peer that starts after that is still the later one. */
     @Test
     void aPeersNextLifeIsHeardAlsoWhereItsNumberHasRunOver() {
-        FakeGateway g = new FakeGateway(1000, FakeGateway.settings(0, 2)).withHosts("a1");
+        FakeGateway g = new FakeGateway(Integer.MAX_VALUE, FakeGateway.settings(0, 2)).withHosts("a1");
         Tell.Entry e = new Tell.Entry(false, true, false, false, false, 42, 0, 0, 2, 0, 4, 4, 0, 1, 0);
         for (int life : new int[] {Integer.MAX_VALUE - 5, Integer.MIN_VALUE + 5}) {
             int before = g.told.size();
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -108,6 +108,20 @@
         assertEquals(1, host.asked.size());
     }
 
+    /** Another plan in the same customer's name once opened new books, with a full store. */
+    @Test
+    void anotherPlanClaimedRefillsNoStore() throws Exception {
+        Server host = host(SocketTest::echo);
+        Client c = client(nodeBefore(host));
+        String free = view("t", Sockets.PATIENCE_MS);
+        String tiny = free.replace("X-Plan: free", "X-Plan: tiny");
+        assertEquals(200, c.send(tiny).receive().status());
+        for (String again : List.of(tiny, free, tiny)) {
+            assertEquals(429, c.send(again).receive().status());
+        }
+        assertEquals(1, host.asked.size());
+    }
+
     @Test
     void halfAnAnswerIsNeverServed() throws Exception {
         AtomicInteger asked = new AtomicInteger();
