--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -39,7 +39,7 @@
     private static final double READ_MS = 2000; // for a request, from its first byte or the connection's start
     private static final double GIVES_WAY_MS = 2200; // idle for so long, a connection may be closed for room
     private static final double IDLE_MS = 20_000; // idle for so long, it is closed
-    private static final int ASKED_ONCE = 1; // requests on a connection that is not likely to bring another
+    private static final int ASKED_ONCE = 1; // requests on a connection that need not bring another
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
     private static final double MS_PER_SECOND = 1000;
@@ -49,7 +49,10 @@
     private final RequestTerms terms;
     private final LinkedHashSet<Connection> connections = new LinkedHashSet<>();
     private final LinkedHashSet<Connection> unused = new LinkedHashSet<>(); // no request came yet; the oldest first
-    private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // longest idle first
+    private final LinkedHashSet<Connection> casual = new LinkedHashSet<>(); // idle, asked once or for health alone
+    private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // those that ask again and again
+    /** Who gives way first; in each set the longest idle stands first. */
+    private final List<LinkedHashSet<Connection>> givingWay = List.of(unused, casual, idle);
     private final int maxConnections;
     private Channel listener;
 
@@ -80,7 +83,7 @@
     /** After this only requests that already came are answered. */
     void stopAccepting() {
         listener.close();
-        for (LinkedHashSet<Connection> from : List.of(unused, idle)) {
+        for (LinkedHashSet<Connection> from : givingWay) {
             List.copyOf(from).forEach(c -> giveUp(c, from));
         }
     }
@@ -105,20 +108,27 @@
             }
         }
         boolean pressed = connections.size() > maxConnections * PRESSED_SHARE;
-        for (Connection c : List.copyOf(idle)) {
-            if (c.idleSince > now - GIVES_WAY_MS) {
-                break; // so are all behind it
-            }
-            if (pressed || c.requests <= ASKED_ONCE || c.idleSince < now - IDLE_MS) {
-                giveUp(c, idle);
-            }
+        closeIdle(casual, now - GIVES_WAY_MS);
+        closeIdle(idle, now - (pressed ? GIVES_WAY_MS : IDLE_MS));
+    }
+
+    private void closeIdle(LinkedHashSet<Connection> from, double since) {
+        for (Connection c = first(from); c != null && c.idleSince < since; c = first(from)) {
+            giveUp(c, from); // it leaves the set either way
         }
     }
 
-    /** Rather a silent connection, then an idle one, than no descriptor left for anyone; one in use never. */
+    private static Connection first(LinkedHashSet<Connection> from) {
+        return from.isEmpty() ? null : from.iterator().next();
+    }
+
+    /**
+     * Rather a silent connection, then one that asked once, then an idle one, than no descriptor left for anyone; one
+     * in use never. A crowd whose connections come and go must not push out those that bring most of the requests.
+     */
     private boolean makeRoom() {
-        for (LinkedHashSet<Connection> from : List.of(unused, idle)) {
-            for (Connection c : List.copyOf(from)) {
+        for (LinkedHashSet<Connection> from : givingWay) {
+            for (Connection c = first(from); c != null; c = first(from)) {
                 if (giveUp(c, from)) {
                     return true;
                 }
@@ -129,13 +139,17 @@
 
     /** Ends a connection unless a request stands unread in its socket: closing that away would lose it. */
     private boolean giveUp(Connection c, LinkedHashSet<Connection> from) {
+        int before = c.whole;
         if (c.channel.isActive() && c.channel.config().isAutoRead()) {
             ((NioUnsafe) c.channel.unsafe()).read();
         }
-        boolean free = from.contains(c);
+        boolean free = c.whole == before;
         if (free) {
             c.leave(); // now, as its end is told only later
             c.channel.close();
+        } else {
+            from.remove(c); // it was just asked something, and answered at once where it stands here still
+            c.rest();
         }
         return free;
     }
@@ -150,7 +164,8 @@
         private boolean keepAlive = true;
         private boolean ended; // the last answer is on its way
         private double idleSince = node.clock.now();
-        private int requests;
+        private int whole; // messages that came whole, of whatever kind
+        private int requests; // those of them that the module was to decide
         private int faults;
         private boolean paused;
 
@@ -172,8 +187,15 @@
 
         private void leave() {
             connections.remove(this);
-            unused.remove(this);
-            idle.remove(this);
+            givingWay.forEach(set -> set.remove(this));
+        }
+
+        /** Takes its place among those that may give way, behind the others of its kind. */
+        private void rest() {
+            if (!busy && !ended) {
+                idleSince = node.clock.now();
+                (requests > ASKED_ONCE ? idle : casual).add(this);
+            }
         }
 
         @Override
@@ -191,7 +213,7 @@
 
         /** Whether no request has come for too long on a connection that owes one. */
         private boolean overdue(double since) {
-            boolean silent = requests == 0 && idleSince < since;
+            boolean silent = whole == 0 && idleSince < since;
             return !busy && !ended && channel.config().isAutoRead() && (silent || reader.unfinishedSince(since));
         }
 
@@ -240,9 +262,8 @@
                     readOn();
                 }
                 busy = true;
-                requests++;
-                unused.remove(this);
-                idle.remove(this);
+                whole++;
+                givingWay.forEach(set -> set.remove(this));
                 if (message instanceof RequestReader.Unreadable) {
                     keepAlive = false; // where the next request would begin is not known
                     answer(((RequestReader.Unreadable) message).status(), 0);
@@ -276,6 +297,7 @@
                 request.release();
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
             } else {
+                requests++;
                 node.taken(read, request, this);
             }
         }
@@ -332,8 +354,7 @@
                 return;
             }
             channel.writeAndFlush(response, channel.voidPromise());
-            idleSince = node.clock.now();
-            idle.add(this);
+            rest();
             if (!waiting.isEmpty()) { // not at once: an answer may be given while the request is being taken
                 node.loop.execute(this::next);
             }
--- a/src/test/java/deckfall/net/ClientReadingTest.java
+++ b/src/test/java/deckfall/net/ClientReadingTest.java
@@ -193,6 +193,28 @@
         }
     }
 
+    /** Many that ask for health on ever new connections once pushed out those that bring the requests. */
+    @Test
+    void aCrowdThatAsksOnceTakesNoRegularsPlace() throws Exception {
+        Server host = host(SocketTest::echo);
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"sockets\": 1024", "\"sockets\": 60"));
+        ends.push(node::stop);
+        Client regular = client(node);
+        for (int i = 0; i < 2; i++) {
+            assertEquals(200, regular.send(view("r" + i, Sockets.PATIENCE_MS)).receive().status());
+        }
+        for (int i = 0; i < 60; i++) {
+            Client once = client(node);
+            assertEquals(200, once.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+            assertEquals(200, client(node).send(view("o" + i, Sockets.PATIENCE_MS)).receive().status());
+            if (i % 20 == 19) { // more came in between than fit
+                assertEquals("for p" + i + " ", regular.send(view("p" + i, Sockets.PATIENCE_MS)).receive().text());
+            }
+        }
+    }
+
     private static Message closedOr(Client c) {
         try {
             return c.receive();
