--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -187,7 +187,13 @@
 
         private void leave() {
             connections.remove(this);
-            givingWay.forEach(set -> set.remove(this));
+            leavePlace();
+        }
+
+        private void leavePlace() {
+            unused.remove(this);
+            casual.remove(this);
+            idle.remove(this);
         }
 
         /** Takes its place among those that may give way, behind the others of its kind. */
@@ -263,7 +269,7 @@
                 }
                 busy = true;
                 whole++;
-                givingWay.forEach(set -> set.remove(this));
+                leavePlace();
                 if (message instanceof RequestReader.Unreadable) {
                     keepAlive = false; // where the next request would begin is not known
                     answer(((RequestReader.Unreadable) message).status(), 0);
@@ -326,7 +332,7 @@
             FullHttpResponse to = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                     from.content().retain());
             String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
-            if (type != null && type.chars().allMatch(c -> c >= ' ' && c <= '~')) { // else not to be passed on
+            if (type != null && RequestTerms.isWithin(type, ' ', '~')) { // else not to be passed on
                 to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
             }
             write(to);
--- a/src/main/java/deckfall/net/RequestTerms.java
+++ b/src/main/java/deckfall/net/RequestTerms.java
@@ -84,8 +84,17 @@
     }
 
     private static boolean isName(String text) {
-        return text != null && !text.isEmpty() && text.length() <= TEXT_MAX
-                && text.chars().allMatch(c -> c > ' ' && c <= '~');
+        return text != null && !text.isEmpty() && text.length() <= TEXT_MAX && isWithin(text, '!', '~');
+    }
+
+    /** Whether all characters lie in a range; a plain loop, since it runs several times for each request. */
+    static boolean isWithin(String text, char from, char to) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < from || text.charAt(i) > to) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private static long customer(String text) {
