--- a/src/main/java/deckfall/Main.java
+++ b/src/main/java/deckfall/Main.java
@@ -11,7 +11,7 @@
 
     private Main() { }
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) throws IOException, InterruptedException {
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> deckfall.net.Node.main(System.getenv("NODE_CONFIG"));
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -1,7 +1,6 @@
 package deckfall.net;
 
 import deckfall.Gateway.Request;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -10,10 +9,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -31,7 +26,6 @@
 /** Accepts clients and writes the one answer to each request; decides which connections stay open. */
 final class ClientServer {
     static final int MAX_BODY = 64 * 1024;
-    private static final int BACKLOG = 512;
     private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
     private static final double SOCKET_SHARE = 0.42; // of all descriptors; the program itself needs some, too
     private static final double PRESSED_SHARE = 0.5; // of the connections that fit: then idle ones give way early
@@ -64,17 +58,15 @@
 
     /** Clients are served once this is done. */
     ChannelFuture start() {
-        ChannelFuture bound = new ServerBootstrap().group(node.group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
+        ChannelFuture bound = node.transport.server(node.group)
+                .childHandler(new ChannelInitializer<>() {
                     @Override
-                    protected void initChannel(SocketChannel ch) {
+                    protected void initChannel(Channel ch) {
                         RequestReader reader = new RequestReader(node.clock);
                         reader.addTo(ch.pipeline());
                         ch.pipeline().addLast(new Connection(ch, reader));
                     }
-                }).bind(node.config.listen());
+                }).bind(node.transport.at(node.config.listen()));
         listener = bound.channel();
         node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
@@ -141,7 +133,7 @@
     private boolean giveUp(Connection c, LinkedHashSet<Connection> from) {
         int before = c.whole;
         if (c.channel.isActive() && c.channel.config().isAutoRead()) {
-            ((NioUnsafe) c.channel.unsafe()).read();
+            Transport.readNow(c.channel);
         }
         boolean free = c.whole == before;
         if (free) {
@@ -156,7 +148,7 @@
 
     /** One client connection: one request at a time, in order; what is sent ahead waits its turn. */
     final class Connection extends ChannelInboundHandlerAdapter {
-        private final SocketChannel channel;
+        private final Channel channel;
         private final RequestReader reader;
         private final ArrayDeque<Object> waiting = new ArrayDeque<>(); // requests, and at the end what is unreadable
         private OpenRequest current;
@@ -169,7 +161,7 @@
         private int faults;
         private boolean paused;
 
-        Connection(SocketChannel channel, RequestReader reader) {
+        Connection(Channel channel, RequestReader reader) {
             this.channel = channel;
             this.reader = reader;
         }
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -5,11 +5,10 @@
 import deckfall.Gateway.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -46,8 +45,7 @@
     HostClient(Node node) {
         this.node = node;
         this.maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
-        this.bootstrap = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = node.transport.client(node.loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, node.config.connectTimeoutMs()));
         node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -226,12 +224,12 @@
         connections++;
         HostConnection c = new HostConnection(pool, node.clock);
         c.await(x);
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
-            protected void initChannel(SocketChannel ch) {
+            protected void initChannel(Channel ch) {
                 c.attach(ch);
             }
-        }).connect(pool.address);
+        }).connect(node.transport.at(pool.address));
         connecting.addListener(f -> {
             if (!f.isSuccess()) { // also where no descriptor was left: then there is no channel to close
                 connections--;
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -3,10 +3,9 @@
 import deckfall.Gateway.Outcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -48,7 +47,7 @@
     private final Home home;
     private final Clock clock;
     private final Decoder decoder = new Decoder();
-    private SocketChannel channel;
+    private Channel channel;
     private Exchange exchange;
     private boolean written; // the request's last byte has left
     private boolean begun; // of the answer, something has come
@@ -117,7 +116,7 @@
         }
     }
 
-    void attach(SocketChannel ch) {
+    void attach(Channel ch) {
         channel = ch;
         ch.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
     }
@@ -141,7 +140,7 @@
      */
     boolean ready() {
         if (channel.isActive()) {
-            ((NioUnsafe) channel.unsafe()).read();
+            Transport.readNow(channel);
         }
         return channel.isActive();
     }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -8,6 +8,7 @@
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Request;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -45,10 +46,16 @@
         void tell(double now, Events module);
     }
 
+    /** The way to the other gateways. */
+    interface Mail {
+        void send(int peer, byte[] data);
+    }
+
     final NodeConfig config;
     final Clock clock = new Clock();
-    final NioEventLoopGroup group = new NioEventLoopGroup(1);
-    final EventLoop loop = group.next();
+    final Transport transport;
+    final NioEventLoopGroup group;
+    final EventLoop loop;
     private final Events module;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
@@ -56,6 +63,7 @@
     private final HostClient hosts;
     private final Discovery discovery;
     private final PeerLink peers;
+    private Mail mail;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean telling;
     private boolean draining;
@@ -67,12 +75,20 @@
 
     /** With a module of the caller's making. */
     Node(NodeConfig config, Function<Actions, Events> maker) {
+        this(config, maker, Transport.TCP, new NioEventLoopGroup(1));
+    }
+
+    Node(NodeConfig config, Function<Actions, Events> maker, Transport transport, NioEventLoopGroup group) {
         this.config = config;
+        this.transport = transport;
+        this.group = group;
+        this.loop = group.next();
         this.module = maker.apply(this);
         this.clients = new ClientServer(this);
         this.hosts = new HostClient(this);
         this.discovery = new Discovery(this);
         this.peers = new PeerLink(this);
+        this.mail = peers;
     }
 
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
@@ -80,11 +96,13 @@
         plainLogs();
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
-            Node node = new Node(NodeConfig.read(configFile));
+            NodeConfig config = NodeConfig.read(configFile);
+            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS) + " answers");
+            Node node = new Node(config);
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
             reload.follow(node);
-        } catch (NodeConfig.BadConfig | IOException e) {
+        } catch (NodeConfig.BadConfig | IOException | InterruptedException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
@@ -94,13 +112,8 @@
     void start() throws IOException {
         try {
             loop.submit(() -> {
-                tell((now, m) -> m.start(now, config.settings()));
-                peers.start();
-                if (config.known().hasNonNull(Discovery.LIST)) {
-                    hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
-                }
                 discovery.start();
-                return clients.start();
+                return listen();
             }).sync().getNow().sync();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -110,6 +123,16 @@
         }
     }
 
+    /** Begins to serve, on the event loop, with the hosts that the configuration names. */
+    ChannelFuture listen() {
+        tell((now, m) -> m.start(now, config.settings()));
+        peers.start();
+        if (config.known().hasNonNull(Discovery.LIST)) {
+            hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
+        }
+        return clients.start();
+    }
+
     /**
      * One plain line for each thing that netty warns of. The system's own handler reads the time zones' file for
      * its first line, and where that line says that no descriptor is left, this would end the event loop.
@@ -134,6 +157,11 @@
         });
     }
 
+    /** Another way to the other gateways than datagrams. */
+    void linkBy(Mail other) {
+        mail = other;
+    }
+
     /** Takes from a new configuration what may change while clients are served; the rest waits for a restart. */
     void reload(NodeConfig fresh) {
         loop.execute(() -> discovery.move(fresh.discovery()));
@@ -337,7 +365,7 @@
 
     @Override
     public void tell(int peer, byte[] data) {
-        peers.send(peer, data);
+        mail.send(peer, data);
     }
 
     /** There is no counter on these sockets, so a call can't get through. */
@@ -369,17 +397,20 @@
             clients.stopAccepting();
             awaitEmpty();
         }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> {
-            over = true;
-            for (OpenRequest r : List.copyOf(open.values())) {
-                endAttempts(r); // the module refuses or fails it, as its further attempts are void now
-            }
-            for (OpenRequest r : List.copyOf(open.values())) {
-                if (!r.closed()) { // still held
-                    answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
-                }
+        loop.schedule(this::endAll, DRAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Gives up every attempt; what follows from that is answered as ever. */
+    void endAll() {
+        over = true;
+        for (OpenRequest r : List.copyOf(open.values())) {
+            endAttempts(r); // the module refuses or fails it, as its further attempts are void now
+        }
+        for (OpenRequest r : List.copyOf(open.values())) {
+            if (!r.closed()) { // still held
+                answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
             }
-        }, DRAIN_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void awaitEmpty() {
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -15,7 +15,7 @@
 import java.util.Map;
 
 /** Messages between api gateways: datagrams, which may come late, damaged, from strangers or not at all. */
-final class PeerLink extends SimpleChannelInboundHandler<DatagramPacket> {
+final class PeerLink extends SimpleChannelInboundHandler<DatagramPacket> implements Node.Mail {
     private static final int MAX_BYTES = 256;
     private static final int EVERYONE = -1;
 
@@ -44,7 +44,8 @@
                 }).channel();
     }
 
-    void send(int peer, byte[] data) {
+    @Override
+    public void send(int peer, byte[] data) {
         InetSocketAddress to = peer == EVERYONE ? node.config.peersAll()
                 : peer >= 0 && peer < node.config.peers().size() ? node.config.peers().get(peer) : null;
         if (channel == null || to == null || data.length > MAX_BYTES) {
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -14,6 +14,7 @@
 public final class Rehearsal {
     private static final int ENOUGH = 64; // bytes that hold a status line
     private static final int PATIENCE_MS = 10_000;
+    private static final long BUILD_PATIENCE_MS = 60_000; // a build's machine may be slow, but a stall fails it
     private static final String CONFIG = """
             {"name": "rehearsal", "listen": "%1$s", "discovery": "%1$s", "seed": "1", "peer_listen": "%1$s",
              "peers": ["%1$s", "%1$s"], "known": {"version": 1, "full": true, "servers": [{"id": "self",
@@ -32,7 +33,7 @@
     private Rehearsal() { }
 
     /** Returns when all has been gone through. */
-    public static void run() throws IOException {
+    public static void run() throws IOException, InterruptedException {
         Node.plainLogs();
         int port;
         try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -40,8 +41,12 @@
         }
         InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         String address = at.getAddress().getHostAddress() + ':' + port;
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(CONFIG.formatted(address))));
+        NodeConfig config = NodeConfig.of(new ObjectMapper().readTree(CONFIG.formatted(address)));
+        Node node = new Node(config);
         try {
+            if (WarmUp.run(config, WarmUp.ENOUGH, BUILD_PATIENCE_MS) < WarmUp.ENOUGH) {
+                throw new IOException("the warm-up came to a halt");
+            }
             node.start();
             ask(at, "/healthz", "0", 1);
             ask(at, "/view/alone", "1", 1);
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -103,6 +103,13 @@
         awaitReady();
     }
 
+    /** Else its first clients meet interpreted code, which on a part of a core serves half of them. */
+    @Test
+    void isReadyOnlyOnceItsCodeIsWarm() throws Exception {
+        startServing();
+        assertTrue(Files.readString(dir.resolve("log")).contains("warm after "));
+    }
+
     @Test
     void sigtermEndsItInOrder() throws Exception {
         startServing();
