--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -1,7 +1,6 @@
 package deckfall.net;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Gateway.Host;
 import deckfall.Gateway.HostState;
 import deckfall.Gateway.ListKind;
@@ -45,7 +44,6 @@
     record Entry(Host host, InetSocketAddress address) { }
 
     private final Node node;
-    private final ObjectMapper json = new ObjectMapper();
     private InetSocketAddress agent;
     private Calls current; // what an earlier one still hears or fails is of no interest
     private boolean failing;
@@ -149,7 +147,7 @@
             }
             JsonNode list;
             try (InputStream in = new ByteBufInputStream(response.content())) {
-                list = json.readTree(in);
+                list = JsonTree.read(in);
             } catch (IOException e) {
                 version = -1; // what it told is lost, and the whole list holds it too
                 throw e;
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -66,6 +66,7 @@
     private Mail mail;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean telling;
+    private boolean serving; // before, what peers say is for the ears of a module that has not begun
     private boolean draining;
     private boolean over; // the drain's time is up: nothing more is sent
 
@@ -97,8 +98,9 @@
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
             NodeConfig config = NodeConfig.read(configFile);
-            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS) + " answers");
             Node node = new Node(config);
+            node.loop.execute(node.peers::start);
+            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS, node::isMissed) + " answers");
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
             reload.follow(node);
@@ -112,6 +114,9 @@
     void start() throws IOException {
         try {
             loop.submit(() -> {
+                if (!peers.started()) {
+                    peers.start();
+                }
                 discovery.start();
                 return listen();
             }).sync().getNow().sync();
@@ -123,10 +128,15 @@
         }
     }
 
+    /** Whether clients can't wait for this gateway to be as quick as it could. */
+    private boolean isMissed() {
+        return loop.submit(peers::isShort).syncUninterruptibly().getNow();
+    }
+
     /** Begins to serve, on the event loop, with the hosts that the configuration names. */
     ChannelFuture listen() {
+        serving = true;
         tell((now, m) -> m.start(now, config.settings()));
-        peers.start();
         if (config.known().hasNonNull(Discovery.LIST)) {
             hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
         }
@@ -293,7 +303,9 @@
     }
 
     void peerSaid(int peer, byte[] data) {
-        tell((now, m) -> m.peerSaid(now, peer, data));
+        if (serving) {
+            tell((now, m) -> m.peerSaid(now, peer, data));
+        }
     }
 
     // ---- what the module does
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -1,13 +1,13 @@
 package deckfall.net;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Gateway.Settings;
 import deckfall.wire.Fields;
 import deckfall.wire.SettingsReader;
 import deckfall.wire.WireFault;
 import io.netty.util.NetUtil;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -43,8 +43,8 @@
         if (file == null || file.isEmpty()) {
             throw new BadConfig("NODE_CONFIG names no file");
         }
-        try {
-            return of(new ObjectMapper().readTree(Files.readAllBytes(Path.of(file))));
+        try (InputStream text = Files.newInputStream(Path.of(file))) {
+            return of(JsonTree.read(text));
         } catch (IOException e) {
             throw new BadConfig("can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
         } catch (WireFault | IllegalArgumentException e) {
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -1,6 +1,6 @@
 package deckfall.net;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -41,10 +41,11 @@
         }
         InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         String address = at.getAddress().getHostAddress() + ':' + port;
-        NodeConfig config = NodeConfig.of(new ObjectMapper().readTree(CONFIG.formatted(address)));
+        NodeConfig config = NodeConfig.of(JsonTree.read(
+                new ByteArrayInputStream(CONFIG.formatted(address).getBytes(StandardCharsets.UTF_8))));
         Node node = new Node(config);
         try {
-            if (WarmUp.run(config, WarmUp.ENOUGH, BUILD_PATIENCE_MS) < WarmUp.ENOUGH) {
+            if (WarmUp.run(config, WarmUp.ENOUGH, BUILD_PATIENCE_MS, () -> false) < WarmUp.ENOUGH) {
                 throw new IOException("the warm-up came to a halt");
             }
             node.start();
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -40,6 +40,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Before a node takes clients, two of its kind serve made-up ones in the process's memory, so that the code which
@@ -56,6 +57,7 @@
     static final long PATIENCE_MS = 8000; // at its end a node serves, warm or not
 
     private static final long QUIET_MS = 20; // in which each side hears of the other's end
+    private static final long POLL_MS = 50; // how often it looks whether it should end early
     private static final long LAST_MS = 1000;
     private static final int HOSTS = 4;
     private static final int CLIENTS = 12;
@@ -86,11 +88,16 @@
     }
 
     /** Returns how many answers came of those wanted; fewer where the time was up. */
-    static int run(NodeConfig config, int answers, long patienceMs) throws InterruptedException {
+    static int run(NodeConfig config, int answers, long patienceMs, BooleanSupplier enough)
+            throws InterruptedException {
         WarmUp warmUp = new WarmUp(config, answers);
         try {
             warmUp.start();
-            warmUp.left.await(patienceMs, TimeUnit.MILLISECONDS);
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+            while (!warmUp.left.await(POLL_MS, TimeUnit.MILLISECONDS) && System.nanoTime() < end
+                    && !enough.getAsBoolean()) {
+                continue;
+            }
             return (int) (answers - warmUp.left.getCount());
         } finally {
             warmUp.close();
--- a/src/test/java/deckfall/net/WarmUpTest.java
+++ b/src/test/java/deckfall/net/WarmUpTest.java
@@ -29,14 +29,14 @@
     @Test
     void answersAllAndLeavesNothingBehind() throws Exception {
         Set<String> before = loops();
-        assertEquals(FEW, WarmUp.run(config(), FEW, Sockets.PATIENCE_MS));
+        assertEquals(FEW, WarmUp.run(config(), FEW, Sockets.PATIENCE_MS, () -> false));
         assertTrue(before.containsAll(loops()));
     }
 
     /** What it did to quotas, hosts and bounds was done to other modules: the first real customer finds all new. */
     @Test
     void leavesTheRealNodeAsItWas() throws Exception {
-        WarmUp.run(config(), FEW, Sockets.PATIENCE_MS);
+        WarmUp.run(config(), FEW, Sockets.PATIENCE_MS, () -> false);
         Server host = host(SocketTest::echo);
         Client client = client(nodeBefore(host));
         Message answer = client.send(view("r1", Sockets.PATIENCE_MS).replace("X-Plan: free", "X-Plan: tiny")
