Count a request's time from before the loop was busy; a late loop refuses early, asks nobody and blames nobody

Mend: LoopLag measures a beat against its due time; Request.arrivedMs carries it to the module (the simulator passes the present). What a stall has used up is refused at once with Retry-After, questions are not asked while late (the own part decides), and own stalls do not count against peers and hosts. The test of the blocked loop fails without the change (served 200); what waits in the accept backlog is not aged.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -101,7 +101,7 @@
     private Settings set;
     private Random random;
     private int epoch;
-    private double startedAt, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
+    private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
     private double mail, donateGap = WEIGHT_GAP_MS;
     private boolean waited;
     private int inFlight, answers;
@@ -131,7 +131,7 @@
             classes.put(c.name(), state);
         }
         for (int i = 0; i < settings.plans().size(); i++) planNumbers.put(settings.plans().get(i).name(), i);
-        boundAt = sweptAt = delayAt = donateAt = mailAt = surveyedAt = now;
+        beatAt = boundAt = sweptAt = delayAt = donateAt = mailAt = surveyedAt = now;
         if (settings.subscribe()) act.watchHosts();
         act.timer(TICK_MS, "beat");
     }
@@ -159,13 +159,20 @@
         if (cls == null) return;
         Integer plan = planNumbers.get(r.plan());
         Customer c = plan == null ? null : customer(now, r.customer(), plan, r.first(), r.spread());
-        Ask ask = new Ask(r, cls, c, now);
+        Ask ask = new Ask(r, cls, c);
         asks.put(r.id(), ask);
+        // A stall of ours has used up its time: it is told so at once, before it costs others theirs. It
+        // also covers a crowd at a slow start, and could hurt where what was read is younger than the stall.
+        if (r.arrivedMs() < now && now >= giveUpAt(ask)) {
+            finish(ask);
+            return;
+        }
         boolean stranger = plan != null && c == null; // there is no room for its books
         switch (stranger ? Verdict.OUT : c == null ? Verdict.IN : judge(now, c, r.units())) {
             case IN -> letIn(now, ask);
             case OUT -> decide(now, ask, false);
-            default -> question(now, ask, 0);
+            // While this loop is late no answer would be heard in time, so the own part decides.
+            default -> question(now, ask, now - r.arrivedMs() < ANSWER_MS / 2 ? 0 : KEEPERS);
         }
         if (c != null && ask.admitted) changed(now, c);
         post(now);
@@ -226,6 +233,7 @@
         if (token.equals("watch")) act.watchHosts();
         if (!token.equals("beat")) return;
         act.timer(TICK_MS, "beat");
+        noteStall(now);
         expire(now);
         missAnswers(now);
         if (now - surveyedAt >= SURVEY_MS) survey(now);
@@ -237,6 +245,15 @@
         post(now);
     }
 
+    /** What came while this gateway stood still is read only now: no peer or host is blamed for that. */
+    private void noteStall(double now) {
+        double late = now - beatAt - TICK_MS;
+        beatAt = now;
+        if (late <= TICK_MS) return;
+        stalled += late;
+        questions.forEach(a -> a.answerBy += late);
+    }
+
     @Override public void probed(double now, String host, Outcome outcome, double took, double[] report) { }
 
     @Override public void counted(double now, String counter, Outcome outcome, double total) { }
@@ -646,7 +663,7 @@
     }
 
     private void send(double now, Ask ask, Server s) {
-        Attempt a = new Attempt(ask, s, now, ask.work());
+        Attempt a = new Attempt(ask, s, now, ask.work(), stalled);
         if (ask.attempts.isEmpty()) {
             retryTokens = Math.min(RETRY_MAX, retryTokens + RETRY_SHARE);
             noteDelay(ask.cls, now - ask.arrived, 0);
@@ -943,7 +960,8 @@
         for (Server s : new ArrayList<>(watched)) {
             for (Attempt a : new ArrayList<>(s.out)) {
                 double expected = a.work * Math.max(1, slowness(now, s.health));
-                if (a.overdue || now - a.sentAt <= SILENT_AFTER * expected + QUIET_MS) continue;
+                double waited = now - a.sentAt - (stalled - a.stalled);
+                if (a.overdue || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
                 judge(s.of(a.ask.cls), SLOW_MAX, FAILED_GAIN, now);
                 boolean useful = !a.ask.done && !a.ask.streaming && now + a.work < giveUpAt(a.ask);
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -58,8 +58,8 @@
     public record Host(String id, String zone, String kind, int cell, HostState state, double rating,
             double startedMs) { }
 
-    /** A request: {@code spread} gateways from number {@code first} on, counted round, may receive the customer. */
-    public record Request(String id, double deadlineMs, boolean retry, String requestClass, long customer,
+    /** A request, waiting since {@code arrivedMs}: {@code spread} gateways from number {@code first} on, counted round, may receive the customer. */
+    public record Request(String id, double deadlineMs, double arrivedMs, boolean retry, String requestClass, long customer,
             String plan, double units, int first, int spread) { }
 
     /** How an attempt ended; {@code usedPct} is 0 and {@code trueUnits} is 0 where nothing was told. */
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -180,17 +180,19 @@
         final Server server;
         final double sentAt;
         final double work;
+        final double stalled; // own stalls before it was sent, in all
         boolean out = true;
         boolean neverRan;
         boolean unsent; // it never came whole to the host
         boolean overdue;
 
-        Attempt(Ask ask, Server server, double sentAt, double work) {
+        Attempt(Ask ask, Server server, double sentAt, double work, double stalled) {
             this.ask = ask;
             this.number = ask.attempts.size();
             this.server = server;
             this.sentAt = sentAt;
             this.work = work;
+            this.stalled = stalled;
         }
     }
 
@@ -209,11 +211,11 @@
         int askSerial; // of the message that asked
         double answerBy; // when its answer counts as missing
 
-        Ask(Request request, ClassState cls, Customer customer, double arrived) {
+        Ask(Request request, ClassState cls, Customer customer) {
             this.request = request;
             this.cls = cls;
             this.customer = customer;
-            this.arrived = arrived;
+            this.arrived = request.arrivedMs();
         }
 
         /** Time that the class's requests of this size have been taking. */
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -285,7 +285,8 @@
                 answer(node.draining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
                 return;
             }
-            Request read = terms.read(request, node.clock.now());
+            double now = node.clock.now();
+            Request read = terms.read(request, now, now - node.lag.ms());
             if (read == null || node.knows(read.id())) {
                 boolean unknown = !request.headers().contains(RequestTerms.ID);
                 request.release();
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -56,6 +56,7 @@
     final Transport transport;
     final NioEventLoopGroup group;
     final EventLoop loop;
+    final LoopLag lag;
     private final Events module;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
@@ -84,6 +85,7 @@
         this.transport = transport;
         this.group = group;
         this.loop = group.next();
+        this.lag = new LoopLag(clock, loop);
         this.module = maker.apply(this);
         this.clients = new ClientServer(this);
         this.hosts = new HostClient(this);
@@ -130,12 +132,17 @@
 
     /** Whether clients can't wait for this gateway to be as quick as it could. */
     private boolean isMissed() {
-        return loop.submit(peers::isShort).syncUninterruptibly().getNow();
+        return loop.submit(() -> isShortAt(clock.now())).syncUninterruptibly().getNow();
+    }
+
+    boolean isShortAt(double now) {
+        return peers.isShort(now);
     }
 
     /** Begins to serve, on the event loop, with the hosts that the configuration names. */
     ChannelFuture listen() {
         serving = true;
+        lag.start();
         tell((now, m) -> m.start(now, config.settings()));
         if (config.known().hasNonNull(Discovery.LIST)) {
             hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -57,8 +57,7 @@
      * Whether the fleet serves without this gateway and without another one, so that clients have few to go to: some
      * peers speak, and not all have spoken of late. A fleet that has no clients yet says nothing at all.
      */
-    boolean isShort() {
-        double now = node.clock.now();
+    boolean isShort(double now) {
         int heard = 0;
         int lately = 0;
         for (double at : heardAt) {
--- a/src/main/java/deckfall/net/RequestTerms.java
+++ b/src/main/java/deckfall/net/RequestTerms.java
@@ -48,8 +48,11 @@
         settings.plans().forEach(p -> plans.put(p.name(), p));
     }
 
-    /** The request as the module knows it, or null where it is missing or has malformed what it must say. */
-    Request read(FullHttpRequest message, double now) {
+    /**
+     * The request as the module knows it, or null where it is missing or has malformed what it must say. Its client
+     * has been waiting since it arrived, however late it is read.
+     */
+    Request read(FullHttpRequest message, double now, double arrived) {
         HttpHeaders h = message.headers();
         RequestClass cls = classes.get(firstPart(message.uri()));
         String plan = h.get(PLAN);
@@ -69,7 +72,7 @@
         boolean right = units > 0 && units <= settings.sharing().maxUnits() && spread >= 1 && spread <= gateways
                 && first >= 0 && first < gateways && Math.floorMod(settings.me() - (int) first, gateways) < spread;
         double waits = Math.min(left, cls.deadlineMs()); // no client of this class waits longer
-        return !right ? null : new Request(id, now + Math.max(1, waits - MARGIN_MS), h.contains(RETRY), cls.name(),
+        return !right ? null : new Request(id, Math.max(now + 1, arrived + waits - MARGIN_MS), arrived, h.contains(RETRY), cls.name(),
                 customer, plan, units, (int) first, (int) spread);
     }
 
--- a/src/main/java/deckfall/wire/WireHost.java
+++ b/src/main/java/deckfall/wire/WireHost.java
@@ -113,7 +113,7 @@
         }
         switch (name) {
             case "MEMBERSHIP" -> membership(now, brain, f);
-            case "DEMAND" -> brain.request(now, new Request(f.text("op_id"), f.number("valid_until_ms"),
+            case "DEMAND" -> brain.request(now, new Request(f.text("op_id"), f.number("valid_until_ms"), now,
                     f.flag("retry", false), f.text("lane"), f.whole("holder"), f.text("contract"),
                     f.number("size_units"), f.count("from_no", 0), f.count("doors", 1)));
             case "FLOWING" -> brain.streamStarted(now, f.text("op_id"), f.count("hop"));
--- a/src/test/java/deckfall/DecisionsTest.java
+++ b/src/test/java/deckfall/DecisionsTest.java
@@ -27,6 +27,42 @@
         return c;
     }
 
+    private static void askLate(FakeGateway g, String id, double waited, int spread, long customer) {
+        g.brain.request(g.now, new Request(id, g.now + 3000 - waited, g.now - waited, false, "read", customer, "small",
+                1, 0, spread));
+    }
+
+    /** What a stall of the gateway has used up is not decided past half of its time, nor sent for nobody. */
+    @Test
+    void whatIsReadTooLateIsRefusedAtOnceAndWhatIsNotIsServed() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1");
+        askLate(g, "old", 1300, 1, 1);
+        askLate(g, "young", 300, 1, 1);
+        assertEquals(List.of("old"), g.refused);
+        assertEquals(1, g.sends("young"));
+        assertEquals(0, g.sends("old"));
+    }
+
+    /** A stall once held both keepers for silent, and refused what the customer's part had room for. */
+    @Test
+    void aLateLoopAsksNoKeeperAndBlamesNone() {
+        long theirs = 1;
+        FakeGateway g = new FakeGateway(1000, FakeGateway.settings(0, 2)).withHosts("a1");
+        while (State.ranked(theirs, 0, 2, 2, 1)[0] == 0) {
+            theirs++;
+        }
+        g.pass(100); // timers run, and messages have their gap
+        askLate(g, "asks", 0, 2, theirs);
+        assertEquals(0, g.sends("asks"));
+        askLate(g, "late", 200, 2, theirs);
+        assertEquals(1, g.sends("late"));
+        g.now += 400; // a stall: the answer may stand unread
+        g.brain.timer(g.now, "beat");
+        assertEquals(0, g.sends("asks") + g.answers("asks"));
+        g.pass(500); // on time again, and no answer
+        assertEquals(1, g.sends("asks") + g.answers("asks"));
+    }
+
     @Test
     void donationKeepsTheSumAndFavoursTheWorst() {
         ClassState slow = state(FakeGateway.READ, 0.3, 1500, 2000);
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -9,6 +9,7 @@
 import static deckfall.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -326,6 +327,73 @@
         }
     }
 
+    /** What waited in its socket while the loop was busy was once sent on as new, and answered to nobody. */
+    @Test
+    void whatABusyLoopReadsTooLateIsRefusedAtOnce() throws Exception {
+        Server host = host(NodeTest::echo);
+        Node node = nodeBefore(host);
+        Client client = client(node);
+        assertEquals(200, client.send(view("r1", Sockets.PATIENCE_MS)).receive().status());
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch sent = new CountDownLatch(1);
+        node.loop.execute(() -> {
+            busy.countDown();
+            try {
+                sent.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+                double end = node.clock.now() + 1500;
+                while (node.clock.now() < end) {
+                    Thread.sleep(1);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(busy.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        client.send(view("r2", 2000));
+        sent.countDown();
+        Message answer = client.receive();
+        assertEquals(429, answer.status());
+        assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+        assertEquals(1, host.asked.size());
+        assertEquals(200, client.send(view("r3", Sockets.PATIENCE_MS)).receive().status());
+    }
+
+    /** A fleet that lacks another gateway can't wait for this one; a whole one can, and so can one at rest. */
+    @Test
+    void isMissedWhereSomePeersSpeakAndOthersDoNot() throws Exception {
+        try (DatagramSocket first = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+                DatagramSocket second = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            int port = freePort();
+            String mine = "127.0.0.1:" + port;
+            registry = kept(new Registry(list(1, true)));
+            Node node = Sockets.node(Sockets.config(registry.server.address(), mine, mine,
+                    "127.0.0.1:" + first.getLocalPort(), "127.0.0.1:" + second.getLocalPort()));
+            ends.push(node::stop);
+            InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+            assertFalse(missed(node, 60_000));
+            first.send(new DatagramPacket(new byte[8], 8, to));
+            while (!missed(node, 60_000)) { // a time-out of the build ends it where the datagram is never heard
+                Thread.sleep(5);
+            }
+            assertFalse(missed(node, -60_000)); // so soon after its start it can't tell
+            double old = node.clock.now() + 200;
+            while (node.clock.now() < old) {
+                Thread.sleep(5);
+            }
+            assertTrue(missed(node, 900));
+            second.send(new DatagramPacket(new byte[8], 8, to));
+            first.send(new DatagramPacket(new byte[8], 8, to));
+            double heard = node.clock.now();
+            while (missed(node, heard + 900 - node.clock.now())) {
+                Thread.sleep(5);
+            }
+        }
+    }
+
+    private static boolean missed(Node node, double later) {
+        return node.loop.submit(() -> node.isShortAt(node.clock.now() + later)).syncUninterruptibly().getNow();
+    }
+
     @Test
     void whatIsOpenAtADrainIsAnsweredAndItsConnectionClosed() throws Exception {
         CountDownLatch draining = new CountDownLatch(1);
