--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -130,13 +130,9 @@
         }
     }
 
-    /** Whether clients can't wait for this gateway to be as quick as it could. */
-    private boolean isMissed() {
-        return loop.submit(() -> isShortAt(clock.now())).syncUninterruptibly().getNow();
-    }
-
-    boolean isShortAt(double now) {
-        return peers.isShort(now);
+    /** Whether the fleet serves clients, which would come here, too, rather than wait for this gateway's full speed. */
+    boolean isMissed() {
+        return loop.submit(peers::hasHeard).syncUninterruptibly().getNow();
     }
 
     /** Begins to serve, on the event loop, with the hosts that the configuration names. */
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -18,18 +18,15 @@
 final class PeerLink extends SimpleChannelInboundHandler<DatagramPacket> implements Node.Mail {
     private static final int MAX_BYTES = 256;
     private static final int EVERYONE = -1;
-    private static final double LATELY_MS = 1000; // a peer that serves asks a keeper that seems down this often
 
     private final Node node;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
-    private final double[] heardAt; // by peer, 0 for never
-    private double startedAt;
+    private boolean heard;
     private Channel channel;
 
     PeerLink(Node node) {
         this.node = node;
-        heardAt = new double[node.config.peers().size()];
-        for (int i = 0; i < heardAt.length; i++) {
+        for (int i = 0; i < node.config.peers().size(); i++) {
             numbers.put(node.config.peers().get(i), i);
         }
     }
@@ -38,7 +35,6 @@
         if (node.config.peerListen() == null) {
             return;
         }
-        startedAt = node.clock.now();
         // One byte more than a message may have shows which ones are too long.
         channel = new Bootstrap().group(node.loop).channel(NioDatagramChannel.class).handler(this)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES + 1))
@@ -53,18 +49,9 @@
         return channel != null;
     }
 
-    /**
-     * Whether the fleet serves without this gateway and without another one, so that clients have few to go to: some
-     * peers speak, and not all have spoken of late. A fleet that has no clients yet says nothing at all.
-     */
-    boolean isShort(double now) {
-        int heard = 0;
-        int lately = 0;
-        for (double at : heardAt) {
-            heard += at > 0 ? 1 : 0;
-            lately += at > now - LATELY_MS ? 1 : 0;
-        }
-        return heard > 0 && now - startedAt > LATELY_MS && lately < heardAt.length - 1;
+    /** Whether another gateway has spoken since the start; a fleet that has no clients yet says nothing at all. */
+    boolean hasHeard() {
+        return heard;
     }
 
     @Override
@@ -82,7 +69,7 @@
         Integer peer = numbers.get(packet.sender());
         int length = packet.content().readableBytes();
         if (peer != null && length > 0 && length <= MAX_BYTES) {
-            heardAt[peer] = node.clock.now();
+            heard = true;
             node.peerSaid(peer, ByteBufUtil.getBytes(packet.content()));
         }
     }
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -48,8 +48,8 @@
  * serve half of what comes, and the queue that this leaves in the sockets makes all the rest late as well: clients
  * give up, connect anew, and accepting them takes the time that answers need.
  *
- * <p>It also covers a restart under load. It could hurt where gateways restart so fast one after another that a
- * longer absence leaves too few of them, so it ends at a time limit, warm or not.
+ * <p>It also covers a start on a whole core. It could hurt where gateways restart one after another, since the longer
+ * absence of each leaves few of them: it ends at once where the fleet turns out to serve, and at a time limit.
  */
 final class WarmUp {
     /** Answers after which nearly all that a request needs is compiled: methods are from some 200 calls on. */
