--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -74,7 +74,9 @@
 
     /** After this only requests that already came are answered. */
     void stopAccepting() {
-        listener.close();
+        if (listener != null) { // else the end came during the start
+            listener.close();
+        }
         for (LinkedHashSet<Connection> from : givingWay) {
             List.copyOf(from).forEach(c -> giveUp(c, from));
         }
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -4,6 +4,7 @@
 import deckfall.Gateway.Host;
 import deckfall.Gateway.HostState;
 import deckfall.Gateway.ListKind;
+import deckfall.list.HostList;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
@@ -28,33 +29,63 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
-/** Asks for the whole list of hosts, then watches it without a break; a silent or broken call is asked anew. */
+/**
+ * Asks an agent for the whole list of hosts, then watches it without a break; a silent or broken call is asked anew.
+ * What a word is worth, {@link HostList} says; this class carries calls and answers, and tells the node what came of
+ * them. All on the event loop.
+ *
+ * <p>A move to another agent is made before the old one is left: its watch goes on until the new agent has spoken, so
+ * that a new address at which nobody answers leaves the gateway no worse informed than before.
+ */
 final class Discovery {
     static final String LIST = "servers";
     private static final String PATH = "/v1/servers";
     private static final long HOLD_MS = 5000; // short: what a call that went astray would have told comes soon
     private static final long PATIENCE_MS = 1000; // beyond what a call may wait
-    private static final long AGAIN_MS = 50; // after a failure; a watch is broken only after 200
+    private static final long AGAIN_MS = 50; // after a first failure; a watch is broken only after 200
+    private static final long AGAIN_MAX_MS = 800; // each further failure doubles the wait, up to this
+    private static final int GIVEN_UP = 2; // failures from which a start does not wait for a first word
+    private static final long REVIEW_MS = 1000; // how often the age of the list is looked at
     private static final int MAX_LIST = 4 << 20;
 
     /** A host with the address at which this api gateway reaches it; null where it is gone or was not told. */
     record Entry(Host host, InetSocketAddress address) { }
 
     private final Node node;
+    private final HostList list;
+    private final Random random;
     private InetSocketAddress agent;
-    private Calls current; // what an earlier one still hears or fails is of no interest
+    private Calls current;
+    private Calls previous; // the watch of the agent that was left, until the new one speaks
+    private Runnable first; // runs once a word was taken, or none is to be had
+    private int failures;
     private boolean failing;
-    private long version = -1; // -1: the whole list is still to come
+    private boolean started;
+    private boolean old; // the age of the list was logged
 
     Discovery(Node node) {
         this.node = node;
         this.agent = node.config.discovery();
+        this.list = new HostList(HostList.Limits.DEFAULT, node.clock.now());
+        this.random = new Random(node.config.settings().seed());
     }
 
-    void start() {
+    /** The list from before the start, for as long as no agent has spoken. */
+    void known(List<Entry> entries) {
+        tell(list.known(hosts(entries)), entries);
+    }
+
+    /** @param heard runs once: the node was told the first word of an agent, or the agent can't be had for now */
+    void start(Runnable heard) {
+        first = heard;
+        started = true;
+        node.loop.schedule(this::review, REVIEW_MS, TimeUnit.MILLISECONDS);
         connect();
     }
 
@@ -63,18 +94,30 @@
         if (to.equals(agent)) {
             return;
         }
-        Calls old = current;
+        Node.log("discovery: from " + agent + " to " + to + ", list of version " + list.version(agent) + ", "
+                + (long) list.ageMs(node.clock.now()) + " ms old");
         agent = to;
-        version = -1;
+        failures = 0;
         failing = false;
-        connect();
-        if (old != null) {
-            old.drop();
+        if (!started) {
+            return;
+        }
+        Calls left = current;
+        if (left != null && left.heard && previous == null) {
+            previous = left;
+        } else if (left != null) {
+            left.drop(); // it has told nothing, and the one before it may still be watched
         }
+        connect();
+    }
+
+    /** A host gave an answer. */
+    void served(String host) {
+        list.served(node.clock.now(), host);
     }
 
     private void connect() {
-        Calls calls = new Calls();
+        Calls calls = new Calls(agent);
         current = calls;
         new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -86,23 +129,96 @@
                     }
                 }).connect(agent).addListener(f -> {
                     if (!f.isSuccess()) {
-                        again(calls);
+                        node.loop.execute(() -> failed(calls, f.cause())); // netty may tell it on a thread of its own
                     }
                 });
     }
 
-    private void again(Calls failed) {
+    /** A call came to nothing: another follows, later each time and not in step with other gateways. */
+    private void failed(Calls calls, Throwable cause) {
+        if (calls == previous) {
+            previous = null;
+        }
+        if (calls != current || calls.over) {
+            return; // another has taken over
+        }
+        calls.over = true;
+        if (!failing && cause != null) { // one line for a spell of failures, however often it is asked
+            Node.log("discovery: " + agent + ": " + cause.getMessage());
+        }
+        failing |= cause != null;
+        long wait = Math.min(AGAIN_MAX_MS, AGAIN_MS << Math.min(failures, Long.SIZE / 4));
+        if (++failures >= GIVEN_UP) {
+            spoken();
+        }
+        long jittered = wait / 2 + random.nextInt((int) wait / 2 + 1);
         node.loop.schedule(() -> {
-            if (failed == current) { // else another has taken over
+            if (calls == current) {
                 connect();
             }
-        }, AGAIN_MS, TimeUnit.MILLISECONDS);
+        }, jittered, TimeUnit.MILLISECONDS);
+    }
+
+    private void spoken() {
+        Runnable ready = first;
+        first = null;
+        if (ready != null) {
+            ready.run();
+        }
+    }
+
+    private void review() {
+        node.loop.schedule(this::review, REVIEW_MS, TimeUnit.MILLISECONDS);
+        double now = node.clock.now();
+        List<Host> changes = list.review(now);
+        boolean late = list.ageMs(now) > HostList.Limits.DEFAULT.vouchMs();
+        if (late && !old) {
+            Node.log("discovery: the list is " + (long) list.ageMs(now) + " ms old; hosts that do not answer are put "
+                    + "aside: " + changes.size());
+        }
+        old = late;
+        if (!changes.isEmpty()) {
+            node.hostsTold(ListKind.CHANGES, entries(changes, Map.of()));
+        }
+    }
+
+    /** Tells the node what the list made of a word. What can't be told is asked for again, and not lost. */
+    private void tell(HostList.Told told, List<Entry> from) {
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        for (Entry e : from) {
+            addresses.put(e.host().id(), e.address());
+        }
+        node.hostsTold(told.kind(), entries(told.hosts(), addresses));
+    }
+
+    private static List<Entry> entries(List<Host> hosts, Map<String, InetSocketAddress> addresses) {
+        List<Entry> entries = new ArrayList<>(hosts.size());
+        for (Host h : hosts) {
+            entries.add(new Entry(h, addresses.get(h.id())));
+        }
+        return entries;
+    }
+
+    private static List<Host> hosts(List<Entry> entries) {
+        List<Host> hosts = new ArrayList<>(entries.size());
+        for (Entry e : entries) {
+            hosts.add(e.host());
+        }
+        return hosts;
     }
 
     /** The calls on one connection to an agent. */
     private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final InetSocketAddress to;
         private Channel channel;
         private Future<?> timeout;
+        private boolean heard; // a word of it was taken
+        private boolean over;
+        private boolean whole; // the list was asked for, and not what changed
+
+        Calls(InetSocketAddress to) {
+            this.to = to;
+        }
 
         void drop() {
             if (channel != null) {
@@ -121,8 +237,9 @@
         }
 
         private void call() {
-            boolean whole = version < 0;
-            String uri = whole ? PATH : PATH + "?from=" + version + "&hold_ms=" + HOLD_MS;
+            long from = list.version(to);
+            whole = from == HostList.NONE;
+            String uri = whole ? PATH : PATH + "?from=" + from + "&hold_ms=" + HOLD_MS;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
@@ -138,47 +255,71 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) throws IOException {
-            if (this != current) {
+            if (this != current && this != previous) {
                 return; // an agent that was left: its word may be older than what the new one told
             }
             stopTimeout();
             if (!response.status().equals(HttpResponseStatus.OK)) {
                 throw new IOException("discovery answered " + response.status());
             }
-            JsonNode list;
+            JsonNode said;
             try (InputStream in = new ByteBufInputStream(response.content())) {
-                list = JsonTree.read(in);
+                said = JsonTree.read(in);
             } catch (IOException e) {
-                version = -1; // what it told is lost, and the whole list holds it too
+                list.lost(); // what it told is lost, and the whole list holds it too
                 throw e;
             }
-            failing = false;
-            boolean whole = list.path("full").asBoolean();
-            List<Entry> entries = entries(list);
-            version = list.path("version").asLong(-1);
-            if (HttpUtil.isKeepAlive(response)) {
+            List<Entry> entries = entries(said);
+            long before = list.version(to);
+            long version = said.path("version").asLong(HostList.NONE);
+            HostList.Told told = list.heard(node.clock.now(), to, version, said.path("full").asBoolean(),
+                    hosts(entries));
+            if (!told.taken()) {
+                throw new IOException("a word of version " + version + " where " + before + " is held");
+            }
+            takenFrom(ctx, HttpUtil.isKeepAlive(response));
+            if (told.kind() == ListKind.FULL || !told.hosts().isEmpty()) {
+                if (told.kind() == ListKind.FULL) {
+                    Node.log("discovery: " + to + " lists " + told.hosts().size() + " hosts, version " + version);
+                }
+                try {
+                    tell(told, entries);
+                } catch (RuntimeException e) { // else what this word changed would never be told again
+                    list.lost();
+                    throw e;
+                }
+            }
+            spoken();
+        }
+
+        private void takenFrom(ChannelHandlerContext ctx, boolean keepAlive) {
+            heard = true;
+            if (this == current) {
+                failures = 0;
+                failing = false;
+                Calls left = previous;
+                previous = null;
+                if (left != null) {
+                    left.drop();
+                }
+            }
+            if (keepAlive) {
                 call(); // the next call first, so that no change falls between
             } else {
                 ctx.close();
             }
-            if (whole || !entries.isEmpty()) {
-                node.hostsTold(whole ? ListKind.FULL : ListKind.CHANGES, entries);
-            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             stopTimeout();
-            again(this);
+            failed(this, null);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!failing && this == current) { // one line for a spell of failures, however often it is asked
-                Node.log("discovery: " + cause.getMessage());
-            }
-            failing = true;
             ctx.close();
+            failed(this, cause);
         }
     }
 
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -37,6 +37,7 @@
     private static final long ACCEPT_ON_MS = 500; // after SIGTERM: new connections still come for a while
     private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
+    private static final long FIRST_WORD_MS = 500; // how long a start waits for discovery, which answers at once
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_REPORT = new double[0];
@@ -99,29 +100,42 @@
         plainLogs();
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
-            NodeConfig config = NodeConfig.read(configFile);
-            Node node = new Node(config);
-            node.loop.execute(node.peers::start);
-            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS, node::isMissed) + " answers");
-            node.start();
+            NodeConfig config = reload.first();
+            Node early = new Node(config);
+            early.loop.execute(early.peers::start);
+            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS, early::isMissed) + " answers");
+            NodeConfig newest = reload.newest(); // seconds have passed, and nobody need have sent a signal
+            Node node = early;
+            if (!newest.equals(config)) {
+                early.stop();
+                node = new Node(newest);
+                log("the configuration was replaced during the start");
+            }
+            reload.follow(newest, node::reload);
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
-            reload.follow(node);
+            node.start();
         } catch (NodeConfig.BadConfig | IOException | InterruptedException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
     }
 
-    /** Returns once clients are served. */
+    /**
+     * Returns once clients are served. Configuration, list and listener are of one moment: the listener opens when
+     * discovery has spoken, or has had its time, and not with the list of some earlier life.
+     */
     void start() throws IOException {
+        CountDownLatch heard = new CountDownLatch(1);
         try {
             loop.submit(() -> {
                 if (!peers.started()) {
                     peers.start();
                 }
-                discovery.start();
-                return listen();
-            }).sync().getNow().sync();
+                begin();
+                discovery.start(heard::countDown);
+            }).sync();
+            heard.await(FIRST_WORD_MS, TimeUnit.MILLISECONDS); // without a word the list of before the start serves
+            loop.submit(clients::start).sync().getNow().sync();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -137,13 +151,17 @@
 
     /** Begins to serve, on the event loop, with the hosts that the configuration names. */
     ChannelFuture listen() {
+        begin();
+        return clients.start();
+    }
+
+    private void begin() {
         serving = true;
         lag.start();
         tell((now, m) -> m.start(now, config.settings()));
         if (config.known().hasNonNull(Discovery.LIST)) {
-            hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
+            discovery.known(Discovery.entries(config.known()));
         }
-        return clients.start();
     }
 
     /**
@@ -273,6 +291,9 @@
         a.stopTimer();
         OpenRequest r = a.owner;
         r.out--;
+        if (response != null) {
+            discovery.served(a.host);
+        }
         if (outcome == Outcome.OK) {
             ClientServer.Connection client = r.close();
             if (client != null) {
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -1,11 +1,14 @@
 package deckfall.net;
 
-import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /**
  * One short life of a node that is its own host, peer and discovery, so that each part runs once. The build keeps
@@ -16,7 +19,7 @@
     private static final int PATIENCE_MS = 10_000;
     private static final long BUILD_PATIENCE_MS = 60_000; // a build's machine may be slow, but a stall fails it
     private static final String CONFIG = """
-            {"name": "rehearsal", "listen": "%1$s", "discovery": "%1$s", "seed": "1", "peer_listen": "%1$s",
+            {"name": "rehearsal", "listen": "%1$s", "discovery": "%2$s", "seed": "1", "peer_listen": "%1$s",
              "peers": ["%1$s", "%1$s"], "known": {"version": 1, "full": true, "servers": [{"id": "self",
                "addr": "%1$s", "zone": "a", "kind": "k", "cell": 0, "state": "ready", "weight": 1,
                "started_ms": 0}]},
@@ -30,6 +33,10 @@
             + "X-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: 600\r\nX-Quota: units=1,spread=%d,first=0\r\n"
             + "Connection: close\r\n\r\n";
 
+    private static final String LIST = """
+            {"version": 2, "full": true, "servers": [{"id": "self", "addr": "%s", "zone": "a", "state": "ready"}]}
+            """;
+
     private Rehearsal() { }
 
     /** Returns when all has been gone through. */
@@ -41,22 +48,47 @@
         }
         InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         String address = at.getAddress().getHostAddress() + ':' + port;
-        NodeConfig config = NodeConfig.of(JsonTree.read(
-                new ByteArrayInputStream(CONFIG.formatted(address).getBytes(StandardCharsets.UTF_8))));
+        Path file = Files.writeString(Files.createTempFile("rehearsal", ".json"), CONFIG.formatted(address, agent(LIST.formatted(address))));
+        Reload reload = Reload.onHangup(file.toString());
+        NodeConfig config;
+        try {
+            config = reload.first();
+        } catch (NodeConfig.BadConfig e) {
+            throw new IOException(e);
+        }
         Node node = new Node(config);
         try {
             if (WarmUp.run(config, WarmUp.ENOUGH, BUILD_PATIENCE_MS, () -> false) < WarmUp.ENOUGH) {
                 throw new IOException("the warm-up came to a halt");
             }
+            reload.follow(reload.newest(), node::reload);
             node.start();
             ask(at, "/healthz", "0", 1);
             ask(at, "/view/alone", "1", 1);
             ask(at, "/view/shared", "2", 2);
         } finally {
             node.stop(); // or a build would never end
+            Files.delete(file);
         }
     }
 
+    /** Answers the call for the list, and a watch not at all. */
+    private static String agent(String list) throws IOException {
+        java.net.ServerSocket agent = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Thread answering = new Thread(() -> {
+            try (agent; Socket s = agent.accept()) {
+                s.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes(StandardCharsets.US_ASCII));
+                s.getInputStream().transferTo(OutputStream.nullOutputStream());
+            } catch (IOException e) {
+                Node.log("rehearsal: " + e.getMessage());
+            }
+        });
+        answering.setDaemon(true);
+        answering.start();
+        return agent.getInetAddress().getHostAddress() + ':' + agent.getLocalPort();
+    }
+
     private static void ask(InetSocketAddress at, String path, String id, int spread) throws IOException {
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(PATIENCE_MS);
--- a/src/main/java/deckfall/net/Reload.java
+++ b/src/main/java/deckfall/net/Reload.java
@@ -1,17 +1,51 @@
 package deckfall.net;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.function.Consumer;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
- * SIGHUP: the file of the configuration was replaced. It is read on the signal's own thread, so that no request
- * waits for it, and a file that can't be used changes nothing.
+ * Keeps a process on the newest good configuration. The file is looked at four times a second, and at once at SIGHUP;
+ * it is read when it was replaced, on a thread of its own, so that no request waits for it. A file that can't be used
+ * changes nothing and is looked at again, since it may be half written.
+ *
+ * <p>The signal alone is not enough. A process that is started with SIGHUP ignored, as by {@code nohup} or by a shell
+ * under it, keeps ignoring it: the virtual machine leaves such a signal alone, whatever handler is set, and says
+ * nothing. A gateway so started once went on for good with the discovery that its first file named.
+ *
+ * <p>Before the virtual machine runs, SIGHUP ends the process as it ends any program.
  */
 final class Reload {
+    static final long LOOK_MS = 250; // how often the file is looked at
+
+    /** Whether a file was replaced or written to. */
+    private record Stamp(long modifiedNanos, long size, Object key) {
+        private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+        static Stamp of(String file) {
+            try {
+                BasicFileAttributes a = Files.readAttributes(Path.of(file), BasicFileAttributes.class);
+                java.time.Instant at = a.lastModifiedTime().toInstant();
+                return new Stamp(at.getEpochSecond() * NANOS_PER_SECOND + at.getNano(), a.size(), a.fileKey());
+            } catch (IOException | RuntimeException e) {
+                return null; // gone for the moment: that, too, is a change
+            }
+        }
+    }
+
     private final String file;
-    private Node node;
-    private boolean due; // SIGHUP came before there was a node to tell
+    private Consumer<NodeConfig> follower; // null while the process still starts
+    private NodeConfig newest;
+    private Stamp seen; // of the file as it was last read
+    private boolean bad; // so it must be read again
+    private boolean hungUp;
 
-    private Reload(String file) {
+    /** One that hears no signal, and looks at the file all the same. */
+    Reload(String file) {
         this.file = file;
     }
 
@@ -19,26 +53,88 @@
     @SuppressWarnings("sunapi")
     static Reload onHangup(String file) {
         Reload reload = new Reload(file);
-        Signal.handle(new Signal("HUP"), signal -> reload.again());
+        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> reload.hangUp());
+        if (before == SignalHandler.SIG_IGN) {
+            Node.log("deckfall: SIGHUP is ignored since before the start: a replaced file is seen " + LOOK_MS
+                    + " ms later");
+        }
         return reload;
     }
 
-    synchronized void follow(Node started) {
-        node = started;
-        if (due) {
-            again();
+    private synchronized void hangUp() {
+        hungUp = true;
+        notifyAll();
+    }
+
+    /** The configuration to start by. */
+    synchronized NodeConfig first() throws NodeConfig.BadConfig {
+        seen = Stamp.of(file); // before the reading: what is written meanwhile is a change
+        newest = NodeConfig.read(file);
+        return newest;
+    }
+
+    /** The newest configuration that can be used, as the file stands now; a bad file leaves the one read before. */
+    synchronized NodeConfig newest() {
+        look();
+        return newest;
+    }
+
+    /**
+     * From now on each new configuration is passed on, on a thread of this class; one that came since {@code held} was
+     * read, before this returns.
+     */
+    synchronized void follow(NodeConfig held, Consumer<NodeConfig> followed) {
+        follower = followed;
+        look();
+        if (!newest.equals(held)) {
+            follower.accept(newest);
+        }
+        Thread watch = new Thread(this::watch, "configuration");
+        watch.setDaemon(true);
+        watch.start();
+    }
+
+    private synchronized void watch() {
+        try {
+            while (true) {
+                if (!hungUp) {
+                    wait(LOOK_MS);
+                }
+                if (look()) {
+                    follower.accept(newest);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
-    private synchronized void again() {
-        due = node == null;
-        if (due) {
-            return;
+    /** Reads the file where it may have changed; returns whether it now says something new. */
+    private boolean look() {
+        Stamp now = Stamp.of(file);
+        boolean changed = now == null ? seen != null : !now.equals(seen);
+        boolean asked = hungUp;
+        hungUp = false;
+        if (!changed && !asked && !bad) {
+            return false;
         }
+        boolean news = false;
         try {
-            node.reload(NodeConfig.read(file));
-        } catch (NodeConfig.BadConfig e) {
-            Node.log("deckfall: the settings stay as they were: " + e.getMessage());
+            NodeConfig fresh = NodeConfig.read(file);
+            news = !fresh.equals(newest);
+            newest = fresh;
+            bad = false;
+            if (news || asked) {
+                Node.log("deckfall: configuration read" + (asked ? " at SIGHUP" : " from a replaced file")
+                        + ": discovery at " + fresh.discovery() + (news ? "" : ", nothing new"));
+            }
+        } catch (NodeConfig.BadConfig | RuntimeException e) {
+            if (!bad || asked || changed) {
+                Node.log("deckfall: the settings stay as they were: " + e.getMessage());
+            }
+            bad = true;
         }
+        seen = now;
+        return news;
     }
 }
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -1,21 +1,27 @@
 package deckfall.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Message;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The program as the platform starts and ends it. */
 class ProcessTest {
@@ -34,23 +40,36 @@
     }
 
     private void start(String config) throws IOException {
+        start(config, "");
+    }
+
+    private void start(String config, String before) throws IOException {
         Path file = Files.writeString(dir.resolve("config.json"), config);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"", java,
+        ProcessBuilder b = new ProcessBuilder("sh", "-c", before + "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"", java,
                 "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "deckfall.Main", "serve");
         b.environment().put("NODE_CONFIG", file.toString());
         process = b.redirectOutput(ProcessBuilder.Redirect.DISCARD)
                 .redirectError(dir.resolve("log").toFile()).start();
     }
 
-    private void startServing() throws Exception {
+    private void choosePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
+    }
+
+    private void startServing() throws Exception {
+        choosePort();
         start(config("127.0.0.1:1"));
         awaitReady();
     }
 
+    private void replace(String config) throws IOException {
+        Path fresh = Files.writeString(dir.resolve("fresh.json"), config);
+        Files.move(fresh, dir.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
+    }
+
     private String config(String discovery) {
         return Sockets.config(discovery, "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
                 "127.0.0.1:" + port + "\", \"disc");
@@ -138,6 +157,86 @@
         }
     }
 
+    /**
+     * The cause of the reload days that broke the drain rule: under nohup SIGHUP is ignored from before the start, the
+     * virtual machine leaves it so, and the gateway went on with the discovery of its first file for good.
+     */
+    @Test
+    void aProcessThatWasStartedDeafToSighupStillFollowsItsFile() throws Exception {
+        try (Sockets.Registry next = new Sockets.Registry(Sockets.list(7, true))) {
+            choosePort();
+            start(config("127.0.0.1:1"), "trap '' HUP; ");
+            awaitReady();
+            hangUp(config(next.server.address()));
+            assertNotNull(next.server.next());
+            awaitLog("SIGHUP is ignored");
+        }
+    }
+
+    /** Whenever in a start the file is replaced, and though no signal follows, the process ends on the new one. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 150, 400, 800})
+    void aFileReplacedDuringTheStartIsTheOneThatCounts(int afterMs) throws Exception {
+        try (Sockets.Registry first = new Sockets.Registry(Sockets.list(7, true));
+                Sockets.Registry second = new Sockets.Registry(Sockets.list(3, true))) {
+            choosePort();
+            start(config(first.server.address()));
+            Thread.sleep(afterMs); // not waited for: a moment of the start, and any will do
+            replace(config(second.server.address()));
+            assertNotNull(second.server.next());
+            assertTrue(second.server.next().start().contains("from=3&"));
+            awaitReady();
+        }
+    }
+
+    /** Half a file, none at all, and two within a second, each without a further signal. */
+    @Test
+    void aFileHalfWrittenOrGoneIsLookedAtAgain() throws Exception {
+        try (Sockets.Registry first = new Sockets.Registry(Sockets.list(7, true));
+                Sockets.Registry second = new Sockets.Registry(Sockets.list(3, true))) {
+            startServing();
+            String whole = config(first.server.address());
+            hangUp(whole.substring(0, whole.length() / 2));
+            awaitLog("the settings stay as they were");
+            Files.writeString(dir.resolve("config.json"), whole);
+            assertNotNull(first.server.next());
+            Files.delete(dir.resolve("config.json"));
+            awaitLog("can't read");
+            replace(config("127.0.0.1:1"));
+            replace(config(second.server.address()));
+            assertNotNull(second.server.next());
+        }
+    }
+
+    /** What drains is still to stop sending to hosts that go, so it still follows discovery. */
+    @Test
+    void aDrainingProcessFollowsItsFile() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        try (Sockets.Server host = new Sockets.Server((m, s) -> {
+                asked.countDown();
+                answered.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+                s.getOutputStream().write(Sockets.ok("late"));
+            });
+                Sockets.Registry first = new Sockets.Registry(
+                        Sockets.list(7, true, Sockets.entry("h0", host.address(), "ready")));
+                Sockets.Registry second = new Sockets.Registry(Sockets.list(3, true));
+                Socket client = new Socket()) {
+            choosePort();
+            start(config(first.server.address()));
+            awaitReady();
+            client.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            client.getOutputStream().write(Sockets.bytes(Sockets.view("v", Sockets.PATIENCE_MS)));
+            assertTrue(asked.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            process.destroy();
+            replace(config(second.server.address()));
+            assertNotNull(second.server.next());
+            answered.countDown();
+            assertEquals("late", Sockets.read(client.getInputStream()).text());
+            assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        }
+    }
+
     @Test
     void aBadConfigurationEndsItWithOneLine() throws Exception {
         start("{\"name\": \"n0\"}");
