Keep books until the time is up, and learn no latency from stalls of one's own

A gateway that had drained ended at once, though the platform starts it anew only 3.5 s after SIGTERM, and its customers had no first keeper for those 3 s as well. And a returning gateway, which stands still 400 of each 500 ms, counted that into its hosts' latency, took them for slow and gave up requests that were 100 ms old.

Change: among others a drained gateway stays until 3.4 s after SIGTERM. An attempt of whose time more than a fifth was a stall of this gateway's own teaches no latency and blames no host.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -70,6 +70,7 @@
     private static final double FAILED_GAIN = 0.4; // weight of a failure or of an overdue attempt
     private static final double SLOW_MAX = 12; // largest slowness that is believed
     private static final double BAD_ANSWER = 4; // slowness of a full host, and of one tried before
+    private static final double OWN_SHARE = 0.2; // of an attempt's time; a longer own stall hides the host's
     private static final double SLOW_FADE_MS = 6000; // slowness not confirmed fades: a trial by itself
     private static final double TROUBLED = 2.2; // slowness from which a host is worse than chance makes it
     private static final double SILENT_AFTER = 5; // expected times, and
@@ -254,6 +255,12 @@
         questions.forEach(a -> a.answerBy += late);
     }
 
+    /** How long this gateway itself has stood still while an attempt was out. */
+    private double ownStall(double now, Attempt a) {
+        double late = now - beatAt - TICK_MS;
+        return stalled - a.stalled + (late > TICK_MS ? late : 0);
+    }
+
     @Override public void probed(double now, String host, Outcome outcome, double took, double[] report) { }
 
     @Override public void counted(double now, String counter, Outcome outcome, double total) { }
@@ -929,14 +936,18 @@
     private void learn(double now, Ask ask, Attempt a, AttemptResult r) {
         Server s = a.server;
         ClassState c = ask.cls;
+        // What came while this gateway stood still was read after it: its time says nothing of the host.
+        boolean clear = ownStall(now, a) <= OWN_SHARE * r.latencyMs();
         switch (r.outcome()) {
             case OK -> {
-                judge(s.health, r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, now);
                 judge(s.of(c), 1, FAILED_GAIN, now);
-                double perUnit = r.latencyMs() / Math.max(0.1, ask.request.units());
-                c.samples++;
-                c.latencyPerUnit += Math.max(0.03, 1.0 / c.samples) * (perUnit - c.latencyPerUnit);
-                noteDelay(c, 0, r.latencyMs());
+                if (clear) {
+                    judge(s.health, r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, now);
+                    double perUnit = r.latencyMs() / Math.max(0.1, ask.request.units());
+                    c.samples++;
+                    c.latencyPerUnit += Math.max(0.03, 1.0 / c.samples) * (perUnit - c.latencyPerUnit);
+                    noteDelay(c, 0, r.latencyMs());
+                }
                 if (ask.customer != null && set.sharing().postPaid() && r.trueUnits() > 0) {
                     charge(ask.customer, r.trueUnits() - ask.request.units(), 0);
                 }
@@ -947,7 +958,7 @@
             case ERROR, RESET, TIMEOUT -> judge(s.of(c), SLOW_MAX, FAILED_GAIN, now);
             default -> { }
         }
-        if (r.outcome() == Outcome.OK || r.outcome() == Outcome.TIMEOUT) {
+        if (clear && (r.outcome() == Outcome.OK || r.outcome() == Outcome.TIMEOUT)) {
             latencySum += r.latencyMs(); // a time-out is an answer at least that late
             baseSum += c.base * ask.request.units();
             aimShareSum += r.latencyMs() / c.spec.aimMs();
@@ -960,7 +971,7 @@
         for (Server s : new ArrayList<>(watched)) {
             for (Attempt a : new ArrayList<>(s.out)) {
                 double expected = a.work * Math.max(1, slowness(now, s.health));
-                double waited = now - a.sentAt - (stalled - a.stalled);
+                double waited = now - a.sentAt - ownStall(now, a);
                 if (a.overdue || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
                 judge(s.of(a.ask.cls), SLOW_MAX, FAILED_GAIN, now);
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -416,10 +416,19 @@
 
     // ---- the end
 
+    /**
+     * Answers all that was taken and ends. A gateway among others stays until its time is up, though its last client
+     * has gone: it keeps the books of customers whom the others serve, and whoever starts it anew waits that long.
+     */
     private void drainAndHalt() {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(EXIT_MS);
         loop.execute(this::drain);
         try {
             awaitDrained(EXIT_MS);
+            if (isMissed()) {
+                log("drained: keeps books for the other gateways until its time is up");
+                TimeUnit.NANOSECONDS.sleep(end - System.nanoTime());
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/test/java/deckfall/DecisionsTest.java
+++ b/src/test/java/deckfall/DecisionsTest.java
@@ -43,6 +43,28 @@
         assertEquals(0, g.sends("old"));
     }
 
+    /** After a slow start of its own a gateway once held hosts for slow, and refused what was hardly late. */
+    @Test
+    void aStallOfItsOwnTeachesNoLatency() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1", "a2");
+        for (int i = 0; i < 20; i++) {
+            g.ask("s" + i, "read");
+            g.now += 900; // no beat comes: the answer stands unread
+            g.end("s" + i, 0, Gateway.Outcome.OK, 900);
+            g.pass(40);
+        }
+        g.brain.request(g.now, new Gateway.Request("late", g.now + 2850, g.now - 150, false, "read", 1, "free", 1, 0, 1));
+        assertEquals(1, g.sends("late"));
+        g.end("late", 0, Gateway.Outcome.OK, 900); // the host's own time, with all beats: this is learnt
+        for (int i = 0; i < 20; i++) {
+            g.ask("t" + i, "read");
+            g.pass(900);
+            g.end("t" + i, 0, Gateway.Outcome.OK, 900);
+        }
+        g.brain.request(g.now, new Gateway.Request("slow", g.now + 2850, g.now - 150, false, "read", 1, "free", 1, 0, 1));
+        assertEquals(List.of("slow"), g.refused);
+    }
+
     /** A stall once held both keepers for silent, and refused what the customer's part had room for. */
     @Test
     void aLateLoopAsksNoKeeperAndBlamesNone() {
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -6,6 +6,8 @@
 
 import deckfall.net.Sockets.Message;
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -137,6 +139,23 @@
         assertEquals(0, process.exitValue());
     }
 
+    /** Its keepers' books are wanted for as long as nobody can start it anew. */
+    @Test
+    void amongOthersItKeepsBooksUntilItsTimeIsUp() throws Exception {
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            choosePort();
+            String mine = "127.0.0.1:" + port;
+            start(Sockets.config("127.0.0.1:1", mine, mine, "127.0.0.1:" + peer.getLocalPort())
+                    .replace("127.0.0.1:0\", \"disc", mine + "\", \"disc"));
+            awaitReady();
+            peer.send(new DatagramPacket(new byte[] {1}, 1, InetAddress.getLoopbackAddress(), port));
+            process.destroy();
+            awaitLog("drained: keeps books");
+            assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(0, process.exitValue());
+        }
+    }
+
     /** SIGHUP once ended the process; each new file moves discovery, and one that can't be read moves nothing. */
     @Test
     void sighupFollowsDiscoveryAndSigtermStillEndsIt() throws Exception {
