The end of a process waits for no event loop

Cause: whether the fleet has spoken was asked on the event loop, and the end of a drained process waited for that answer; a loop that hangs would have kept it alive until it is killed. Change: the flag is volatile and read where it is needed.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -146,7 +146,7 @@
 
     /** Whether the fleet serves clients, which would come here, too, rather than wait for this gateway's full speed. */
     boolean isMissed() {
-        return loop.submit(peers::hasHeard).syncUninterruptibly().getNow();
+        return peers.hasHeard();
     }
 
     /** Begins to serve, on the event loop, with the hosts that the configuration names. */
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -21,7 +21,7 @@
 
     private final Node node;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
-    private boolean heard;
+    private volatile boolean heard; // read by the threads of a start and an end, which wait for no event loop
     private Channel channel;
 
     PeerLink(Node node) {
