--- a/src/main/java/deckfall/list/HostList.java
+++ b/src/main/java/deckfall/list/HostList.java
@@ -128,7 +128,7 @@
                 return Told.NOTHING;
             }
         }
-        boolean doubtful = whole && teller != null && (!same || older);
+        boolean doubtful = teller != null && (!same || older); // a change that is either was not taken
         teller = agent;
         version = saidVersion;
         vouchedAt = now;
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -6,7 +6,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
@@ -48,7 +47,8 @@
         }
         InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         String address = at.getAddress().getHostAddress() + ':' + port;
-        Path file = Files.writeString(Files.createTempFile("rehearsal", ".json"), CONFIG.formatted(address, agent(LIST.formatted(address))));
+        Path file = Files.writeString(Files.createTempFile("rehearsal", ".json"),
+                CONFIG.formatted(address, agent(LIST.formatted(address))));
         Reload reload = Reload.onHangup(file.toString());
         NodeConfig config;
         try {
--- a/src/main/java/deckfall/net/Reload.java
+++ b/src/main/java/deckfall/net/Reload.java
@@ -62,8 +62,7 @@
     private boolean bad; // so it must be read again
     private boolean hungUp;
 
-    /** One that hears no signal, and looks at the file all the same. */
-    Reload(String file) {
+    private Reload(String file) {
         this.file = file;
     }
 
