An older whole list of the same agent reopens no drain after a missed change

Cause: HostList.lost forgot the version held, so after a change of an older version, or a word that could not be passed on, the next whole list of that agent counted as its first: an older one was taken at once and without doubt, and a host that drains was open again. Read in the code, then shown by two tests.

Change: that the whole list is due stands in a flag of its own beside the version, which stays the measure of what is older. The property of any course of words now keeps the version held by itself, and checks that a missed change always ends in the whole list being asked for.

Result: three tests fail without the change (both cases by name and the property) and pass with it.

--- a/src/main/java/deckfall/list/HostList.java
+++ b/src/main/java/deckfall/list/HostList.java
@@ -79,6 +79,7 @@
     private final Map<String, Held> held = new LinkedHashMap<>();
     private Object teller;
     private long version = NONE;
+    private boolean wholeDue; // what is held stays the measure of what is older, though no change may go on from it
     private double vouchedAt;
     private double olderSince = Double.NaN;
 
@@ -90,7 +91,7 @@
 
     /** The version to ask this agent to go on from, or {@link #NONE} where its whole list is due. */
     public long version(Object agent) {
-        return agent.equals(teller) ? version : NONE;
+        return agent.equals(teller) && !wholeDue ? version : NONE;
     }
 
     /** Milliseconds since a word was last taken. */
@@ -98,9 +99,9 @@
         return now - vouchedAt;
     }
 
-    /** What was told could not be passed on: the whole list is due again. */
+    /** What was told could not be passed on: the whole list is due again, and no older one than that. */
     public void lost() {
-        version = NONE;
+        wholeDue = true;
     }
 
     /** A list from before this gateway's start, of unknown age: a first word replaces it without more ado. */
@@ -117,8 +118,8 @@
     /** A word of an agent; where it is not taken nothing changes, and the agent's whole list is due. */
     public Told heard(double now, Object agent, long saidVersion, boolean whole, List<Host> hosts) {
         boolean same = agent.equals(teller);
-        boolean older = same && version != NONE && saidVersion < version;
-        if (!whole && (!same || older || version == NONE)) {
+        boolean older = same && saidVersion < version;
+        if (!whole && (!same || older || wholeDue)) {
             lost();
             return Told.NOTHING;
         }
@@ -131,6 +132,7 @@
         boolean doubtful = teller != null && (!same || older); // a change that is either was not taken
         teller = agent;
         version = saidVersion;
+        wholeDue = false; // a change is taken only where no whole list is due
         vouchedAt = now;
         olderSince = Double.NaN;
         Map<String, Held> changed = new LinkedHashMap<>();
--- a/src/test/java/deckfall/list/HostListTest.java
+++ b/src/test/java/deckfall/list/HostListTest.java
@@ -89,6 +89,27 @@
         assertEquals(HostState.DRAINING, state("h"));
     }
 
+    @Test
+    void anOlderWholeListAfterAnOlderChangeReopensNothing() {
+        whole(0, A, 7, draining("h"));
+        assertFalse(change(10, A, 6, ready("h")).taken());
+        assertEquals(HostList.NONE, list.version(A)); // the whole list is due, but not one from before version 7
+        assertFalse(whole(20, A, 6, ready("h")).taken());
+        assertEquals(HostState.DRAINING, state("h"));
+        assertTrue(whole(30, A, 7, draining("h"), ready("i")).taken());
+        assertEquals(7, list.version(A));
+        assertEquals(HostState.DRAINING, state("h"));
+    }
+
+    @Test
+    void anOlderWholeListAfterOneThatCouldNotBePassedOnReopensNothing() {
+        whole(0, A, 6, ready("h"));
+        change(10, A, 7, draining("h"));
+        list.lost();
+        assertFalse(whole(20, A, 6, ready("h")).taken());
+        assertEquals(HostState.DRAINING, state("h"));
+    }
+
     @Test
     void anAgentThatCountsAnewIsBelievedInTheEndButOpensNothing() {
         whole(0, A, 700, draining("h"), ready("i"));
@@ -194,20 +215,23 @@
         Map<String, Host> said = new HashMap<>(); // what the last taken words say
         Map<String, Double> left = new HashMap<>(); // when a host was last told, or found, to be gone
         String teller = null;
+        long held = HostList.NONE; // the version of the last word taken
         double now = 0;
         for (Step s : steps) {
             now += s.after();
             if (s.what() <= 1) {
                 String agent = s.agent() == 0 ? A : B;
                 boolean whole = s.what() == 0;
-                long held = any.version(agent);
+                boolean older = agent.equals(teller) && s.version() < held;
                 Told told = any.heard(now, agent, s.version(), whole, s.hosts());
                 if (!told.taken()) {
-                    assertTrue(!whole || held != HostList.NONE && s.version() < held, "a good word was turned down");
+                    assertTrue(!whole || older, "a good word was turned down");
+                    assertTrue(whole || any.version(agent) == HostList.NONE, "a change was missed for good");
                     continue;
                 }
-                boolean doubtful = whole && teller != null
-                        && (!agent.equals(teller) || held != HostList.NONE && s.version() < held);
+                assertTrue(whole || !older, "an older change was taken");
+                assertEquals(s.version(), any.version(agent));
+                boolean doubtful = teller != null && (!agent.equals(teller) || older);
                 for (Host h : s.hosts()) {
                     Host before = said.get(h.id());
                     boolean sameLife = before != null && before.startedMs() == h.startedMs();
@@ -223,6 +247,7 @@
                     }
                 }
                 teller = agent;
+                held = s.version();
                 if (whole) {
                     by.clear();
                     for (Host h : said.values()) {
