--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -28,6 +28,7 @@
     static final int MAX_BODY = 64 * 1024;
     private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
     private static final double SOCKET_SHARE = 0.42; // of all descriptors; the program itself needs some, too
+    private static final double NEWCOMERS_SHARE = 0.25; // of the connections: so many may have asked nothing yet
     private static final double PRESSED_SHARE = 0.5; // of the connections that fit: then idle ones give way early
     private static final long SWEEP_MS = 100;
     private static final double READ_MS = 2000; // for a request, from its first byte or the connection's start
@@ -43,17 +44,20 @@
     private final RequestTerms terms;
     private final LinkedHashSet<Connection> connections = new LinkedHashSet<>();
     private final LinkedHashSet<Connection> unused = new LinkedHashSet<>(); // no request came yet; the oldest first
-    private final LinkedHashSet<Connection> casual = new LinkedHashSet<>(); // idle, asked once or for health alone
+    private final LinkedHashSet<Connection> onlookers = new LinkedHashSet<>(); // idle, asked for health alone
+    private final LinkedHashSet<Connection> casual = new LinkedHashSet<>(); // idle, asked once
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // those that ask again and again
-    /** Who gives way first; in each set the longest idle stands first. */
-    private final List<LinkedHashSet<Connection>> givingWay = List.of(unused, casual, idle);
+    /** Who gives way first, once there are no more newcomers than may be; the longest idle stands first in each. */
+    private final List<LinkedHashSet<Connection>> givingWay = List.of(onlookers, casual, idle, unused);
     private final int maxConnections;
+    private final int maxNewcomers;
     private Channel listener;
 
     ClientServer(Node node) {
         this.node = node;
         this.terms = new RequestTerms(node.config.settings());
         this.maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
+        this.maxNewcomers = (int) (maxConnections * NEWCOMERS_SHARE);
     }
 
     /** Clients are served once this is done. */
@@ -102,6 +106,7 @@
             }
         }
         boolean pressed = connections.size() > maxConnections * PRESSED_SHARE;
+        closeIdle(onlookers, now - GIVES_WAY_MS);
         closeIdle(casual, now - GIVES_WAY_MS);
         closeIdle(idle, now - (pressed ? GIVES_WAY_MS : IDLE_MS));
     }
@@ -117,10 +122,17 @@
     }
 
     /**
-     * Rather a silent connection, then one that asked once, then an idle one, than no descriptor left for anyone; one
-     * in use never. A crowd whose connections come and go must not push out those that bring most of the requests.
+     * Rather an idle connection than no descriptor left for anyone; one in use never. A crowd whose connections come
+     * and go must not push out those that bring most of the requests, and a crowd that says nothing only its own: of
+     * newcomers beyond their share the longest silent gives way. Within that share they give way last, or in a full
+     * house each would be closed by the next before its request is there, and none would ever be heard.
      */
     private boolean makeRoom() {
+        while (unused.size() > maxNewcomers) {
+            if (giveUp(first(unused), unused)) {
+                return true;
+            }
+        }
         for (LinkedHashSet<Connection> from : givingWay) {
             for (Connection c = first(from); c != null; c = first(from)) {
                 if (giveUp(c, from)) {
@@ -185,16 +197,14 @@
         }
 
         private void leavePlace() {
-            unused.remove(this);
-            casual.remove(this);
-            idle.remove(this);
+            givingWay.forEach(kind -> kind.remove(this));
         }
 
         /** Takes its place among those that may give way, behind the others of its kind. */
         private void rest() {
             if (!busy && !ended) {
                 idleSince = node.clock.now();
-                (requests > ASKED_ONCE ? idle : casual).add(this);
+                (requests > ASKED_ONCE ? idle : requests == ASKED_ONCE ? casual : onlookers).add(this);
             }
         }
 
--- a/src/test/java/deckfall/net/ClientReadingTest.java
+++ b/src/test/java/deckfall/net/ClientReadingTest.java
@@ -215,6 +215,27 @@
         }
     }
 
+    /** In a full house each newcomer pushed out the one before, whose request had no time to come. */
+    @Test
+    void inAFullHouseNewcomersAreHeard() throws Exception {
+        Server host = host(SocketTest::echo);
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"sockets\": 1024", "\"sockets\": 60"));
+        ends.push(node::stop);
+        for (int i = 0; i < 40; i++) {
+            assertEquals(200, client(node).send(view("o" + i, Sockets.PATIENCE_MS)).receive().status());
+        }
+        List<Client> newcomers = new ArrayList<>();
+        for (int i = 0; i < 5; i++) { // less than a quarter of the 25 that fit
+            newcomers.add(client(node));
+        }
+        assertEquals(200, client(node).send(view("last", Sockets.PATIENCE_MS)).receive().status()); // all are taken in
+        for (int i = 0; i < newcomers.size(); i++) {
+            assertEquals("for n" + i + " ", newcomers.get(i).send(view("n" + i, Sockets.PATIENCE_MS)).receive().text());
+        }
+    }
+
     private static Message closedOr(Client c) {
         try {
             return c.receive();
