--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -2,6 +2,7 @@
 
 import deckfall.Gateway.*;
 import deckfall.State.*;
+import deckfall.lease.Leases;
 import java.util.*;
 import java.util.stream.IntStream;
 
@@ -35,6 +36,11 @@
     private static final double SYNC_MS = 300; // how often a keeper tells the other keeper of a customer
     private static final int TELL_BYTES = 256; // largest message
     private static final double OWNER_SHARE = 0.5; // of a ceiling, held by the first keeper; the rest evenly
+    private static final double LEASED = 0.5; // of that: the second keeper's while the first is not heard
+    private static final double PULSE_MS = 300; // a word is due so often between keepers of ceilings
+    private static final double PULSE_SHARE = 0.15; // of the intake for such words: more peers, rarer words
+    private static final int TERM_PULSES = 4; // a lease outlives so many words less one that are lost
+    private static final double TERMS_APART_MS = 250; // between the end of a lease and its taking over
     // Release
     private static final double CHANCE = 0.7; // places beyond the even ones, in roots of them: for bursts
     private static final double BOUND_START = 6; // attempts out a host at first, by all gateways
@@ -100,6 +106,9 @@
     private final List<Server> homes = new ArrayList<>();
     private Peer[] peers = new Peer[0];
     private Settings set;
+    private Leases leases;
+    private double pulse; // milliseconds between words of one keeper to another
+    private boolean ceilings; // kept with peers
     private Random random;
     private int epoch;
     private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
@@ -124,6 +133,11 @@
         epoch = (int) (long) now;
         peers = new Peer[Math.max(1, settings.gateways())];
         Arrays.setAll(peers, Peer::new);
+        ceilings = settings.limits().peers() && settings.plans().stream().anyMatch(p -> p.ceilingRate() > 0);
+        double pulses = PULSE_SHARE * Math.max(1, settings.sharing().mailPerSecond()) / 1000;
+        pulse = Math.max(PULSE_MS, (peers.length - 1) / pulses);
+        double term = TERM_PULSES * pulse;
+        leases = new Leases(new Leases.Terms(term, term + TERMS_APART_MS), peers.length, now);
         double worth = settings.classes().stream().mapToDouble(c -> Math.max(WEIGHT_MIN, c.worth())).sum();
         for (RequestClass c : settings.classes()) {
             ClassState state = new ClassState(c);
@@ -235,6 +249,7 @@
         if (!token.equals("beat")) return;
         act.timer(TICK_MS, "beat");
         noteStall(now);
+        leases.beat(now);
         expire(now);
         missAnswers(now);
         if (now - surveyedAt >= SURVEY_MS) survey(now);
@@ -243,15 +258,24 @@
         weighClasses(now);
         sweep(now);
         release(now);
+        pulse(now);
         post(now);
     }
 
+    /** Leases last by words and their answers, also where there is nothing else to tell. */
+    private void pulse(double now) {
+        for (Peer peer : peers) {
+            if (now - peer.sharedAt < FORGET_MS && now - peer.toldAt >= pulse) queue(peer, null);
+        }
+    }
+
     /** What came while this gateway stood still is read only now: no peer or host is blamed for that. */
     private void noteStall(double now) {
         double late = now - beatAt - TICK_MS;
         beatAt = now;
         if (late <= TICK_MS) return;
         stalled += late;
+        leases.stalled(late);
         questions.forEach(a -> a.answerBy += late);
     }
 
@@ -285,30 +309,64 @@
             c.tokens = p.burst() / c.spread;
             // The ceiling's store starts with what has filled since this gateway started, never with a burst:
             // before a restart this gateway may have spent it (rule 5).
-            double filled = (now - startedAt) / 1000 * p.ceilingRate() * ceilingShare(c);
-            c.ceiling = Math.min(ceilingHold(c), filled);
+            double filled = (now - startedAt) / 1000 * p.ceilingRate();
+            c.ceiling = ownShare(c) * Math.min(p.ceilingBurst(), filled);
+            c.leasedSince = leasedSince(now, c);
             customers.put(id, c);
         }
         touch(now, c);
         return c;
     }
 
-    /** This gateway's own share of a ceiling: all sum to one, and each is spent by its holder alone. */
-    private double ceilingShare(Customer c) {
+    /** What this gateway has of a ceiling for good: with what is leased all shares sum to one. */
+    private double ownShare(Customer c) {
         if (c.spread == 1) return 1;
-        return (c.keepers[0] == set.me() ? OWNER_SHARE : 0) + (1 - OWNER_SHARE) / c.spread;
+        double first = c.keepers[0] == set.me() ? OWNER_SHARE * (ceilings ? 1 - LEASED : 1) : 0;
+        return first + (1 - OWNER_SHARE) / c.spread;
+    }
+
+    /** Since when this gateway has the share that either keeper has: the second when the first is silent. */
+    private double leasedSince(double now, Customer c) {
+        if (!ceilings || c.spread == 1) return Leases.NOT;
+        if (c.keepers[0] == set.me()) return leases.heldSince(now, c.keepers[1]);
+        return c.keepers[1] == set.me() ? leases.takenSince(c.keepers[0]) : Leases.NOT;
+    }
+
+    private double ceilingShare(Customer c) {
+        return ownShare(c) + (c.leasedSince == Leases.NOT ? 0 : OWNER_SHARE * LEASED);
     }
 
     private double ceilingHold(Customer c) {
         return c.plan.ceilingBurst() * ceilingShare(c);
     }
 
+    /** Each share is spent by its holder alone; what was saved of one that left is gone when it returns. */
+    private void fillCeiling(double now, Customer c) {
+        if (ceilings && c.plan.ceilingRate() > 0 && c.keepers.length > 1) {
+            if (c.keepers[0] == set.me()) peers[c.keepers[1]].sharedAt = now;
+            if (c.keepers[1] == set.me()) peers[c.keepers[0]].sharedAt = now;
+        }
+        double rate = c.plan.ceilingRate() / 1000;
+        double from = c.touchedAt;
+        double since = leasedSince(now, c);
+        if (since != c.leasedSince) { // till then at most the own share was here
+            from = Math.min(now, Math.max(from, since));
+            c.leasedSince = Leases.NOT;
+            double own = rate * ownShare(c) * (from - c.touchedAt);
+            c.ceiling = Math.min(ceilingHold(c) - c.unsent, c.ceiling + own);
+            c.leasedSince = since;
+        }
+        // Units let in but not sent yet are still in the true store, and it may not overfill (rule 5).
+        c.ceiling = Math.min(ceilingHold(c) - c.unsent, c.ceiling + rate * ceilingShare(c) * (now - from));
+    }
+
     private void touch(double now, Customer c) {
         double s = (now - c.touchedAt) / 1000;
         if (s <= 0) return;
         double fade = Math.exp(-(now - c.touchedAt) / DEMAND_MS);
         Plan p = c.plan;
         double part = part(now, c);
+        fillCeiling(now, c);
         c.demand *= fade;
         c.others *= fade;
         c.useRate *= fade;
@@ -316,8 +374,6 @@
         c.level = Math.min(p.burst(), c.level + p.rate() * s);
         double hold = Math.max(part * p.burst(), Math.min(p.burst(), set.sharing().maxUnits()));
         c.tokens = Math.min(hold, c.tokens + part * p.rate() * s);
-        // Units let in but not sent yet are still in the true store, and it may not overfill (rule 5).
-        c.ceiling = Math.min(ceilingHold(c) - c.unsent, c.ceiling + p.ceilingRate() * ceilingShare(c) * s);
     }
 
     /** This gateway's part of a customer's demand: all parts of one keeper's word sum to one. */
@@ -498,6 +554,7 @@
             }
         }
         peer.toldAt = now;
+        leases.told(now, peer.number, peer.serial);
         act.tell(peer.number, new Tell(epoch, peer.epoch, peer.serial, peer.heardSerial, entries).bytes());
     }
 
@@ -537,6 +594,8 @@
         peer.heardSerial = tell.serial();
         peer.silentTill = State.NEVER;
         boolean toThisLife = tell.yourEpoch() == epoch;
+        leases.heard(now, from);
+        if (toThisLife) leases.answered(now, from, tell.yourSerial());
         for (Tell.Entry e : tell.entries()) {
             if (e.plan() >= set.plans().size()) continue;
             if (e.answer()) hearAnswer(now, peer, e, tell.yourSerial(), toThisLife);
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -68,6 +68,7 @@
         int heardSerial;
         double toldAt = NEVER;
         double silentTill = NEVER;
+        double sharedAt = NEVER; // when a ceiling was seen to of which both are keepers
 
         Peer(int number) {
             this.number = number;
@@ -100,6 +101,7 @@
         double tokens; // the own bucket
         double level; // the whole store: as a keeper what is booked, else the most that it can hold
         double ceiling;
+        double leasedSince; // when what is leased of the ceiling came here, or Leases.NOT
         double touchedAt;
         double demand;
         double others; // demand of the other gateways
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -18,6 +19,7 @@
     private boolean lossy;
     private boolean cut;
     private boolean repeating;
+    private int silent = -1; // a gateway that nobody hears, and that hears nobody
 
     private void gateways(int count) {
         for (int i = 0; i < count; i++) {
@@ -36,7 +38,8 @@
                 all.get(from).told.clear();
                 for (FakeGateway.Told t : told) {
                     serial++;
-                    if (cut || lossy && serial % 4 == 0) {
+                    boolean unheard = from == silent || t.peer() == silent;
+                    if (cut || unheard || lossy && serial % 4 == 0) {
                         continue;
                     }
                     for (int copy = 0; copy < (repeating ? 2 : 1); copy++) {
@@ -224,6 +227,90 @@
         assertTrue(letIn <= 40 + 20 * 10, "passed the ceiling: " + letIn);
     }
 
+    /** Half of a ceiling lay idle for as long as its first keeper was away, though the quota had room. */
+    @Test
+    void theSecondKeeperHasAPartOfTheFirstsCeilingInItsSilence() {
+        gateways(3);
+        int[] keepers = State.ranked(42, 0, 3, 3, 2);
+        floodCapped(3, keepers[0], keepers[1]);
+        silent = keepers[0];
+        double alone = floodCapped(10, keepers[1]);
+        double even = 20 / 6.0; // units a second that are the second keeper's in any case
+        assertTrue(alone >= even * 10 + 0.25 * 20 * 8, "let in " + alone);
+        silent = -1;
+        floodCapped(3, keepers[0], keepers[1]); // it is given back
+        double both = floodCapped(10, keepers[0], keepers[1]);
+        assertTrue(both >= 0.9 * 20 * 10 * 5 / 6, "let in with both back " + both); // a sixth is the third gateway's
+    }
+
+    /** Rule 5 while the keepers lose each other, one alone or all at once, and all three are asked without end. */
+    @Test
+    void aCeilingThatChangesHandsIsNeverPassed() {
+        for (long seed = 1; seed <= 12; seed++) {
+            Random random = new Random(seed);
+            all.clear();
+            ended.clear();
+            letIn = 0;
+            cut = false;
+            silent = -1;
+            gateways(3);
+            double least = 0; // of what a window that ends now may have begun with
+            for (int tenth = 0; tenth < 400; tenth++) {
+                if (random.nextInt(25) == 0) {
+                    cut = random.nextInt(3) == 0;
+                    silent = random.nextInt(6) - 1;
+                }
+                for (int g : everyone(3)) {
+                    if (random.nextInt(4) > 0) {
+                        ask(g, "capped", 1 + random.nextInt(4));
+                    }
+                }
+                pass(100);
+                double beyond = letIn - 20 * 0.1 * tenth;
+                least = Math.min(least, beyond);
+                assertTrue(beyond - least <= 40 + 4, "seed " + seed + ": " + (beyond - least) + " at " + tenth);
+            }
+            assertTrue(letIn > 20 * 40 * 0.4, "seed " + seed + ": all in all " + letIn);
+        }
+    }
+
+    /** What the first keeper had saved when it was cut off is not spent beside what the second then had. */
+    @Test
+    void savingsDoNotOutliveTheLease() {
+        gateways(3);
+        int[] keepers = State.ranked(42, 0, 3, 3, 2);
+        floodCapped(3, keepers);
+        pass(8000); // all is full again
+        silent = keepers[0];
+        ask(keepers[1], "capped", 1);
+        pass(6000);
+        floodCapped(1, keepers[1]);
+        silent = -1;
+        pass(700); // the first has it again, and has not been asked meanwhile
+        double before = letIn;
+        for (int i = 0; i < 10; i++) {
+            ask(keepers[0], "capped", 4);
+        }
+        pass(20);
+        double own = 40 * (0.25 + 0.5 / 3); // what is its own for good, all saved
+        double leased = 0.25 * 20 * 0.7; // and what the rest of it gave since it is back
+        assertTrue(letIn - before <= own + leased, "let in at once " + (letIn - before));
+        assertTrue(letIn - before >= own - 4, "its own was saved: " + (letIn - before));
+    }
+
+    /** Units let in over so many seconds of a ceiling's double at each of the given gateways. */
+    private double floodCapped(int seconds, int... at) {
+        double before = letIn;
+        for (int i = 0; i < seconds * 10; i++) {
+            for (int g : at) {
+                ask(g, "capped", 2);
+                ask(g, "capped", 2);
+            }
+            pass(100);
+        }
+        return letIn - before;
+    }
+
     @Test
     void openAttemptsAreLimited() {
         gateways(1);
