One way to say who leases, how late a beat is, and how a test's node starts

The lease of a ceiling asked the same question (which keeper is the other one) in three places, beside a field that could be derived; the store was filled by two copies of one line; a late beat was reckoned twice. The list of hosts was picked out of entries by two loops. In the tests a node that ends with its test was started by eleven copies of the same lines, three of them for a full house, and two floods and two replaced ports differed only in their figures.

Change: otherKeeper, fillShare and late in the module; Discovery.hosts also serves Node; SocketTest.running, crampedNode, knowing, listening and one flood in the tests. All assertions stand; one is stricter.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -108,7 +108,6 @@
     private Settings set;
     private Leases leases;
     private double pulse; // milliseconds between words of one keeper to another
-    private boolean ceilings; // kept with peers
     private Random random;
     private int epoch;
     private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
@@ -133,7 +132,6 @@
         epoch = (int) (long) now;
         peers = new Peer[Math.max(1, settings.gateways())];
         Arrays.setAll(peers, Peer::new);
-        ceilings = settings.limits().peers() && settings.plans().stream().anyMatch(p -> p.ceilingRate() > 0);
         double pulses = PULSE_SHARE * Math.max(1, settings.sharing().mailPerSecond()) / 1000;
         pulse = Math.max(PULSE_MS, (peers.length - 1) / pulses);
         double term = TERM_PULSES * pulse;
@@ -271,18 +269,23 @@
 
     /** What came while this gateway stood still is read only now: no peer or host is blamed for that. */
     private void noteStall(double now) {
-        double late = now - beatAt - TICK_MS;
+        double late = late(now);
         beatAt = now;
-        if (late <= TICK_MS) return;
+        if (late == 0) return;
         stalled += late;
         leases.stalled(late);
         questions.forEach(a -> a.answerBy += late);
     }
 
+    /** How late the next beat is, where that is more than the timers' own doing. */
+    private double late(double now) {
+        double late = now - beatAt - TICK_MS;
+        return late > TICK_MS ? late : 0;
+    }
+
     /** How long this gateway itself has stood still while an attempt was out. */
     private double ownStall(double now, Attempt a) {
-        double late = now - beatAt - TICK_MS;
-        return stalled - a.stalled + (late > TICK_MS ? late : 0);
+        return stalled - a.stalled + late(now);
     }
 
     @Override public void probed(double now, String host, Outcome outcome, double took, double[] report) { }
@@ -321,15 +324,21 @@
     /** What this gateway has of a ceiling for good: with what is leased all shares sum to one. */
     private double ownShare(Customer c) {
         if (c.spread == 1) return 1;
-        double first = c.keepers[0] == set.me() ? OWNER_SHARE * (ceilings ? 1 - LEASED : 1) : 0;
+        double first = c.keepers[0] == set.me() ? OWNER_SHARE * (otherKeeper(c) < 0 ? 1 : 1 - LEASED) : 0;
         return first + (1 - OWNER_SHARE) / c.spread;
     }
 
+    /** With whom this gateway has a part of the customer's ceiling in lease; -1 where with nobody. */
+    private int otherKeeper(Customer c) {
+        if (!set.limits().peers() || c.plan.ceilingRate() <= 0 || c.spread == 1) return -1;
+        return c.keepers[0] == set.me() ? c.keepers[1] : c.keepers[1] == set.me() ? c.keepers[0] : -1;
+    }
+
     /** Since when this gateway has the share that either keeper has: the second when the first is silent. */
     private double leasedSince(double now, Customer c) {
-        if (!ceilings || c.spread == 1) return Leases.NOT;
-        if (c.keepers[0] == set.me()) return leases.heldSince(now, c.keepers[1]);
-        return c.keepers[1] == set.me() ? leases.takenSince(c.keepers[0]) : Leases.NOT;
+        int other = otherKeeper(c);
+        if (other < 0) return Leases.NOT;
+        return c.keepers[0] == set.me() ? leases.heldSince(now, other) : leases.takenSince(other);
     }
 
     private double ceilingShare(Customer c) {
@@ -342,22 +351,23 @@
 
     /** Each share is spent by its holder alone; what was saved of one that left is gone when it returns. */
     private void fillCeiling(double now, Customer c) {
-        if (ceilings && c.plan.ceilingRate() > 0 && c.keepers.length > 1) {
-            if (c.keepers[0] == set.me()) peers[c.keepers[1]].sharedAt = now;
-            if (c.keepers[1] == set.me()) peers[c.keepers[0]].sharedAt = now;
-        }
-        double rate = c.plan.ceilingRate() / 1000;
+        int other = otherKeeper(c);
+        if (other >= 0) peers[other].sharedAt = now;
         double from = c.touchedAt;
         double since = leasedSince(now, c);
         if (since != c.leasedSince) { // till then at most the own share was here
             from = Math.min(now, Math.max(from, since));
             c.leasedSince = Leases.NOT;
-            double own = rate * ownShare(c) * (from - c.touchedAt);
-            c.ceiling = Math.min(ceilingHold(c) - c.unsent, c.ceiling + own);
+            fillShare(c, from - c.touchedAt);
             c.leasedSince = since;
         }
-        // Units let in but not sent yet are still in the true store, and it may not overfill (rule 5).
-        c.ceiling = Math.min(ceilingHold(c) - c.unsent, c.ceiling + rate * ceilingShare(c) * (now - from));
+        fillShare(c, now - from);
+    }
+
+    /** Units let in but not sent yet are still in the true store, and it may not overfill (rule 5). */
+    private void fillShare(Customer c, double ms) {
+        double filled = c.ceiling + c.plan.ceilingRate() / 1000 * ceilingShare(c) * ms;
+        c.ceiling = Math.min(ceilingHold(c) - c.unsent, filled);
     }
 
     private void touch(double now, Customer c) {
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -199,7 +199,7 @@
         return entries;
     }
 
-    private static List<Host> hosts(List<Entry> entries) {
+    static List<Host> hosts(List<Entry> entries) {
         List<Host> hosts = new ArrayList<>(entries.size());
         for (Entry e : entries) {
             hosts.add(e.host());
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -18,7 +18,6 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -317,8 +316,7 @@
 
     void hostsTold(ListKind kind, List<Discovery.Entry> entries) {
         hosts.listed(kind, entries);
-        List<Host> list = new ArrayList<>(entries.size());
-        entries.forEach(e -> list.add(e.host()));
+        List<Host> list = Discovery.hosts(entries);
         tell((now, m) -> m.hosts(now, kind, list));
     }
 
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -42,7 +43,7 @@
     public static void run() throws IOException, InterruptedException {
         Node.plainLogs();
         int port;
-        try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
         InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
@@ -74,7 +75,7 @@
 
     /** Answers the call for the list, and a watch not at all. */
     private static String agent(String list) throws IOException {
-        java.net.ServerSocket agent = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        ServerSocket agent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         Thread answering = new Thread(() -> {
             try (agent; Socket s = agent.accept()) {
                 s.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -64,10 +64,21 @@
 
     /** Units let in over so many seconds of five times the small quota, asked at the given gateways. */
     private double flood(int seconds, int... at) {
+        return flood("small", 1, seconds, at);
+    }
+
+    /** Units let in over so many seconds of a ceiling's double at each of the given gateways. */
+    private double floodCapped(int seconds, int... at) {
+        return flood("capped", 2, seconds, at);
+    }
+
+    private double flood(String plan, int requests, int seconds, int... at) {
         double before = letIn;
         for (int i = 0; i < seconds * 10; i++) {
             for (int g : at) {
-                ask(g, "small", 2);
+                for (int r = 0; r < requests; r++) {
+                    ask(g, plan, 2);
+                }
             }
             pass(100);
         }
@@ -298,19 +309,6 @@
         assertTrue(letIn - before >= own - 4, "its own was saved: " + (letIn - before));
     }
 
-    /** Units let in over so many seconds of a ceiling's double at each of the given gateways. */
-    private double floodCapped(int seconds, int... at) {
-        double before = letIn;
-        for (int i = 0; i < seconds * 10; i++) {
-            for (int g : at) {
-                ask(g, "capped", 2);
-                ask(g, "capped", 2);
-            }
-            pass(100);
-        }
-        return letIn - before;
-    }
-
     @Test
     void openAttemptsAreLimited() {
         gateways(1);
--- a/src/test/java/deckfall/net/ClientReadingTest.java
+++ b/src/test/java/deckfall/net/ClientReadingTest.java
@@ -168,14 +168,17 @@
         assertEquals(431, c.receive().status());
     }
 
+    /** A node with places for 25 clients. */
+    private Node crampedNode() throws IOException {
+        registry = kept(new Registry(list(1, true, entry("h0", host(SocketTest::echo).address(), "ready"))));
+        return running(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"sockets\": 1024", "\"sockets\": 60"));
+    }
+
     /** Hundreds that say nothing must not take the place of one that does, nor of those that are in use. */
     @Test
     void aSilentCrowdTakesNoUsedConnection() throws Exception {
-        Server host = host(SocketTest::echo);
-        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
-                .replace("\"sockets\": 1024", "\"sockets\": 60"));
-        ends.push(node::stop);
+        Node node = crampedNode();
         List<Client> regulars = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             regulars.add(client(node));
@@ -196,11 +199,7 @@
     /** Many that ask for health on ever new connections once pushed out those that bring the requests. */
     @Test
     void aCrowdThatAsksOnceTakesNoRegularsPlace() throws Exception {
-        Server host = host(SocketTest::echo);
-        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
-                .replace("\"sockets\": 1024", "\"sockets\": 60"));
-        ends.push(node::stop);
+        Node node = crampedNode();
         Client regular = client(node);
         for (int i = 0; i < 2; i++) {
             assertEquals(200, regular.send(view("r" + i, Sockets.PATIENCE_MS)).receive().status());
@@ -218,11 +217,7 @@
     /** In a full house each newcomer pushed out the one before, whose request had no time to come. */
     @Test
     void inAFullHouseNewcomersAreHeard() throws Exception {
-        Server host = host(SocketTest::echo);
-        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
-                .replace("\"sockets\": 1024", "\"sockets\": 60"));
-        ends.push(node::stop);
+        Node node = crampedNode();
         for (int i = 0; i < 40; i++) {
             assertEquals(200, client(node).send(view("o" + i, Sockets.PATIENCE_MS)).receive().status());
         }
--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -21,9 +21,14 @@
 /** A discovery that is in trouble: the gateway asks again, believes no older word and is never left without hosts. */
 class DiscoveryTest extends SocketTest {
     private Node nodeAsking(Server agent) throws IOException {
-        Node node = Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0"));
-        ends.push(node::stop);
-        return node;
+        return running(Sockets.config(agent.address(), "127.0.0.1:0"));
+    }
+
+    private static String knowing(String discovery, String known) {
+        String config = Sockets.config(discovery, "127.0.0.1:0")
+                .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known);
+        assertTrue(config.contains(known));
+        return config;
     }
 
     private static void move(Node node, String to) throws IOException {
@@ -134,9 +139,7 @@
         Server now = host(SocketTest::echo);
         registry = kept(new Registry(list(4, true, entry("h1", now.address(), "ready"))));
         String known = list(1, true, entry("h0", stale.address(), "ready"));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
-                .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known));
-        ends.push(node::stop);
+        Node node = running(knowing(registry.server.address(), known));
         serves(node, now, 3);
         assertEquals(0, stale.asked.size());
     }
@@ -146,11 +149,7 @@
     void aStartWithoutDiscoveryServesByTheListItHas() throws Exception {
         Server host = host(SocketTest::echo);
         String known = list(1, true, entry("h0", host.address(), "ready"));
-        String config = Sockets.config("127.0.0.1:1", "127.0.0.1:0")
-                .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known);
-        assertTrue(config.contains("h0"));
-        Node node = Sockets.node(config);
-        ends.push(node::stop);
+        Node node = running(knowing("127.0.0.1:1", known));
         serves(node, host, 3);
         assertFalse(host.asked.isEmpty());
     }
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -241,7 +241,7 @@
                 s.close();
             }
         }));
-        ends.push(Sockets.node(Sockets.config(broken.address(), "127.0.0.1:0"))::stop);
+        running(Sockets.config(broken.address(), "127.0.0.1:0"));
         for (int i = 0; i < 5; i++) {
             String call = broken.next().start();
             assertEquals(i > 0, call.contains("from=7&"), call);
@@ -276,8 +276,7 @@
             moved.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
             s.getOutputStream().write(ok(list(900, true, entry("h0", gone.address(), "ready"))));
         }));
-        Node node = Sockets.node(Sockets.config(old.address(), "127.0.0.1:0"));
-        ends.push(node::stop);
+        Node node = running(Sockets.config(old.address(), "127.0.0.1:0"));
         assertNotNull(old.next());
         registry = kept(new Registry(list(1, true, entry("h1", fresh.address(), "ready"))));
         node.reload(NodeConfig.of(new com.fasterxml.jackson.databind.ObjectMapper()
@@ -305,9 +304,8 @@
             String mine = "127.0.0.1:" + port;
             Server host = host(NodeTest::echo);
             registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-            Node node = Sockets.node(Sockets.config(registry.server.address(), mine, mine,
+            Node node = running(Sockets.config(registry.server.address(), mine, mine,
                     "127.0.0.1:" + peer.getLocalPort()));
-            ends.push(node::stop);
             InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             for (DatagramSocket from : List.of(stranger, peer)) {
                 for (int size : new int[] {0, 1, 40, 256, 257, 4000}) {
@@ -366,9 +364,8 @@
             int port = freePort();
             String mine = "127.0.0.1:" + port;
             registry = kept(new Registry(list(1, true)));
-            Node node = Sockets.node(Sockets.config(registry.server.address(), mine, mine,
+            Node node = running(Sockets.config(registry.server.address(), mine, mine,
                     "127.0.0.1:" + peer.getLocalPort()));
-            ends.push(node::stop);
             InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             stranger.send(new DatagramPacket(new byte[8], 8, to));
             assertFalse(node.isMissed());
@@ -500,9 +497,8 @@
             echo(m, s);
         });
         registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+        Node node = running(Sockets.config(registry.server.address(), "127.0.0.1:0")
                 .replace("\"sockets\": 1024", "\"sockets\": 20"));
-        ends.push(node::stop);
         Client held = client(node).send(view("held", Sockets.PATIENCE_MS));
         assertNotNull(host.next());
         Client first = client(node);
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -73,8 +73,12 @@
     }
 
     private String config(String discovery) {
-        return Sockets.config(discovery, "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
-                "127.0.0.1:" + port + "\", \"disc");
+        return listening(Sockets.config(discovery, "127.0.0.1:0"));
+    }
+
+    /** The configuration with the chosen port in place of any. */
+    private String listening(String config) {
+        return config.replace("127.0.0.1:0\", \"disc", "127.0.0.1:" + port + "\", \"disc");
     }
 
     private void hangUp(String config) throws Exception {
@@ -145,8 +149,7 @@
         try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             choosePort();
             String mine = "127.0.0.1:" + port;
-            start(Sockets.config("127.0.0.1:1", mine, mine, "127.0.0.1:" + peer.getLocalPort())
-                    .replace("127.0.0.1:0\", \"disc", mine + "\", \"disc"));
+            start(listening(Sockets.config("127.0.0.1:1", mine, mine, "127.0.0.1:" + peer.getLocalPort())));
             awaitReady();
             peer.send(new DatagramPacket(new byte[] {1}, 1, InetAddress.getLoopbackAddress(), port));
             process.destroy();
--- a/src/test/java/deckfall/net/SocketTest.java
+++ b/src/test/java/deckfall/net/SocketTest.java
@@ -83,7 +83,12 @@
 
     Node nodeWith(String... entries) throws IOException {
         registry = kept(new Registry(list(1, true, entries)));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"));
+        return running(Sockets.config(registry.server.address(), "127.0.0.1:0"));
+    }
+
+    /** A node of this configuration, which ends with the test. */
+    Node running(String config) throws IOException {
+        Node node = Sockets.node(config);
         ends.push(node::stop);
         return node;
     }
