--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -892,6 +892,11 @@
 
     // ---- hosts
 
+    @Override public int avoided(double now) {
+        return (int) servers.values().stream()
+                .filter(s -> s.listed && (!s.open() || slowness(now, s.health) >= BAD_ANSWER)).count();
+    }
+
     private static double slowness(double now, Health h) {
         return 1 + (h.slow - 1) * Math.exp(-(now - h.at) / SLOW_FADE_MS);
     }
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -87,6 +87,11 @@
         void peerSaid(double now, int peer, byte[] data);
 
         void counted(double now, String counter, Outcome outcome, double total);
+
+        /** How many hosts of the list get nothing now, or as little as may be; changes nothing. */
+        default int avoided(double now) {
+            return 0;
+        }
     }
 
     /** Everything that a gateway can do. */
--- a/src/main/java/deckfall/list/HostList.java
+++ b/src/main/java/deckfall/list/HostList.java
@@ -5,6 +5,7 @@
 import deckfall.Gateway.ListKind;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,8 @@
  * agent, or one that counts anew, lists the same life of it (same {@code startedMs}) as ready: that word may be older.
  * After {@link Limits#stickMs}, or with the next change that names the host, the newer teller is believed.
  *
+ * <p><b>Hosts that operators leave out</b> drain, whatever any agent says, until they are taken back.
+ *
  * <p><b>The age of the list.</b> Each word taken, an empty one too, vouches for the list. One that is older than
  * {@link Limits#vouchMs} is gone by no more for hosts that have not answered this gateway within that time: they are
  * put aside as if they drained, those that answered longest ago first. At least {@link Limits#keptShare} of the
@@ -66,17 +69,19 @@
         double shutTill = Double.NEGATIVE_INFINITY; // closed until then, whatever another teller says
         double servedAt = Double.NEGATIVE_INFINITY;
         boolean aside;
+        boolean leftOut; // by operators
 
         HostState state(double now) {
             if (host.state() != HostState.RUNNING) {
                 return host.state();
             }
-            return aside || now < shutTill ? HostState.DRAINING : HostState.RUNNING;
+            return aside || leftOut || now < shutTill ? HostState.DRAINING : HostState.RUNNING;
         }
     }
 
     private final Limits limits;
     private final Map<String, Held> held = new LinkedHashMap<>();
+    private Set<String> leftOut = Set.of();
     private Object teller;
     private long version = NONE;
     private boolean wholeDue; // what is held stays the measure of what is older, though no change may go on from it
@@ -109,10 +114,10 @@
         for (Host h : hosts) {
             Held e = new Held();
             e.host = h;
-            e.told = h.state();
+            e.leftOut = leftOut.contains(h.id());
             held.put(h.id(), e);
         }
-        return new Told(true, ListKind.CACHED, List.copyOf(hosts));
+        return new Told(true, ListKind.CACHED, tell(vouchedAt, held.values()));
     }
 
     /** A word of an agent; where it is not taken nothing changes, and the agent's whole list is due. */
@@ -153,6 +158,7 @@
 
     private Held take(double now, Host h, boolean doubtful) {
         Held e = held.computeIfAbsent(h.id(), id -> new Held());
+        e.leftOut = leftOut.contains(h.id());
         boolean sameLife = e.host != null && e.host.startedMs() == h.startedMs();
         boolean wasClosed = sameLife && (e.host.state() != HostState.RUNNING || now < e.shutTill);
         if (!sameLife || h.state() == HostState.RUNNING && !doubtful) {
@@ -195,6 +201,29 @@
                 : new Host(h.id(), h.zone(), h.kind(), h.cell(), state, h.rating(), h.startedMs());
     }
 
+    /**
+     * Operators leave out these hosts and no others: each counts as draining, whatever its agent says and however
+     * often it starts anew, until a later call names it no more. Hosts that are not on the list may be named.
+     *
+     * @return what that changes, to be told
+     */
+    public List<Host> leaveOut(double now, Set<String> ids) {
+        leftOut = Set.copyOf(ids);
+        held.forEach((id, e) -> e.leftOut = leftOut.contains(id));
+        return moved(now);
+    }
+
+    /** The hosts on the list, whatever their state. */
+    public Set<String> listed() {
+        Set<String> ids = new HashSet<>();
+        held.forEach((id, e) -> {
+            if (e.host.state() != HostState.GONE) {
+                ids.add(id);
+            }
+        });
+        return ids;
+    }
+
     /** A host gave an answer, so its process lives. */
     public void served(double now, String id) {
         Held e = held.get(id);
@@ -209,6 +238,10 @@
             putAside(now);
         }
         held.values().removeIf(e -> e.host.state() == HostState.GONE && now - e.closedAt > limits.goneMs());
+        return moved(now);
+    }
+
+    private List<Host> moved(double now) {
         List<Held> moved = new ArrayList<>();
         for (Held e : held.values()) {
             if (e.told != e.state(now)) {
--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -33,6 +33,11 @@
         }
     }
 
+    @Override
+    void written() {
+        node.figures.sent();
+    }
+
     @Override
     void ended(Outcome outcome, FullHttpResponse response) {
         node.attemptEnded(this, outcome, response);
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -1,6 +1,7 @@
 package deckfall.net;
 
 import deckfall.Gateway.Request;
+import deckfall.console.Figures;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -34,6 +35,8 @@
     private static final double READ_MS = 2000; // for a request, from its first byte or the connection's start
     private static final double GIVES_WAY_MS = 2200; // idle for so long, a connection may be closed for room
     private static final double IDLE_MS = 20_000; // idle for so long, it is closed
+    private static final double AWAY_MS = 300; // idle for so long, it is closed where clients are sent away
+    private static final double AWAY_SILENT_MS = 1500; // without a first request for so long, the same
     private static final int ASKED_ONCE = 1; // requests on a connection that need not bring another
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
@@ -105,6 +108,11 @@
                 c.timeOut();
             }
         }
+        if (now - node.awayAt() > Node.ACCEPT_ON_MS) {
+            for (LinkedHashSet<Connection> from : givingWay) {
+                closeIdle(from, now - (from == unused ? AWAY_SILENT_MS : AWAY_MS));
+            }
+        }
         boolean pressed = connections.size() > maxConnections * PRESSED_SHARE;
         closeIdle(onlookers, now - GIVES_WAY_MS);
         closeIdle(casual, now - GIVES_WAY_MS);
@@ -294,7 +302,7 @@
             keepAlive = HttpUtil.isKeepAlive(request);
             if (request.uri().equals(READY)) {
                 request.release();
-                answer(node.draining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
+                answer(node.sendsAway() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
                 return;
             }
             double now = node.clock.now();
@@ -306,6 +314,7 @@
                 answer(unknown ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, 0);
             } else if (node.full()) {
                 request.release();
+                node.figures.ended(read.requestClass(), Figures.End.DEFERRED);
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
             } else {
                 requests++;
@@ -358,7 +367,7 @@
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             current = null;
             busy = false;
-            ended = !keepAlive || node.draining();
+            ended = !keepAlive || node.sendsAway();
             if (ended) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
                 channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -33,6 +33,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -111,6 +112,19 @@
         connect();
     }
 
+    /** Operators leave out these hosts and no others. */
+    void leaveOut(Set<String> ids) {
+        List<Host> changes = list.leaveOut(node.clock.now(), ids);
+        if (!changes.isEmpty()) {
+            node.hostsTold(ListKind.CHANGES, entries(changes, Map.of()));
+        }
+    }
+
+    /** The hosts on the list, whatever their state. */
+    Set<String> listed() {
+        return list.listed();
+    }
+
     /** A host gave an answer. */
     void served(String host) {
         list.served(node.clock.now(), host);
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -67,6 +67,9 @@
     abstract static class Exchange {
         private HostConnection connection;
 
+        /** Its last byte has left for the host. */
+        void written() { }
+
         /** How it ended; the response, where there is one, is only lent. */
         abstract void ended(Outcome outcome, FullHttpResponse response);
 
@@ -154,7 +157,9 @@
                 return;
             }
             written = f.isSuccess();
-            if (!written) {
+            if (written) {
+                x.written();
+            } else {
                 lost();
                 close();
             }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -8,6 +8,9 @@
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Request;
+import deckfall.Gateway.RequestClass;
+import deckfall.console.Console;
+import deckfall.console.Figures;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -17,8 +20,11 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -33,11 +39,12 @@
  * table of open requests. It carries out what the module decides and tells it what came of it.
  */
 public final class Node implements Actions {
-    private static final long ACCEPT_ON_MS = 500; // after SIGTERM: new connections still come for a while
+    static final long ACCEPT_ON_MS = 500; // after an end is near: new connections still come for a while
     private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
     private static final long FIRST_WORD_MS = 500; // how long a start waits for discovery, which answers at once
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
+    private static final long GAUGE_MS = 250; // how often the hosts are counted for the operators
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_REPORT = new double[0];
 
@@ -57,6 +64,7 @@
     final NioEventLoopGroup group;
     final EventLoop loop;
     final LoopLag lag;
+    final Figures figures;
     private final Events module;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
@@ -68,7 +76,11 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean telling;
     private boolean serving; // before, what peers say is for the ears of a module that has not begun
+    private final Operators operators;
+    private Console console; // null where there is none
     private boolean draining;
+    private boolean quiesced;
+    private double awayAt = Double.POSITIVE_INFINITY; // since when clients are sent away
     private boolean over; // the drain's time is up: nothing more is sent
 
     Node(NodeConfig config) {
@@ -87,10 +99,12 @@
         this.loop = group.next();
         this.lag = new LoopLag(clock, loop);
         this.module = maker.apply(this);
+        this.figures = new Figures(config.settings().classes().stream().map(RequestClass::name).toList());
         this.clients = new ClientServer(this);
         this.hosts = new HostClient(this);
         this.discovery = new Discovery(this);
         this.peers = new PeerLink(this);
+        this.operators = new Operators(loop, this::quiesce, this::resume, () -> discovery.leaveOut(console.leftOut()));
         this.mail = peers;
     }
 
@@ -101,6 +115,7 @@
         try {
             NodeConfig config = reload.first();
             Node early = new Node(config);
+            early.openConsole(keptFolder(config));
             early.loop.execute(early.peers::start);
             log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS, early::isMissed) + " answers");
             NodeConfig newest = reload.newest(); // seconds have passed, and nobody need have sent a signal
@@ -108,6 +123,7 @@
             if (newest != config) {
                 early.stop();
                 node = new Node(newest);
+                node.openConsole(keptFolder(newest));
                 log("the configuration was replaced during the start");
             }
             reload.follow(newest, node::reload);
@@ -124,6 +140,7 @@
      * discovery has spoken, or has had its time, and not with the list of some earlier life.
      */
     void start() throws IOException {
+        openConsole(null);
         CountDownLatch heard = new CountDownLatch(1);
         try {
             loop.submit(() -> {
@@ -135,6 +152,7 @@
             }).sync();
             heard.await(FIRST_WORD_MS, TimeUnit.MILLISECONDS); // without a word the list of before the start serves
             loop.submit(clients::start).sync().getNow().sync();
+            operators.ready(true);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -143,6 +161,45 @@
         }
     }
 
+    /**
+     * Operators may call from now on; a second call does nothing.
+     *
+     * @param folder where what they say outlives the process; null for nowhere
+     */
+    void openConsole(Path folder) throws IOException {
+        if (console == null && config.console() != null) {
+            console = new Console(operators, figures, folder, Node::log);
+            console.listen(config.console());
+        }
+    }
+
+    /** Both processes of an upgrade have the same one, and so has each start where the platform keeps it. */
+    private static Path keptFolder(NodeConfig config) {
+        String kept = System.getenv("TMPDIR");
+        return kept == null || kept.isEmpty() ? null : Path.of(kept, "left-out-" + HexFormat.of()
+                .formatHex(config.name().getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void quiesce() {
+        quiesced = true;
+        awayAt = Math.min(awayAt, clock.now());
+        operators.ready(false);
+    }
+
+    private void resume() {
+        quiesced = false;
+        if (!draining) {
+            awayAt = Double.POSITIVE_INFINITY;
+            operators.ready(clients.listener() != null);
+        }
+    }
+
+    /** What only the event loop can count, made known to the console's. */
+    private void gauge() {
+        loop.schedule(this::gauge, GAUGE_MS, TimeUnit.MILLISECONDS);
+        figures.cluster(discovery.listed().size(), module.avoided(clock.now()));
+    }
+
     /** Whether the fleet serves clients, which would come here, too, rather than wait for this gateway's full speed. */
     boolean isMissed() {
         return peers.hasHeard();
@@ -158,6 +215,10 @@
         serving = true;
         lag.start();
         tell((now, m) -> m.start(now, config.settings()));
+        if (console != null) {
+            discovery.leaveOut(console.leftOut());
+            gauge();
+        }
         if (config.known().hasNonNull(Discovery.LIST)) {
             discovery.known(Discovery.entries(config.known()));
         }
@@ -227,8 +288,14 @@
         }
     }
 
-    boolean draining() {
-        return draining;
+    /** Whether clients are to go elsewhere: they are served, but no connection of theirs stays. */
+    boolean sendsAway() {
+        return draining || quiesced;
+    }
+
+    /** Since when that is so; infinite where it is not. */
+    double awayAt() {
+        return awayAt;
     }
 
     /** Whether a request of this id is open: a second one would be answered with what was made for the first. */
@@ -240,6 +307,7 @@
     void taken(Request r, FullHttpRequest message, ClientServer.Connection client) {
         OpenRequest entry = new OpenRequest(r, message, client);
         open.put(r.id(), entry);
+        figures.taken();
         client.holds(entry);
         double left = r.deadlineMs() - clock.now();
         entry.guard = loop.schedule(() -> deadline(entry), micros(left), TimeUnit.MICROSECONDS);
@@ -276,7 +344,7 @@
         if (r.closed()) {
             return;
         }
-        r.close();
+        close(r);
         tell((now, m) -> m.clientLeft(now, r.request.id()));
         forgetIfOver(r);
     }
@@ -294,8 +362,9 @@
             discovery.served(a.host);
         }
         if (outcome == Outcome.OK) {
-            ClientServer.Connection client = r.close();
+            ClientServer.Connection client = close(r);
             if (client != null) {
+                figures.ended(r.request.requestClass(), Figures.End.ANSWERED);
                 client.serve(response);
             }
         }
@@ -307,6 +376,13 @@
         forgetIfOver(r);
     }
 
+    private ClientServer.Connection close(OpenRequest r) {
+        if (!r.closed()) {
+            figures.closed();
+        }
+        return r.close();
+    }
+
     private void forgetIfOver(OpenRequest r) {
         if (r.closed() && r.out == 0 && open.remove(r.request.id(), r)) {
             r.guard.cancel(false);
@@ -316,6 +392,7 @@
 
     void hostsTold(ListKind kind, List<Discovery.Entry> entries) {
         hosts.listed(kind, entries);
+        operators.listed(discovery.listed());
         List<Host> list = Discovery.hosts(entries);
         tell((now, m) -> m.hosts(now, kind, list));
     }
@@ -378,8 +455,10 @@
     }
 
     private void answer(OpenRequest r, HttpResponseStatus status, double retryAfterMs) {
-        ClientServer.Connection client = r == null ? null : r.close();
+        ClientServer.Connection client = r == null ? null : close(r);
         if (client != null) {
+            boolean refused = status == HttpResponseStatus.TOO_MANY_REQUESTS;
+            figures.ended(r.request.requestClass(), refused ? Figures.End.DEFERRED : Figures.End.ERRORED);
             client.answer(status, retryAfterMs);
         }
         if (r != null) {
@@ -436,6 +515,8 @@
     /** Accepts on for a while, since clients still come; answers all; then lets the process end. */
     void drain() {
         draining = true;
+        operators.ready(false);
+        awayAt = Math.min(awayAt, clock.now());
         loop.schedule(() -> {
             clients.stopAccepting();
             awaitEmpty();
@@ -473,8 +554,16 @@
         return ((java.net.InetSocketAddress) clients.listener().localAddress()).getPort();
     }
 
+    /** Where operators call, where the configuration left the port to the system. */
+    java.net.InetSocketAddress console() {
+        return console.address();
+    }
+
     /** Ends everything at once and answers nothing. */
     void stop() {
+        if (console != null) {
+            console.close();
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 }
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -20,7 +20,7 @@
 import java.util.TreeMap;
 
 /** What this api gateway was told at its start; anything missing or malformed is a {@link BadConfig}. */
-record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress peerListen,
+record NodeConfig(String name, InetSocketAddress console, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress peerListen,
         List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, JsonNode known, Settings settings,
         double connectTimeoutMs, double idleMs, int maxOpen) {
     private static final int PORT_MAX = 65_535;
@@ -80,7 +80,9 @@
             peers.add(address(peer.asText()));
         }
         boolean mail = settings.limits().peers() && root.hasNonNull("peer_listen");
-        return new NodeConfig(address(text(root, "listen")), address(text(root, "discovery")),
+        String console = root.hasNonNull("console") ? text(root, "console") : System.getenv("NODE_CONSOLE");
+        return new NodeConfig(root.path("name").asText(), console == null || console.isEmpty() ? null : address(console),
+                address(text(root, "listen")), address(text(root, "discovery")),
                 mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
                 root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS), root.path("known"), settings,
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 /**
  * One short life of a node that is its own host, peer and discovery, so that each part runs once. The build keeps
@@ -19,7 +20,7 @@
     private static final int PATIENCE_MS = 10_000;
     private static final long BUILD_PATIENCE_MS = 60_000; // a build's machine may be slow, but a stall fails it
     private static final String CONFIG = """
-            {"name": "rehearsal", "listen": "%1$s", "discovery": "%2$s", "seed": "1", "peer_listen": "%1$s",
+            {"name": "rehearsal", "console": "%3$s", "listen": "%1$s", "discovery": "%2$s", "seed": "1", "peer_listen": "%1$s",
              "peers": ["%1$s", "%1$s"], "known": {"version": 1, "full": true, "servers": [{"id": "self",
                "addr": "%1$s", "zone": "a", "kind": "k", "cell": 0, "state": "ready", "weight": 1,
                "started_ms": 0}]},
@@ -33,6 +34,12 @@
             + "X-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: 600\r\nX-Quota: units=1,spread=%d,first=0\r\n"
             + "Connection: close\r\n\r\n";
 
+    private static final List<String> CALLS = List.of("GET /admin/stats HTTP/1.1\r\n\r\n",
+            "GET /admin/health HTTP/1.1\r\n\r\n",
+            "POST /admin/cordon HTTP/1.1\r\nContent-Length: 4\r\n\r\nself",
+            "POST /admin/uncordon HTTP/1.1\r\nContent-Length: 4\r\n\r\nself",
+            "POST /admin/quiesce HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+            "POST /admin/resume HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
     private static final String LIST = """
             {"version": 2, "full": true, "servers": [{"id": "self", "addr": "%s", "zone": "a", "state": "ready"}]}
             """;
@@ -42,14 +49,11 @@
     /** Returns when all has been gone through. */
     public static void run() throws IOException, InterruptedException {
         Node.plainLogs();
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
-        InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-        String address = at.getAddress().getHostAddress() + ':' + port;
+        InetSocketAddress at = free();
+        InetSocketAddress console = free();
+        String address = text(at);
         Path file = Files.writeString(Files.createTempFile("rehearsal", ".json"),
-                CONFIG.formatted(address, agent(LIST.formatted(address))));
+                CONFIG.formatted(address, agent(LIST.formatted(address)), text(console)));
         Reload reload = Reload.onHangup(file.toString());
         NodeConfig config;
         try {
@@ -67,12 +71,25 @@
             ask(at, "/healthz", "0", 1);
             ask(at, "/view/alone", "1", 1);
             ask(at, "/view/shared", "2", 2);
+            for (String call : CALLS) {
+                call(console, call);
+            }
         } finally {
             node.stop(); // or a build would never end
             Files.delete(file);
         }
     }
 
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
+        }
+    }
+
+    private static String text(InetSocketAddress at) {
+        return at.getAddress().getHostAddress() + ':' + at.getPort();
+    }
+
     /** Answers the call for the list, and a watch not at all. */
     private static String agent(String list) throws IOException {
         ServerSocket agent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
@@ -91,11 +108,15 @@
     }
 
     private static void ask(InetSocketAddress at, String path, String id, int spread) throws IOException {
+        call(at, REQUEST.formatted(path, id, spread));
+    }
+
+    private static void call(InetSocketAddress at, String request) throws IOException {
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(PATIENCE_MS);
-            socket.getOutputStream().write(REQUEST.formatted(path, id, spread).getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             if (socket.getInputStream().readNBytes(ENOUGH).length == 0) {
-                throw new IOException("no answer to " + path);
+                throw new IOException("no answer to " + request);
             }
         }
     }
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -165,7 +165,7 @@
                 sharing.zonePrice());
         Settings settings = new Settings(s.seed(), me, 2, s.zone(), false, s.classes(), s.plans(), s.reportNames(),
                 s.limits(), s.rules(), quick);
-        return new NodeConfig(address(me), null, null, List.of(), null, config.sockets(), MissingNode.getInstance(),
+        return new NodeConfig(config.name(), null, address(me), null, null, List.of(), null, config.sockets(), MissingNode.getInstance(),
                 settings, config.connectTimeoutMs(), config.idleMs(), config.maxOpen());
     }
 
--- a/src/test/java/deckfall/list/HostListTest.java
+++ b/src/test/java/deckfall/list/HostListTest.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -72,6 +73,50 @@
         return gone.get(id);
     }
 
+    private void leaveOut(double now, String... ids) {
+        list.leaveOut(now, Set.of(ids)).forEach(h -> gone.put(h.id(), h.state()));
+    }
+
+    /** By hand out is out: neither a fresh list, nor a new life, nor another agent, nor time takes the host back. */
+    @Test
+    void whatIsLeftOutStaysOutWhateverIsToldUntilItIsTakenBack() {
+        leaveOut(0, "later", "h");
+        whole(1, A, 1, ready("h"), ready("other"));
+        assertEquals(HostState.DRAINING, state("h"));
+        assertEquals(HostState.RUNNING, state("other"));
+        change(2, A, 2, host("h", HostState.GONE, 0));
+        assertEquals(HostState.GONE, state("h"));
+        change(3, A, 3, host("h", HostState.RUNNING, 2.5), ready("later"));
+        assertEquals(HostState.DRAINING, state("h"));
+        assertEquals(HostState.DRAINING, state("later"));
+        whole(4, B, 1, host("h", HostState.RUNNING, 3.5), ready("later"));
+        review(LIMITS.vouchMs() * 2);
+        assertEquals(HostState.DRAINING, state("h"));
+        leaveOut(LIMITS.vouchMs() * 3, "later");
+        assertEquals(HostState.RUNNING, state("h"));
+        assertEquals(HostState.DRAINING, state("later"));
+    }
+
+    @Test
+    void takingBackReopensNoHostThatDrainsByItself() {
+        whole(0, A, 1, ready("h"));
+        leaveOut(1, "h");
+        change(2, A, 2, draining("h"));
+        leaveOut(3);
+        assertEquals(HostState.DRAINING, state("h"));
+        change(4, A, 3, ready("h"));
+        assertEquals(HostState.RUNNING, state("h"));
+    }
+
+    @Test
+    void aListFromBeforeTheStartIsGoneByWithoutThoseLeftOut() {
+        leaveOut(0, "h");
+        Told told = list.known(List.of(ready("h"), ready("other")));
+        assertEquals(List.of(HostState.DRAINING, HostState.RUNNING),
+                told.hosts().stream().map(Host::state).toList());
+        assertEquals(Set.of("h", "other"), list.listed());
+    }
+
     @Test
     void aChangeFromAnAgentWhoseListWasNeverHeardIsNotTaken() {
         assertFalse(change(0, A, 5, ready("h")).taken());
--- a/src/test/java/deckfall/net/Sockets.java
+++ b/src/test/java/deckfall/net/Sockets.java
@@ -215,7 +215,7 @@
             quoted.add('"' + p + '"');
         }
         return """
-                {"name": "n0", "listen": "127.0.0.1:0", "discovery": "%s", "seed": "8c1f30d27a5be964",
+                {"name": "n0", "console": "127.0.0.1:0", "listen": "127.0.0.1:0", "discovery": "%s", "seed": "8c1f30d27a5be964",
                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                  "peer_listen": "%s", "peers": [%s], "known": {"version": 0, "full": true, "servers": []},
                  "settings": {"ordinal": 0, "balancers": %d, "az": "a",
