--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -112,6 +112,7 @@
     private int epoch;
     private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
     private double mail, donateGap = WEIGHT_GAP_MS;
+    private double replacedAt = Double.POSITIVE_INFINITY; // since when another process serves in this place
     private boolean waited;
     private int inFlight, answers;
     private double perHost = BOUND_START;
@@ -129,13 +130,11 @@
         set = settings;
         random = new Random(settings.seed());
         startedAt = now;
-        epoch = (int) (long) now;
         peers = new Peer[Math.max(1, settings.gateways())];
         Arrays.setAll(peers, Peer::new);
         double pulses = PULSE_SHARE * Math.max(1, settings.sharing().mailPerSecond()) / 1000;
         pulse = Math.max(PULSE_MS, (peers.length - 1) / pulses);
-        double term = TERM_PULSES * pulse;
-        leases = new Leases(new Leases.Terms(term, term + TERMS_APART_MS), peers.length, now);
+        beginLife(now);
         double worth = settings.classes().stream().mapToDouble(c -> Math.max(WEIGHT_MIN, c.worth())).sum();
         for (RequestClass c : settings.classes()) {
             ClassState state = new ClassState(c);
@@ -288,6 +287,25 @@
         return stalled - a.stalled + late(now);
     }
 
+    /** Peers take this for a gateway that has just started: it has no lease. */
+    private void beginLife(double now) {
+        epoch = (int) (long) now;
+        double term = TERM_PULSES * pulse;
+        leases = new Leases(new Leases.Terms(term, term + TERMS_APART_MS), peers.length, now);
+    }
+
+    @Override public void replaced(double now) {
+        customers.values().forEach(c -> touch(now, c)); // up to here all is this process's
+        replacedAt = now;
+    }
+
+    @Override public void restored(double now) {
+        beginLife(now); // peers know the other process as the later life
+        customers.values().forEach(c -> touch(now, c)); // what filled since went with the other
+        startedAt += now - replacedAt;
+        replacedAt = Double.POSITIVE_INFINITY;
+    }
+
     @Override public void probed(double now, String host, Outcome outcome, double took, double[] report) { }
 
     @Override public void counted(double now, String counter, Outcome outcome, double total) { }
@@ -312,7 +330,7 @@
             c.tokens = p.burst() / c.spread;
             // The ceiling's store starts with what has filled since this gateway started, never with a burst:
             // before a restart this gateway may have spent it (rule 5).
-            double filled = (now - startedAt) / 1000 * p.ceilingRate();
+            double filled = (Math.min(now, replacedAt) - startedAt) / 1000 * p.ceilingRate();
             c.ceiling = ownShare(c) * Math.min(p.ceilingBurst(), filled);
             c.leasedSince = leasedSince(now, c);
             customers.put(id, c);
@@ -373,6 +391,11 @@
     private void touch(double now, Customer c) {
         double s = (now - c.touchedAt) / 1000;
         if (s <= 0) return;
+        if (now > replacedAt) { // what fills is the other process's, and with a lease goes what it gave
+            c.touchedAt = now;
+            fillCeiling(now, c);
+            return;
+        }
         double fade = Math.exp(-(now - c.touchedAt) / DEMAND_MS);
         Plan p = c.plan;
         double part = part(now, c);
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -88,6 +88,15 @@
 
         void counted(double now, String counter, Outcome outcome, double total);
 
+        /**
+         * Another process serves in this one's place: what fills from now on is its, and no peer is heard. What is
+         * open here, and what still comes, is decided by what was saved.
+         */
+        default void replaced(double now) { }
+
+        /** The other process is gone, with what filled meanwhile. */
+        default void restored(double now) { }
+
         /** How many hosts of the list get nothing now, or as little as may be; changes nothing. */
         default int avoided(double now) {
             return 0;
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -41,6 +41,7 @@
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
     private static final double MS_PER_SECOND = 1000;
+    private static final int ACCEPTED_AT_ONCE = 16; // netty's own bound for one reading of a listener
     private static final String READY = "/healthz";
 
     private final Node node;
@@ -55,6 +56,7 @@
     private final int maxConnections;
     private final int maxNewcomers;
     private Channel listener;
+    private boolean swept; // the sweep has begun
 
     ClientServer(Node node) {
         this.node = node;
@@ -75,7 +77,10 @@
                     }
                 }).bind(node.transport.at(node.config.listen()));
         listener = bound.channel();
-        node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+        if (!swept) {
+            swept = true;
+            node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+        }
         return bound;
     }
 
@@ -89,10 +94,45 @@
         }
     }
 
+    /**
+     * Accepts nothing for a moment, ahead of {@link #leave} and at least one turn of the event loop before it: a socket
+     * that the loop still knows is closed by the system only at its next turn, and takes connections until then.
+     */
+    void pause() {
+        if (listener != null) {
+            listener.deregister();
+        }
+    }
+
+    /**
+     * Another process listens at this address, too: what stands in the queue here would be reset with the listener, so
+     * all of it is accepted first. Connections that asked before and are idle are closed; one that was just made is
+     * about to ask.
+     */
+    void leave() {
+        if (listener == null) {
+            return;
+        }
+        for (int taken = 0; taken <= Transport.BACKLOG; taken += ACCEPTED_AT_ONCE) {
+            Transport.readNow(listener);
+        }
+        listener.close();
+        listener = null;
+        for (LinkedHashSet<Connection> from : givingWay) {
+            if (from != unused) {
+                List.copyOf(from).forEach(c -> giveUp(c, from));
+            }
+        }
+    }
+
     boolean idle() {
         return connections.isEmpty();
     }
 
+    int count() {
+        return connections.size();
+    }
+
     Channel listener() {
         return listener;
     }
@@ -302,7 +342,7 @@
             keepAlive = HttpUtil.isKeepAlive(request);
             if (request.uri().equals(READY)) {
                 request.release();
-                answer(node.sendsAway() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
+                answer(node.takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
                 return;
             }
             double now = node.clock.now();
--- /dev/null
+++ b/src/main/java/deckfall/net/Kept.java
@@ -0,0 +1,30 @@
+package deckfall.net;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.HexFormat;
+
+/**
+ * Where the processes that are one gateway meet, also across an upgrade: the platform's private folder, under the
+ * gateway's own name, as elsewhere several may share one.
+ *
+ * @param leftOut holds the hosts that operators left out
+ * @param successor socket at which the running process waits for the one that is to take its place
+ */
+record Kept(Path leftOut, Path successor) {
+    private static final int SOCKET_PATH_MAX = 100; // bytes; the system's own limit lies just above
+
+    /** Null where the platform gives no folder, or gave one whose name is too long for a socket's. */
+    static Kept in(String folder, String name) {
+        if (folder == null || folder.isEmpty()) {
+            return null;
+        }
+        String own = HexFormat.of().formatHex(name.getBytes(StandardCharsets.UTF_8));
+        Path successor = Path.of(folder, "successor-" + own);
+        if (successor.toString().getBytes(StandardCharsets.UTF_8).length > SOCKET_PATH_MAX) {
+            Node.log("no upgrades and no memory of hosts left out: the path is too long: " + successor);
+            return null;
+        }
+        return new Kept(Path.of(folder, "left-out-" + own), successor);
+    }
+}
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -11,6 +11,8 @@
 import deckfall.Gateway.RequestClass;
 import deckfall.console.Console;
 import deckfall.console.Figures;
+import deckfall.upgrade.Predecessor;
+import deckfall.upgrade.Successor;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -20,11 +22,8 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -45,6 +44,7 @@
     private static final long FIRST_WORD_MS = 500; // how long a start waits for discovery, which answers at once
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final long GAUGE_MS = 250; // how often the hosts are counted for the operators
+    private static final long TURN_MS = 2; // a timer's end: the event loop has been round since it was set
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_REPORT = new double[0];
 
@@ -80,6 +80,7 @@
     private Console console; // null where there is none
     private boolean draining;
     private boolean quiesced;
+    private boolean replaced; // another process accepts clients in this one's place
     private double awayAt = Double.POSITIVE_INFINITY; // since when clients are sent away
     private boolean over; // the drain's time is up: nothing more is sent
 
@@ -114,35 +115,57 @@
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
             NodeConfig config = reload.first();
+            Kept kept = Kept.in(System.getenv("TMPDIR"), config.name());
+            Predecessor serves = kept == null ? null : Predecessor.find(kept.successor());
             Node early = new Node(config);
-            early.openConsole(keptFolder(config));
-            early.loop.execute(early.peers::start);
+            early.openConsole(kept);
+            if (serves == null) {
+                early.loop.execute(early.peers::start);
+            }
             log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS, early::isMissed) + " answers");
             NodeConfig newest = reload.newest(); // seconds have passed, and nobody need have sent a signal
             Node node = early;
             if (newest != config) {
                 early.stop();
                 node = new Node(newest);
-                node.openConsole(keptFolder(newest));
+                node.openConsole(kept);
                 log("the configuration was replaced during the start");
             }
             reload.follow(newest, node::reload);
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
-            node.start();
+            node.start(serves);
+            if (kept != null) {
+                // On a thread of its own: the exit runs the hook that ends what is open, and returns to nobody.
+                Runnable end = () -> new Thread(() -> System.exit(0)).start();
+                new Successor(kept.successor(), node.place(end), Node::log).open();
+            }
         } catch (NodeConfig.BadConfig | IOException | InterruptedException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
     }
 
+    void start() throws IOException {
+        start(null);
+    }
+
     /**
      * Returns once clients are served. Configuration, list and listener are of one moment: the listener opens when
      * discovery has spoken, or has had its time, and not with the list of some earlier life.
+     *
+     * @param serves the process that serves in this one's place until then; null for nobody
      */
-    void start() throws IOException {
+    void start(Predecessor serves) throws IOException {
         openConsole(null);
         CountDownLatch heard = new CountDownLatch(1);
         try {
+            boolean taken = serves != null && serves.take();
+            if (!taken) {
+                transport.claim(config.listen());
+            }
+            if (taken && serves.away()) {
+                operators.quiesce();
+            }
             loop.submit(() -> {
                 if (!peers.started()) {
                     peers.start();
@@ -152,7 +175,10 @@
             }).sync();
             heard.await(FIRST_WORD_MS, TimeUnit.MILLISECONDS); // without a word the list of before the start serves
             loop.submit(clients::start).sync().getNow().sync();
-            operators.ready(true);
+            if (taken && !serves.serving()) {
+                log("upgrade: the process that served did not say that it left");
+            }
+            operators.ready(!taken || !serves.away());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -164,22 +190,15 @@
     /**
      * Operators may call from now on; a second call does nothing.
      *
-     * @param folder where what they say outlives the process; null for nowhere
+     * @param kept where what they say outlives the process; null for nowhere
      */
-    void openConsole(Path folder) throws IOException {
+    void openConsole(Kept kept) throws IOException {
         if (console == null && config.console() != null) {
-            console = new Console(operators, figures, folder, Node::log);
+            console = new Console(operators, figures, kept == null ? null : kept.leftOut(), Node::log);
             console.listen(config.console());
         }
     }
 
-    /** Both processes of an upgrade have the same one, and so has each start where the platform keeps it. */
-    private static Path keptFolder(NodeConfig config) {
-        String kept = System.getenv("TMPDIR");
-        return kept == null || kept.isEmpty() ? null : Path.of(kept, "left-out-" + HexFormat.of()
-                .formatHex(config.name().getBytes(StandardCharsets.UTF_8)));
-    }
-
     private void quiesce() {
         quiesced = true;
         awayAt = Math.min(awayAt, clock.now());
@@ -188,12 +207,75 @@
 
     private void resume() {
         quiesced = false;
-        if (!draining) {
+        stay();
+    }
+
+    /** Clients stay, where nothing else speaks against it. */
+    private void stay() {
+        if (!sendsAway()) {
             awayAt = Double.POSITIVE_INFINITY;
             operators.ready(clients.listener() != null);
         }
     }
 
+    // ---- an upgrade: docs/design/upgrade.md
+
+    /**
+     * What a process that is to take this one's place asks of it.
+     *
+     * @param end runs once that process has proved itself
+     */
+    Successor.Place place(Runnable end) {
+        return new Successor.Place() {
+            @Override
+            public boolean release() throws InterruptedException {
+                loop.submit(() -> {
+                    peers.stop();
+                    tell((now, m) -> m.replaced(now));
+                }).sync();
+                return loop.schedule(() -> quiesced, TURN_MS, TimeUnit.MILLISECONDS).sync().getNow();
+            }
+
+            @Override
+            public void leave() throws InterruptedException {
+                loop.submit(clients::pause).sync();
+                loop.schedule(() -> {
+                    replaced = true;
+                    awayAt = Math.min(awayAt, clock.now());
+                    operators.ready(false);
+                    clients.leave();
+                }, TURN_MS, TimeUnit.MILLISECONDS).sync();
+            }
+
+            @Override
+            public void takeBack() throws InterruptedException {
+                loop.submit(Node.this::takeBack).sync();
+            }
+
+            @Override
+            public void end() {
+                end.run();
+            }
+        };
+    }
+
+    private void takeBack() {
+        if (draining) {
+            return; // an end was asked for meanwhile
+        }
+        peers.start();
+        tell((now, m) -> m.restored(now));
+        if (replaced) {
+            replaced = false;
+            clients.start().addListener(f -> {
+                if (!f.isSuccess()) {
+                    log("upgrade: can't listen again: " + f.cause().getMessage());
+                }
+            });
+            stay();
+        }
+    }
+
     /** What only the event loop can count, made known to the console's. */
     private void gauge() {
         loop.schedule(this::gauge, GAUGE_MS, TimeUnit.MILLISECONDS);
@@ -290,7 +372,12 @@
 
     /** Whether clients are to go elsewhere: they are served, but no connection of theirs stays. */
     boolean sendsAway() {
-        return draining || quiesced;
+        return draining || quiesced || replaced;
+    }
+
+    /** What to say of this gateway's health: another process that serves in its place is this gateway, too. */
+    boolean takesClients() {
+        return !draining && !quiesced;
     }
 
     /** Since when that is so; infinite where it is not. */
@@ -502,7 +589,7 @@
         loop.execute(this::drain);
         try {
             awaitDrained(EXIT_MS);
-            if (isMissed()) {
+            if (isMissed() && !replaced) {
                 log("drained: keeps books for the other gateways until its time is up");
                 TimeUnit.NANOSECONDS.sleep(end - System.nanoTime());
             }
@@ -554,6 +641,11 @@
         return ((java.net.InetSocketAddress) clients.listener().localAddress()).getPort();
     }
 
+    /** How many connections of clients are open; on the event loop. */
+    int connections() {
+        return clients.count();
+    }
+
     /** Where operators call, where the configuration left the port to the system. */
     java.net.InetSocketAddress console() {
         return console.address();
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.FixedRecvByteBufAllocator;
@@ -13,15 +14,19 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Messages between api gateways: datagrams, which may come late, damaged, from strangers or not at all. */
+@ChannelHandler.Sharable // of one channel after another
 final class PeerLink extends SimpleChannelInboundHandler<DatagramPacket> implements Node.Mail {
     private static final int MAX_BYTES = 256;
     private static final int EVERYONE = -1;
+    private static final long AGAIN_MS = 100; // after an address could not be had
 
     private final Node node;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private volatile boolean heard; // read by the threads of a start and an end, which wait for no event loop
+    private boolean stopped;
     private Channel channel;
 
     PeerLink(Node node) {
@@ -35,16 +40,38 @@
         if (node.config.peerListen() == null) {
             return;
         }
+        stopped = false;
+        bind(true);
+    }
+
+    private void bind(boolean first) {
         // One byte more than a message may have shows which ones are too long.
         channel = new Bootstrap().group(node.loop).channel(NioDatagramChannel.class).handler(this)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES + 1))
                 .bind(node.config.peerListen()).addListener(f -> {
-                    if (!f.isSuccess()) {
-                        Node.log("no messages from peers: " + f.cause().getMessage());
+                    if (f.isSuccess() || stopped) {
+                        return;
+                    }
+                    if (first) {
+                        Node.log("no messages from peers for now: " + f.cause().getMessage());
                     }
+                    node.loop.schedule(() -> {
+                        if (!stopped) {
+                            bind(false);
+                        }
+                    }, AGAIN_MS, TimeUnit.MILLISECONDS);
                 }).channel();
     }
 
+    /** Lets the address go before it returns: another process is to have it. */
+    void stop() {
+        stopped = true;
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
     boolean started() {
         return channel != null;
     }
--- a/src/main/java/deckfall/net/Transport.java
+++ b/src/main/java/deckfall/net/Transport.java
@@ -10,10 +10,14 @@
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 
 /** What carries a node's connections: TCP, or for its warm-up the process's own memory, which nobody else can reach. */
 enum Transport {
@@ -22,6 +26,7 @@
         ServerBootstrap server(EventLoopGroup group) {
             return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                    .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true) // for an upgrade
                     .childOption(ChannelOption.TCP_NODELAY, true);
         }
 
@@ -30,6 +35,16 @@
             return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
         }
 
+        @Override
+        void claim(InetSocketAddress address) throws IOException {
+            try (Socket probe = new Socket()) { // bound and not listening, it takes nobody's connection
+                probe.setReuseAddress(true);
+                probe.bind(address);
+            } catch (IOException e) {
+                throw new IOException("somebody else has the address " + address, e);
+            }
+        }
+
         @Override
         SocketAddress at(InetSocketAddress address) {
             return address;
@@ -47,18 +62,27 @@
             return new Bootstrap().group(loop).channel(LocalChannel.class);
         }
 
+        @Override
+        void claim(InetSocketAddress address) { }
+
         @Override
         SocketAddress at(InetSocketAddress address) {
             return new LocalAddress(address.toString());
         }
     };
 
-    private static final int BACKLOG = 512;
+    static final int BACKLOG = 512; // connections that wait to be accepted
 
     abstract ServerBootstrap server(EventLoopGroup group);
 
     abstract Bootstrap client(EventLoop loop);
 
+    /**
+     * Makes sure that no other program listens there: with the option that an upgrade needs, the system would let two
+     * share an address.
+     */
+    abstract void claim(InetSocketAddress address) throws IOException;
+
     abstract SocketAddress at(InetSocketAddress address);
 
     /** Reads what stands unread in a socket before the loop comes to it; in memory nothing stands unread. */
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -285,6 +285,89 @@
         }
     }
 
+    /** An old process spends what it saved, the new one what fills: together no more than one would have. */
+    @Test
+    void aGatewayThatIsReplacedSpendsNothingThatFillsElsewhere() {
+        gateways(1);
+        FakeGateway old = all.get(0);
+        pass(5000); // its ceiling is full
+        old.brain.replaced(old.now);
+        double before = letIn;
+        floodCapped(3, 0);
+        assertTrue(letIn - before > 40 - 4 && letIn - before <= 40, "of forty saved: " + (letIn - before));
+        double empty = letIn;
+        floodCapped(1, 0);
+        assertEquals(empty, letIn, "nothing fills there");
+        pass(3000); // and nobody asks
+        old.brain.restored(old.now);
+        floodCapped(1, 0);
+        assertTrue(letIn - empty <= 20, "filled since it is back: " + (letIn - empty));
+        assertTrue(letIn - empty >= 12, "filled since it is back: " + (letIn - empty));
+    }
+
+    /** A customer that the old process never saw finds no more there than had filled until it was replaced. */
+    @Test
+    void aReplacedGatewayKnowsNoNewCustomersCeiling() {
+        gateways(1);
+        pass(500);
+        all.get(0).brain.replaced(all.get(0).now);
+        pass(5000);
+        assertTrue(floodCapped(2, 0) <= 10, "half a second of the ceiling");
+    }
+
+    /** Rule 5 while gateways are replaced, fall back and are replaced anew, with the old processes asked as well. */
+    @Test
+    void aCeilingIsKeptThroughUpgradesAndFallingBack() {
+        for (long seed = 1; seed <= 12; seed++) {
+            Random random = new Random(seed);
+            all.clear();
+            ended.clear();
+            letIn = 0;
+            gateways(3);
+            FakeGateway[] old = new FakeGateway[3];
+            double least = 0;
+            for (int tenth = 0; tenth < 400; tenth++) {
+                if (random.nextInt(15) == 0) {
+                    int g = random.nextInt(3);
+                    if (old[g] != null && random.nextBoolean()) { // the new process is gone
+                        old[g].brain.restored(old[g].now);
+                        all.set(g, old[g]);
+                        old[g] = null;
+                    } else if (old[g] == null) {
+                        old[g] = all.get(g);
+                        old[g].brain.replaced(old[g].now);
+                        all.set(g, new FakeGateway(old[g].now, FakeGateway.settings(g, 3))
+                                .withHosts("a1", "a2", "a3"));
+                    } else {
+                        old[g] = null; // it has ended
+                    }
+                }
+                for (int g : everyone(3)) {
+                    if (random.nextInt(4) > 0) {
+                        ask(g, "capped", 1 + random.nextInt(4));
+                    }
+                    if (old[g] != null) {
+                        old[g].pass(all.get(g).now - old[g].now);
+                        old[g].told.clear(); // it has no way to peers
+                        int units = 1 + random.nextInt(4);
+                        old[g].ask("old" + serial++ + ":" + units, "read", "capped", 42, units, 3);
+                        for (FakeGateway.Sent s : List.copyOf(old[g].sent)) {
+                            if (ended.add(s.id())) {
+                                letIn += Double.parseDouble(s.id().substring(s.id().indexOf(':') + 1));
+                                old[g].end(s.id(), 0, Gateway.Outcome.OK, 5);
+                            }
+                        }
+                    }
+                }
+                pass(100);
+                double beyond = letIn - 20 * 0.1 * tenth;
+                least = Math.min(least, beyond);
+                assertTrue(beyond - least <= 40 + 4, "seed " + seed + ": " + (beyond - least) + " at " + tenth);
+            }
+            assertTrue(letIn > 20 * 40 * 0.3, "seed " + seed + ": all in all " + letIn);
+        }
+    }
+
     /** What the first keeper had saved when it was cut off is not spent beside what the second then had. */
     @Test
     void savingsDoNotOutliveTheLease() {
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -259,6 +259,49 @@
         }
     }
 
+    private Process beside(String log) throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder b = new ProcessBuilder(java, "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
+                "deckfall.Main", "serve");
+        b.environment().put("NODE_CONFIG", dir.resolve("config.json").toString());
+        b.environment().put("TMPDIR", Files.createDirectories(dir.resolve("tmp")).toString());
+        return b.redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectError(dir.resolve(log).toFile()).start();
+    }
+
+    /** The program beside itself: one that is killed gives the place back, one that lives lets the old one end. */
+    @Test
+    void theRunningProgramIsReplacedOrServesOn() throws Exception {
+        choosePort();
+        Files.writeString(dir.resolve("config.json"), config("127.0.0.1:1"));
+        process = beside("log");
+        awaitReady();
+        Process killed = beside("killed");
+        Process fresh = null;
+        try {
+            awaitLog("upgrade: the new process serves");
+            assertTrue(ready());
+            killed.destroyForcibly();
+            awaitLog("the place is taken back");
+            awaitReady();
+            fresh = beside("fresh");
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+            while (Files.readString(dir.resolve("log")).split("the new process serves", -1).length < 3) {
+                assertTrue(System.nanoTime() < end && fresh.isAlive(), "not replaced");
+                Thread.sleep(20);
+            }
+            process.destroy();
+            assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(0, process.exitValue());
+            assertTrue(ready());
+            assertTrue(fresh.isAlive());
+        } finally {
+            killed.destroyForcibly();
+            if (fresh != null) {
+                fresh.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void aBadConfigurationEndsItWithOneLine() throws Exception {
         start("{\"name\": \"n0\"}");
