Answers beyond 64 KiB go to their clients as they come; slow writers get their time

Need: long answers counted as spoilt and were asked for three times; slow requests were cut off at 2 s; an answer in slow pieces had 250 ms in all.

Change: from its first bytes on a long answer is the final one; what its client does not take is not read from the host; where the host breaks off, the client's connection ends before the promised end. A head has 3.5 s, a body 2.5 s between bytes and 16 kB a second on the mean. A connection on which a request is coming is not idle.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -1069,7 +1069,7 @@
             for (Attempt a : new ArrayList<>(s.out)) {
                 double expected = a.work * Math.max(1, slowness(now, s.health));
                 double waited = now - a.sentAt - ownStall(now, a);
-                if (a.overdue || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
+                if (a.overdue || a.ask.streaming || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
                 judge(s.of(a.ask.cls), SLOW_MAX, FAILED_GAIN, now);
                 boolean useful = !a.ask.done && !a.ask.streaming && now + a.work < giveUpAt(a.ask);
--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -2,6 +2,7 @@
 
 import deckfall.Gateway.Outcome;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 
 /** One attempt of an open request at one host. */
@@ -12,6 +13,7 @@
     final double sentAt;
     private final Node node;
     boolean ended;
+    double streamedAt; // when its answer began to go to the client as it comes; 0: it does not
     private Future<?> timeout;
 
     Attempt(Node node, OpenRequest owner, String host, double sentAt) {
@@ -38,6 +40,11 @@
         node.figures.sent();
     }
 
+    @Override
+    HostConnection.Sink streams(HttpResponse head, Runnable more) {
+        return node.streams(this, head, more);
+    }
+
     @Override
     void ended(Outcome outcome, FullHttpResponse response) {
         node.attemptEnded(this, outcome, response);
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -11,13 +11,17 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -32,7 +36,7 @@
     private static final double NEWCOMERS_SHARE = 0.25; // of the connections: so many may have asked nothing yet
     private static final double PRESSED_SHARE = 0.5; // of the connections that fit: then idle ones give way early
     private static final long SWEEP_MS = 100;
-    private static final double READ_MS = 2000; // for a request, from its first byte or the connection's start
+    private static final double READ_MS = 2000; // for a first request to begin, from the connection's start
     private static final double GIVES_WAY_MS = 2200; // idle for so long, a connection may be closed for room
     private static final double IDLE_MS = 20_000; // idle for so long, it is closed
     private static final double AWAY_MS = 300; // idle for so long, it is closed where clients are sent away
@@ -144,7 +148,7 @@
         node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         double now = node.clock.now();
         for (Connection c : List.copyOf(connections)) {
-            if (c.overdue(now - READ_MS)) {
+            if (c.overdue(now)) {
                 c.timeOut();
             }
         }
@@ -197,13 +201,16 @@
         if (c.channel.isActive() && c.channel.config().isAutoRead()) {
             Transport.readNow(c.channel);
         }
-        boolean free = c.whole == before;
+        boolean asking = from != unused && c.reader.unfinished(); // half a request is more than none
+        boolean free = c.whole == before && !asking;
         if (free) {
             c.leave(); // now, as its end is told only later
             c.channel.close();
         } else {
             from.remove(c); // it was just asked something, and answered at once where it stands here still
-            c.rest();
+            if (!asking) {
+                c.rest();
+            }
         }
         return free;
     }
@@ -216,11 +223,13 @@
         private OpenRequest current;
         private boolean busy;
         private boolean keepAlive = true;
+        private boolean chunks; // the client reads answers of unknown length
         private boolean ended; // the last answer is on its way
         private double idleSince = node.clock.now();
         private int whole; // messages that came whole, of whatever kind
         private int requests; // those of them that the module was to decide
         private int faults;
+        private Runnable more; // of the answer that goes out as it comes; null where none does
         private boolean paused;
 
         Connection(Channel channel, RequestReader reader) {
@@ -270,14 +279,14 @@
         }
 
         /** Whether no request has come for too long on a connection that owes one. */
-        private boolean overdue(double since) {
-            boolean silent = whole == 0 && idleSince < since;
-            return !busy && !ended && channel.config().isAutoRead() && (silent || reader.unfinishedSince(since));
+        private boolean overdue(double now) {
+            boolean silent = whole == 0 && !reader.unfinished() && idleSince < now - READ_MS;
+            return !busy && !ended && channel.config().isAutoRead() && (silent || reader.overdue(now));
         }
 
         private void timeOut() {
             keepAlive = false;
-            if (reader.unfinishedSince(node.clock.now())) {
+            if (reader.unfinished()) {
                 answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
             } else {
                 leave();
@@ -309,6 +318,9 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (more != null && channel.isWritable()) {
+                more.run();
+            }
             next();
         }
 
@@ -340,6 +352,7 @@
 
         private void handle(FullHttpRequest request) {
             keepAlive = HttpUtil.isKeepAlive(request);
+            chunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
             if (request.uri().equals(READY)) {
                 request.release();
                 answer(node.takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
@@ -385,11 +398,58 @@
         void serve(FullHttpResponse from) {
             FullHttpResponse to = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                     from.content().retain());
+            setType(from, to);
+            write(to);
+        }
+
+        private void setType(HttpResponse from, HttpResponse to) {
             String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
             if (type != null && RequestTerms.isWithin(type, ' ', '~')) { // else not to be passed on
                 to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
             }
-            write(to);
+        }
+
+        /** Passes a long answer of a host on as it comes; null where this client could not tell its end. */
+        HostConnection.Sink stream(HttpResponse from, Runnable whenReady) {
+            long length = HttpUtil.getContentLength(from, -1L);
+            if (length < 0 && !chunks) {
+                return null;
+            }
+            HttpResponse to = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            setType(from, to);
+            if (length < 0) {
+                HttpUtil.setTransferEncodingChunked(to, true);
+            } else {
+                HttpUtil.setContentLength(to, length);
+            }
+            if (!keepAlive || node.sendsAway()) {
+                keepAlive = false;
+                to.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            channel.write(to, channel.voidPromise());
+            more = whenReady;
+            return new HostConnection.Sink() {
+                @Override
+                public void part(ByteBuf part) {
+                    channel.writeAndFlush(new DefaultHttpContent(part), channel.voidPromise());
+                }
+
+                @Override
+                public boolean ready() {
+                    return channel.isWritable();
+                }
+
+                @Override
+                public void end(boolean whole) {
+                    more = null;
+                    if (whole) {
+                        finish(LastHttpContent.EMPTY_LAST_CONTENT, !keepAlive);
+                    } else {
+                        keepAlive = false;
+                        channel.close(); // before the promised end, so the client knows
+                    }
+                }
+            };
         }
 
         void answer(HttpResponseStatus status, double retryAfterMs) {
@@ -405,15 +465,23 @@
         private void write(FullHttpResponse response) {
             ByteBuf body = response.content();
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            boolean last = !keepAlive || node.sendsAway();
+            if (last) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            finish(response, last);
+        }
+
+        /** Writes the end of an answer; what the client sent ahead comes next, unless this was the last one. */
+        private void finish(Object end, boolean last) {
             current = null;
             busy = false;
-            ended = !keepAlive || node.sendsAway();
+            ended = last;
             if (ended) {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+                channel.writeAndFlush(end).addListener(ChannelFutureListener.CLOSE);
                 return;
             }
-            channel.writeAndFlush(response, channel.voidPromise());
+            channel.writeAndFlush(end, channel.voidPromise());
             rest();
             if (!waiting.isEmpty()) { // not at once: an answer may be given while the request is being taken
                 node.loop.execute(this::next);
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -32,7 +32,8 @@
  */
 final class HostConnection extends ChannelInboundHandlerAdapter {
     private static final String NEVER_RAN = "X-Never-Ran";
-    private static final long STALL_MS = 250; // an answer that has begun and is not whole after so long is no answer
+    private static final long STALL_MS = 250; // an answer that has begun and gets no further for so long is no answer
+    private static final long LONG_STALL_MS = 5000; // the same for one that is passed on as it comes
     private static final int INTERIM_MAX = 16; // 1xx answers ahead of one
 
     /** Where a connection rests between exchanges. */
@@ -53,6 +54,8 @@
     private boolean begun; // of the answer, something has come
     private HttpResponse head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private Sink sink; // takes the answer as it comes; null where it is put together here
+    private double readAt; // when something last came, or reading went on
     private int interim;
     private boolean clean; // answered, and nothing has come since
     private Future<?> stall;
@@ -70,7 +73,16 @@
         /** Its last byte has left for the host. */
         void written() { }
 
-        /** How it ended; the response, where there is one, is only lent. */
+        /**
+         * Its answer is too long to be kept. Returns what takes it as it comes, or null where nobody does.
+         *
+         * @param more to be run when what takes it is ready again
+         */
+        Sink streams(HttpResponse head, Runnable more) {
+            return null;
+        }
+
+        /** How it ended; the response, where there is one, is only lent, and without a body where that was streamed. */
         abstract void ended(Outcome outcome, FullHttpResponse response);
 
         final boolean under() {
@@ -83,11 +95,24 @@
             connection = null;
             if (c != null) {
                 c.exchange = null;
+                c.breakOff();
                 c.close();
             }
         }
     }
 
+    /** Where a long answer goes. */
+    interface Sink {
+        /** Takes the part over. */
+        void part(ByteBuf part);
+
+        /** Whether another part may come now. */
+        boolean ready();
+
+        /** No more comes: this was all, or the rest never will. */
+        void end(boolean whole);
+    }
+
     /** Reads answers; their lines may hold anything but what leaves their length open. */
     private final class Decoder extends HttpResponseDecoder {
         Decoder() {
@@ -102,6 +127,7 @@
                 return;
             }
             begun = true;
+            readAt = clock.now();
             super.channelRead(ctx, bytes);
         }
 
@@ -177,6 +203,15 @@
         close();
     }
 
+    /** What was passed on so far is all that will come. */
+    private void breakOff() {
+        Sink s = sink;
+        sink = null;
+        if (s != null) {
+            s.end(false);
+        }
+    }
+
     private void end(Outcome outcome, FullHttpResponse response) {
         Exchange x = exchange;
         exchange = null;
@@ -184,6 +219,7 @@
             x.connection = null;
             x.ended(outcome, response);
         }
+        breakOff(); // a long answer that came whole has ended before
     }
 
     void close() {
@@ -221,9 +257,28 @@
         long length = HttpUtil.getContentLength(response, -1L);
         // An answer that the end of the connection bounds can't be told from a broken one.
         boolean bounded = ahead || empty || chunked || length >= 0;
-        if (!bounded || length > ClientServer.MAX_BODY || ahead && ++interim > INTERIM_MAX
+        if (!bounded || ahead && ++interim > INTERIM_MAX
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             spoilt();
+        } else if (length > ClientServer.MAX_BODY) {
+            stream();
+        }
+    }
+
+    /** Only a good answer is worth its length; of any other it is enough to know what it is. */
+    private void stream() {
+        if (head.status().equals(HttpResponseStatus.OK)) {
+            sink = exchange.streams(head, this::goOnReading);
+        }
+        if (sink == null) {
+            spoilt();
+        }
+    }
+
+    private void goOnReading() {
+        if (sink != null && sink.ready() && !channel.config().isAutoRead()) {
+            readAt = clock.now();
+            channel.config().setAutoRead(true);
         }
     }
 
@@ -232,25 +287,35 @@
     }
 
     private void goOn(ChannelHandlerContext ctx, HttpContent content) {
-        if (body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BODY) {
-            spoilt();
-            return;
+        if (sink == null && body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BODY) {
+            stream();
+            if (sink == null) {
+                return;
+            }
         }
         body = RequestReader.joined(ctx, body, content.content());
+        if (sink != null) {
+            passOn();
+        }
         if (!(content instanceof LastHttpContent)) {
             return;
         }
         if (isInterim()) {
             begun = decoder.leftOver();
         } else {
-            FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body,
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body,
                     head.headers(), EmptyHttpHeaders.INSTANCE);
+            Sink whole = sink;
+            sink = null;
+            if (whole != null) {
+                whole.end(true);
+            }
             clean = written && HttpUtil.isKeepAlive(head) && !decoder.leftOver();
             body = Unpooled.EMPTY_BUFFER;
             try {
-                end(outcome(whole), whole);
+                end(outcome(answer), answer);
             } finally {
-                whole.release();
+                answer.release();
             }
             if (!clean) {
                 close();
@@ -259,6 +324,18 @@
         head = null;
     }
 
+    /** Hands on what has come; where that is more than the client takes for now, nothing further is read. */
+    private void passOn() {
+        ByteBuf part = body;
+        body = Unpooled.EMPTY_BUFFER;
+        if (part.isReadable()) {
+            sink.part(part);
+            if (sink != null && !sink.ready()) {
+                channel.config().setAutoRead(false);
+            }
+        }
+    }
+
     /** Only now has all been read that came with the answer; before, what is right behind it was not seen. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -270,6 +347,9 @@
             stall.cancel(false);
             stall = null;
         }
+        if (!channel.config().isAutoRead()) {
+            channel.config().setAutoRead(true); // the answer's end came while its client took no more
+        }
         if (clean && channel.isActive() && !home.closed()) {
             clean = false; // once only: what comes from now on closes it
             idleSince = clock.now();
@@ -285,12 +365,18 @@
             return;
         }
         Exchange x = exchange;
+        boolean paused = !channel.config().isAutoRead(); // then it is not the host that does not get on
+        double left = readAt + (sink == null ? STALL_MS : LONG_STALL_MS) - clock.now();
+        if (left <= 0 && !paused) {
+            spoilt();
+            return;
+        }
         stall = channel.eventLoop().schedule(() -> {
             stall = null;
-            if (exchange == x && begun) {
-                spoilt();
+            if (exchange == x) {
+                watch();
             }
-        }, STALL_MS, TimeUnit.MILLISECONDS);
+        }, paused ? LONG_STALL_MS : (long) left + 1, TimeUnit.MILLISECONDS);
     }
 
     private static Outcome outcome(FullHttpResponse response) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -18,6 +18,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
@@ -420,7 +421,7 @@
 
     private void endAttempts(OpenRequest r) {
         for (Attempt a : List.copyOf(r.attempts)) {
-            if (!a.ended) {
+            if (!a.ended && a != r.stream) { // an answer that is on its way outlasts the client's time
                 a.abandon();
                 attemptEnded(a, Outcome.TIMEOUT, null);
             }
@@ -428,6 +429,10 @@
     }
 
     void clientLeft(OpenRequest r) {
+        if (r.stream != null && !r.stream.ended) {
+            r.stream.abandon();
+            attemptEnded(r.stream, Outcome.CANCELLED, null);
+        }
         if (r.closed()) {
             return;
         }
@@ -436,6 +441,32 @@
         forgetIfOver(r);
     }
 
+    /**
+     * The answer of an attempt is too long to be kept: from here on it goes to the client as it comes, and it is the
+     * final one. Null where nobody waits for it.
+     */
+    HostConnection.Sink streams(Attempt a, HttpResponse head, Runnable more) {
+        OpenRequest r = a.owner;
+        ClientServer.Connection client = a.ended || r.closed() ? null : r.client();
+        HostConnection.Sink sink = client == null ? null : client.stream(head, more);
+        if (sink == null) {
+            return null;
+        }
+        r.close();
+        r.stream = a;
+        r.guard.cancel(false);
+        a.streamedAt = clock.now();
+        a.stopTimer();
+        tell((now, m) -> m.streamStarted(now, r.request.id(), a.number));
+        for (Attempt other : List.copyOf(r.attempts)) {
+            if (other != a && !other.ended) {
+                other.abandon();
+                attemptEnded(other, Outcome.CANCELLED, null);
+            }
+        }
+        return sink;
+    }
+
     /** The end of an attempt, told once; the first whole 200 goes to the client unchanged. */
     void attemptEnded(Attempt a, Outcome outcome, FullHttpResponse response) {
         if (a.ended) {
@@ -448,6 +479,10 @@
         if (response != null) {
             discovery.served(a.host);
         }
+        if (r.stream == a) {
+            figures.closed();
+            figures.ended(r.request.requestClass(), outcome == Outcome.OK ? Figures.End.ANSWERED : Figures.End.ERRORED);
+        }
         if (outcome == Outcome.OK) {
             ClientServer.Connection client = close(r);
             if (client != null) {
@@ -456,7 +491,7 @@
             }
         }
         boolean closed = r.closed();
-        double took = clock.now() - a.sentAt;
+        double took = (a.streamedAt > 0 ? a.streamedAt : clock.now()) - a.sentAt;
         double[] report = response == null ? NO_REPORT : hosts.report(response);
         tell((now, m) -> m.attemptEnded(now,
                 new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, 0, 0, report)));
--- a/src/main/java/deckfall/net/OpenRequest.java
+++ b/src/main/java/deckfall/net/OpenRequest.java
@@ -13,6 +13,7 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     private ClientServer.Connection client;
     private boolean closed;
+    Attempt stream; // whose answer goes to the client as it comes
     int out; // attempts that have not ended
     Future<?> guard;
 
@@ -26,6 +27,11 @@
         return closed;
     }
 
+    /** The client that is still owed an answer; null where none is. */
+    ClientServer.Connection client() {
+        return client;
+    }
+
     /** The client to answer, for the one caller that ends the request; null for all later ones (rule 1). */
     ClientServer.Connection close() {
         ClientServer.Connection owed = client;
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -30,6 +30,9 @@
 final class RequestReader extends ChannelInboundHandlerAdapter {
     private static final HttpHeadersFactory HEADERS = StrictHeaders.ofRequests(RequestTerms.SINGLE);
     private static final double NONE = -1;
+    private static final double HEAD_MS = 3500; // for a head, from its first byte
+    private static final double PAUSE_MS = 2500; // within a body
+    private static final double BODY_BYTES_PER_MS = 16; // on the mean, beside the time that a head has
 
     /** In the place of a request: the connection ends with this answer. */
     record Unreadable(HttpResponseStatus status) { }
@@ -43,6 +46,8 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private boolean over;
     private double since = NONE; // when an unfinished request began to come
+    private double readAt; // when something of it last came
+    private long read; // bytes of its body
 
     RequestReader(Clock clock) {
         this.clock = clock;
@@ -59,8 +64,9 @@
                 ReferenceCountUtil.release(bytes);
                 return;
             }
+            readAt = clock.now();
             if (since == NONE) {
-                since = clock.now();
+                since = readAt;
             }
             super.channelRead(ctx, bytes);
         }
@@ -74,14 +80,23 @@
         pipeline.addLast(new HttpResponseEncoder(), decoder, this);
     }
 
-    /** Whether something unfinished has been coming since before then. */
-    boolean unfinishedSince(double then) {
-        return since != NONE && since < then;
+    /** Whether something unfinished is coming. */
+    boolean unfinished() {
+        return since != NONE;
+    }
+
+    /** Whether what is coming does not get on: a head by its time in all, a body by its pauses and its mean speed. */
+    boolean overdue(double now) {
+        if (since == NONE || head == null) {
+            return since != NONE && now - since > HEAD_MS;
+        }
+        return now - readAt > PAUSE_MS || now - since > HEAD_MS + read / BODY_BYTES_PER_MS;
     }
 
     /** The client was not read for a while, and its time starts anew. */
     void resume() {
         since = since == NONE ? NONE : clock.now();
+        readAt = clock.now();
     }
 
     @Override
@@ -128,11 +143,13 @@
             refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
+        read += content.content().readableBytes();
         body = joined(ctx, body, content.content());
         if (content instanceof LastHttpContent) {
             DefaultFullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
                     head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
             head = null;
+            read = 0;
             body = Unpooled.EMPTY_BUFFER;
             since = decoder.leftOver() ? clock.now() : NONE;
             ctx.fireChannelRead(whole);
