--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -34,6 +34,7 @@
     private static final String NEVER_RAN = "X-Never-Ran";
     private static final long STALL_MS = 250; // an answer that has begun and gets no further for so long is no answer
     private static final long LONG_STALL_MS = 5000; // the same for one that is passed on as it comes
+    private static final long LONGEST = 64 << 20; // bytes of an answer; whatever claims or brings more is none
     private static final int INTERIM_MAX = 16; // 1xx answers ahead of one
 
     /** Where a connection rests between exchanges. */
@@ -55,6 +56,7 @@
     private HttpResponse head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Sink sink; // takes the answer as it comes; null where it is put together here
+    private long passed; // bytes of it that went there
     private double readAt; // when something last came, or reading went on
     private int interim;
     private boolean clean; // answered, and nothing has come since
@@ -257,7 +259,7 @@
         long length = HttpUtil.getContentLength(response, -1L);
         // An answer that the end of the connection bounds can't be told from a broken one.
         boolean bounded = ahead || empty || chunked || length >= 0;
-        if (!bounded || ahead && ++interim > INTERIM_MAX
+        if (!bounded || length > LONGEST || ahead && ++interim > INTERIM_MAX
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             spoilt();
         } else if (length > ClientServer.MAX_BODY) {
@@ -268,6 +270,7 @@
     /** Only a good answer is worth its length; of any other it is enough to know what it is. */
     private void stream() {
         if (head.status().equals(HttpResponseStatus.OK)) {
+            passed = 0;
             sink = exchange.streams(head, this::goOnReading);
         }
         if (sink == null) {
@@ -296,6 +299,9 @@
         body = RequestReader.joined(ctx, body, content.content());
         if (sink != null) {
             passOn();
+            if (sink == null) {
+                return;
+            }
         }
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -328,7 +334,11 @@
     private void passOn() {
         ByteBuf part = body;
         body = Unpooled.EMPTY_BUFFER;
-        if (part.isReadable()) {
+        passed += part.readableBytes();
+        if (passed > LONGEST) {
+            part.release();
+            spoilt();
+        } else if (part.isReadable()) {
             sink.part(part);
             if (sink != null && !sink.ready()) {
                 channel.config().setAutoRead(false);
