--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -1068,7 +1068,7 @@
         for (Server s : new ArrayList<>(watched)) {
             for (Attempt a : new ArrayList<>(s.out)) {
                 double expected = a.work * Math.max(1, slowness(now, s.health));
-                double waited = now - a.sentAt - ownStall(now, a);
+                double waited = now - a.sentAt - ownStall(now, a) - a.ask.request.restMs();
                 if (a.overdue || a.ask.streaming || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
                 judge(s.of(a.ask.cls), SLOW_MAX, FAILED_GAIN, now);
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -58,9 +58,18 @@
     public record Host(String id, String zone, String kind, int cell, HostState state, double rating,
             double startedMs) { }
 
-    /** A request, waiting since {@code arrivedMs}: {@code spread} gateways from number {@code first} on, counted round, may receive the customer. */
+    /**
+     * A request, waiting since {@code arrivedMs}: {@code spread} gateways from number {@code first} on, counted round, may
+     * receive the customer. The rest of its body may take {@code restMs}, on its way to the host, before it counts.
+     */
     public record Request(String id, double deadlineMs, double arrivedMs, boolean retry, String requestClass, long customer,
-            String plan, double units, int first, int spread) { }
+            String plan, double units, int first, int spread, double restMs) {
+        /** A request that is here with its last byte. */
+        public Request(String id, double deadlineMs, double arrivedMs, boolean retry, String requestClass,
+                long customer, String plan, double units, int first, int spread) {
+            this(id, deadlineMs, arrivedMs, retry, requestClass, customer, plan, units, first, spread, 0);
+        }
+    }
 
     /** How an attempt ended; {@code usedPct} is 0 and {@code trueUnits} is 0 where nothing was told. */
     public record AttemptResult(String id, int attempt, String host, Outcome outcome, double latencyMs,
--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -10,7 +10,7 @@
     final OpenRequest owner;
     final int number;
     final String host;
-    final double sentAt;
+    double sentAt; // of a long body, when its last byte left
     private final Node node;
     boolean ended;
     double streamedAt; // when its answer began to go to the client as it comes; 0: it does not
@@ -37,6 +37,9 @@
 
     @Override
     void written() {
+        if (owner.message instanceof LongRequest) {
+            sentAt = node.clock.now();
+        }
         node.figures.sent();
     }
 
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -44,6 +44,8 @@
     private static final int ASKED_ONCE = 1; // requests on a connection that need not bring another
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
+    private static final double BODY_BYTES_PER_MS = 64; // that a client sends at least, by the protocol
+    private static final double LENGTH_GUESSED = 1 << 20; // bytes of a long body whose length is not told
     private static final double MS_PER_SECOND = 1000;
     private static final int ACCEPTED_AT_ONCE = 16; // netty's own bound for one reading of a listener
     private static final String READY = "/healthz";
@@ -75,9 +77,9 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        RequestReader reader = new RequestReader(node.clock);
-                        reader.addTo(ch.pipeline());
-                        ch.pipeline().addLast(new Connection(ch, reader));
+                        Connection connection = new Connection(ch);
+                        connection.reader.addTo(ch.pipeline());
+                        ch.pipeline().addLast(connection);
                     }
                 }).bind(node.transport.at(node.config.listen()));
         listener = bound.channel();
@@ -231,10 +233,12 @@
         private int faults;
         private Runnable more; // of the answer that goes out as it comes; null where none does
         private boolean paused;
+        private Upload upload; // the rest of the body of the request under way; null where all of it is here
+        private boolean answered; // that request, though more of its body may come
 
-        Connection(Channel channel, RequestReader reader) {
+        Connection(Channel channel) {
             this.channel = channel;
-            this.reader = reader;
+            this.reader = new RequestReader(node.clock, this::steer);
         }
 
         @Override
@@ -271,6 +275,9 @@
             waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
             ended = true;
+            if (upload != null) {
+                upload.drop();
+            }
             OpenRequest left = current;
             current = null;
             if (left != null) {
@@ -281,12 +288,15 @@
         /** Whether no request has come for too long on a connection that owes one. */
         private boolean overdue(double now) {
             boolean silent = whole == 0 && !reader.unfinished() && idleSince < now - READ_MS;
-            return !busy && !ended && channel.config().isAutoRead() && (silent || reader.overdue(now));
+            boolean expected = !busy || upload != null && !upload.over(); // of the client, and not of a host
+            return expected && !ended && channel.config().isAutoRead() && (silent || reader.overdue(now));
         }
 
         private void timeOut() {
             keepAlive = false;
-            if (reader.unfinished()) {
+            if (upload != null) {
+                channel.close(); // in the middle of a body: no answer would be heard ahead of its end
+            } else if (reader.unfinished()) {
                 answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
             } else {
                 leave();
@@ -306,14 +316,20 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (ended) {
+                Upload unwanted = LongRequest.restOf(message);
+                if (unwanted != null) {
+                    unwanted.drop();
+                }
                 ReferenceCountUtil.release(message);
                 return;
             }
+            if (upload != null && !upload.over()) { // a body that can't be read: its request will never be whole
+                channel.close();
+                return;
+            }
             waiting.add(message);
             next();
-            if (waiting.size() >= PIPELINED) {
-                channel.config().setAutoRead(false);
-            }
+            steer();
         }
 
         @Override
@@ -328,10 +344,10 @@
         private void next() {
             while (!busy && !ended && !waiting.isEmpty() && channel.isWritable()) {
                 Object message = waiting.poll();
-                if (waiting.isEmpty() && !paused) {
-                    readOn();
-                }
+                steer();
                 busy = true;
+                answered = false;
+                upload = LongRequest.restOf(message);
                 whole++;
                 leavePlace();
                 if (message instanceof RequestReader.Unreadable) {
@@ -343,11 +359,27 @@
             }
         }
 
-        private void readOn() {
-            if (!channel.config().isAutoRead()) {
+        /** Reads on or pauses: while much waits, after faults, and where a body comes faster than its host takes it. */
+        private void steer() {
+            boolean fast = upload != null && upload.full()
+                    || !waiting.isEmpty() && waiting.peekLast() instanceof LongRequest
+                    && ((LongRequest) waiting.peekLast()).rest.full();
+            boolean reads = !paused && !fast && waiting.size() < PIPELINED;
+            if (reads && !channel.config().isAutoRead()) {
                 reader.resume();
-                channel.config().setAutoRead(true);
             }
+            channel.config().setAutoRead(reads);
+            if (answered && upload != null && upload.over()) {
+                release();
+            }
+        }
+
+        /** How long the rest of its body may take at the least speed that clients have; 0 where all is here. */
+        private double restMs() {
+            if (upload == null || upload.over()) {
+                return 0;
+            }
+            return (upload.length() < 0 ? LENGTH_GUESSED : upload.length()) / BODY_BYTES_PER_MS;
         }
 
         private void handle(FullHttpRequest request) {
@@ -359,7 +391,7 @@
                 return;
             }
             double now = node.clock.now();
-            Request read = terms.read(request, now, now - node.lag.ms());
+            Request read = terms.read(request, now, now - node.lag.ms(), restMs());
             if (read == null || node.knows(read.id())) {
                 boolean unknown = !request.headers().contains(RequestTerms.ID);
                 request.release();
@@ -381,11 +413,11 @@
                 return;
             }
             paused = true;
-            channel.config().setAutoRead(false);
+            steer();
             node.loop.schedule(() -> {
                 paused = false;
-                if (!ended && waiting.size() < PIPELINED) {
-                    readOn();
+                if (!ended) {
+                    steer();
                 }
             }, PAUSE_MS, TimeUnit.MILLISECONDS);
         }
@@ -475,13 +507,31 @@
         /** Writes the end of an answer; what the client sent ahead comes next, unless this was the last one. */
         private void finish(Object end, boolean last) {
             current = null;
-            busy = false;
-            ended = last;
-            if (ended) {
+            answered = true;
+            if (last) {
+                keepAlive = false;
+            }
+            if (upload != null && !upload.over()) { // the client may send all of it before it reads
+                channel.writeAndFlush(end, channel.voidPromise());
+                upload.drop();
+            } else if (last) {
+                ended = true;
                 channel.writeAndFlush(end).addListener(ChannelFutureListener.CLOSE);
+            } else {
+                channel.writeAndFlush(end, channel.voidPromise());
+                release();
+            }
+        }
+
+        /** The request is over, its body too: what the client sent ahead comes next, or the connection ends. */
+        private void release() {
+            upload = null;
+            if (!keepAlive) {
+                ended = true;
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
                 return;
             }
-            channel.writeAndFlush(end, channel.voidPromise());
+            busy = false;
             rest();
             if (!waiting.isEmpty()) { // not at once: an answer may be given while the request is being taken
                 node.loop.execute(this::next);
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -4,17 +4,22 @@
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -146,9 +151,9 @@
 
     private FullHttpRequest attemptMessage(Attempt a) {
         FullHttpRequest from = a.owner.message;
-        FullHttpRequest to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
-                from.content().retainedDuplicate());
-        HttpHeaders h = to.headers();
+        Upload rest = LongRequest.restOf(from);
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri());
+        HttpHeaders h = head.headers();
         h.set(HttpHeaderNames.HOST, HOST);
         h.set(RequestTerms.ID, a.owner.request.id());
         h.set(RequestTerms.EXPIRES,
@@ -161,10 +166,20 @@
         if (type != null) {
             h.set(HttpHeaderNames.CONTENT_TYPE, type);
         }
+        ByteBuf kept = from.content().retainedDuplicate();
+        if (rest != null) {
+            if (rest.length() < 0) {
+                HttpUtil.setTransferEncodingChunked(head, true);
+            } else {
+                HttpUtil.setContentLength(head, rest.length());
+            }
+            return new LongRequest(head, kept, rest);
+        }
         if (!from.method().equals(HttpMethod.GET)) {
-            h.setInt(HttpHeaderNames.CONTENT_LENGTH, to.content().readableBytes());
+            h.setInt(HttpHeaderNames.CONTENT_LENGTH, kept.readableBytes());
         }
-        return to;
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), kept, h,
+                EmptyHttpHeaders.INSTANCE);
     }
 
     void probe(String host) {
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -34,7 +36,7 @@
     private static final String NEVER_RAN = "X-Never-Ran";
     private static final long STALL_MS = 250; // an answer that has begun and gets no further for so long is no answer
     private static final long LONG_STALL_MS = 5000; // the same for one that is passed on as it comes
-    private static final long LONGEST = 64 << 20; // bytes of an answer; whatever claims or brings more is none
+    private static final long LONGEST = 48 << 20; // bytes of an answer; whatever claims or brings more is none
     private static final int INTERIM_MAX = 16; // 1xx answers ahead of one
 
     /** Where a connection rests between exchanges. */
@@ -55,6 +57,7 @@
     private boolean begun; // of the answer, something has come
     private HttpResponse head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private Upload upload; // the rest of the request, on its way; null where all of it was written
     private Sink sink; // takes the answer as it comes; null where it is put together here
     private long passed; // bytes of it that went there
     private double readAt; // when something last came, or reading went on
@@ -97,6 +100,7 @@
             connection = null;
             if (c != null) {
                 c.exchange = null;
+                c.leaveUpload();
                 c.breakOff();
                 c.close();
             }
@@ -180,18 +184,63 @@
         await(x);
         written = begun = clean = false;
         interim = 0;
-        channel.writeAndFlush(message).addListener(f -> {
-            if (exchange != x) {
-                return;
-            }
-            written = f.isSuccess();
-            if (written) {
-                x.written();
-            } else {
-                lost();
-                close();
-            }
-        });
+        if (message instanceof LongRequest) {
+            channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, message.method(), message.uri(),
+                    message.headers()), channel.voidPromise());
+            channel.writeAndFlush(new DefaultHttpContent(message.content()), channel.voidPromise());
+            upload = ((LongRequest) message).rest;
+            upload.to(taker);
+        } else {
+            channel.writeAndFlush(message).addListener(f -> lastLeft(x, f.isSuccess()));
+        }
+    }
+
+    private void lastLeft(Exchange x, boolean left) {
+        if (exchange != x) {
+            return;
+        }
+        written = left;
+        if (written) {
+            x.written();
+        } else {
+            lost();
+            close();
+        }
+    }
+
+    private final Upload.Taker taker = new Upload.Taker() {
+        @Override
+        public boolean ready() {
+            return channel.isWritable();
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            channel.writeAndFlush(new DefaultHttpContent(part), channel.voidPromise());
+        }
+
+        @Override
+        public void last() {
+            Exchange x = exchange;
+            upload = null;
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> lastLeft(x, f.isSuccess()));
+        }
+    };
+
+    /** The body that was on its way goes no further here. */
+    private void leaveUpload() {
+        Upload left = upload;
+        upload = null;
+        if (left != null) {
+            left.leave(taker);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (upload != null) {
+            upload.flow();
+        }
     }
 
     /** What was asked here ended without an answer. It may have run only once its last byte had left. */
@@ -215,6 +264,7 @@
     }
 
     private void end(Outcome outcome, FullHttpResponse response) {
+        leaveUpload(); // ahead of the outcome, on which another host may be asked
         Exchange x = exchange;
         exchange = null;
         if (x != null) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -541,7 +541,9 @@
         Attempt a = new Attempt(this, r, host, now);
         r.attempts.add(a);
         r.out++;
-        if (over || r.closed() || now >= r.request.deadlineMs()
+        Upload rest = LongRequest.restOf(r.message);
+        boolean gone = rest != null && !rest.untouched(); // a part of its body went to a host, and no other has it
+        if (gone || over || r.closed() || now >= r.request.deadlineMs()
                 || a.number >= config.settings().limits().maxAttempts()) {
             attemptEnded(a, Outcome.MOOT, null);
             return;
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -32,6 +32,7 @@
     private static final double NONE = -1;
     private static final double HEAD_MS = 3500; // for a head, from its first byte
     private static final double PAUSE_MS = 2500; // within a body
+    private static final long LONGEST = 48 << 20; // bytes of a body
     private static final double BODY_BYTES_PER_MS = 16; // on the mean, beside the time that a head has
 
     /** In the place of a request: the connection ends with this answer. */
@@ -41,16 +42,20 @@
     enum Asks { TO_GO_ON }
 
     private final Clock clock;
+    private final Runnable steer;
     private final Decoder decoder = new Decoder();
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private Upload rest; // of a body too long to be kept; null where it is put together here
     private boolean over;
     private double since = NONE; // when an unfinished request began to come
     private double readAt; // when something of it last came
     private long read; // bytes of its body
 
-    RequestReader(Clock clock) {
+    /** @param steer runs where reading on may have to pause or to go on */
+    RequestReader(Clock clock, Runnable steer) {
         this.clock = clock;
+        this.steer = steer;
     }
 
     private final class Decoder extends HttpRequestDecoder {
@@ -129,7 +134,7 @@
                 && !HttpUtil.isTransferEncodingChunked(request);
         if (!known) {
             refuse(ctx, HttpResponseStatus.BAD_REQUEST);
-        } else if (HttpUtil.getContentLength(request, 0L) > ClientServer.MAX_BODY) {
+        } else if (HttpUtil.getContentLength(request, 0L) > LONGEST) {
             refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE); // before any of it is read
         } else if (HttpUtil.is100ContinueExpected(request)) {
             ctx.fireUserEventTriggered(Asks.TO_GO_ON);
@@ -139,11 +144,29 @@
     }
 
     private void goOn(ChannelHandlerContext ctx, HttpContent content) {
-        if (body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BODY) {
+        read += content.content().readableBytes();
+        if (read > LONGEST) {
             refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        read += content.content().readableBytes();
+        if (rest == null && read > ClientServer.MAX_BODY) {
+            rest = new Upload(HttpUtil.getContentLength(head, -1L), steer);
+            ByteBuf kept = body;
+            body = Unpooled.EMPTY_BUFFER;
+            ctx.fireChannelRead(new LongRequest(head, kept, rest));
+        }
+        if (rest != null && !over) {
+            rest.add(content.content().retain());
+            if (content instanceof LastHttpContent) {
+                Upload ended = rest;
+                rest = null;
+                head = null;
+                read = 0;
+                since = decoder.leftOver() ? clock.now() : NONE;
+                ended.end();
+            }
+            return;
+        }
         body = joined(ctx, body, content.content());
         if (content instanceof LastHttpContent) {
             DefaultFullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
@@ -178,6 +201,10 @@
     private void end() {
         over = true;
         since = NONE;
+        if (rest != null) {
+            rest.drop();
+            rest = null;
+        }
         head = null;
         body.release();
         body = Unpooled.EMPTY_BUFFER;
--- a/src/main/java/deckfall/net/RequestTerms.java
+++ b/src/main/java/deckfall/net/RequestTerms.java
@@ -51,8 +51,10 @@
     /**
      * The request as the module knows it, or null where it is missing or has malformed what it must say. Its client
      * has been waiting since it arrived, however late it is read.
+     *
+     * @param restMs how long the rest of its body may still take; a client's time counts from its last byte
      */
-    Request read(FullHttpRequest message, double now, double arrived) {
+    Request read(FullHttpRequest message, double now, double arrived, double restMs) {
         HttpHeaders h = message.headers();
         RequestClass cls = classes.get(firstPart(message.uri()));
         String plan = h.get(PLAN);
@@ -72,8 +74,8 @@
         boolean right = units > 0 && units <= settings.sharing().maxUnits() && spread >= 1 && spread <= gateways
                 && first >= 0 && first < gateways && Math.floorMod(settings.me() - (int) first, gateways) < spread;
         double waits = Math.min(left, cls.deadlineMs()); // no client of this class waits longer
-        return !right ? null : new Request(id, Math.max(now + 1, arrived + waits - MARGIN_MS), arrived, h.contains(RETRY), cls.name(),
-                customer, plan, units, (int) first, (int) spread);
+        return !right ? null : new Request(id, Math.max(now + 1, arrived + restMs + waits - MARGIN_MS), arrived,
+                h.contains(RETRY), cls.name(), customer, plan, units, (int) first, (int) spread, restMs);
     }
 
     /** The method and the key of the class; what is safe to repeat has no body, and none may be sent on with it. */
--- a/src/main/java/deckfall/upgrade/Successor.java
+++ b/src/main/java/deckfall/upgrade/Successor.java
@@ -70,6 +70,9 @@
     }
 
     private synchronized void bind() throws IOException {
+        if (closed) {
+            return;
+        }
         if (listener != null) {
             listener.close();
         }
--- a/src/test/java/deckfall/net/ConsoleTest.java
+++ b/src/test/java/deckfall/net/ConsoleTest.java
@@ -108,6 +108,7 @@
         Server one = host(SocketTest::echo);
         Node node = nodeBefore(one);
         assertEquals(200, post(node, "/admin/cordon", "h0"));
+        awaitFigure(node, "svc.cluster_size", 1);
         awaitWatches(1);
         registry.news.add(list(2, true));
         awaitFigure(node, "svc.cluster_size", 0);
