--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -206,7 +206,22 @@
 
     @Override public void streamStarted(double now, String id, int attempt) {
         Ask ask = asks.get(id);
-        if (ask != null) ask.streaming = true;
+        if (ask == null) return;
+        ask.streaming = true;
+        // A long answer has cost its host the work by now; what is left is the way to the client.
+        boolean known = attempt >= 0 && attempt < ask.attempts.size();
+        if (known && !ask.cls.spec.streaming()) leavePlace(ask.attempts.get(attempt));
+        release(now);
+    }
+
+    /** From here on an attempt that is out takes nobody's place at its host. */
+    private void leavePlace(Attempt a) {
+        if (!a.placed) return;
+        a.placed = false;
+        inFlight--;
+        a.server.out.remove(a);
+        a.server.outWork = a.server.out.isEmpty() ? 0 : a.server.outWork - a.work;
+        if (a.server.out.isEmpty()) watched.remove(a.server);
     }
 
     @Override public void attemptEnded(double now, AttemptResult r) {
@@ -217,10 +232,7 @@
         a.out = false;
         a.neverRan = r.outcome().neverRan();
         a.unsent = a.neverRan && r.outcome() != Outcome.FULL;
-        inFlight--;
-        a.server.out.remove(a);
-        a.server.outWork = a.server.out.isEmpty() ? 0 : a.server.outWork - a.work;
-        if (a.server.out.isEmpty()) watched.remove(a.server);
+        leavePlace(a);
         learn(now, ask, a, r);
         if (r.closed()) {
             close(ask);
@@ -769,10 +781,13 @@
             if (ask.customer != null) ask.customer.unsent -= ask.request.units();
         }
         ask.attempts.add(a);
-        s.out.add(a);
-        s.outWork += a.work;
-        watched.add(s);
-        inFlight++;
+        if (ask.request.restMs() == 0) { // a host begins no sooner than the last byte is there
+            a.placed = true;
+            s.out.add(a);
+            s.outWork += a.work;
+            watched.add(s);
+            inFlight++;
+        }
         act.send(ask.request.id(), s.info.id(), 0);
     }
 
@@ -1068,7 +1083,7 @@
         for (Server s : new ArrayList<>(watched)) {
             for (Attempt a : new ArrayList<>(s.out)) {
                 double expected = a.work * Math.max(1, slowness(now, s.health));
-                double waited = now - a.sentAt - ownStall(now, a) - a.ask.request.restMs();
+                double waited = now - a.sentAt - ownStall(now, a);
                 if (a.overdue || a.ask.streaming || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
                 judge(s.of(a.ask.cls), SLOW_MAX, FAILED_GAIN, now);
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -184,6 +184,7 @@
         final double work;
         final double stalled; // own stalls before it was sent, in all
         boolean out = true;
+        boolean placed; // counts among what its host is doing
         boolean neverRan;
         boolean unsent; // it never came whole to the host
         boolean overdue;
--- a/src/test/java/deckfall/DecisionsTest.java
+++ b/src/test/java/deckfall/DecisionsTest.java
@@ -319,6 +319,52 @@
         return g.log;
     }
 
+    /** How many requests a single host gets at once before the next is held or refused. */
+    private static int fill(FakeGateway g) {
+        int sent = 0;
+        for (int i = 0; g.sent.size() == i; i++) {
+            sent = i;
+            g.ask("f" + i, "read");
+        }
+        return sent;
+    }
+
+    /** Their hosts are done with them: while clients took their time over long answers, nearly half was refused. */
+    @Test
+    void answersOnTheirWayHoldNoPlace() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1");
+        int places = fill(g);
+        assertTrue(places > 0);
+        for (int i = 0; i < places; i++) {
+            g.brain.streamStarted(g.now, "f" + i, 0);
+            g.brain.streamStarted(g.now, "f" + i, 0); // told twice it frees no second place
+        }
+        int before = g.sent.size();
+        for (int i = 0; i < 3 * places; i++) {
+            g.ask("more" + i, "read");
+        }
+        assertEquals(places, g.sent.size() - before, 1);
+        int now = g.sent.size();
+        g.end("f0", 0, Outcome.OK, 20); // its place was given away when its answer began
+        g.ask("after", "read");
+        assertEquals(now, g.sent.size());
+    }
+
+    /** A host does nothing for a request before its last byte. */
+    @Test
+    void bodiesOnTheirWayHoldNoPlace() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1");
+        for (int i = 0; i < 50; i++) {
+            g.brain.request(g.now, new Gateway.Request("b" + i, g.now + 9000, g.now, false, "order", 1, "free", 1, 0, 1,
+                    5000));
+        }
+        assertEquals(50, g.sent.size());
+        g.ask("plain", "read");
+        assertEquals(51, g.sent.size());
+        g.pass(8000);
+        assertEquals(List.of("plain"), g.cancelled); // nor are they overdue, as that one is
+    }
+
     @Test
     void theModuleStaysWithinItsSize() throws IOException {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/deckfall/Brain.java"));
