--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -83,6 +83,7 @@
     private static final double QUIET_MS = 400; // so much, after which it is overdue
     private static final double ZONE_COST = 0.05; // crossing zones, as share of the score of an idle host
     private static final double COLD_SAFETY = 0.7; // of a cold host's allowance: bursts fit in the rest
+    private static final double COLD_CORES = 2; // of a host at least; the smallest known have three
     private static final int HOMES = 8; // hosts a gateway keeps to, while they serve; more
     private static final int HOST_GATEWAYS = 6; // where a host would have fewer gateways than this
     private static final int DRAWS = 2; // hosts compared at least; more where own counts can tell them apart
@@ -1007,7 +1008,7 @@
             // A cold host has nothing out and so wins: it takes part as seldom as it may win (rule 4).
             double ramp = rampOf(s, now);
             double share = COLD_SAFETY * set.rules().fallMultiple() * ramp;
-            if (ramp < 1 && random.nextDouble() * draws > share) continue;
+            if (ramp < 1 && random.nextDouble() * draws > share && !mayTryOne(ask, s, ramp)) continue;
             double score = score(now, ask, s) * (1 + 1e-3 * random.nextDouble());
             if (score < bestScore) best = s;
             bestScore = Math.min(bestScore, score);
@@ -1015,6 +1016,17 @@
         return best;
     }
 
+    /**
+     * Where nearly all are cold, chance alone leaves them idle and the few warm ones with four times their
+     * time. One request of each gateway at a time can't push a host over: it gets no more than it finishes,
+     * and beyond that at most what all gateways have there, which must fit what the rule allows beyond its
+     * capacity (rule 4).
+     */
+    private boolean mayTryOne(Ask ask, Server s, double ramp) {
+        double beyond = (set.rules().fallMultiple() - 1) * ramp * COLD_CORES * set.rules().fallMs();
+        return s.out.isEmpty() && ask.request.restMs() == 0 && peers.length * ask.work() <= beyond;
+    }
+
     private double score(double now, Ask ask, Server s) {
         double doubt = slowness(now, s, ask.cls);
         if (!ownCounts() && doubt < TROUBLED) doubt = 1; // drawn by it already
--- a/src/test/java/deckfall/GuardsTest.java
+++ b/src/test/java/deckfall/GuardsTest.java
@@ -3,7 +3,10 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import deckfall.Gateway.*;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 /** The five rules, each on one gateway alone. */
@@ -120,6 +123,37 @@
         assertTrue(cold >= 1 && cold < 10, "cold host got " + cold);
     }
 
+    /** Sends to each of four cold hosts beside a warm one, of requests that stay out. */
+    private static long[] coldSends(int gateways, double coldForMs) {
+        FakeGateway g = new FakeGateway(100_000, FakeGateway.settings(0, gateways));
+        List<Host> hosts = new ArrayList<>(List.of(FakeGateway.host("a1", "a")));
+        for (String id : List.of("c1", "c2", "c3", "c4")) {
+            hosts.add(new Host(id, "a", "std", 0, HostState.RUNNING, 1, g.now - coldForMs));
+        }
+        g.brain.hosts(g.now, ListKind.FULL, hosts);
+        for (int i = 0; i < 200; i++) {
+            g.ask("q" + i, "read");
+        }
+        return hosts.stream().skip(1)
+                .mapToLong(h -> g.sent.stream().filter(s -> s.host().equals(h.id())).count()).toArray();
+    }
+
+    /** Chance alone left them idle while the few warm hosts had four times their time. */
+    @Test
+    void whereNearlyAllAreColdEachGetsOneRequestAtATime() {
+        long[] sends = coldSends(1, 3000);
+        for (long n : sends) {
+            assertTrue(n >= 1, Arrays.toString(sends));
+        }
+    }
+
+    /** Forty gateways with one request each are more than a host of two cores can do beyond its share (rule 4). */
+    @Test
+    void manyGatewaysLeaveColdHostsToChance() {
+        long all = LongStream.of(coldSends(40, 300)).sum();
+        assertTrue(all <= 2, "cold hosts got " + all);
+    }
+
     /** One request each 20 ms, answered after 160 ms, so that eight are out at a time. */
     private static void steady(FakeGateway g, int i) {
         g.ask("w" + i, "read");
