One way each to end idle connections, begin the next request and wait in tests

Cause: a last reading of the change found the same lines twice: the end of a request in the reader, the end of idle connections, the list of hosts gathered for each figure, waiting for what must come, making a node that has not started, and answering what a fake gateway sent. A check for streams could no longer be false where it stood, and a class whose answers are streams by the settings had got a release of held requests that the change did not mean for it.

Change: one piece of code serves each; imports are stated. Tests keep their assertions.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -211,7 +211,8 @@
         ask.streaming = true;
         // A long answer has cost its host the work by now; what is left is the way to the client.
         boolean known = attempt >= 0 && attempt < ask.attempts.size();
-        if (known && !ask.cls.spec.streaming()) leavePlace(ask.attempts.get(attempt));
+        if (!known || ask.cls.spec.streaming()) return;
+        leavePlace(ask.attempts.get(attempt));
         release(now);
     }
 
@@ -1099,7 +1100,7 @@
                 if (a.overdue || a.ask.streaming || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
                 judge(s.of(a.ask.cls), SLOW_MAX, FAILED_GAIN, now);
-                boolean useful = !a.ask.done && !a.ask.streaming && now + a.work < giveUpAt(a.ask);
+                boolean useful = !a.ask.done && now + a.work < giveUpAt(a.ask);
                 boolean safe = a.ask.cls.spec.effect() != Effect.ONCE && set.limits().cancel();
                 if (useful && safe && retryTokens >= 1) act.cancel(a.ask.request.id(), a.number);
             }
--- a/src/main/java/deckfall/console/Figures.java
+++ b/src/main/java/deckfall/console/Figures.java
@@ -1,6 +1,7 @@
 package deckfall.console;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
@@ -80,6 +81,6 @@
     }
 
     private static String lower(Enum<?> figure) {
-        return figure.name().toLowerCase(java.util.Locale.ROOT);
+        return figure.name().toLowerCase(Locale.ROOT);
     }
 }
--- a/src/main/java/deckfall/console/LeftOut.java
+++ b/src/main/java/deckfall/console/LeftOut.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
@@ -74,7 +75,7 @@
                     found.add(host);
                 }
             }
-        } catch (java.nio.file.DirectoryIteratorException e) {
+        } catch (DirectoryIteratorException e) {
             throw e.getCause();
         }
         boolean changed = !found.equals(hosts);
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -96,7 +96,7 @@
             listener.close();
         }
         for (LinkedHashSet<Connection> from : givingWay) {
-            List.copyOf(from).forEach(c -> giveUp(c, from));
+            giveUpAll(from);
         }
     }
 
@@ -126,7 +126,7 @@
         listener = null;
         for (LinkedHashSet<Connection> from : givingWay) {
             if (from != unused) {
-                List.copyOf(from).forEach(c -> giveUp(c, from));
+                giveUpAll(from);
             }
         }
     }
@@ -171,6 +171,10 @@
         }
     }
 
+    private void giveUpAll(LinkedHashSet<Connection> from) {
+        List.copyOf(from).forEach(c -> giveUp(c, from));
+    }
+
     private static Connection first(LinkedHashSet<Connection> from) {
         return from.isEmpty() ? null : from.iterator().next();
     }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -23,6 +23,7 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -280,7 +281,7 @@
     /** What only the event loop can count, made known to the console's. */
     private void gauge() {
         loop.schedule(this::gauge, GAUGE_MS, TimeUnit.MILLISECONDS);
-        figures.cluster(discovery.listed().size(), module.avoided(clock.now()));
+        figures.cluster(operators.listedCount(), module.avoided(clock.now()));
     }
 
     /** Whether the fleet serves clients, which would come here, too, rather than wait for this gateway's full speed. */
@@ -675,7 +676,7 @@
 
     /** The port of the listener, where the configuration left it to the system. */
     int port() {
-        return ((java.net.InetSocketAddress) clients.listener().localAddress()).getPort();
+        return ((InetSocketAddress) clients.listener().localAddress()).getPort();
     }
 
     /** How many connections of clients are open; on the event loop. */
@@ -684,7 +685,7 @@
     }
 
     /** Where operators call, where the configuration left the port to the system. */
-    java.net.InetSocketAddress console() {
+    InetSocketAddress console() {
         return console.address();
     }
 
--- a/src/main/java/deckfall/net/Operators.java
+++ b/src/main/java/deckfall/net/Operators.java
@@ -32,6 +32,10 @@
         listed = hosts;
     }
 
+    int listedCount() {
+        return listed.size();
+    }
+
     @Override
     public boolean ready() {
         return ready;
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -160,9 +160,7 @@
             if (content instanceof LastHttpContent) {
                 Upload ended = rest;
                 rest = null;
-                head = null;
-                read = 0;
-                since = decoder.leftOver() ? clock.now() : NONE;
+                nextFrom();
                 ended.end();
             }
             return;
@@ -171,14 +169,19 @@
         if (content instanceof LastHttpContent) {
             DefaultFullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
                     head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
-            head = null;
-            read = 0;
             body = Unpooled.EMPTY_BUFFER;
-            since = decoder.leftOver() ? clock.now() : NONE;
+            nextFrom();
             ctx.fireChannelRead(whole);
         }
     }
 
+    /** A request has come whole: the next one begins here, and has where something stands behind the last. */
+    private void nextFrom() {
+        head = null;
+        read = 0;
+        since = decoder.leftOver() ? clock.now() : NONE;
+    }
+
     /** Parts of a body one behind the other, without a copy; the first is taken over, the second retained. */
     static ByteBuf joined(ChannelHandlerContext ctx, ByteBuf body, ByteBuf part) {
         if (!part.isReadable()) {
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -47,13 +47,22 @@
                     }
                 }
             }
-            for (FakeGateway g : all) {
-                for (FakeGateway.Sent s : List.copyOf(g.sent)) {
-                    if (ended.add(s.id())) {
-                        letIn += Double.parseDouble(s.id().substring(s.id().indexOf(':') + 1));
-                        g.end(s.id(), 0, Gateway.Outcome.OK, 5);
-                    }
-                }
+            all.forEach(this::answerSent);
+        }
+    }
+
+    /** As before the first gateway. */
+    private void reset() {
+        all.clear();
+        ended.clear();
+        letIn = 0;
+    }
+
+    private void answerSent(FakeGateway g) {
+        for (FakeGateway.Sent s : List.copyOf(g.sent)) {
+            if (ended.add(s.id())) {
+                letIn += Double.parseDouble(s.id().substring(s.id().indexOf(':') + 1));
+                g.end(s.id(), 0, Gateway.Outcome.OK, 5);
             }
         }
     }
@@ -259,9 +268,7 @@
     void aCeilingThatChangesHandsIsNeverPassed() {
         for (long seed = 1; seed <= 12; seed++) {
             Random random = new Random(seed);
-            all.clear();
-            ended.clear();
-            letIn = 0;
+            reset();
             cut = false;
             silent = -1;
             gateways(3);
@@ -320,9 +327,7 @@
     void aCeilingIsKeptThroughUpgradesAndFallingBack() {
         for (long seed = 1; seed <= 12; seed++) {
             Random random = new Random(seed);
-            all.clear();
-            ended.clear();
-            letIn = 0;
+            reset();
             gateways(3);
             FakeGateway[] old = new FakeGateway[3];
             double least = 0;
@@ -351,12 +356,7 @@
                         old[g].told.clear(); // it has no way to peers
                         int units = 1 + random.nextInt(4);
                         old[g].ask("old" + serial++ + ":" + units, "read", "capped", 42, units, 3);
-                        for (FakeGateway.Sent s : List.copyOf(old[g].sent)) {
-                            if (ended.add(s.id())) {
-                                letIn += Double.parseDouble(s.id().substring(s.id().indexOf(':') + 1));
-                                old[g].end(s.id(), 0, Gateway.Outcome.OK, 5);
-                            }
-                        }
+                        answerSent(old[g]);
                     }
                 }
                 pass(100);
--- a/src/test/java/deckfall/net/ConsoleTest.java
+++ b/src/test/java/deckfall/net/ConsoleTest.java
@@ -54,11 +54,7 @@
     }
 
     private void awaitFigure(Node node, String name, long value) throws Exception {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (figures(node).get(name) != value) {
-            assertTrue(System.nanoTime() < end, name + " never was " + value);
-            Thread.sleep(5);
-        }
+        Sockets.await(() -> figures(node).get(name) == value, name + " is " + value);
     }
 
     private static void settled(Node node) throws InterruptedException {
--- a/src/test/java/deckfall/net/LongAnswersTest.java
+++ b/src/test/java/deckfall/net/LongAnswersTest.java
@@ -53,12 +53,18 @@
         };
     }
 
-    private static void awaitCurrent(Node node, long value) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (!node.figures.text().contains("svc.current=" + value + "\n")) {
-            assertTrue(System.nanoTime() < end, node.figures.text());
-            Thread.sleep(5);
+    private static void awaitCurrent(Node node, long value) throws Exception {
+        Sockets.await(() -> node.figures.text().contains("svc.current=" + value + "\n"), "current is " + value);
+    }
+
+    /** The count once it no longer rises; it has to have risen. */
+    static long settled(AtomicLong count) throws InterruptedException {
+        long before = -1;
+        while (count.get() != before || before == 0) {
+            before = count.get();
+            Thread.sleep(300);
         }
+        return before;
     }
 
     private static String line(InputStream in) throws IOException {
@@ -134,11 +140,7 @@
         });
         Client c = client(nodeBefore(host)).send(view("long", Sockets.PATIENCE_MS));
         assertNotNull(host.next());
-        long before = -1;
-        while (given.get() != before || before == 0) { // until the host can give no more
-            before = given.get();
-            Thread.sleep(300);
-        }
+        long before = settled(given); // the host can give no more
         assertTrue(before < VERY_LONG - PART, "the host gave " + before);
         byte[] body = c.receive().body();
         assertEquals(VERY_LONG, body.length);
--- a/src/test/java/deckfall/net/LongBodiesTest.java
+++ b/src/test/java/deckfall/net/LongBodiesTest.java
@@ -125,11 +125,7 @@
                 }
             });
             writer.start();
-            long before = -1;
-            while (sent.get() != before || before == 0) { // until the client can send no more
-                before = sent.get();
-                Thread.sleep(300);
-            }
+            long before = LongAnswersTest.settled(sent); // the client can send no more
             assertTrue(before < VERY_LONG - PART, "the client sent " + before);
             reads.countDown();
             assertEquals("done", c.receive().text());
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -28,6 +28,7 @@
 /** The program as the platform starts and ends it. */
 class ProcessTest {
     private static final int DESCRIPTORS = 100;
+    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
 
     @TempDir
     private Path dir;
@@ -47,8 +48,7 @@
 
     private void start(String config, String before) throws IOException {
         Path file = Files.writeString(dir.resolve("config.json"), config);
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder b = new ProcessBuilder("sh", "-c", before + "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"", java,
+        ProcessBuilder b = new ProcessBuilder("sh", "-c", before + "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"", JAVA,
                 "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "deckfall.Main", "serve");
         b.environment().put("NODE_CONFIG", file.toString());
         process = b.redirectOutput(ProcessBuilder.Redirect.DISCARD)
@@ -260,8 +260,7 @@
     }
 
     private Process beside(String log) throws IOException {
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder b = new ProcessBuilder(java, "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
+        ProcessBuilder b = new ProcessBuilder(JAVA, "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
                 "deckfall.Main", "serve");
         b.environment().put("NODE_CONFIG", dir.resolve("config.json").toString());
         b.environment().put("TMPDIR", Files.createDirectories(dir.resolve("tmp")).toString());
--- a/src/test/java/deckfall/net/Sockets.java
+++ b/src/test/java/deckfall/net/Sockets.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -236,8 +237,27 @@
     }
 
     static Node node(String config, Function<Actions, Events> module) throws IOException {
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)), module);
+        Node node = unstarted(config, module);
         node.start();
         return node;
     }
+
+    static Node unstarted(String config) throws IOException {
+        return unstarted(config, Brain::new);
+    }
+
+    private static Node unstarted(String config, Function<Actions, Events> module) throws IOException {
+        return new Node(NodeConfig.of(new ObjectMapper().readTree(config)), module);
+    }
+
+    /** Returns once it is so; a test that waits too long fails and says for what. */
+    static void await(Callable<Boolean> so, String what) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+        while (!so.call()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("waited in vain: " + what);
+            }
+            Thread.sleep(5);
+        }
+    }
 }
--- a/src/test/java/deckfall/net/UpgradeTest.java
+++ b/src/test/java/deckfall/net/UpgradeTest.java
@@ -10,7 +10,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
@@ -83,7 +82,7 @@
     }
 
     private Node after(String config) throws Exception {
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)));
+        Node node = Sockets.unstarted(config);
         ends.push(node::stop);
         node.start(predecessor());
         return node;
@@ -212,17 +211,13 @@
     void aNewProcessThatDiesGivesThePlaceBack() throws Exception {
         Server host = host(SocketTest::echo);
         Node old = before(host);
-        Node fresh = new Node(NodeConfig.of(new ObjectMapper().readTree(config())));
+        Node fresh = Sockets.unstarted(config());
         Predecessor link = predecessor();
         fresh.start(link);
         assertEquals("for a ", client(fresh).send(view("a", Sockets.PATIENCE_MS)).receive().text());
         fresh.stop();
         link.close();
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (!serves("b")) {
-            assertTrue(System.nanoTime() < end, "nobody serves");
-            Thread.sleep(5);
-        }
+        Sockets.await(() -> serves("b"), "somebody serves");
         Client kept = client(old).send(view("c", Sockets.PATIENCE_MS));
         assertNull(kept.receive().header("Connection")); // and connections stay again
         assertEquals(200, kept.send(view("d", Sockets.PATIENCE_MS)).receive().status());
@@ -247,7 +242,7 @@
             String config = config("127.0.0.1:" + port, "127.0.0.1:" + peer.getLocalPort());
             Node old = running(config);
             waitingForNext(old);
-            Node fresh = new Node(NodeConfig.of(new ObjectMapper().readTree(config)));
+            Node fresh = Sockets.unstarted(config);
             Predecessor link = predecessor();
             fresh.start(link);
             awaitMissed(peer, fresh);
@@ -259,19 +254,17 @@
     }
 
     private void awaitMissed(DatagramSocket peer, Node node) throws Exception {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (!node.isMissed()) {
-            assertTrue(System.nanoTime() < end, "the peer was not heard");
+        Sockets.await(() -> {
             peer.send(new DatagramPacket(new byte[] {1}, 1, InetAddress.getLoopbackAddress(), port));
-            Thread.sleep(5);
-        }
+            return node.isMissed();
+        }, "the peer is heard");
     }
 
     /** The option that two processes of one gateway need must not let two gateways share an address. */
     @Test
     void anAddressThatSomebodyElseHasIsNotShared() throws Exception {
         before(host(SocketTest::echo));
-        Node stranger = new Node(NodeConfig.of(new ObjectMapper().readTree(config())));
+        Node stranger = Sockets.unstarted(config());
         ends.push(stranger::stop);
         IOException e = assertThrows(IOException.class, stranger::start);
         assertTrue(e.getMessage().contains("somebody else has the address"), e.getMessage());
