--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -11,6 +11,9 @@
 import deckfall.Gateway.RequestClass;
 import deckfall.console.Console;
 import deckfall.console.Figures;
+import deckfall.start.Birth;
+import deckfall.start.StartBudget;
+import deckfall.start.StartBudget.Step;
 import deckfall.upgrade.Predecessor;
 import deckfall.upgrade.Successor;
 import io.netty.channel.ChannelFuture;
@@ -43,7 +46,6 @@
     static final long ACCEPT_ON_MS = 500; // after an end is near: new connections still come for a while
     private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
-    private static final long FIRST_WORD_MS = 500; // how long a start waits for discovery, which answers at once
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final long GAUGE_MS = 250; // how often the hosts are counted for the operators
     private static final long TURN_MS = 2; // a timer's end: the event loop has been round since it was set
@@ -115,16 +117,20 @@
     public static void main(String configFile) {
         plainLogs();
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
+        StartBudget budget = new StartBudget(Birth.ofThisProcess()::ageMs);
         try {
             NodeConfig config = reload.first();
             Kept kept = Kept.in(System.getenv("TMPDIR"), config.name());
-            Predecessor serves = kept == null ? null : Predecessor.find(kept.successor());
+            Predecessor serves = kept == null ? null : Predecessor.find(kept.successor(), budget.limitMs(Step.HELLO));
             Node early = new Node(config);
             early.openConsole(kept);
             if (serves == null) {
                 early.loop.execute(early.peers::start);
             }
-            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS, early::isMissed) + " answers");
+            long began = budget.ageMs();
+            long patience = budget.limitMs(serves == null ? Step.WARM_UP_ALONE : Step.WARM_UP);
+            int answers = WarmUp.run(config, WarmUp.ENOUGH, patience, early::isMissed);
+            log("warm after " + answers + " answers, from " + began + " to " + budget.ageMs() + " ms of this process");
             NodeConfig newest = reload.newest(); // seconds have passed, and nobody need have sent a signal
             Node node = early;
             if (newest != config) {
@@ -135,7 +141,8 @@
             }
             reload.follow(newest, node::reload);
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
-            node.start(serves);
+            node.start(serves, budget);
+            log("serves after " + budget.ageMs() + " ms of this process");
             if (kept != null) {
                 // On a thread of its own: the exit runs the hook that ends what is open, and returns to nobody.
                 Runnable end = () -> new Thread(() -> System.exit(0)).start();
@@ -148,7 +155,8 @@
     }
 
     void start() throws IOException {
-        start(null);
+        Birth now = Birth.ofNow();
+        start(null, new StartBudget(now::ageMs));
     }
 
     /**
@@ -156,12 +164,13 @@
      * discovery has spoken, or has had its time, and not with the list of some earlier life.
      *
      * @param serves the process that serves in this one's place until then; null for nobody
+     * @param budget what the start may still wait for
      */
-    void start(Predecessor serves) throws IOException {
+    void start(Predecessor serves, StartBudget budget) throws IOException {
         openConsole(null);
         CountDownLatch heard = new CountDownLatch(1);
         try {
-            boolean taken = serves != null && serves.take();
+            boolean taken = serves != null && serves.take(budget.limitMs(Step.TAKEN));
             if (!taken) {
                 transport.claim(config.listen());
             }
@@ -175,9 +184,9 @@
                 begin();
                 discovery.start(heard::countDown);
             }).sync();
-            heard.await(FIRST_WORD_MS, TimeUnit.MILLISECONDS); // without a word the list of before the start serves
+            heard.await(budget.limitMs(Step.WORD), TimeUnit.MILLISECONDS); // without a word the list of before the start serves
             loop.submit(clients::start).sync().getNow().sync();
-            if (taken && !serves.serving()) {
+            if (taken && !serves.serving(budget.limitMs(Step.LEFT))) {
                 log("upgrade: the process that served did not say that it left");
             }
             operators.ready(!taken || !serves.away());
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -15,32 +15,26 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 /**
  * Before a node takes clients, two of its kind serve made-up ones in the process's memory, so that the code which
@@ -56,7 +50,6 @@
     static final int ENOUGH = 600;
     /** Answers after which at least each path of a request was gone once: so many a return waits for, too. */
     static final int RETURNED = 30;
-    static final long PATIENCE_MS = 8000; // at its end a node serves, warm or not
 
     private static final long QUIET_MS = 20; // in which each side hears of the other's end
     private static final long POLL_MS = 10; // how often it looks whether it should end early
@@ -68,10 +61,20 @@
     private static final int FAULT_EVERY = 16; // answers of hosts, among which each fault comes once
     private static final double MAIL_PER_SECOND = 4000; // no message waits for the next gap
     private static final int BODY = 256; // bytes of an answer
+    private static final HexFormat HEX = HexFormat.of();
     private static final InetAddress HERE = InetAddress.getLoopbackAddress();
     private static final Transport TRANSPORT = Transport.MEMORY;
 
+    private static final String LENGTH = "\r\nContent-Length: " + BODY + "\r\n\r\n";
+    /** What hosts answer: each fault in its turn, and what is usual. */
+    private static final List<ByteBuf> ANSWERS = Stream.of("503 Service Unavailable\r\nX-Never-Ran: 1",
+            "500 Internal Server Error", "200 OK\r\nConnection: close", "200 OK")
+            .map(line -> Unpooled.unreleasableBuffer(message("HTTP/1.1 " + line + LENGTH, BODY))).toList();
+    private static final int LAST_ANSWER = 2; // of a connection
+    private static final AtomicInteger NEXT_ADDRESS = new AtomicInteger(1);
+
     private final NodeConfig config;
+    private final int firstAddress = NEXT_ADDRESS.getAndAdd(2 + HOSTS); // in memory; the one before may still end
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     /** Another loop: what both sides of a channel in memory do on one, they do from inside each other. */
     private final NioEventLoopGroup outside = new NioEventLoopGroup(1);
@@ -80,7 +83,6 @@
     private final ChannelGroup hosts = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final CountDownLatch left;
     private volatile boolean over;
-    private final ByteBuf body = Unpooled.unreleasableBuffer(Unpooled.wrappedBuffer(new byte[BODY]));
     private int asked;
     private int served;
 
@@ -102,27 +104,37 @@
             }
             return (int) (answers - warmUp.left.getCount());
         } finally {
-            warmUp.close();
-            Future<?> ended = warmUp.outside.shutdownGracefully(QUIET_MS, LAST_MS, TimeUnit.MILLISECONDS);
-            warmUp.group.shutdownGracefully(QUIET_MS, LAST_MS, TimeUnit.MILLISECONDS).await();
+            warmUp.over = true;
+            Thread end = new Thread(warmUp::end, "warm-up's end"); // what is left of it holds nobody up
+            end.setDaemon(true);
+            end.start();
+        }
+    }
+
+    private void end() {
+        try {
+            close();
+            Future<?> ended = outside.shutdownGracefully(QUIET_MS, LAST_MS, TimeUnit.MILLISECONDS);
+            group.shutdownGracefully(QUIET_MS, LAST_MS, TimeUnit.MILLISECONDS).await();
             ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
     /** Ends the made-up world from its clients on, each side having been told before its loop goes. */
     private void close() throws InterruptedException {
-        over = true;
         clients.close().await();
         group.submit(() -> nodes.forEach(Node::endAll)).await();
         hosts.close().await();
         group.submit(() -> { }).await();
     }
 
-    private static InetSocketAddress address(int number) {
-        return new InetSocketAddress(HERE, number + 1);
+    private InetSocketAddress address(int number) {
+        return new InetSocketAddress(HERE, firstAddress + number);
     }
 
-    private static InetSocketAddress hostAddress(int number) {
+    private InetSocketAddress hostAddress(int number) {
         return address(2 + number);
     }
 
@@ -135,8 +147,7 @@
             TRANSPORT.server(outside).childHandler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
-                            new StandInHost());
+                    ch.pipeline().addLast(new StandInHost());
                 }
             }).bind(TRANSPORT.at(at)).sync();
         }
@@ -173,18 +184,42 @@
         TRANSPORT.client(outside.next()).handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
-                        new StandInClient());
+                ch.pipeline().addLast(new StandInClient());
             }
         }).connect(TRANSPORT.at(address(0)));
     }
 
-    private final class StandInClient extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /**
+     * The other side of a connection, which reads and writes plain bytes: what a stand-in did with a codec would be
+     * work that no real request needs. One exchange is under way at a time, and a side writes its message at once, so
+     * that the end of what can be read is the end of the message.
+     */
+    private abstract static class StandIn extends ChannelInboundHandlerAdapter {
+        private boolean read;
+
+        abstract void exchanged(ChannelHandlerContext ctx);
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            read |= ((ByteBuf) bytes).isReadable();
+            ReferenceCountUtil.release(bytes);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (read) {
+                read = false;
+                exchanged(ctx);
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // an answer may cross the end of the warm-up
+            ctx.close(); // a message may cross the end of the connection
         }
+    }
 
+    private final class StandInClient extends StandIn {
         private int asks;
 
         @Override
@@ -199,7 +234,7 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+        void exchanged(ChannelHandlerContext ctx) {
             left.countDown();
             if (asks < ASKS) {
                 ask(ctx);
@@ -212,49 +247,40 @@
         }
     }
 
-    private FullHttpRequest request() {
+    private ByteBuf request() {
         int n = asked++;
         List<RequestClass> classes = config.settings().classes();
         RequestClass cls = classes.get(n % classes.size());
         boolean safe = cls.effect() == Effect.REPEATABLE;
-        FullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
-                '/' + cls.name() + "/warm", safe ? Unpooled.EMPTY_BUFFER : body.duplicate());
         int customer = n % CUSTOMERS;
         List<Plan> plans = config.settings().plans();
-        r.headers().set(HttpHeaderNames.HOST, "warm").set(RequestTerms.ID, Integer.toString(n))
-                .set(RequestTerms.PLAN, plans.get(customer % plans.size()).name())
-                .set(RequestTerms.CUSTOMER, String.format("%016x", customer))
-                .set(RequestTerms.EXPIRES, Integer.toString((int) cls.deadlineMs()))
-                .set(RequestTerms.QUOTA, "units=1,spread=" + (1 + customer % 2) + ",first=0")
-                .set(RequestTerms.KEY, Integer.toString(n))
-                .setInt(HttpHeaderNames.CONTENT_LENGTH, r.content().readableBytes());
-        return r;
+        String head = (safe ? "GET /" : "POST /") + cls.name() + "/warm HTTP/1.1\r\nHost: warm\r\n"
+                + RequestTerms.ID + ": " + n + "\r\n"
+                + RequestTerms.PLAN + ": " + plans.get(customer % plans.size()).name() + "\r\n"
+                + RequestTerms.CUSTOMER + ": " + HEX.toHexDigits((long) customer) + "\r\n"
+                + RequestTerms.EXPIRES + ": " + (int) cls.deadlineMs() + "\r\n"
+                + RequestTerms.QUOTA + ": units=1,spread=" + (1 + customer % 2) + ",first=0\r\n"
+                + RequestTerms.KEY + ": " + n + "\r\nContent-Length: " + (safe ? 0 : BODY) + "\r\n\r\n";
+        return message(head, safe ? 0 : BODY);
     }
 
-    /** Answers at once, now and then with what hosts in trouble do. */
-    private final class StandInHost extends SimpleChannelInboundHandler<FullHttpRequest> {
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // a request may cross the end of the connection
-        }
+    private static ByteBuf message(String head, int body) {
+        byte[] ascii = head.getBytes(StandardCharsets.US_ASCII);
+        return Unpooled.wrappedBuffer(Arrays.copyOf(ascii, ascii.length + body));
+    }
 
+    /** Answers at once, now and then with what hosts in trouble do. */
+    private final class StandInHost extends StandIn {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             hosts.add(ctx.channel());
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        void exchanged(ChannelHandlerContext ctx) {
             int fault = served++ % FAULT_EVERY;
-            HttpResponseStatus status = fault == 0 ? HttpResponseStatus.SERVICE_UNAVAILABLE
-                    : fault == 1 ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.OK;
-            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body.duplicate());
-            answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
-            if (fault == 0) {
-                answer.headers().set("X-Never-Ran", "1");
-            }
-            if (fault == 2) {
-                answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ByteBuf answer = ANSWERS.get(Math.min(fault, ANSWERS.size() - 1)).retainedDuplicate();
+            if (fault == LAST_ANSWER) {
                 ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
             } else {
                 ctx.writeAndFlush(answer, ctx.voidPromise());
--- a/src/main/java/deckfall/upgrade/Predecessor.java
+++ b/src/main/java/deckfall/upgrade/Predecessor.java
@@ -9,9 +9,6 @@
 
 /** The new process's side of an upgrade: what it asks of the one that serves. For one thread. */
 public final class Predecessor implements Closeable {
-    private static final long HELLO_MS = 5000; // until it has answered at all
-    private static final long DONE_MS = 5000; // until it has done what was asked: its loop may be late
-
     private final Wire wire;
     private boolean away;
 
@@ -22,9 +19,10 @@
     /**
      * The process that serves, as far as one answers at this path; else null.
      *
+     * @param waitMs how long its answer may take: its loop may be late
      * @throws IOException where one answers that this program can't take over from: nothing has happened there
      */
-    public static Predecessor find(Path path) throws IOException, InterruptedException {
+    public static Predecessor find(Path path, long waitMs) throws IOException, InterruptedException {
         if (!Files.exists(path)) {
             return null;
         }
@@ -41,7 +39,7 @@
             wire.close();
             return null;
         }
-        String hello = wire.next(HELLO_MS);
+        String hello = wire.next(waitMs);
         if (Successor.HELLO.equals(hello)) {
             return new Predecessor(wire);
         }
@@ -51,22 +49,23 @@
             return null;
         }
         throw new IOException("can't take over from the running process: "
-                + (hello == null ? "no answer within " + HELLO_MS + " ms" : hello));
+                + (hello == null ? "no answer within " + waitMs + " ms" : hello));
     }
 
     /**
      * Asks for the place; from its return on peers and quotas are this process's.
      *
+     * @param waitMs how long the other process may take to let go
      * @return false where the other process has ended by itself meanwhile
      * @throws IOException where it lives and does not let go
      */
-    public boolean take() throws IOException, InterruptedException {
+    public boolean take(long waitMs) throws IOException, InterruptedException {
         try {
             wire.say(Successor.TAKE);
         } catch (IOException e) {
             return false;
         }
-        String answer = wire.next(DONE_MS);
+        String answer = wire.next(waitMs);
         if (answer == null && wire.ended()) {
             return false;
         }
@@ -82,14 +81,18 @@
         return away;
     }
 
-    /** This process accepts clients. Returns whether the other one no longer does, or is gone. */
-    public boolean serving() throws InterruptedException {
+    /**
+     * This process accepts clients. Returns whether the other one no longer does, or is gone.
+     *
+     * @param waitMs how long it may take to accept what stands in its queue
+     */
+    public boolean serving(long waitMs) throws InterruptedException {
         try {
             wire.say(Successor.SERVING);
         } catch (IOException e) {
             return true;
         }
-        return Successor.LEFT.equals(wire.next(DONE_MS)) || wire.ended();
+        return Successor.LEFT.equals(wire.next(waitMs)) || wire.ended();
     }
 
     /** Tells the other process that this one is gone; while this one serves, it stays open until the process ends. */
--- a/src/test/java/deckfall/net/UpgradeTest.java
+++ b/src/test/java/deckfall/net/UpgradeTest.java
@@ -14,6 +14,7 @@
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
+import deckfall.start.StartBudget;
 import deckfall.upgrade.Predecessor;
 import deckfall.upgrade.Successor;
 import java.io.IOException;
@@ -75,8 +76,13 @@
         successor.open();
     }
 
+    /** Of a start that has just begun, whatever this machine's speed. */
+    private static StartBudget inTime() {
+        return new StartBudget(() -> 0);
+    }
+
     private Predecessor predecessor() throws Exception {
-        Predecessor old = Predecessor.find(path());
+        Predecessor old = Predecessor.find(path(), Sockets.PATIENCE_MS);
         assertNotNull(old);
         return kept(old);
     }
@@ -84,7 +90,7 @@
     private Node after(String config) throws Exception {
         Node node = Sockets.unstarted(config);
         ends.push(node::stop);
-        node.start(predecessor());
+        node.start(predecessor(), inTime());
         return node;
     }
 
@@ -213,7 +219,7 @@
         Node old = before(host);
         Node fresh = Sockets.unstarted(config());
         Predecessor link = predecessor();
-        fresh.start(link);
+        fresh.start(link, inTime());
         assertEquals("for a ", client(fresh).send(view("a", Sockets.PATIENCE_MS)).receive().text());
         fresh.stop();
         link.close();
@@ -244,7 +250,7 @@
             waitingForNext(old);
             Node fresh = Sockets.unstarted(config);
             Predecessor link = predecessor();
-            fresh.start(link);
+            fresh.start(link, inTime());
             awaitMissed(peer, fresh);
             assertTrue(!old.isMissed());
             fresh.stop();
--- a/src/test/java/deckfall/upgrade/HandOverTest.java
+++ b/src/test/java/deckfall/upgrade/HandOverTest.java
@@ -80,7 +80,7 @@
     }
 
     private Predecessor found() throws Exception {
-        Predecessor found = Predecessor.find(path);
+        Predecessor found = Predecessor.find(path, PATIENCE_MS);
         assertNotNull(found);
         ends.push(found);
         return found;
@@ -111,11 +111,11 @@
         running(0);
         Predecessor old = found();
         assertTrue(done.isEmpty());
-        assertTrue(old.take());
+        assertTrue(old.take(PATIENCE_MS));
         assertEquals("release", next());
         assertFalse(old.away());
         assertTrue(done.isEmpty());
-        assertTrue(old.serving());
+        assertTrue(old.serving(PATIENCE_MS));
         assertEquals("leave", next());
         assertEquals("end", next());
     }
@@ -125,7 +125,7 @@
         away = true;
         running(NEVER_MS);
         Predecessor old = found();
-        assertTrue(old.take());
+        assertTrue(old.take(PATIENCE_MS));
         assertTrue(old.away());
     }
 
@@ -134,7 +134,7 @@
         running(NEVER_MS);
         found().close();
         Predecessor next = found();
-        assertTrue(next.take());
+        assertTrue(next.take(PATIENCE_MS));
         assertEquals("release", next());
     }
 
@@ -142,12 +142,12 @@
     void anEndBeforeServingGivesThePlaceBack() throws Exception {
         running(NEVER_MS);
         Predecessor old = found();
-        assertTrue(old.take());
+        assertTrue(old.take(PATIENCE_MS));
         old.close();
         assertEquals("release", next());
         assertEquals("takeBack", next());
         Predecessor again = awaitFound();
-        assertTrue(again.take());
+        assertTrue(again.take(PATIENCE_MS));
         assertEquals("release", next());
     }
 
@@ -155,8 +155,8 @@
     void anEndWhileItServesGivesThePlaceBack() throws Exception {
         running(NEVER_MS);
         Predecessor old = found();
-        assertTrue(old.take());
-        assertTrue(old.serving());
+        assertTrue(old.take(PATIENCE_MS));
+        assertTrue(old.serving(PATIENCE_MS));
         assertEquals("release", next());
         assertEquals("leave", next());
         Successor newer = new Successor(path, place, line -> { }, NEVER_MS);
@@ -164,14 +164,14 @@
         newer.close();
         old.close();
         assertEquals("takeBack", next());
-        assertTrue(awaitFound().take()); // the old one has its path again
+        assertTrue(awaitFound().take(PATIENCE_MS)); // the old one has its path again
         assertEquals("release", next());
     }
 
     /** The path is there again a moment after the place is. */
     private Predecessor awaitFound() throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
-        for (Predecessor p = Predecessor.find(path);; p = Predecessor.find(path)) {
+        for (Predecessor p = Predecessor.find(path, PATIENCE_MS);; p = Predecessor.find(path, PATIENCE_MS)) {
             if (p != null) {
                 ends.push(p);
                 return p;
@@ -183,11 +183,11 @@
 
     @Test
     void theRunningProcessMayEndAtAnyStep() throws Exception {
-        assertNull(Predecessor.find(path));
+        assertNull(Predecessor.find(path, PATIENCE_MS));
         Successor running = new Successor(path, place, line -> { }, NEVER_MS);
         running.open();
         running.close();
-        assertNull(Predecessor.find(path)); // its file is there, and nobody behind it
+        assertNull(Predecessor.find(path, PATIENCE_MS)); // its file is there, and nobody behind it
     }
 
     @Test
@@ -196,7 +196,7 @@
         assertEquals("no: this is marlford-upgrade 1\n", read(stranger("marlford-upgrade 2\n")));
         assertTrue(done.isEmpty());
         Predecessor next = found();
-        assertTrue(next.take());
+        assertTrue(next.take(PATIENCE_MS));
     }
 
     @Test
@@ -213,7 +213,7 @@
             }
         });
         answering.start();
-        IOException e = assertThrows(IOException.class, () -> Predecessor.find(path));
+        IOException e = assertThrows(IOException.class, () -> Predecessor.find(path, PATIENCE_MS));
         assertTrue(e.getMessage().contains("marlford-upgrade 9"), e.getMessage());
     }
 
@@ -225,7 +225,7 @@
             stranger(noise);
         }
         stranger(Successor.HELLO + "\nserving\n");
-        assertTrue(awaitFound().take());
+        assertTrue(awaitFound().take(PATIENCE_MS));
         assertEquals("release", next());
         assertTrue(done.isEmpty());
     }
