A gateway that is to end serves on among others; a leaner start; requests sent ahead are kept

A log of loaded classes showed what a start does for nothing: classes and lambdas missing from the archive, the system's logging, channels made by reflection.

Change: after SIGTERM a gateway that hears others says no to health and serves whoever is connected for the longest deadline (3 s at most) less 1 s; then it drains as before. The rehearsal goes the whole way of a start, netty's lines go to PlainLog, channels come from constructors, comparators can be archived. A return goes through 60 made-up answers.

Direct memory was suspected of the two lost requests and cleared: 4.5 of 16 MB at most.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -969,7 +969,7 @@
         }
         // Each gateway keeps to some hosts, in turn with the others: more answers and warm connections at
         // each, and tables that do not fill where there are hundreds of gateways.
-        usable.sort(Comparator.comparing(s -> s.info.id().hashCode()));
+        usable.sort((a, b) -> Integer.compare(a.info.id().hashCode(), b.info.id().hashCode()));
         homes.clear();
         int kept = Math.max(HOMES, HOST_GATEWAYS * usable.size() / peers.length);
         for (int i = 0; i < Math.min(kept, usable.size()); i++) {
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -7,12 +7,11 @@
 import deckfall.Gateway.RequestClass;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.stream.IntStream;
 
 /** What one gateway remembers: plain fields and look-ups, no decision; Brain alone reads meaning into them. */
 final class State {
@@ -22,9 +21,20 @@
 
     /** The gateways of a set that stand first by the hash of a thing: each gateway finds the same by itself. */
     static int[] ranked(long thing, int first, int spread, int gateways, int count) {
-        return IntStream.range(first, first + spread).map(g -> Math.floorMod(g, gateways)).boxed()
-                .sorted(Comparator.comparingLong(g -> mixed(thing * 31 + mixed(g)))).limit(count)
-                .mapToInt(g -> g).toArray();
+        int[] found = new int[spread];
+        long[] hashes = new long[spread];
+        for (int i = 0; i < spread; i++) {
+            int g = Math.floorMod(first + i, gateways);
+            long hash = mixed(thing * 31 + mixed(g));
+            int at = i;
+            for (; at > 0 && hashes[at - 1] > hash; at--) {
+                found[at] = found[at - 1];
+                hashes[at] = hashes[at - 1];
+            }
+            found[at] = g;
+            hashes[at] = hash;
+        }
+        return Arrays.copyOf(found, Math.min(spread, count));
     }
 
     private static long mixed(long x) {
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -90,11 +90,15 @@
         return bound;
     }
 
-    /** After this only requests that already came are answered. */
+    /** After this only those who are connected are heard. */
     void stopAccepting() {
         if (listener != null) { // else the end came during the start
             listener.close();
         }
+    }
+
+    /** After this only requests that already came are answered. */
+    void giveUpIdle() {
         for (LinkedHashSet<Connection> from : givingWay) {
             giveUpAll(from);
         }
@@ -151,7 +155,10 @@
         double now = node.clock.now();
         for (Connection c : List.copyOf(connections)) {
             if (c.overdue(now)) {
-                c.timeOut();
+                Transport.readNow(c.channel); // what stands in its socket was not late, this loop was
+                if (c.overdue(node.clock.now())) {
+                    c.timeOut();
+                }
             }
         }
         if (now - node.awayAt() > Node.ACCEPT_ON_MS) {
@@ -536,8 +543,9 @@
                 return;
             }
             busy = false;
-            rest();
-            if (!waiting.isEmpty()) { // not at once: an answer may be given while the request is being taken
+            if (waiting.isEmpty()) {
+                rest();
+            } else { // not at once: an answer may be given while the request is being taken
                 node.loop.execute(this::next);
             }
         }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -23,8 +23,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -34,9 +32,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
 
 /**
  * One api gateway: the event loop on which everything runs, the clock, the timers, the decision module and the
@@ -44,6 +39,7 @@
  */
 public final class Node implements Actions {
     static final long ACCEPT_ON_MS = 500; // after an end is near: new connections still come for a while
+    private static final double LAST_MS = 1000; // for what a client asked last of a gateway that is to end
     private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
@@ -72,7 +68,7 @@
     private final Events module;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
-    private final ClientServer clients;
+    final ClientServer clients;
     private final HostClient hosts;
     private final Discovery discovery;
     private final PeerLink peers;
@@ -83,6 +79,7 @@
     private final Operators operators;
     private Console console; // null where there is none
     private boolean draining;
+    private boolean leaving; // that has come so far that clients no longer stay
     private boolean quiesced;
     private boolean replaced; // another process accepts clients in this one's place
     private double awayAt = Double.POSITIVE_INFINITY; // since when clients are sent away
@@ -115,45 +112,59 @@
 
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
     public static void main(String configFile) {
-        plainLogs();
+        PlainLog.install();
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
-        StartBudget budget = new StartBudget(Birth.ofThisProcess()::ageMs);
         try {
-            NodeConfig config = reload.first();
-            Kept kept = Kept.in(System.getenv("TMPDIR"), config.name());
-            Predecessor serves = kept == null ? null : Predecessor.find(kept.successor(), budget.limitMs(Step.HELLO));
-            Node early = new Node(config);
-            early.openConsole(kept);
-            if (serves == null) {
-                early.loop.execute(early.peers::start);
-            }
-            long began = budget.ageMs();
-            long patience = budget.limitMs(serves == null ? Step.WARM_UP_ALONE : Step.WARM_UP);
-            int answers = WarmUp.run(config, WarmUp.ENOUGH, patience, early::isMissed);
-            log("warm after " + answers + " answers, from " + began + " to " + budget.ageMs() + " ms of this process");
-            NodeConfig newest = reload.newest(); // seconds have passed, and nobody need have sent a signal
-            Node node = early;
-            if (newest != config) {
-                early.stop();
-                node = new Node(newest);
-                node.openConsole(kept);
-                log("the configuration was replaced during the start");
-            }
-            reload.follow(newest, node::reload);
-            Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
-            node.start(serves, budget);
-            log("serves after " + budget.ageMs() + " ms of this process");
-            if (kept != null) {
-                // On a thread of its own: the exit runs the hook that ends what is open, and returns to nobody.
-                Runnable end = () -> new Thread(() -> System.exit(0)).start();
-                new Successor(kept.successor(), node.place(end), Node::log).open();
-            }
+            serve(reload, System.getenv("TMPDIR"), StartBudget.ofThisProcess(), true);
         } catch (NodeConfig.BadConfig | IOException | InterruptedException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
     }
 
+    /**
+     * The whole of a start. Returns once clients are served.
+     *
+     * @param folder where the processes of one gateway meet; null for nowhere
+     * @param alone whether this process is the node's, and ends with it
+     */
+    static Node serve(Reload reload, String folder, StartBudget budget, boolean alone)
+            throws NodeConfig.BadConfig, IOException, InterruptedException {
+        NodeConfig config = reload.first();
+        Kept kept = Kept.in(folder, config.name());
+        Predecessor serves = kept == null ? null : Predecessor.find(kept.successor(), budget.limitMs(Step.HELLO));
+        Node early = new Node(config);
+        early.openConsole(kept);
+        if (serves == null) {
+            early.loop.execute(early.peers::start);
+        }
+        long began = budget.ageMs();
+        long patience = budget.limitMs(serves == null ? Step.WARM_UP_ALONE : Step.WARM_UP);
+        int answers = WarmUp.run(config, WarmUp.ENOUGH, patience, early::isMissed);
+        log("warm after " + answers + " answers, from " + began + " to " + budget.ageMs() + " ms of this process");
+        NodeConfig newest = reload.newest(); // seconds have passed, and nobody need have sent a signal
+        Node node = early;
+        if (newest != config) {
+            early.stop();
+            node = new Node(newest);
+            node.openConsole(kept);
+            log("the configuration was replaced during the start");
+        }
+        reload.follow(newest, node::reload);
+        Thread drain = new Thread(node::drainAndHalt);
+        if (alone) {
+            Runtime.getRuntime().addShutdownHook(drain);
+        }
+        node.start(serves, budget);
+        log("serves after " + budget.ageMs() + " ms of this process");
+        if (kept != null) {
+            // On a thread of its own: the exit runs the hook that ends what is open, and returns to nobody.
+            Runnable end = () -> new Thread(() -> System.exit(0)).start();
+            new Successor(kept.successor(), node.place(end), Node::log).open();
+        }
+        return node;
+    }
+
     void start() throws IOException {
         Birth now = Birth.ofNow();
         start(null, new StartBudget(now::ageMs));
@@ -317,30 +328,6 @@
         }
     }
 
-    /**
-     * One plain line for each thing that netty warns of. The system's own handler reads the time zones' file for
-     * its first line, and where that line says that no descriptor is left, this would end the event loop.
-     */
-    static void plainLogs() {
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        Logger root = Logger.getLogger("");
-        for (Handler h : root.getHandlers()) {
-            root.removeHandler(h);
-        }
-        root.addHandler(new Handler() {
-            @Override
-            public void publish(LogRecord r) {
-                log(r.getLevel() + " " + r.getMessage() + (r.getThrown() == null ? "" : " " + r.getThrown()));
-            }
-
-            @Override
-            public void flush() { }
-
-            @Override
-            public void close() { }
-        });
-    }
-
     /** Another way to the other gateways than datagrams. */
     void linkBy(Mail other) {
         mail = other;
@@ -383,7 +370,7 @@
 
     /** Whether clients are to go elsewhere: they are served, but no connection of theirs stays. */
     boolean sendsAway() {
-        return draining || quiesced || replaced;
+        return leaving || quiesced || replaced;
     }
 
     /** What to say of this gateway's health: another process that serves in its place is this gateway, too. */
@@ -646,18 +633,44 @@
         Runtime.getRuntime().halt(0);
     }
 
-    /** Accepts on for a while, since clients still come; answers all; then lets the process end. */
+    /**
+     * Accepts on for a while, since clients still come; answers all; then lets the process end. A gateway among others
+     * serves on over the connections that clients have, for as long as what they ask can still be answered: its place
+     * is empty only from then on, and nobody starts it anew any sooner.
+     */
     void drain() {
+        drainAfter(isMissed() && !sendsAway() ? staysMs() : 0);
+    }
+
+    /** @param stay for how long clients may go on asking over what they have open, in milliseconds */
+    void drainAfter(double stay) {
         draining = true;
         operators.ready(false);
-        awayAt = Math.min(awayAt, clock.now());
+        if (stay <= 0) {
+            leave();
+        } else {
+            loop.schedule(this::leave, micros(stay), TimeUnit.MICROSECONDS);
+        }
+        loop.schedule(clients::stopAccepting, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
-            clients.stopAccepting();
+            clients.giveUpIdle();
             awaitEmpty();
-        }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        }, micros(Math.max(ACCEPT_ON_MS, stay)), TimeUnit.MICROSECONDS);
         loop.schedule(this::endAll, DRAIN_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** The platform gives a process that is to end the longest deadline, up to a bound that a drain has, too. */
+    private double staysMs() {
+        double longest = config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0);
+        return Math.min(DRAIN_MS, longest) - LAST_MS;
+    }
+
+    /** From here on each answer is its connection's last. */
+    void leave() {
+        leaving = true;
+        awayAt = Math.min(awayAt, clock.now());
+    }
+
     /** Gives up every attempt; what follows from that is answered as ever. */
     void endAll() {
         over = true;
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -1,7 +1,12 @@
 package deckfall.net;
 
+import deckfall.start.StartBudget;
+import deckfall.upgrade.Predecessor;
+import java.io.File;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -9,7 +14,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * One short life of a node that is its own host, peer and discovery, so that each part runs once. The build keeps
@@ -18,7 +25,7 @@
 public final class Rehearsal {
     private static final int ENOUGH = 64; // bytes that hold a status line
     private static final int PATIENCE_MS = 10_000;
-    private static final long BUILD_PATIENCE_MS = 60_000; // a build's machine may be slow, but a stall fails it
+    private static final String NAME = "rehearsal";
     private static final String CONFIG = """
             {"name": "rehearsal", "console": "%3$s", "listen": "%1$s", "discovery": "%2$s", "seed": "1", "peer_listen": "%1$s",
              "peers": ["%1$s", "%1$s"], "known": {"version": 1, "full": true, "servers": [{"id": "self",
@@ -27,7 +34,9 @@
              "settings": {"ordinal": 0, "balancers": 2, "az": "a", "limits": {"max_attempts": 3, "cancel": true,
                "peer_messages": true, "retry_after": true, "max_retry_after_ms": 500},
                "specifics": {"max_units": 4, "mail_per_s": 40}, "classes": [{"name": "view",
-               "effect": "repeatable", "goal_time_ms": 300, "hard_limit_ms": 600}],
+               "effect": "repeatable", "goal_time_ms": 300, "hard_limit_ms": 600},
+               {"name": "order", "effect": "by_key", "key_scope": "zone", "window_ms": 60000,
+               "goal_time_ms": 300, "hard_limit_ms": 600}],
                "plans": [{"name": "p", "units_per_s": 10, "depth": 10, "cap_rate": 20, "never_over_depth": 20}]}}
             """;
     private static final String REQUEST = "GET %s HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %s\r\nX-Plan: p\r\n"
@@ -48,35 +57,43 @@
 
     /** Returns when all has been gone through. */
     public static void run() throws IOException, InterruptedException {
-        Node.plainLogs();
+        PlainLog.install();
         InetSocketAddress at = free();
         InetSocketAddress console = free();
         String address = text(at);
         Path file = Files.writeString(Files.createTempFile("rehearsal", ".json"),
                 CONFIG.formatted(address, agent(LIST.formatted(address)), text(console)));
+        Path folder = Files.createTempDirectory("rehearsal");
         Reload reload = Reload.onHangup(file.toString());
-        NodeConfig config;
+        Node node;
         try {
-            config = reload.first();
+            node = Node.serve(reload, folder.toString(), StartBudget.ofThisProcess(), false);
         } catch (NodeConfig.BadConfig e) {
             throw new IOException(e);
         }
-        Node node = new Node(config);
         try {
-            if (WarmUp.run(config, WarmUp.ENOUGH, BUILD_PATIENCE_MS, () -> false) < WarmUp.ENOUGH) {
-                throw new IOException("the warm-up came to a halt");
-            }
-            reload.follow(reload.newest(), node::reload);
-            node.start();
+            say(at);
             ask(at, "/healthz", "0", 1);
             ask(at, "/view/alone", "1", 1);
             ask(at, "/view/shared", "2", 2);
             for (String call : CALLS) {
                 call(console, call);
             }
+            Path successor = Kept.in(folder.toString(), NAME).successor();
+            Predecessor.find(successor, PATIENCE_MS).close(); // as a process that ends before it takes over
         } finally {
             node.stop(); // or a build would never end
             Files.delete(file);
+            try (Stream<Path> left = Files.walk(folder)) {
+                left.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::deleteOnExit);
+            }
+        }
+    }
+
+    /** What a peer would say, but for its sense. */
+    private static void say(InetSocketAddress at) throws IOException {
+        try (DatagramSocket peer = new DatagramSocket(0, at.getAddress())) {
+            peer.send(new DatagramPacket(new byte[ENOUGH], ENOUGH, at));
         }
     }
 
--- a/src/main/java/deckfall/net/Transport.java
+++ b/src/main/java/deckfall/net/Transport.java
@@ -19,12 +19,15 @@
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 
-/** What carries a node's connections: TCP, or for its warm-up the process's own memory, which nobody else can reach. */
+/**
+ * What carries a node's connections: TCP, or for its warm-up the process's own memory, which nobody else can reach.
+ * Channels are made by their constructors: by name the virtual machine would write code of its own at the sixteenth.
+ */
 enum Transport {
     TCP {
         @Override
         ServerBootstrap server(EventLoopGroup group) {
-            return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            return new ServerBootstrap().group(group).channelFactory(NioServerSocketChannel::new)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                     .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true) // for an upgrade
                     .childOption(ChannelOption.TCP_NODELAY, true);
@@ -32,7 +35,8 @@
 
         @Override
         Bootstrap client(EventLoop loop) {
-            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+            return new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
+                    .option(ChannelOption.TCP_NODELAY, true);
         }
 
         @Override
@@ -54,12 +58,12 @@
     MEMORY {
         @Override
         ServerBootstrap server(EventLoopGroup group) {
-            return new ServerBootstrap().group(group).channel(LocalServerChannel.class);
+            return new ServerBootstrap().group(group).channelFactory(LocalServerChannel::new);
         }
 
         @Override
         Bootstrap client(EventLoop loop) {
-            return new Bootstrap().group(loop).channel(LocalChannel.class);
+            return new Bootstrap().group(loop).channelFactory(LocalChannel::new);
         }
 
         @Override
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -49,7 +49,7 @@
     /** Answers after which nearly all that a request needs is compiled: methods are from some 200 calls on. */
     static final int ENOUGH = 600;
     /** Answers after which at least each path of a request was gone once: so many a return waits for, too. */
-    static final int RETURNED = 30;
+    static final int RETURNED = 60;
 
     private static final long QUIET_MS = 20; // in which each side hears of the other's end
     private static final long POLL_MS = 10; // how often it looks whether it should end early
--- a/src/main/java/deckfall/start/StartBudget.java
+++ b/src/main/java/deckfall/start/StartBudget.java
@@ -58,6 +58,11 @@
         this.age = age;
     }
 
+    /** That of this process. */
+    public static StartBudget ofThisProcess() {
+        return new StartBudget(Birth.ofThisProcess()::ageMs);
+    }
+
     /** How long the start may wait for this step that begins now, in milliseconds; 0 where it is to be left out. */
     public long limitMs(Step step) {
         long now = age.getAsLong();
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -402,6 +402,23 @@
         assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
     }
 
+    /** Nobody has its place yet: who is connected is served, and only health says that an end is near. */
+    @Test
+    void aDrainAmongOthersServesWhoeverIsConnected() throws Exception {
+        Node node = nodeBefore(host(SocketTest::echo));
+        Client regular = client(node).send(view("v", Sockets.PATIENCE_MS));
+        assertEquals(200, regular.receive().status());
+        node.loop.submit(() -> node.drainAfter(Sockets.PATIENCE_MS)).sync();
+        assertEquals(503, client(node).send("GET /healthz HTTP/1.1\r\n\r\n").receive().status());
+        Message answer = regular.send(view("w", Sockets.PATIENCE_MS)).receive();
+        assertEquals(200, answer.status());
+        assertNull(answer.header("Connection"));
+        node.loop.submit(node::leave).sync();
+        Client last = regular.send(view("x", Sockets.PATIENCE_MS));
+        assertEquals("close", last.receive().header("Connection"));
+        assertNull(last.receive());
+    }
+
     /** Nothing may be left open when the process is killed: what still runs then is failed or refused before. */
     @Test
     void aDrainEndsWhatAHostNeverAnswers() throws Exception {
