Ceilings fill from the end of a gateway's last life, known by its peers' address

Change: once a process has the address to which its peers write, no earlier one of this gateway runs; the module is told since when (Gateway.aloneSince) and lets stores of ceilings fill from then. Each share of a ceiling is one gateway's alone, so no word of a peer is needed. A process that takes another's place is told nothing.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -111,6 +111,7 @@
     private double pulse; // milliseconds between words of one keeper to another
     private Random random;
     private int epoch;
+    private double fillsSince; // the last life of this gateway spent its ceilings until then
     private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
     private double mail, donateGap = WEIGHT_GAP_MS;
     private double replacedAt = Double.POSITIVE_INFINITY; // since when another process serves in this place
@@ -130,7 +131,7 @@
     @Override public void start(double now, Settings settings) {
         set = settings;
         random = new Random(settings.seed());
-        startedAt = now;
+        startedAt = fillsSince = now;
         peers = new Peer[Math.max(1, settings.gateways())];
         Arrays.setAll(peers, Peer::new);
         double pulses = PULSE_SHARE * Math.max(1, settings.sharing().mailPerSecond()) / 1000;
@@ -308,6 +309,10 @@
         leases = new Leases(new Leases.Terms(term, term + TERMS_APART_MS), peers.length, now);
     }
 
+    @Override public void aloneSince(double now, double since) {
+        fillsSince = Math.min(fillsSince, since);
+    }
+
     @Override public void replaced(double now) {
         customers.values().forEach(c -> touch(now, c)); // up to here all is this process's
         replacedAt = now;
@@ -317,6 +322,7 @@
         beginLife(now); // peers know the other process as the later life
         customers.values().forEach(c -> touch(now, c)); // what filled since went with the other
         startedAt += now - replacedAt;
+        fillsSince += now - replacedAt;
         replacedAt = Double.POSITIVE_INFINITY;
     }
 
@@ -342,9 +348,9 @@
             c = new Customer(id, plan, p, first, wide, keepers, now);
             c.level = p.burst();
             c.tokens = p.burst() / c.spread;
-            // The ceiling's store starts with what has filled since this gateway started, never with a burst:
-            // before a restart this gateway may have spent it (rule 5).
-            double filled = (Math.min(now, replacedAt) - startedAt) / 1000 * p.ceilingRate();
+            // The ceiling's store starts with what has filled since this gateway's last life ended, as far as
+            // that is known, never with a burst: that life may have spent it (rule 5).
+            double filled = (Math.min(now, replacedAt) - fillsSince) / 1000 * p.ceilingRate();
             c.ceiling = ownShare(c) * Math.min(p.ceilingBurst(), filled);
             c.leasedSince = leasedSince(now, c);
             customers.put(id, c);
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -97,6 +97,12 @@
 
         void counted(double now, String counter, Outcome outcome, double total);
 
+        /**
+         * No earlier life of this gateway has spent anything since then, on the clock of {@code now}; told once, right
+         * after {@link #start}, and only where that is certain.
+         */
+        default void aloneSince(double now, double since) { }
+
         /**
          * Another process serves in this one's place: what fills from now on is its, and no peer is heard. What is
          * open here, and what still comes, is decided by what was saved.
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -319,6 +319,8 @@
         serving = true;
         lag.start();
         tell((now, m) -> m.start(now, config.settings()));
+        double since = peers.aloneSince();
+        tell((now, m) -> m.aloneSince(now, Math.min(now, since)));
         if (console != null) {
             discovery.leaveOut(console.leftOut());
             gauge();
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -27,6 +27,7 @@
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private volatile boolean heard; // read by the threads of a start and an end, which wait for no event loop
     private boolean stopped;
+    private double aloneSince = Double.POSITIVE_INFINITY;
     private Channel channel;
 
     PeerLink(Node node) {
@@ -49,7 +50,11 @@
         channel = new Bootstrap().group(node.loop).channel(NioDatagramChannel.class).handler(this)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES + 1))
                 .bind(node.config.peerListen()).addListener(f -> {
-                    if (f.isSuccess() || stopped) {
+                    if (f.isSuccess()) {
+                        aloneSince = Math.min(aloneSince, node.clock.now());
+                        return;
+                    }
+                    if (stopped) {
                         return;
                     }
                     if (first) {
@@ -76,6 +81,14 @@
         return channel != null;
     }
 
+    /**
+     * Since when no earlier process of this gateway can run: two can't have the address to which its peers write, and
+     * a process has it until its end or until it lets a new one take its place. Infinite where that is not known.
+     */
+    double aloneSince() {
+        return aloneSince;
+    }
+
     /** Whether another gateway has spoken since the start; a fleet that has no clients yet says nothing at all. */
     boolean hasHeard() {
         return heard;
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -368,6 +368,61 @@
         }
     }
 
+    /** What has filled since the last life's end is there at once; without that knowledge nothing is. */
+    @Test
+    void aReturnFindsWhatFilledInItsAbsence() {
+        for (double away : new double[] {0, 1000, 60_000}) {
+            reset();
+            gateways(1);
+            FakeGateway g = all.get(0);
+            g.brain.aloneSince(g.now, g.now - away);
+            double most = Math.min(40, 20 * away / 1000);
+            for (int i = 0; i < 41; i++) {
+                ask(0, "capped", 1);
+                answerSent(g);
+            }
+            assertEquals(most, letIn, away + " ms away");
+        }
+    }
+
+    /** Rule 5 while gateways are killed at any time and return after any time, knowing when the last life ended. */
+    @Test
+    void aCeilingIsKeptThroughReturnsThatKnowWhenTheyWereAway() {
+        for (long seed = 1; seed <= 12; seed++) {
+            Random random = new Random(seed);
+            reset();
+            gateways(3);
+            double least = 0;
+            double diedAt = 0;
+            silent = -1;
+            for (int tenth = 0; tenth < 400; tenth++) {
+                if (silent < 0 && random.nextInt(8) == 0) {
+                    silent = random.nextInt(3);
+                    diedAt = all.get(silent).now;
+                } else if (silent >= 0 && random.nextInt(12) == 0) {
+                    double now = all.get(silent).now;
+                    FakeGateway next = new FakeGateway(now, FakeGateway.settings(silent, 3))
+                            .withHosts("a1", "a2", "a3");
+                    next.brain.aloneSince(now, diedAt);
+                    all.set(silent, next);
+                    silent = -1;
+                }
+                for (int g : everyone(3)) {
+                    if (g != silent && random.nextInt(4) > 0) {
+                        ask(g, "capped", 1 + random.nextInt(4));
+                        ask(g, "capped", 1 + random.nextInt(4));
+                    }
+                }
+                pass(100);
+                double beyond = letIn - 20 * 0.1 * tenth;
+                least = Math.min(least, beyond);
+                assertTrue(beyond - least <= 40 + 4, "seed " + seed + ": " + (beyond - least) + " at " + tenth);
+            }
+            assertTrue(letIn > 20 * 40 * 0.3, "seed " + seed + ": all in all " + letIn);
+        }
+        silent = -1;
+    }
+
     /** What the first keeper had saved when it was cut off is not spent beside what the second then had. */
     @Test
     void savingsDoNotOutliveTheLease() {
