Tests: one module that does nothing about what a test leaves out

Cause: EndsTest and NodeTest each had the same empty methods of a scripted module. Change: Quiet has them once. Tests keep their assertions; EndsTest and NodeTest pass.

--- a/src/test/java/deckfall/net/EndsTest.java
+++ b/src/test/java/deckfall/net/EndsTest.java
@@ -6,13 +6,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
-import deckfall.Gateway.Events;
 import deckfall.Gateway.Host;
 import deckfall.Gateway.HostState;
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Request;
-import deckfall.Gateway.Settings;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -89,7 +87,7 @@
     private int scripts;
 
     /** Tries each request up to {@value #ATTEMPTS} times where it never ran, and does what a script says beside. */
-    private static final class Scripted implements Events {
+    private static final class Scripted implements Quiet {
         private final Actions act;
         private String id;
         private int attempts;
@@ -98,12 +96,6 @@
             this.act = act;
         }
 
-        @Override
-        public void start(double now, Settings settings) { }
-
-        @Override
-        public void hosts(double now, ListKind kind, List<Host> list) { }
-
         @Override
         public void request(double now, Request r) {
             id = r.id();
@@ -111,9 +103,6 @@
             act.send(id, "h", 0);
         }
 
-        @Override
-        public void streamStarted(double now, String request, int attempt) { }
-
         @Override
         public void attemptEnded(double now, AttemptResult r) {
             if (r.closed() || !r.id().equals(id)) {
@@ -133,18 +122,6 @@
         public void clientLeft(double now, String request) {
             act.cancel(request, attempts - 1);
         }
-
-        @Override
-        public void timer(double now, String token) { }
-
-        @Override
-        public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) { }
-
-        @Override
-        public void peerSaid(double now, int peer, byte[] data) { }
-
-        @Override
-        public void counted(double now, String counter, Outcome outcome, double total) { }
     }
 
     @BeforeEach
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -17,13 +17,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.Gateway.Actions;
-import deckfall.Gateway.AttemptResult;
 import deckfall.Gateway.Events;
-import deckfall.Gateway.Host;
-import deckfall.Gateway.ListKind;
-import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Request;
-import deckfall.Gateway.Settings;
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
@@ -432,38 +427,11 @@
     }
 
     /** A module that does only what a test says of a request. */
-    private record Scripted(BiConsumer<Double, Request> script) implements Events {
-        @Override
-        public void start(double now, Settings settings) { }
-
-        @Override
-        public void hosts(double now, ListKind kind, List<Host> hosts) { }
-
+    private record Scripted(BiConsumer<Double, Request> script) implements Quiet {
         @Override
         public void request(double now, Request r) {
             script.accept(now, r);
         }
-
-        @Override
-        public void streamStarted(double now, String id, int attempt) { }
-
-        @Override
-        public void attemptEnded(double now, AttemptResult r) { }
-
-        @Override
-        public void clientLeft(double now, String id) { }
-
-        @Override
-        public void timer(double now, String token) { }
-
-        @Override
-        public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) { }
-
-        @Override
-        public void peerSaid(double now, int peer, byte[] data) { }
-
-        @Override
-        public void counted(double now, String counter, Outcome outcome, double total) { }
     }
 
     private Node scripted(Function<Actions, Events> module) throws IOException {
