--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -7,6 +7,9 @@
 import deckfall.gossip.Rounds;
 import deckfall.gossip.UseMessage;
 import deckfall.lease.Leases;
+import deckfall.quota.Exchange;
+import deckfall.quota.Talk;
+import deckfall.quota.Terms;
 import java.util.*;
 import java.util.stream.IntStream;
 
@@ -21,7 +24,6 @@
     private static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
     private static final double FILLED = 2; // times the time in which its slowest store fills from nothing
     private static final int CUSTOMERS_MAX = 20_000; // books kept; a new customer beyond them is refused
-    private static final double CLOCKS_APART_MS = 60_000; // a life that begins later than this is no life
     // Admission by parts
     private static final double DEMAND_MS = 2000; // averaging of demand: longer than gaps between requests
     private static final double EVEN_PRIOR = 0.05; // of the rate, added to a set's demand: all have a part
@@ -46,7 +48,6 @@
     private static final int TERM_PULSES = 4; // a lease outlives so many words less one that are lost
     private static final double TERMS_APART_MS = 250; // between the end of a lease and its taking over
     // A tier too large for questions
-    private static final int EVERYONE = -1;
     private static final int GIVERS = 2; // asked at once for units of a ceiling
     private static final double KEPT = 0.5; // of its share, that a gateway gives to nobody
     private static final int WISHES_MAX = 64; // wants of peers that wait for an answer; further ones get none
@@ -83,7 +84,6 @@
     // Hosts
     private static final double SLOW_GAIN = 0.12; // weight of one answer in a host's slowness
     private static final double FAILED_GAIN = 0.4; // weight of a failure or of an overdue attempt
-    private static final double SLOW_MAX = 12; // largest slowness that is believed
     private static final double BAD_ANSWER = 4; // slowness of a full host, and of one tried before
     private static final double OWN_SHARE = 0.2; // of an attempt's time; a longer own stall hides the host's
     private static final double SLOW_FADE_MS = 6000; // slowness not confirmed fades: a trial by itself
@@ -122,6 +122,7 @@
     private final Account account = new Account();
     private Random random;
     private Rounds rounds; // null where keepers are asked
+    private Exchange exchange; // null but where the tier is too large for rounds as well
     private int roundsTold;
     private final ArrayDeque<Wish> wishes = new ArrayDeque<>();
     private double roundHeardAt = State.NEVER;
@@ -132,8 +133,7 @@
     private double replacedAt = Double.POSITIVE_INFINITY; // since when another process serves in this place
     private boolean waited;
     private int inFlight, answers;
-    private double perHost = BOUND_START;
-    private double capacity, turn;
+    private double perHost = BOUND_START, capacity, turn;
     private double retryTokens = RETRY_MAX / 2;
     private double latencySum, baseSum, aimShareSum;
 
@@ -141,6 +141,30 @@
         this.act = act;
     }
 
+    /** Quotas where hundreds of gateways share them. */
+    private Exchange exchange(double now) {
+        List<Terms> plans = set.plans().stream().map(p -> new Terms(p.excessPays() ? 0 : p.rate(), p.burst(),
+                p.ceilingRate(), p.ceilingBurst())).toList();
+        return new Exchange(now, new Exchange.Config(set.me(), peers.length, set.sharing().mailPerSecond(),
+                set.sharing().maxUnits(), CUSTOMERS_MAX, plans), epoch, random, new Exchange.Link() {
+            @Override public void tell(int peer, byte[] data) {
+                account.note(Item.TOLD);
+                act.tell(peer, data);
+            }
+
+            @Override public void decided(double at, String id, Exchange.Decision d) {
+                Ask ask = asks.get(id);
+                ask.grant = d.grant();
+                ask.leaveBy = d.leaveBy();
+                if (d.in()) letIn(at, ask);
+                if (d.in()) return;
+                account.note(Item.of(d.why()));
+                close(ask);
+                act.refuse(id, waitTold(d.retryMs()));
+            }
+        });
+    }
+
     // ---- events
 
     @Override public void start(double now, Settings settings) {
@@ -152,10 +176,12 @@
         double pulses = PULSE_SHARE * Math.max(1, settings.sharing().mailPerSecond()) / 1000;
         pulse = Math.max(PULSE_MS, (peers.length - 1) / pulses);
         double gap = (peers.length - 1) / mailRate();
-        if (settings.limits().peers() && gap > ANSWER_MS && gap < FRESH_MS) { // too large for questions
+        beginLife(now);
+        boolean hundreds = Exchange.isFor(peers.length, settings.sharing().mailPerSecond());
+        if (settings.limits().peers() && hundreds) exchange = exchange(now);
+        else if (settings.limits().peers() && gap > ANSWER_MS) {
             rounds = new Rounds(now, gap, CUSTOMERS_MAX, random);
         }
-        beginLife(now);
         double worth = settings.classes().stream().mapToDouble(c -> Math.max(WEIGHT_MIN, c.worth())).sum();
         for (RequestClass c : settings.classes()) {
             ClassState state = new ClassState(c);
@@ -212,7 +238,10 @@
                 decide(now, ask, false);
             }
             // While this loop is late no answer would be heard in time, so the own part decides.
-            default -> question(now, ask, now - r.arrivedMs() < ANSWER_MS / 2 ? 0 : KEEPERS);
+            default -> {
+                if (exchange == null) question(now, ask, now - r.arrivedMs() < ANSWER_MS / 2 ? 0 : KEEPERS);
+                else exchange.want(now, r.id(), c.named(), r.units(), giveUpAt(ask));
+            }
         }
         if (c != null && ask.admitted) changed(now, c);
         post(now);
@@ -223,7 +252,7 @@
         ask.admitted = true;
         Customer c = ask.customer;
         if (c != null) c.open++;
-        if (c != null) charge(c, ask.request.units(), ask.request.units());
+        if (c != null) c.charge(ask.request.units(), ask.request.units(), DEMAND_MS);
         if (cls.queue.isEmpty()) cls.turn = Math.max(cls.turn, turn);
         cls.queue.addLast(ask);
         release(now);
@@ -295,6 +324,7 @@
         leases.beat(now);
         expire(now);
         missAnswers(now);
+        if (exchange != null) exchange.beat(now);
         if (now - surveyedAt >= SURVEY_MS) survey(now);
         watchHealth(now);
         adaptBound(now);
@@ -319,6 +349,7 @@
         if (late == 0) return;
         stalled += late;
         leases.stalled(late);
+        if (exchange != null) exchange.stalled(late);
         questions.forEach(a -> a.answerBy += late);
     }
 
@@ -342,11 +373,13 @@
 
     @Override public void aloneSince(double now, double since) {
         fillsSince = Math.min(fillsSince, since);
+        if (exchange != null) exchange.aloneSince(since);
     }
 
     @Override public void replaced(double now) {
         customers.values().forEach(c -> touch(now, c)); // up to here all is this process's
         replacedAt = now;
+        if (exchange != null) exchange.replaced(now);
     }
 
     @Override public void restored(double now) {
@@ -355,6 +388,11 @@
         startedAt += now - replacedAt;
         fillsSince += now - replacedAt;
         replacedAt = Double.POSITIVE_INFINITY;
+        if (exchange != null) exchange.restored(now, epoch);
+    }
+
+    @Override public void leaving(double now) {
+        if (exchange != null) exchange.leave(now);
     }
 
     @Override public void probed(double now, String host, Outcome outcome, double took, double[] report) { }
@@ -365,9 +403,6 @@
 
     private enum Verdict { IN, OUT, ASK }
 
-    /** Units of a customer's ceiling that a peer wants, since it has none left. */
-    private record Wish(Customer customer, int peer, int life, int count, double units, double at) { }
-
     /**
      * A customer's books; null where there is no room for new ones. The plan and the set that came first
      * stand as long as it is remembered: who claims others gets no fresh stores and moves no keeper.
@@ -407,7 +442,8 @@
 
     /** With whom this gateway has a part of the customer's ceiling in lease; -1 where with nobody. */
     private int otherKeeper(Customer c) {
-        if (!set.limits().peers() || c.plan.ceilingRate() <= 0 || c.spread <= 1 || rounds != null) return -1;
+        boolean asked = set.limits().peers() && rounds == null && exchange == null;
+        if (!asked || c.plan.ceilingRate() <= 0 || c.spread <= 1) return -1;
         return c.keepers[0] == set.me() ? c.keepers[1] : c.keepers[1] == set.me() ? c.keepers[0] : -1;
     }
 
@@ -503,12 +539,13 @@
         c.demand += units / DEMAND_MS * 1000;
         if (rounds != null && c.spread > 1) rounds.changed(c.id);
         Plan p = c.plan;
-        boolean excessPays = p.overWorth() > 0 && p.overWorth() >= p.overCost();
-        boolean limited = p.rate() > 0 && !excessPays;
-        if (!excessPays && !openAdmits(now, c) || limited && c.level < units) {
+        boolean limited = p.rate() > 0 && !p.excessPays();
+        if (!p.excessPays() && !openAdmits(now, c) || limited && c.level < units) {
             if (now - c.toldAt > SYNC_MS) changed(now, c);
             return Verdict.OUT;
         }
+        boolean bound = limited || p.ceilingRate() > 0;
+        if (exchange != null && c.spread > 1) return bound ? Verdict.ASK : Verdict.IN;
         if (rounds != null && c.spread > 1) {
             boolean fits = !limited || c.tokens >= units || c.level - reserve(now, c) >= units;
             return fits && (p.ceilingRate() <= 0 || c.ceiling >= units) ? Verdict.IN : Verdict.OUT;
@@ -533,41 +570,17 @@
 
     private boolean openAdmits(double now, Customer c) {
         int limit = c.plan.openLimit();
-        boolean fresh = c.spread == 1 || set.limits().peers() && rounds == null
+        boolean fresh = c.spread == 1 || set.limits().peers() && rounds == null && exchange == null
                 && (keeper(now, c, 0) == set.me() || now - c.newsAt < FRESH_MS);
         return limit <= 0 || (fresh ? c.open + c.othersOpen < limit
                 : c.open < Math.max(1, (int) (limit * part(now, c))));
     }
 
-    /** When the store will have filled enough; every refusal tells a time to come back. */
-    private static double refillMs(Customer c, double units) {
-        return c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : 0;
-    }
-
     private double waitTold(double ms) {
         double longest = set.limits().maxRetryAfterMs();
         return set.limits().retryAfter() ? Math.min(longest, Math.max(RETRY_MIN_MS, ms)) : 0;
     }
 
-    /** Takes units from the quota's and the ceiling's stores, or gives them back where negative. */
-    private void charge(Customer c, double units, double ceilingUnits) {
-        c.tokens = Math.max(c.tokens - units, -c.plan.burst() / c.spread);
-        c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), c.level - units));
-        c.used += units;
-        c.useRate += units / DEMAND_MS * 1000;
-        c.unsent += ceilingUnits;
-        c.ceiling -= ceilingUnits;
-    }
-
-    private void meter(double now, Customer c, int usedPct) {
-        if (usedPct <= 0 || set.limits().peers() || c.plan.rate() <= 0) return;
-        double total = (usedPct - 1) / 100.0 * c.plan.rate();
-        double part = total > 0 ? Math.min(1, c.useRate / total) : 1.0 / c.spread;
-        boolean rises = total < c.plan.rate() && c.demand > part * c.plan.rate();
-        c.meterPart = rises ? Math.min(1, Math.max(part, c.meterPart) + EVEN_PRIOR) : part;
-        c.meterAt = now;
-    }
-
     // ---- questions to keepers
 
     /** Holds a request for the word of the next keeper that may know; without one the even part decides. */
@@ -598,7 +611,7 @@
         if (in) return;
         close(ask);
         Customer c = ask.customer;
-        act.refuse(ask.request.id(), waitTold(c == null ? FORGET_MS : refillMs(c, ask.request.units())));
+        act.refuse(ask.request.id(), waitTold(c == null ? FORGET_MS : c.refillMs(ask.request.units())));
     }
 
     /** Silence of a peer shows only where an answer was due: then it is passed over for a while. */
@@ -616,7 +629,7 @@
 
     /** The keeper in charge is to know at once; where it is this gateway, the other keepers now and then. */
     private void changed(double now, Customer c) {
-        if (!set.limits().peers() || c.spread == 1 || rounds != null) return;
+        if (!set.limits().peers() || c.spread == 1 || rounds != null || exchange != null) return;
         int keeper = keeper(now, c, 0);
         if (keeper != set.me()) {
             c.toldAt = now;
@@ -678,7 +691,7 @@
         List<UseMessage.Entry> entries = told.stream().map(c -> new UseMessage.Entry(c.id, c.planNumber,
                 UseMessage.usedField(c.usedAtMost()), c.demand, c.fullness())).toList();
         account.note(Item.TOLD);
-        act.tell(EVERYONE, new UseMessage(epoch, count, entries, wants, gifts).bytes());
+        act.tell(State.EVERYONE, new UseMessage(epoch, count, entries, wants, gifts).bytes());
     }
 
     /** What fits into the own share of a ceiling, where little is left and the quota has room. */
@@ -723,21 +736,8 @@
         }
     }
 
-    /** Whether a message is news: not overtaken on the way, told twice, or of a life before its sender's. */
-    private static boolean hears(double now, Peer peer, int life, int serial) {
-        // Lives are compared by difference: their field runs over every 50 days of Unix time.
-        boolean late = life == peer.epoch ? !Tell.after(serial, peer.heardSerial) : life - peer.epoch < 0;
-        // A life that has yet to begin would make all that its sender says from now on seem late.
-        boolean unborn = life - (int) (long) now > CLOCKS_APART_MS;
-        if (peer.met && late || unborn) return false;
-        peer.met = true;
-        peer.epoch = life;
-        peer.heardSerial = serial;
-        return true;
-    }
-
     private void heardUse(double now, Peer peer, UseMessage m) {
-        if (!hears(now, peer, m.life(), m.count())) return;
+        if (!peer.hears(now, m.life(), m.count())) return;
         roundHeardAt = peer.roundAt = now;
         for (UseMessage.Entry e : m.entries()) {
             Customer c = customer(now, e.customer(), e.plan(), 0, 0);
@@ -792,16 +792,20 @@
     }
 
     @Override public void peerSaid(double now, int from, byte[] data) {
-        if (rounds != null && from >= 0 && from < peers.length && from != set.me()) {
+        if (from < 0 || from >= peers.length || from == set.me()) return; // a stranger
+        if (rounds != null) {
             UseMessage m = UseMessage.read(data);
             if (m != null) account.note(Item.HEARD);
             if (m != null) heardUse(now, peers[from], m);
         }
-        Tell tell = from < 0 || from >= peers.length || from == set.me() ? null : Tell.read(data);
-        if (tell == null) return; // unknown sender, or damaged
+        Talk talk = exchange == null ? null : Talk.read(data);
+        Tell tell = talk == null ? Tell.read(data) : null;
+        if (talk == null && tell == null) return; // damaged, or of a version unknown here
         account.note(Item.HEARD);
+        if (exchange != null) exchange.heard(now, from, talk);
+        if (exchange != null) return;
         Peer peer = peers[from];
-        if (!hears(now, peer, tell.epoch(), tell.serial())) return;
+        if (!peer.hears(now, tell.epoch(), tell.serial())) return;
         peer.silentTill = State.NEVER;
         boolean toThisLife = tell.yourEpoch() == epoch;
         leases.heard(now, from);
@@ -942,7 +946,7 @@
         Attempt a = new Attempt(ask, s, now, ask.work(), stalled);
         if (ask.attempts.isEmpty()) {
             retryTokens = Math.min(RETRY_MAX, retryTokens + RETRY_SHARE);
-            noteDelay(ask.cls, now - ask.arrived, 0);
+            ask.cls.noteDelay(now - ask.arrived, 0);
             if (ask.customer != null) ask.customer.unsent -= ask.request.units();
         }
         ask.attempts.add(a);
@@ -968,14 +972,15 @@
         double aim = ask.cls.spec.aimMs();
         double useful = ask.cls.spec.lateValue() >= LATE_WORTH_KEPT ? end : Math.min(end, ask.arrived + aim);
         double hold = useful - ask.arrived - FINISH_SHARE * ask.work();
-        return Math.min(end, ask.arrived + Math.max(HOLD_SHARE * aim, hold));
+        double leave = ask.leftWhole() ? end : Math.min(end, ask.leaveBy);
+        return Math.min(leave, ask.arrived + Math.max(HOLD_SHARE * aim, hold));
     }
 
     private void expire(double now) {
         for (ClassState c : classes.values()) {
             for (Ask ask : c.queue.stream().filter(a -> now >= giveUpAt(a)).toList()) {
                 account.note(ask.attempts.isEmpty() ? Item.NO_PLACE : Item.TRIED);
-                noteDelay(c, now - ask.arrived, 0);
+                c.noteDelay(now - ask.arrived, 0);
                 finish(ask); // takes it from the queue
             }
         }
@@ -1000,10 +1005,12 @@
         Customer c = ask.customer;
         if (c == null) return;
         c.pending.remove(ask);
+        if (!ask.admitted && exchange != null) exchange.gone(ask.request.id());
         if (!ask.admitted) return;
         c.open--;
         if (ask.attempts.isEmpty()) { // let in but never sent: the units go back
-            charge(c, -ask.request.units(), -ask.request.units());
+            c.charge(-ask.request.units(), -ask.request.units(), DEMAND_MS);
+            if (ask.grant != null) exchange.back(ask.grant);
         }
     }
 
@@ -1032,11 +1039,6 @@
         return c.spec.aimMs() * DELAY_GOAL;
     }
 
-    private static void noteDelay(ClassState c, double hold, double latency) {
-        c.tickDelay += hold + latency;
-        c.tickCount += latency > 0 ? 0 : 1;
-    }
-
     private void weighClasses(double now) {
         if (now - delayAt < WEIGHT_TICK_MS) return;
         delayAt = now;
@@ -1101,26 +1103,19 @@
     @Override public String account(double now) {
         long cold = usable.stream().filter(s -> rampOf(s, now) < 1).count();
         return account.take() + " open=" + asks.size() + " out=" + inFlight + " places=" + (int) bound()
-                + " hosts=" + usable.size() + " cold=" + cold + " avoided=" + avoided(now);
+                + " hosts=" + usable.size() + " cold=" + cold + " avoided=" + avoided(now)
+                + (exchange == null ? "" : exchange.counts());
     }
 
     @Override public int avoided(double now) {
         return (int) servers.values().stream()
-                .filter(s -> s.listed && (!s.open() || slowness(now, s.health) >= BAD_ANSWER)).count();
-    }
-
-    private static double slowness(double now, Health h) {
-        return 1 + (h.slow - 1) * Math.exp(-(now - h.at) / SLOW_FADE_MS);
+                .filter(s -> s.listed)
+                .filter(s -> !s.open() || s.health.slowness(now, SLOW_FADE_MS) >= BAD_ANSWER).count();
     }
 
     /** Failures tell of a class on a host, which may serve the others as before; slow answers of the host. */
     private static double slowness(double now, Server s, ClassState c) {
-        return slowness(now, s.health) * slowness(now, s.of(c));
-    }
-
-    private static void judge(Health h, double ratio, double gain, double now) {
-        h.slow = slowness(now, h) + gain * (Math.min(SLOW_MAX, ratio) - slowness(now, h));
-        h.at = now;
+        return s.health.slowness(now, SLOW_FADE_MS) * s.of(c).slowness(now, SLOW_FADE_MS);
     }
 
     private double rampOf(Server s, double now) {
@@ -1137,7 +1132,7 @@
         for (Server s : servers.values()) {
             if (!s.open()) continue;
             usable.add(s);
-            capacity += slowness(now, s.health) < BAD_ANSWER ? rampOf(s, now) : 0;
+            capacity += s.health.slowness(now, SLOW_FADE_MS) < BAD_ANSWER ? rampOf(s, now) : 0;
         }
         // Each gateway keeps to some hosts, in turn with the others: more answers and warm connections at
         // each, and tables that do not fill where there are hundreds of gateways.
@@ -1241,27 +1236,27 @@
         account.note(Item.of(r.outcome()));
         switch (r.outcome()) {
             case OK -> {
-                judge(s.of(c), 1, FAILED_GAIN, now);
+                s.of(c).judge(now, 1, FAILED_GAIN, SLOW_FADE_MS);
                 if (clear) {
-                    judge(s.health, r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, now);
+                    s.health.judge(now, r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, SLOW_FADE_MS);
                     double perUnit = r.latencyMs() / Math.max(0.1, ask.request.units());
                     c.samples++;
                     c.latencyPerUnit += Math.max(0.03, 1.0 / c.samples) * (perUnit - c.latencyPerUnit);
-                    noteDelay(c, 0, r.latencyMs());
+                    c.noteDelay(0, r.latencyMs());
                 }
                 if (ask.customer != null && set.sharing().postPaid() && r.trueUnits() > 0) {
-                    charge(ask.customer, r.trueUnits() - ask.request.units(), 0);
+                    ask.customer.charge(r.trueUnits() - ask.request.units(), 0, DEMAND_MS);
                 }
             }
             // No connection: down or full, the host takes nothing from us now; one is enough.
-            case CONNECT_FAILED -> judge(s.health, SLOW_MAX, 1, now);
+            case CONNECT_FAILED -> s.health.judge(now, State.SLOW_MAX, 1, SLOW_FADE_MS);
             // With nothing of ours there it is no crowd of our making: it drains, or others fill it. An idle
             // host would else win every comparison, and each gateway of a large tier learns for itself.
             case FULL -> {
                 boolean idle = s.out.isEmpty();
-                judge(s.health, idle ? SLOW_MAX : BAD_ANSWER, idle ? 1 : FAILED_GAIN, now);
+                s.health.judge(now, idle ? State.SLOW_MAX : BAD_ANSWER, idle ? 1 : FAILED_GAIN, SLOW_FADE_MS);
             }
-            case ERROR, RESET, TIMEOUT -> judge(s.of(c), SLOW_MAX, FAILED_GAIN, now);
+            case ERROR, RESET, TIMEOUT -> s.of(c).judge(now, State.SLOW_MAX, FAILED_GAIN, SLOW_FADE_MS);
             default -> { }
         }
         if (clear && (r.outcome() == Outcome.OK || r.outcome() == Outcome.TIMEOUT)) {
@@ -1270,17 +1265,17 @@
             aimShareSum += r.latencyMs() / c.spec.aimMs();
             answers++;
         }
-        if (ask.customer != null) meter(now, ask.customer, r.usedPct());
+        if (ask.customer != null && !set.limits().peers()) ask.customer.meter(now, r.usedPct(), EVEN_PRIOR);
     }
 
     private void watchHealth(double now) {
         for (Server s : new ArrayList<>(watched)) {
             for (Attempt a : new ArrayList<>(s.out)) {
-                double expected = a.work * Math.max(1, slowness(now, s.health));
+                double expected = a.work * Math.max(1, s.health.slowness(now, SLOW_FADE_MS));
                 double waited = now - a.sentAt - ownStall(now, a);
                 if (a.overdue || a.ask.streaming || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
-                judge(s.of(a.ask.cls), SLOW_MAX, FAILED_GAIN, now);
+                s.of(a.ask.cls).judge(now, State.SLOW_MAX, FAILED_GAIN, SLOW_FADE_MS);
                 boolean useful = !a.ask.done && now + a.work < giveUpAt(a.ask);
                 boolean safe = a.ask.cls.spec.effect() != Effect.ONCE && set.limits().cancel();
                 if (useful && safe && retryTokens >= 1) act.cancel(a.ask.request.id(), a.number);
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -39,7 +39,12 @@
 
     /** A plan's quotas, for each customer over all gateways; a figure of 0 means that there is no such limit. */
     public record Plan(String name, double rate, double burst, int openLimit, double price, double overWorth,
-            double overCost, double ceilingRate, double ceilingBurst, double ceilingSlack) { }
+            double overCost, double ceilingRate, double ceilingBurst, double ceilingSlack) {
+        /** True where what goes beyond the quota earns at least what it costs. */
+        public boolean excessPays() {
+            return overWorth > 0 && overWorth >= overCost;
+        }
+    }
 
     public record Limits(int maxAttempts, boolean duplicates, boolean cancel, boolean probes, boolean peers,
             boolean retryAfter, double maxRetryAfterMs) { }
@@ -112,6 +117,9 @@
         /** The other process is gone, with what filled meanwhile. */
         default void restored(double now) { }
 
+        /** This gateway ends within some hundred milliseconds: peers are to turn to others. */
+        default void leaving(double now) { }
+
         /** What it did since it was last asked, by cause, and what is open now: one line for the log. */
         default String account(double now) {
             return "";
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -7,6 +7,8 @@
 import deckfall.Gateway.RequestClass;
 import deckfall.gossip.Loans;
 import deckfall.gossip.UseMessage;
+import deckfall.quota.Exchange;
+import deckfall.quota.Talk;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -18,6 +20,9 @@
 /** What one gateway remembers: plain fields and look-ups, no decision; Brain alone reads meaning into them. */
 final class State {
     static final double NEVER = Double.NEGATIVE_INFINITY;
+    static final int EVERYONE = -1; // in the place of a peer
+    static final double SLOW_MAX = 12; // largest slowness that is believed
+    private static final double CLOCKS_APART_MS = 60_000; // a life that begins later than this is no life
 
     private State() { }
 
@@ -62,10 +67,15 @@
         double markDelay;
         double markWeight;
 
-
         ClassState(RequestClass spec) {
             this.spec = spec;
         }
+
+        /** A request that left has no latency yet, an answer no wait. */
+        void noteDelay(double hold, double latency) {
+            tickDelay += hold + latency;
+            tickCount += latency > 0 ? 0 : 1;
+        }
     }
 
     /** What is known of a peer gateway, and what waits to be told to it. */
@@ -86,6 +96,19 @@
         Peer(int number) {
             this.number = number;
         }
+
+        /** Whether a message is news: not overtaken on the way, told twice, or of a life before its sender's. */
+        boolean hears(double now, int life, int heard) {
+            // Lives are compared by difference: their field runs over every 50 days of Unix time.
+            boolean late = life == epoch ? !Tell.after(heard, heardSerial) : life - epoch < 0;
+            // A life that has yet to begin would make all that its sender says from now on seem late.
+            boolean unborn = life - (int) (long) now > CLOCKS_APART_MS;
+            if (met && late || unborn) return false;
+            met = true;
+            epoch = life;
+            heardSerial = heard;
+            return true;
+        }
     }
 
     /** What a gateway of a customer's set and its keeper know of each other; starts anew with either's life. */
@@ -152,6 +175,10 @@
             this.touchedAt = now;
         }
 
+        Talk.Named named() {
+            return new Talk.Named(id, planNumber, first, spread);
+        }
+
         /** What is known between this gateway and a peer on this customer, new for each life of the peer. */
         Member member(Peer peer) {
             Member m = members.get(peer.number);
@@ -170,6 +197,31 @@
             return usedMost;
         }
 
+        /** Takes units from the quota's and the ceiling's stores, or gives them back where negative. */
+        void charge(double units, double ceilingUnits, double averagedMs) {
+            tokens = Math.max(tokens - units, -plan.burst() / spread);
+            level = Math.max(-plan.burst(), Math.min(plan.burst(), level - units));
+            used += units;
+            useRate += units / averagedMs * 1000;
+            unsent += ceilingUnits;
+            ceiling -= ceilingUnits;
+        }
+
+        /** Takes in what a meter tells: the share of the quota that all used, where no peers can be asked. */
+        void meter(double now, int usedPct, double step) {
+            if (usedPct <= 0 || plan.rate() <= 0) return;
+            double total = (usedPct - 1) / 100.0 * plan.rate();
+            double part = total > 0 ? Math.min(1, useRate / total) : 1.0 / spread;
+            boolean rises = total < plan.rate() && demand > part * plan.rate();
+            meterPart = rises ? Math.min(1, Math.max(part, meterPart) + step) : part;
+            meterAt = now;
+        }
+
+        /** When the store will have filled enough. */
+        double refillMs(double units) {
+            return plan.rate() > 0 ? 1000 * (units - level) / plan.rate() : 0;
+        }
+
         double fullness() {
             return plan.burst() > 0 ? level / plan.burst() : 1;
         }
@@ -179,10 +231,24 @@
         }
     }
 
+    /** Units of a customer's ceiling that a peer wants, since it has none left. */
+    record Wish(Customer customer, int peer, int life, int count, double units, double at) { }
+
     /** How many times slower than usual a host was last taken to be, and when. */
     static final class Health {
         double slow = 1;
         double at;
+
+        /** What is not confirmed fades. */
+        double slowness(double now, double fadeMs) {
+            return 1 + (slow - 1) * Math.exp(-(now - at) / fadeMs);
+        }
+
+        /** Takes in one answer, that many times slower than usual, with that weight. */
+        void judge(double now, double ratio, double gain, double fadeMs) {
+            slow = slowness(now, fadeMs) + gain * (Math.min(SLOW_MAX, ratio) - slowness(now, fadeMs));
+            at = now;
+        }
     }
 
     /** A host as this gateway sees it. */
@@ -245,6 +311,8 @@
         int keeper; // its number
         int askSerial; // of the message that asked
         double answerBy; // when its answer counts as missing
+        Exchange.Grant grant; // units to give back where none are used
+        double leaveBy = Double.POSITIVE_INFINITY; // its units are good until then
 
         Ask(Request request, ClassState cls, Customer customer) {
             this.request = request;
--- a/src/main/java/deckfall/account/Account.java
+++ b/src/main/java/deckfall/account/Account.java
@@ -1,6 +1,7 @@
 package deckfall.account;
 
 import deckfall.Gateway.Outcome;
+import deckfall.quota.Exchange;
 import java.util.Locale;
 
 /**
@@ -18,7 +19,7 @@
         PART,
         /** Refused: this gateway's share of the customer's ceiling is spent. */
         CEILING,
-        /** Refused by a keeper, or since none answered. */
+        /** Refused by a keeper (among few gateways), or since none answered. */
         KEEPER,
         /** Refused: what was read had stood in the socket for too long. */
         READ_LATE,
@@ -45,6 +46,11 @@
         /** Messages of peers. */
         HEARD;
 
+        /** Why a request was not let in where keepers are asked. */
+        public static Item of(Exchange.Why why) {
+            return why == Exchange.Why.STORE ? QUOTA : why == Exchange.Why.CEILING ? CEILING : KEEPER;
+        }
+
         /** How an attempt ended. */
         public static Item of(Outcome outcome) {
             return switch (outcome) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -41,6 +41,7 @@
     static final long ACCEPT_ON_MS = 500; // after an end is near: new connections still come for a while
     private static final double LAST_MS = 1000; // for what a client asked last of a gateway that is to end
     private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
+    private static final long LEAVE_MS = 3200; // after SIGTERM: peers turn to others, who have the books
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final long GAUGE_MS = 250; // how often the hosts are counted for the operators
@@ -675,6 +676,7 @@
             awaitEmpty();
         }, micros(Math.max(ACCEPT_ON_MS, stay)), TimeUnit.MICROSECONDS);
         loop.schedule(this::endAll, DRAIN_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> tell((now, m) -> m.leaving(now)), LEAVE_MS, TimeUnit.MILLISECONDS);
     }
 
     /** The platform gives a process that is to end the longest deadline, up to a bound that a drain has, too. */
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -10,6 +10,7 @@
 import deckfall.Gateway.RequestClass;
 import deckfall.Gateway.Settings;
 import deckfall.Gateway.Sharing;
+import deckfall.quota.Exchange;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -183,10 +184,12 @@
     private NodeConfig of(int me) {
         Settings s = config.settings();
         Sharing sharing = s.sharing();
+        // Hundreds share quotas by code of their own: these two are the first of as many.
+        boolean hundreds = Exchange.isFor(s.gateways(), sharing.mailPerSecond());
         Sharing quick = new Sharing(sharing.counter(), sharing.counterPrice(), sharing.meterPeriodMs(),
-                sharing.postPaid(), sharing.maxUnits(), MAIL_PER_SECOND, sharing.peerPrice(), sharing.probePrice(),
-                sharing.zonePrice());
-        Settings settings = new Settings(s.seed(), me, 2, s.zone(), false, s.classes(), s.plans(), s.reportNames(),
+                sharing.postPaid(), sharing.maxUnits(), hundreds ? sharing.mailPerSecond() : MAIL_PER_SECOND,
+                sharing.peerPrice(), sharing.probePrice(), sharing.zonePrice());
+        Settings settings = new Settings(s.seed(), me, hundreds ? s.gateways() : 2, s.zone(), false, s.classes(), s.plans(), s.reportNames(),
                 s.limits(), s.rules(), quick);
         return new NodeConfig(config.name(), null, address(me), null, null, List.of(), null, config.sockets(), MissingNode.getInstance(),
                 settings, config.connectTimeoutMs(), config.idleMs(), config.maxOpen());
--- /dev/null
+++ b/src/main/java/deckfall/quota/Exchange.java
@@ -0,0 +1,860 @@
+package deckfall.quota;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+
+/**
+ * Who may be let in, in a tier too large for all to hear of all use: each customer's book is kept by one gateway of its set,
+ * which is asked once for each request and answers from the book at once.
+ *
+ * <p><b>Cost.</b> A question and its answer are two small messages for a request, however large the tier is; a gateway
+ * that knows from a recent answer that the store is empty refuses without one. Sending is bounded by one bucket for all
+ * peers, since it is the receivers' intake that is short and requests are spread over the keepers by a hash.
+ *
+ * <p><b>Loss.</b> A question not answered in {@value #ANSWER_MS} ms is sent again with its serial, for which a keeper keeps
+ * its verdict; the second miss turns to the stand-in, to which the keeper tells its books every {@value #SYNC_MS} ms. Who
+ * missed two is passed over until it is heard of, and is asked for a sign of life now and then. Where nobody is left to
+ * ask, {@link Guess} decides. Ceiling units are only ever given by a {@link CeilingShare}.
+ *
+ * <p><b>Restarts.</b> Who leaves passes its books to the stand-ins and says so; who returns says so and is told the books
+ * that were kept for it.
+ *
+ * <p>Bounds: {@link Config#most} customers asked about and as many books; {@value #OPEN_MAX} open questions, beyond which
+ * the guess decides at once; {@value Verdicts#MOST} verdicts kept for each peer. Pure, not thread-safe.
+ */
+public final class Exchange {
+    /** How long an answer may take before its question is sent again, in milliseconds: five times the way there and back. */
+    public static final double ANSWER_MS = 80;
+    private static final int SENDS = 2; // of one question to one keeper
+    private static final double SYNC_MS = 500;
+    private static final double KNOCK_MS = 1000; // between signs of life asked of one that is silent
+    private static final double KNOCKS_PER_S = 4; // by this gateway, to all that are silent
+    private static final double KNOCKS_MAX = 8;
+    private static final double KNOCKS_WON = 2; // for each that is heard again: others may be back, too
+    private static final double DEAF_MS = 500; // in a busy tier nobody hears nothing for so long
+    private static final double HINTED_MS = 200; // the same, where another gateway hears that one
+    private static final double FRESH_MS = 400; // so long a word that the store is empty is taken up to its refill
+    private static final double PRESSED_MS = 1000; // so long a word that there is little left thins out questions
+    private static final double PRESSED = 0.25; // share of the burst that is little
+    private static final double ASKED_MORE = 2; // times what the store fills by, that is asked for when pressed
+    private static final int OPEN_MAX = 512;
+    private static final int ENDED_MAX = 256; // questions given up whose answer may yet come
+    private static final double SHARE_USED = 0.8; // of the intake: bursts fit in the rest
+    private static final double BROADCAST_MS = 1000; // between broadcasts, from which on they tell too little too late
+    private static final double CREDIT_MS = 250; // time's worth of questions that may leave at once
+    private static final double MEAN = 0.5; // of the time in which a store fills: how long its units are missing
+    private static final double SWEEP_MS = 5000;
+    private static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
+    private static final double FILLED = 2; // times the time in which its slower store fills
+    private static final double ACTIVE_MS = 10_000; // a book used since then is passed on
+    private static final double LIVES_APART_MS = 60_000; // a life that begins later than this is none
+    private static final int[] HELLOS_MS = {0, 400}; // after others were first heard; the second for who lost the first
+    private static final int ROOM = 2; // largest requests that each share of a ceiling has room for
+    private static final int LENDERS = 3; // asked for units of a ceiling, one after the other
+    private static final double OLDER_EVEN = 0.5; // of a ceiling, that gateways of older versions split evenly
+    private static final double OLDER_MS = 60_000; // after its last word an older version is taken to be gone
+    private static final int EVERYONE = -1;
+
+    /**
+     * @param mailPerSecond messages that a gateway takes in
+     * @param maxUnits of one request
+     * @param most customers known here, and as many books
+     */
+    public record Config(int me, int gateways, double mailPerSecond, double maxUnits, int most, List<Terms> plans) { }
+
+    /** Why a request was let in or not. */
+    public enum Why { GRANTED, STORE, CEILING, GUESSED }
+
+    /** Units had of a keeper, to be given back where they were not used. */
+    public record Grant(int keeper, int serial, long customer, double units) { }
+
+    /**
+     * @param leaveBy until then it must have been sent on
+     * @param retryMs when the store will have filled enough, 0 where that is not known
+     * @param grant null where there is nothing to give back
+     */
+    public record Decision(boolean in, Why why, double leaveBy, double retryMs, Grant grant) { }
+
+    /** What happened since it was last taken, for the log. */
+    private static final class Counts {
+        int asked;
+        int again;
+        int missed;
+        int guessed;
+        int stoodIn;
+        int unable;
+    }
+
+    /** What is done with messages and decisions. */
+    public interface Link {
+        /** {@code peer} is -1 for all. */
+        void tell(int peer, byte[] data);
+
+        void decided(double now, String id, Decision decision);
+    }
+
+    private static final class Peer {
+        final Verdicts verdicts = new Verdicts();
+        boolean met;
+        int life;
+        int syncCount;
+        boolean synced;
+        boolean leaves;
+        boolean silent;
+        double silentAt;
+        double heardAt = Double.NEGATIVE_INFINITY;
+        double knockedAt = Double.NEGATIVE_INFINITY;
+    }
+
+    /** A customer as one that asks sees it. */
+    private static final class Known {
+        final Talk.Named named;
+        final Terms terms;
+        final Keepers keepers;
+        double level;
+        double demand;
+        double toldAt = Double.NEGATIVE_INFINITY;
+        double usedAt;
+        double more; // units refused here without a question
+        double guessed; // units let in here without a keeper's word, and not told yet; fading as the store fills
+        double guessedAt;
+
+        Known(Talk.Named named, Terms terms, Keepers keepers) {
+            this.named = named;
+            this.terms = terms;
+            this.keepers = keepers;
+            level = terms.burst();
+        }
+
+        double ageMs(double now) {
+            return toldAt == Double.NEGATIVE_INFINITY ? 0 : now - toldAt;
+        }
+
+        /** Lets in without a keeper's word; none is needed where there is no quota. */
+        void guess(double now, double units) {
+            if (terms.rate() > 0) {
+                guessed = guessed(now) + units;
+                guessedAt = now;
+            }
+        }
+
+        double guessed(double now) {
+            double fillMs = 1000 * terms.burst() / terms.rate();
+            return guessed * Math.exp((guessedAt - now) / (MEAN * fillMs));
+        }
+
+        void told(double now, double toldLevel, double toldDemand) {
+            level = toldLevel;
+            demand = toldDemand;
+            toldAt = now;
+        }
+    }
+
+    private static final class Question {
+        final String id;
+        final Known known;
+        final double units;
+        final double lastMs;
+        int place = -1; // of the keeper that was asked last
+        int serial;
+        int sends;
+        double askedAt;
+        double answerBy;
+        Talk.Of of = Talk.Of.BOTH;
+        Grant quota; // the store's units, while the ceiling's are looked for
+        int peer; // that was asked last
+        final Set<Integer> lenders = new HashSet<>(); // that had none
+
+        Question(String id, Known known, double units, double lastMs) {
+            this.id = id;
+            this.known = known;
+            this.units = units;
+            this.lastMs = lastMs;
+        }
+    }
+
+    private final Config config;
+    private final Link link;
+    private final Random random;
+    private final Peer[] peers;
+    private final Map<Long, Known> customers = new HashMap<>();
+    private final Map<Long, Book> books = new LinkedHashMap<>();
+    private final Map<Integer, Question> open = new LinkedHashMap<>();
+    private final LinkedHashMap<Integer, Boolean> ended = new LinkedHashMap<>(); // serial, and whether it was let in
+    private final Map<Integer, List<Talk.Item>> due = new TreeMap<>();
+    private final double perMs;
+    private double credit;
+    private double creditAt;
+    private double syncedAt;
+    private double sweptAt;
+    private double heardSince = Double.POSITIVE_INFINITY; // others speak to this life
+    private double fillsSince;
+    private boolean filling = true;
+    private double heardAt = Double.NEGATIVE_INFINITY; // anybody
+    private double knocks = KNOCKS_MAX;
+    private double knocksAt;
+    private double olderAt = Double.NEGATIVE_INFINITY; // when a peer of an older version last spoke
+    private int life;
+    private int serial;
+    private int count;
+    private int hellos;
+    private Counts counts = new Counts();
+
+    /** Whether a tier is so large that even a broadcast of each to all would come a second apart. */
+    public static boolean isFor(int gateways, double mailPerSecond) {
+        return gateways - 1 >= SHARE_USED * Math.max(1, mailPerSecond) * BROADCAST_MS / 1000;
+    }
+
+    /** @param life of this gateway; later ones are greater, by difference */
+    public Exchange(double now, Config config, int life, Random random, Link link) {
+        this.config = config;
+        this.link = link;
+        this.random = random;
+        this.life = life;
+        peers = new Peer[config.gateways()];
+        for (int i = 0; i < peers.length; i++) {
+            peers[i] = new Peer();
+        }
+        perMs = Math.max(1, config.mailPerSecond()) * SHARE_USED / 1000;
+        credit = perMs * CREDIT_MS;
+        creditAt = knocksAt = syncedAt = sweptAt = fillsSince = now;
+    }
+
+    /** No earlier life of this gateway has given anything out since then. */
+    public void aloneSince(double since) {
+        fillsSince = Math.min(fillsSince, since);
+    }
+
+    /** What fills from now on is another process's. */
+    public void replaced(double now) {
+        books.values().forEach(b -> b.touch(now, new CeilingShare.Fill(true, 1)));
+        filling = false;
+    }
+
+    /** The other process is gone, with what it knew and what filled meanwhile. */
+    public void restored(double now, int newLife) {
+        filling = true;
+        life = newLife;
+        fillsSince = now;
+        heardSince = Double.POSITIVE_INFINITY;
+        hellos = 0;
+        books.clear();
+    }
+
+    /** This loop stood still for so long: what came meanwhile is read only now. */
+    public void stalled(double ms) {
+        open.values().forEach(q -> q.answerBy += ms);
+    }
+
+    // ---- asking
+
+    /**
+     * Decides on a request, at once or when its keeper has answered; {@link Link#decided} is told, once.
+     *
+     * @param lastMs when it must be decided at the latest
+     */
+    public void want(double now, String id, Talk.Named named, double units, double lastMs) {
+        Known k = known(now, named);
+        if (k == null) {
+            link.decided(now, id, new Decision(false, Why.GUESSED, 0, 0, null));
+            return;
+        }
+        next(now, new Question(id, k, units, lastMs));
+    }
+
+    /** Nobody waits for the answer any more. */
+    public void gone(String id) {
+        for (Iterator<Question> it = open.values().iterator(); it.hasNext();) {
+            Question q = it.next();
+            if (q.id.equals(id)) {
+                it.remove();
+                end(q, false);
+                giveBack(q.quota);
+                return;
+            }
+        }
+    }
+
+    /** What was granted was never sent on; the word of it leaves with the next beat. */
+    public void back(Grant grant) {
+        giveBack(grant);
+    }
+
+    private Known known(double now, Talk.Named named) {
+        Known k = customers.get(named.customer());
+        if (k == null && customers.size() < config.most() && named.plan() < config.plans().size()) {
+            k = new Known(named, config.plans().get(named.plan()), keepers(named));
+            customers.put(named.customer(), k);
+        }
+        if (k != null) {
+            k.usedAt = now;
+        }
+        return k;
+    }
+
+    private Keepers keepers(Talk.Named named) {
+        return Keepers.of(named, peers.length, config.plans().get(named.plan()), ROOM * config.maxUnits());
+    }
+
+    private boolean there(double now, int gateway) {
+        Peer p = peers[gateway];
+        boolean there = gateway == config.me() || !p.silent && !p.leaves;
+        if (!there) {
+            knock(now, gateway, KNOCK_MS);
+        }
+        return there;
+    }
+
+    /** Asks one that is passed over for a sign of life; where many are, only some of them. */
+    private void knock(double now, int gateway, double everyMs) {
+        Peer p = peers[gateway];
+        knocks = Math.min(KNOCKS_MAX, knocks + (now - knocksAt) * KNOCKS_PER_S / 1000);
+        knocksAt = now;
+        if (now - p.knockedAt >= everyMs && knocks >= 1) {
+            knocks--;
+            p.knockedAt = now;
+            say(gateway, new Talk.Presence(Talk.State.ASKS));
+        }
+    }
+
+    /** A peer is heard: not silent, and where this gateway had heard nobody, the others need not be either. */
+    private void hears(double now, Peer p) {
+        if (p.silent) {
+            p.silent = false;
+            knocks += KNOCKS_WON;
+        }
+        if (now - heardAt >= DEAF_MS) {
+            for (Peer other : peers) {
+                other.silent &= other.silentAt < heardAt;
+            }
+        }
+        heardAt = now;
+        p.heardAt = now;
+    }
+
+    /** Turns to the next keeper of the book that is there, this gateway perhaps. */
+    private void next(double now, Question q) {
+        Known k = q.known;
+        int[] books = k.keepers.books();
+        while (++q.place < books.length) {
+            q.peer = books[q.place];
+            if (q.peer == config.me()) {
+                judgeHere(now, q);
+                return;
+            }
+            if (!there(now, q.peer)) {
+                continue;
+            }
+            if (emptyFor(now, k, q.units)) {
+                k.more += q.units;
+                refuse(now, q, Why.STORE);
+                return;
+            }
+            q.of = ownCeiling(now, k) >= q.units ? Talk.Of.STORE : Talk.Of.BOTH;
+            if (!ask(now, q)) {
+                break;
+            }
+            return;
+        }
+        guess(now, q);
+    }
+
+    /** Turns to one that may have units of the ceiling: this gateway, or any other with a share, in an order of chance. */
+    private void lender(double now, Question q) {
+        Known k = q.known;
+        q.of = Talk.Of.CEILING;
+        if (q.lenders.add(config.me()) && ownCeiling(now, k) >= q.units) {
+            judgeHere(now, q);
+            return;
+        }
+        int[] shares = k.keepers.shares();
+        int from = shares.length == 0 ? 0 : random.nextInt(shares.length);
+        for (int i = 0; i < shares.length && q.lenders.size() <= LENDERS; i++) {
+            q.peer = shares[(from + i) % shares.length];
+            boolean silent = peers[q.peer].silent; // one that leaves has units while it is there
+            if (!q.lenders.contains(q.peer) && !silent && q.lenders.add(q.peer) && ask(now, q)) {
+                return;
+            }
+        }
+        giveBack(q.quota);
+        refuse(now, q, Why.CEILING);
+    }
+
+    /** What this gateway may give itself of a ceiling. */
+    private double ownCeiling(double now, Known k) {
+        Book own = k.keepers.shares(config.me()) ? book(now, k.named) : null;
+        return own == null ? 0 : own.ceiling(now, fill(now, own));
+    }
+
+    /** False where no question may leave. */
+    private boolean ask(double now, Question q) {
+        if (open.size() >= OPEN_MAX || now + ANSWER_MS >= q.lastMs || !takeCredit(now)) {
+            return false;
+        }
+        q.serial = serial = serial + 1 & Talk.WORD;
+        q.sends = 0;
+        q.askedAt = now;
+        open.put(q.serial, q);
+        counts.asked++;
+        send(now, q);
+        return true;
+    }
+
+    /** Known from a recent word: the store can't have the units, or so little that most would ask in vain. */
+    private boolean emptyFor(double now, Known k, double units) {
+        double age = now - k.toldAt;
+        if (k.terms.rate() <= 0 || age >= PRESSED_MS) {
+            return false;
+        }
+        double most = k.level + k.terms.rate() * age / 1000;
+        if (age < FRESH_MS && most < units) {
+            return true;
+        }
+        boolean pressed = most < PRESSED * k.terms.burst();
+        return pressed && random.nextDouble() * k.demand > ASKED_MORE * k.terms.rate();
+    }
+
+    private boolean takeCredit(double now) {
+        credit = Math.min(Math.max(1, perMs * CREDIT_MS), credit + (now - creditAt) * perMs);
+        creditAt = now;
+        boolean has = credit >= 1;
+        credit -= has ? 1 : 0;
+        return has;
+    }
+
+    private void send(double now, Question q) {
+        q.sends++;
+        q.answerBy = now + ANSWER_MS;
+        say(q.peer, new Talk.Ask(q.serial, q.known.named, q.units, q.known.more, q.of));
+        q.known.more = 0;
+        flush();
+    }
+
+    private void judgeHere(double now, Question q) {
+        Book b = book(now, q.known.named);
+        if (b == null) {
+            guess(now, q);
+            return;
+        }
+        q.askedAt = now;
+        q.peer = config.me();
+        Talk.Verdict v = b.judge(now, q.units, 0, q.of, fill(now, b));
+        if (q.of != Talk.Of.CEILING) {
+            q.known.told(now, b.level(), b.demand());
+        }
+        verdict(now, q, v, new Grant(config.me(), 0, q.known.named.customer(), q.units));
+    }
+
+    /** @param grant of the store's units, where these were asked for */
+    private void verdict(double now, Question q, Talk.Verdict v, Grant grant) {
+        boolean capped = q.known.terms.ceilingRate() > 0;
+        if (q.of != Talk.Of.CEILING && (v == Talk.Verdict.GRANTED || v == Talk.Verdict.CEILING)) {
+            q.quota = grant;
+        }
+        if (v == Talk.Verdict.GRANTED && !(capped && q.of == Talk.Of.STORE)) {
+            double leaveBy = capped ? q.askedAt + CeilingShare.USE_MS : Double.POSITIVE_INFINITY;
+            if (now < leaveBy) {
+                link.decided(now, q.id, new Decision(true, Why.GRANTED, leaveBy, 0, q.quota));
+            } else { // the units came too late to be used
+                giveBack(q.quota);
+                refuse(now, q, Why.CEILING);
+            }
+        } else if (v == Talk.Verdict.GRANTED || v == Talk.Verdict.CEILING) {
+            if (v == Talk.Verdict.CEILING) {
+                q.lenders.add(q.peer);
+            }
+            lender(now, q);
+        } else { // where none can judge, two gateways were told different things of this customer
+            giveBack(q.quota);
+            refuse(now, q, v == Talk.Verdict.STORE ? Why.STORE : Why.GUESSED);
+        }
+    }
+
+    private void refuse(double now, Question q, Why why) {
+        Known k = q.known;
+        double lacks = q.units - (k.level + k.terms.rate() * k.ageMs(now) / 1000);
+        double retryMs = why == Why.STORE && k.terms.rate() > 0 ? 1000 * Math.max(0, lacks) / k.terms.rate() : 0;
+        link.decided(now, q.id, new Decision(false, why, 0, retryMs, null));
+    }
+
+    /** Nobody can be asked: the store by what was last known of it, the ceiling by what is here. */
+    private void guess(double now, Question q) {
+        Known k = q.known;
+        double chance = Guess.chance(k.terms, k.level, k.demand, k.ageMs(now), q.units);
+        boolean in = random.nextDouble() < chance;
+        boolean capped = k.terms.ceilingRate() > 0;
+        if (in && capped && ownCeiling(now, k) < q.units) {
+            refuse(now, q, Why.CEILING);
+            return;
+        }
+        if (!in) {
+            refuse(now, q, Why.GUESSED);
+            return;
+        }
+        if (capped) {
+            Book own = books.get(k.named.customer());
+            own.judge(now, q.units, 0, Talk.Of.CEILING, fill(now, own));
+        }
+        counts.guessed++;
+        k.level -= q.units;
+        k.guess(now, q.units);
+        double leaveBy = capped ? now + CeilingShare.USE_MS : Double.POSITIVE_INFINITY;
+        link.decided(now, q.id, new Decision(true, Why.GUESSED, leaveBy, 0, null));
+    }
+
+    private void giveBack(Grant grant) {
+        if (grant == null) {
+            return;
+        }
+        if (grant.keeper() != config.me()) {
+            say(grant.keeper(), new Talk.Back(grant.serial()));
+            return;
+        }
+        Book b = books.get(grant.customer());
+        if (b != null) {
+            b.back(grant.units());
+        }
+    }
+
+    private void end(Question q, boolean in) {
+        if (q.serial != 0 || q.sends > 0) {
+            ended.put(q.serial, in);
+        }
+        if (ended.size() > ENDED_MAX) {
+            ended.remove(ended.keySet().iterator().next());
+        }
+    }
+
+    // ---- the beat
+
+    /** Misses of answers, words to stand-ins, what is to be forgotten; due every some tens of milliseconds. */
+    public void beat(double now) {
+        if (hellos < HELLOS_MS.length && now - heardSince >= HELLOS_MS[hellos]) {
+            hellos++;
+            hello();
+        }
+        for (Question q : open.values().stream().filter(x -> now >= x.answerBy).toList()) {
+            if (open.get(q.serial) == q) { // no decision on the way has ended it
+                missed(now, q);
+            }
+        }
+        if (now - syncedAt >= SYNC_MS) {
+            syncedAt = now;
+            books.values().forEach(b -> sync(now, b));
+            customers.values().forEach(k -> tellGuessed(now, k));
+        }
+        if (now - sweptAt >= SWEEP_MS) {
+            sweptAt = now;
+            customers.values().removeIf(k -> now - k.usedAt > forgetMs(k.terms));
+            books.values().removeIf(b -> now - b.usedAt > forgetMs(b.terms));
+        }
+        flush();
+    }
+
+    /** Once others have spoken the tier serves already, and may keep books for this one. */
+    private void hello() {
+        IntStream.of(Keepers.neighbours(config.me(), peers.length))
+                .forEach(g -> say(g, new Talk.Presence(Talk.State.SERVES)));
+    }
+
+    /** The keeper is told what was let in without it, once it is there. */
+    private void tellGuessed(double now, Known k) {
+        if (k.guessed == 0) {
+            return;
+        }
+        for (int keeper : k.keepers.books()) {
+            if (!there(now, keeper)) {
+                continue;
+            }
+            if (keeper != config.me()) {
+                serial = serial + 1 & Talk.WORD;
+                say(keeper, new Talk.Used(serial, k.named, k.guessed(now)));
+            } else {
+                Book own = book(now, k.named);
+                if (own != null) {
+                    own.used(now, k.guessed(now), fill(now, own));
+                }
+            }
+            k.guessed = 0;
+            return;
+        }
+    }
+
+    private static double forgetMs(Terms terms) {
+        return Math.max(FORGET_MS, FILLED * terms.fillMs());
+    }
+
+    private void missed(double now, Question q) {
+        if (q.sends < SENDS && now + ANSWER_MS < q.lastMs && takeCredit(now)) {
+            counts.again++;
+            send(now, q);
+            return;
+        }
+        counts.missed++;
+        open.remove(q.serial);
+        end(q, false); // a grant that comes yet goes back: the next keeper's counts
+        Peer p = peers[q.peer];
+        if (p.heardAt < q.askedAt) {
+            p.silentAt = p.silent ? p.silentAt : now;
+            p.silent = true;
+            p.knockedAt = now;
+        }
+        if (q.of == Talk.Of.CEILING) {
+            lender(now, q);
+        } else {
+            next(now, q);
+        }
+    }
+
+    /** The first keeper that is there tells the one that would come after it. */
+    private void sync(double now, Book b) {
+        int mine = b.keepers.place(config.me());
+        if (mine < 0 || b.usedAt <= b.toldAt || b.terms.rate() <= 0 || before(now, b) >= 0) {
+            return;
+        }
+        int[] books = b.keepers.books();
+        for (int i = mine + 1; i < books.length; i++) {
+            if (there(now, books[i])) {
+                b.toldAt = now;
+                tellBook(now, b, books[i]);
+                return;
+            }
+        }
+    }
+
+    private void tellBook(double now, Book b, int to) {
+        b.touch(now, fill(now, b));
+        say(to, new Talk.Sync(b.named, b.fullness(), b.demand()));
+    }
+
+    /** This gateway is about to end: its books go to the stand-ins, and all turn to these. */
+    public void leave(double now) {
+        books.values().forEach(b -> sync(now, b));
+        flush();
+        tell(EVERYONE, 0, List.of(new Talk.Presence(Talk.State.LEAVES)));
+    }
+
+    // ---- hearing
+
+    /**
+     * A peer's message; what is of no sense is ignored.
+     *
+     * @param talk null where it was of an older version
+     */
+    public void heard(double now, int from, Talk talk) {
+        if (talk == null) {
+            olderAt = now;
+            return;
+        }
+        Peer p = peers[from];
+        int newer = talk.life() - p.life;
+        boolean unborn = talk.life() - (int) (long) now > LIVES_APART_MS;
+        if (unborn || p.met && newer < 0) {
+            return;
+        }
+        if (!p.met || newer > 0) {
+            p.met = true;
+            p.life = talk.life();
+            p.synced = false;
+            p.leaves = false;
+            p.verdicts.clear();
+        }
+        hears(now, p);
+        heardSince = Math.min(heardSince, now);
+        boolean answersMe = talk.toLife() == (life & Talk.WORD);
+        boolean fresh = !p.synced || (short) (talk.count() - p.syncCount) > 0;
+        for (Talk.Item item : talk.items()) {
+            if (item instanceof Talk.Ask a) {
+                hearAsk(now, from, p, a);
+            } else if (item instanceof Talk.Answer a && answersMe) {
+                hearAnswer(now, from, a);
+            } else if (item instanceof Talk.Back b) {
+                p.verdicts.back(b.serial());
+            } else if (item instanceof Talk.Used u) {
+                hearUsed(now, from, p, u);
+            } else if (item instanceof Talk.Sync s && fresh) {
+                p.synced = true;
+                p.syncCount = talk.count();
+                hearSync(now, from, s);
+            } else if (item instanceof Talk.Presence s) {
+                hearPresence(now, from, p, s.state());
+            }
+        }
+        flush();
+    }
+
+    /**
+     * Versions before this one split a ceiling otherwise: half to the first keeper, half evenly over the set. While any of
+     * them speaks, this gateway has no more than such an even part, so that all shares stay within the whole.
+     */
+    private CeilingShare.Fill fill(double now, Book b) {
+        boolean mixed = now - olderAt < OLDER_MS;
+        int shares = b.keepers.shares().length;
+        return new CeilingShare.Fill(filling, mixed && shares > 0 ? OLDER_EVEN * shares / b.named.spread() : 1);
+    }
+
+    private Book book(double now, Talk.Named named) {
+        Book b = books.get(named.customer());
+        if (b != null) {
+            return b.named.plan() == named.plan() ? b : null;
+        }
+        if (books.size() >= config.most() || named.plan() >= config.plans().size()) {
+            return null;
+        }
+        Keepers keepers = keepers(named);
+        boolean holds = keepers.shares(config.me());
+        if (keepers.place(config.me()) < 0 && !holds) {
+            return null;
+        }
+        Terms terms = config.plans().get(named.plan());
+        CeilingShare ceiling = holds ? new CeilingShare(terms, 1.0 / keepers.shares().length, now, fillsSince) : null;
+        b = new Book(named, keepers, terms, ceiling, now);
+        books.put(named.customer(), b);
+        return b;
+    }
+
+    private void hearAsk(double now, int from, Peer p, Talk.Ask a) {
+        Verdicts.Kept kept = p.verdicts.of(a.serial());
+        boolean news = kept == null;
+        if (news) {
+            boolean possible = a.named().holds(from, peers.length) && a.named().holds(config.me(), peers.length);
+            Book b = possible ? book(now, a.named()) : null;
+            Talk.Verdict v = b == null ? Talk.Verdict.UNABLE
+                    : b.judge(now, a.units(), a.more(), a.of(), fill(now, b));
+            boolean took = a.of() != Talk.Of.CEILING && (v == Talk.Verdict.GRANTED || v == Talk.Verdict.CEILING);
+            kept = p.verdicts.keep(a.serial(), v, b, took ? a.units() : 0);
+        }
+        Book b = kept.book();
+        int before = b == null || a.of() == Talk.Of.CEILING ? -1 : before(now, b);
+        counts.stoodIn += news && b != null && b.keepers.place(config.me()) > 0 && a.of() != Talk.Of.CEILING ? 1 : 0;
+        counts.unable += kept.verdict() == Talk.Verdict.UNABLE ? 1 : 0;
+        if (news && before >= 0 && kept.units() > 0) { // two are asked for one book just now
+            serial = serial + 1 & Talk.WORD;
+            say(before, new Talk.Used(serial, a.named(), kept.units()));
+        }
+        say(from, new Talk.Answer(a.serial(), kept.verdict(), b == null ? 0 : b.fullness(), b == null ? 0 : b.demand(),
+                before >= 0));
+    }
+
+    /** The keeper that comes before this gateway and is there; -1 where this one is in charge. */
+    private int before(double now, Book b) {
+        int mine = b.keepers.place(config.me());
+        for (int i = 0; i < mine; i++) {
+            if (there(now, b.keepers.books()[i])) {
+                return b.keepers.books()[i];
+            }
+        }
+        return -1;
+    }
+
+    private void hearUsed(double now, int from, Peer p, Talk.Used u) {
+        boolean possible = u.named().holds(from, peers.length) && u.named().holds(config.me(), peers.length);
+        Book b = possible && p.verdicts.of(u.serial()) == null ? book(now, u.named()) : null;
+        if (b != null) {
+            p.verdicts.keep(u.serial(), Talk.Verdict.GRANTED, b, 0);
+            b.used(now, u.units(), fill(now, b));
+        }
+    }
+
+    private void hearAnswer(double now, int from, Talk.Answer a) {
+        Question q = open.get(a.serial());
+        if (q == null || q.peer != from) {
+            Boolean in = ended.remove(a.serial());
+            boolean took = a.verdict() == Talk.Verdict.GRANTED || a.verdict() == Talk.Verdict.CEILING;
+            if (in != null && !in && took) {
+                say(from, new Talk.Back(a.serial()));
+            }
+            return;
+        }
+        open.remove(a.serial());
+        if (a.standsIn()) { // asked of all that were passed over on the way
+            IntStream.range(0, q.place).forEach(i -> knock(now, q.known.keepers.books()[i], HINTED_MS));
+        }
+        if (a.verdict() != Talk.Verdict.UNABLE && q.of != Talk.Of.CEILING) {
+            q.known.told(now, a.fullness() * q.known.terms.burst(), a.demand());
+        }
+        verdict(now, q, a.verdict(), new Grant(from, a.serial(), q.known.named.customer(), q.units));
+    }
+
+    private void hearSync(double now, int from, Talk.Sync s) {
+        if (!s.named().holds(from, peers.length) || !s.named().holds(config.me(), peers.length)) {
+            return;
+        }
+        Book b = book(now, s.named());
+        int theirs = b == null ? -1 : b.keepers.place(from);
+        int mine = b == null ? -1 : b.keepers.place(config.me());
+        if (theirs < 0 || mine < 0) {
+            return;
+        }
+        boolean inCharge = theirs < mine;
+        if (inCharge || !b.informed) {
+            b.told(now, s, inCharge, fill(now, b));
+        }
+    }
+
+    private void hearPresence(double now, int from, Peer p, Talk.State state) {
+        switch (state) {
+            case SERVES -> {
+                p.leaves = false;
+                for (Book b : books.values()) {
+                    int theirs = b.keepers.place(from);
+                    boolean active = now - b.usedAt < ACTIVE_MS && b.terms.rate() > 0;
+                    if (active && theirs >= 0 && theirs < b.keepers.place(config.me())) {
+                        tellBook(now, b, from);
+                    }
+                }
+            }
+            case LEAVES -> p.leaves = true;
+            case ASKS -> say(from, new Talk.Presence(Talk.State.HERE));
+            default -> { }
+        }
+    }
+
+    /** {@code name=count} of what happened since this was last called. */
+    public String counts() {
+        Counts c = counts;
+        counts = new Counts();
+        return " asked=" + c.asked + " again=" + c.again + " missed=" + c.missed + " guessed=" + c.guessed
+                + " stood_in=" + c.stoodIn + " unable=" + c.unable;
+    }
+
+    // ---- messages
+
+    private void say(int to, Talk.Item item) {
+        due.computeIfAbsent(to, p -> new ArrayList<>()).add(item);
+    }
+
+    /** All that is due leaves, as few messages a peer as it fits in. */
+    private void flush() {
+        for (Map.Entry<Integer, List<Talk.Item>> e : due.entrySet()) {
+            List<Talk.Item> part = new ArrayList<>();
+            int size = Talk.HEAD_BYTES;
+            for (Talk.Item item : e.getValue()) {
+                int more = Talk.bytes(item);
+                if (size + more > Talk.MOST_BYTES) {
+                    tell(e.getKey(), peers[e.getKey()].life, part);
+                    part = new ArrayList<>();
+                    size = Talk.HEAD_BYTES;
+                }
+                part.add(item);
+                size += more;
+            }
+            tell(e.getKey(), peers[e.getKey()].life, part);
+        }
+        due.clear();
+    }
+
+    private void tell(int to, int toLife, List<Talk.Item> items) {
+        count = count + 1 & Talk.WORD;
+        link.tell(to, new Talk(life, toLife & Talk.WORD, count, items).bytes());
+    }
+}
--- /dev/null
+++ b/src/test/java/deckfall/HundredsTest.java
@@ -0,0 +1,116 @@
+package deckfall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.quota.Talk;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** One gateway of a hundred: what the module does with what the keepers of books say, or do not say. */
+class HundredsTest {
+    private static final int GATEWAYS = 100;
+    private static final int ANSWER_MS = 80;
+
+    private final FakeGateway g = new FakeGateway(1000, FakeGateway.settings(0, GATEWAYS)).withHosts("a1", "a2");
+
+    private void ask(String id, String plan, long customer) {
+        g.ask(id, "read", plan, customer, 2, GATEWAYS);
+    }
+
+    private Stream<Talk.Item> said() {
+        return g.told.stream().flatMap(t -> Talk.read(t.data()).items().stream());
+    }
+
+    private Talk.Ask asked(int which) {
+        return said().filter(i -> i instanceof Talk.Ask).map(i -> (Talk.Ask) i).toList().get(which);
+    }
+
+    /** The keeper of the latest question answers it. */
+    private void answer(Talk.Verdict verdict, int count) {
+        FakeGateway.Told last = g.told.get(g.told.size() - 1);
+        int life = Talk.read(last.data()).life();
+        Talk.Ask ask = (Talk.Ask) Talk.read(last.data()).items().get(0);
+        Talk.Answer answer = new Talk.Answer(ask.serial(), verdict, 0.2, 3, false);
+        g.brain.peerSaid(g.now, last.peer(), new Talk(500, life & 0xffff, count, List.of(answer)).bytes());
+    }
+
+    @Test
+    void oneQuestionAndItsAnswerLetARequestIn() {
+        ask("r", "small", 7);
+        assertEquals(1, g.told.size());
+        assertEquals(List.of(), g.sent);
+        answer(Talk.Verdict.GRANTED, 1);
+        assertEquals(1, g.sends("r"));
+        assertEquals(1, g.told.size(), "nothing is told of a use that the keeper has booked");
+    }
+
+    @Test
+    void whatTheKeeperHasNotIsRefusedAtOnceAndIsNotAskedForAgain() {
+        ask("r", "small", 7);
+        answer(Talk.Verdict.STORE, 1);
+        assertEquals(List.of("r"), g.refused);
+        int told = g.told.size();
+        g.ask("s", "read", "small", 7, 4, GATEWAYS);
+        assertEquals(List.of("r", "s"), g.refused);
+        assertEquals(told, g.told.size());
+    }
+
+    /** Once a question that waited for its turn to leave counted as missed, and its keeper as silent. */
+    @Test
+    void aMissIsAskedAgainThenOthersAndThenTheGuessDecides() {
+        ask("r", "small", 7);
+        g.pass(ANSWER_MS + 20);
+        assertEquals(asked(0), asked(1), "the same question, of the same serial");
+        g.pass(6 * ANSWER_MS);
+        assertEquals(1, g.sends("r"), "nobody answers: the store was last known to be full");
+        assertEquals(0, g.answers("r"));
+        g.end("r", 0, Gateway.Outcome.OK, 20);
+        g.pass(1000);
+        assertTrue(said().anyMatch(i -> i instanceof Talk.Presence), "who was silent is asked for a sign of life");
+    }
+
+    /** Units of a ceiling are good for 400 ms: where no host is to be had by then it is refused, the quota's go back. */
+    @Test
+    void unitsOfACeilingThatCannotBeUsedInTimeGoBack() {
+        FakeGateway bare = new FakeGateway(1000, FakeGateway.settings(0, GATEWAYS));
+        bare.ask("r", "read", "capped", 7, 2, GATEWAYS);
+        FakeGateway.Told last = bare.told.get(0);
+        Talk talk = Talk.read(last.data());
+        Talk.Ask ask = assertInstanceOf(Talk.Ask.class, talk.items().get(0));
+        Talk.Answer answer = new Talk.Answer(ask.serial(), Talk.Verdict.GRANTED, 0.2, 3, false);
+        bare.brain.peerSaid(bare.now, last.peer(), new Talk(500, talk.life() & 0xffff, 1, List.of(answer)).bytes());
+        bare.pass(300);
+        assertEquals(0, bare.answers("r"));
+        bare.pass(140);
+        assertEquals(List.of("r"), bare.refused);
+        assertTrue(bare.told.stream().anyMatch(
+                t -> Talk.read(t.data()).items().contains(new Talk.Back(ask.serial()))));
+    }
+
+    @Test
+    void whoLeavesPassesItsBooksOn() {
+        for (long customer = 1; customer <= 300; customer++) {
+            ask("r" + customer, "small", customer); // of some of them this gateway keeps the book
+        }
+        g.told.clear();
+        g.brain.leaving(g.now);
+        long books = said().filter(i -> i instanceof Talk.Sync).count();
+        assertTrue(books >= 1, books + " books");
+        assertEquals(List.of(new Talk.Presence(Talk.State.LEAVES)),
+                Talk.read(g.told.get(g.told.size() - 1).data()).items());
+        assertEquals(-1, g.told.get(g.told.size() - 1).peer(), "to all");
+    }
+
+    /** The client has gone before the answer: what was granted goes back, and nothing is sent on. */
+    @Test
+    void aClientThatLeftCostsNothing() {
+        ask("r", "small", 7);
+        g.brain.clientLeft(g.now, "r");
+        answer(Talk.Verdict.GRANTED, 1);
+        assertEquals(List.of(), g.sent);
+        assertTrue(said().anyMatch(i -> i instanceof Talk.Back));
+    }
+}
--- /dev/null
+++ b/src/test/java/deckfall/quota/Tier.java
@@ -0,0 +1,287 @@
+package deckfall.quota;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiPredicate;
+
+/**
+ * A whole tier in virtual time: so many exchanges, a link with delay, loss, an intake and cuts, customers with true stores
+ * that are charged when a request is sent on. It counts what went beyond a quota, what was refused with half of it or more
+ * unused, how long decisions took, and how far below nothing a ceiling's true store ever was.
+ */
+final class Tier {
+    static final Terms BASIC = new Terms(2, 7, 0, 0);
+    static final Terms CAPPED = new Terms(15, 26, 35, 57);
+    static final Terms ONLY_CAPPED = new Terms(0, 0, 35, 57);
+    static final double MOST_UNITS = 4;
+    private static final List<Terms> PLANS = List.of(BASIC, CAPPED, ONLY_CAPPED);
+    private static final int INTAKE = 40;
+    private static final double STEP_MS = 5;
+    private static final double BEAT_MS = 20;
+    private static final double DEADLINE_MS = 1000;
+
+    private record Mail(double at, int order, int from, int to, byte[] data) { }
+
+    private record Sending(double at, int order, Customer customer, double units) { }
+
+    private record Open(Customer customer, int gateway, double units, double at) { }
+
+    /** One customer and the stores as they truly are. */
+    static final class Customer {
+        final Talk.Named named;
+        final Terms terms;
+        double perSecond; // units a second asked for
+        double level;
+        double ceiling;
+        double at;
+        double lowest = Double.POSITIVE_INFINITY;
+        double sent;
+        double allowed; // units that came into the quota's store, its first filling with them
+
+        Customer(Talk.Named named, Terms terms, double now) {
+            this.named = named;
+            this.terms = terms;
+            level = allowed = terms.burst();
+            ceiling = terms.ceilingBurst();
+            at = now;
+        }
+
+        void touch(double now) {
+            double before = level;
+            level = Math.min(terms.burst(), level + (now - at) / 1000 * terms.rate());
+            allowed += level - before;
+            ceiling = Math.min(terms.ceilingBurst(), ceiling + (now - at) / 1000 * terms.ceilingRate());
+            at = now;
+        }
+    }
+
+    final List<Customer> customers = new ArrayList<>();
+    final List<Double> waits = new ArrayList<>();
+    private final Exchange[] gateways;
+    private final double[] upAt;
+    private final double[] room; // of the intake
+    private final Random random;
+    private final double loss;
+    private final PriorityQueue<Mail> mail =
+            new PriorityQueue<>(Comparator.comparingDouble(Mail::at).thenComparingInt(Mail::order));
+    private final PriorityQueue<Sending> sendings =
+            new PriorityQueue<>(Comparator.comparingDouble(Sending::at).thenComparingInt(Sending::order));
+    private final Map<String, Open> open = new HashMap<>();
+    private final Set<Integer> leaving = new HashSet<>();
+    private BiPredicate<Integer, Integer> cut = (a, b) -> false;
+    private int order;
+    private int asked;
+    private double beatAt;
+    double now = 1_000_000;
+    int tries;
+    int refusedWithRoom;
+    int told;
+    long bytes;
+    double beyond;
+    double sent;
+
+    Tier(int count, double loss, long seed) {
+        this.loss = loss;
+        random = new Random(seed);
+        gateways = new Exchange[count];
+        upAt = new double[count];
+        room = new double[count];
+        for (int i = 0; i < count; i++) {
+            start(i);
+        }
+        pass(3000);
+    }
+
+    /** A customer through {@code spread} gateways that asks for so many units a second. */
+    Customer customer(Terms terms, int spread, double perSecond) {
+        int plan = PLANS.indexOf(terms);
+        int first = random.nextInt(gateways.length);
+        Customer c = new Customer(new Talk.Named(customers.size() + 1, plan, first, spread), terms, now);
+        c.perSecond = perSecond;
+        customers.add(c);
+        return c;
+    }
+
+    private void start(int i) {
+        Exchange.Config config = new Exchange.Config(i, gateways.length, INTAKE, MOST_UNITS, 20_000, PLANS);
+        gateways[i] = new Exchange(now, config, (int) (long) now, new Random(random.nextLong()), new Exchange.Link() {
+            @Override
+            public void tell(int peer, byte[] data) {
+                for (int to = 0; to < gateways.length; to++) {
+                    if (to != i && (peer < 0 || peer == to)) {
+                        post(i, to, data);
+                    }
+                }
+            }
+
+            @Override
+            public void decided(double at, String id, Exchange.Decision d) {
+                settle(id, d);
+            }
+        });
+        upAt[i] = now;
+    }
+
+    /** Down at once, up again after so long, as a new life. */
+    void kill(int gateway, double awayMs) {
+        gateways[gateway] = null;
+        upAt[gateway] = now + awayMs;
+        open.values().removeIf(o -> o.gateway() == gateway);
+    }
+
+    void leave(int gateway) {
+        gateways[gateway].leave(now);
+        leaving.add(gateway);
+    }
+
+    /** From now on these pairs do not hear each other. */
+    void cut(BiPredicate<Integer, Integer> between) {
+        cut = between;
+    }
+
+    Exchange gateway(int i) {
+        return gateways[i];
+    }
+
+    private void post(int from, int to, byte[] data) {
+        told++;
+        bytes += data.length;
+        if (random.nextDouble() >= loss && !cut.test(from, to)) {
+            mail.add(new Mail(now + 1.2 + 7.3 * random.nextDouble(), order++, from, to, data));
+        }
+    }
+
+    private void settle(String id, Exchange.Decision d) {
+        Open o = open.remove(id);
+        if (o == null) {
+            throw new AssertionError(id + " was decided twice, or never asked");
+        }
+        waits.add(now - o.at());
+        if (d.in()) {
+            double wait = random.nextInt(10) == 0 ? 400 * random.nextDouble() : 5 * random.nextDouble();
+            sendings.add(new Sending(Math.min(now + wait, Math.max(now, d.leaveBy())), order++, o.customer(), o.units()));
+        } else {
+            o.customer().touch(now);
+            refusedWithRoom += o.customer().level >= o.customer().terms.burst() / 2 ? 1 : 0;
+        }
+    }
+
+    private void arrive(Sending s) {
+        Customer c = s.customer();
+        c.touch(Math.max(c.at, s.at()));
+        c.ceiling -= s.units();
+        c.lowest = Math.min(c.lowest, c.ceiling);
+        c.sent += s.units();
+        sent += s.units();
+        if (c.level < s.units()) {
+            beyond += s.units();
+        } else {
+            c.level -= s.units();
+        }
+    }
+
+    /** One request at some gateway of the set that is there; clients have noticed which are. */
+    void ask(Customer c, double units) {
+        for (int i = 0; i < gateways.length; i++) {
+            int g = Math.floorMod(c.named.first() + random.nextInt(c.named.spread()), gateways.length);
+            if (gateways[g] != null && !leaving.contains(g)) {
+                askAt(g, c, units);
+                return;
+            }
+        }
+    }
+
+    void askAt(int gateway, Customer c, double units) {
+        tries++;
+        String id = "r" + asked++;
+        open.put(id, new Open(c, gateway, units, now));
+        gateways[gateway].want(now, id, c.named, units, now + DEADLINE_MS);
+    }
+
+    void pass(double ms) {
+        for (double end = now + ms; now < end;) {
+            now += STEP_MS;
+            for (int i = 0; i < gateways.length; i++) {
+                room[i] = Math.min(INTAKE, room[i] + INTAKE * STEP_MS / 1000);
+                if (gateways[i] == null && now >= upAt[i]) {
+                    leaving.remove(i);
+                    start(i);
+                }
+            }
+            while (!mail.isEmpty() && mail.peek().at() <= now) {
+                deliver(mail.poll());
+            }
+            if (now - beatAt >= BEAT_MS) {
+                beatAt = now;
+                for (Exchange g : gateways) {
+                    if (g != null) {
+                        g.beat(now);
+                    }
+                }
+            }
+            for (Customer c : customers) {
+                double due = c.perSecond * STEP_MS / 1000 / 2; // requests of one to three units
+                if (random.nextDouble() < due) {
+                    ask(c, 1 + random.nextInt(3));
+                }
+            }
+            while (!sendings.isEmpty() && sendings.peek().at() <= now) {
+                arrive(sendings.poll());
+            }
+        }
+    }
+
+    private void deliver(Mail m) {
+        if (gateways[m.to()] == null || room[m.to()] < 1) {
+            return;
+        }
+        room[m.to()]--;
+        Talk talk = Talk.read(m.data());
+        if (talk == null) {
+            throw new AssertionError("a message that can't be read");
+        }
+        gateways[m.to()].heard(now, m.from(), talk);
+    }
+
+    /** Counts begin anew. */
+    void mark() {
+        tries = 0;
+        refusedWithRoom = 0;
+        told = 0;
+        bytes = 0;
+        beyond = 0;
+        sent = 0;
+        waits.clear();
+        customers.forEach(c -> c.touch(now));
+        customers.forEach(c -> c.sent = 0);
+        customers.forEach(c -> c.allowed = c.level);
+    }
+
+    double share() {
+        return (double) refusedWithRoom / Math.max(1, tries);
+    }
+
+    double wait(double quantile) {
+        List<Double> sorted = waits.stream().sorted().toList();
+        return sorted.get((int) (quantile * (sorted.size() - 1)));
+    }
+
+    /** The least that any ceiling's true store ever had; below nothing is what was passed. */
+    double lowestCeiling() {
+        return customers.stream().filter(c -> c.terms != BASIC).mapToDouble(c -> c.lowest).min().orElse(0);
+    }
+
+    @Override
+    public String toString() {
+        return String.format("%d tries, %.1f%% refused with room, %.1f%% of the units beyond quotas, wait p50 %.0f p99 %.0f ms,"
+                + " %d messages, %d bytes, lowest ceiling %.1f", tries, 100 * share(), 100 * beyond / Math.max(1, sent),
+                wait(0.5), wait(0.99), told, bytes, lowestCeiling());
+    }
+}
