Cold hosts of a large tier get their part; a question is sent three times, 50 ms apart

Ruled out: the loop (0 ms late), hosts unreached or full (none). Brain.best lets a cold host take part as seldom as rule 4 allows it to win; Brain.score then divided by its ramp once more, so that it lost even so. Where a gateway keeps to some hosts (its own counts are one or two) the ramp counts once: HundredsTest.coldHostsHaveTheirPartAndNoMore, 0.09 of a warm host's part at a ramp of 0.44 before, 0.29 now.

Three sends 50 ms apart in place of two 80 ms apart: at one message in ten lost 3.6% of the questions missed both answers, and each miss held the keeper for silent for a second; 7 in 1,000 miss three.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -123,10 +123,9 @@
     private Random random;
     private Rounds rounds; // null where keepers are asked
     private Exchange exchange; // null but where the tier is too large for rounds as well
-    private int roundsTold;
     private final ArrayDeque<Wish> wishes = new ArrayDeque<>();
     private double roundHeardAt = State.NEVER;
-    private int epoch;
+    private int epoch, roundsTold;
     private double fillsSince; // the last life of this gateway spent its ceilings until then
     private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
     private double mail, donateGap = WEIGHT_GAP_MS;
@@ -1206,7 +1205,8 @@
         }
         // A zone is preferred only where own counts show its load, or all would gather in a crowded one.
         double zone = !ownCounts() || s.info.zone().equals(set.zone()) ? 0 : ZONE_COST * ask.work();
-        return (ask.work() + s.outWork) * doubt / rampOf(s, now) + zone;
+        double ramp = homes.size() < usable.size() ? 1 : rampOf(s, now); // else it is seldom drawn already
+        return (ask.work() + s.outWork) * doubt / ramp + zone;
     }
 
     /** Rule 2: once an attempt may have run, only where a repeat does no harm. */
--- a/src/main/java/deckfall/quota/Exchange.java
+++ b/src/main/java/deckfall/quota/Exchange.java
@@ -21,7 +21,7 @@
  * peers, since it is the receivers' intake that is short and requests are spread over the keepers by a hash.
  *
  * <p><b>Loss.</b> A question not answered in {@value #ANSWER_MS} ms is sent again with its serial, for which a keeper keeps
- * its verdict; the second miss turns to the stand-in, to which the keeper tells its books every {@value #SYNC_MS} ms. Who
+ * its verdict; the third miss turns to the stand-in, to which the keeper tells its books every {@value #SYNC_MS} ms. Who
  * missed two is passed over until it is heard of, and is asked for a sign of life now and then. Where nobody is left to
  * ask, {@link Guess} decides. Ceiling units are only ever given by a {@link CeilingShare}.
  *
@@ -32,9 +32,9 @@
  * the guess decides at once; {@value Verdicts#MOST} verdicts kept for each peer. Pure, not thread-safe.
  */
 public final class Exchange {
-    /** How long an answer may take before its question is sent again, in milliseconds: five times the way there and back. */
-    public static final double ANSWER_MS = 80;
-    private static final int SENDS = 2; // of one question to one keeper
+    /** How long an answer may take before its question is sent again, in milliseconds: three times the way there and back. */
+    public static final double ANSWER_MS = 50;
+    private static final int SENDS = 3; // of one question to one keeper: at one loss in ten seven in a thousand miss
     private static final double SYNC_MS = 500;
     private static final double KNOCK_MS = 1000; // between signs of life asked of one that is silent
     private static final double KNOCKS_PER_S = 4; // by this gateway, to all that are silent
@@ -606,7 +606,7 @@
         if (p.heardAt < q.askedAt) {
             p.silentAt = p.silent ? p.silentAt : now;
             p.silent = true;
-            p.knockedAt = now;
+            p.knockedAt = now - KNOCK_MS + HINTED_MS; // by chance all may have been lost
         }
         if (q.of == Talk.Of.CEILING) {
             lender(now, q);
