--- a/src/main/java/deckfall/quota/Book.java
+++ b/src/main/java/deckfall/quota/Book.java
@@ -15,6 +15,7 @@
     boolean informed;
     double usedAt;
     double toldAt = Double.NEGATIVE_INFINITY;
+    private double toldOfAt = Double.NEGATIVE_INFINITY; // by another keeper
     private double level;
     private double demand;
     private double at;
@@ -41,13 +42,18 @@
         at = now;
     }
 
-    /** Decides on a request of so many units, and takes them where there are any. */
-    Talk.Verdict judge(double now, double units, double more, Talk.Of of, CeilingShare.Fill fill) {
+    /**
+     * Decides on a request of so many units, and takes them where there are any.
+     *
+     * @param more units that the asker refused by itself
+     * @param spent units that another keeper of the book may have granted unheard
+     */
+    Talk.Verdict judge(double now, double units, double more, Talk.Of of, double spent, CeilingShare.Fill fill) {
         touch(now, fill);
         usedAt = now;
         if (of != Talk.Of.CEILING) {
             demand += (units + more) / DEMAND_MS * 1000;
-            if (terms.rate() > 0 && level < units) {
+            if (terms.rate() > 0 && level - spent < units) {
                 return Talk.Verdict.STORE;
             }
             level -= terms.rate() > 0 ? units : 0;
@@ -86,6 +92,12 @@
         level = inPlace ? said : Math.min(level, said);
         demand = inPlace ? sync.demand() : Math.max(demand, sync.demand());
         informed = true;
+        toldOfAt = now;
+    }
+
+    /** What another keeper has likely granted since it last told of this book: all that is asked for, as far as it fills. */
+    double spentElsewhere(double now) {
+        return toldOfAt == Double.NEGATIVE_INFINITY ? 0 : Math.min(demand, terms.rate()) * (now - toldOfAt) / 1000;
     }
 
     double fullness() {
--- a/src/main/java/deckfall/quota/Exchange.java
+++ b/src/main/java/deckfall/quota/Exchange.java
@@ -45,7 +45,7 @@
     private static final double FRESH_MS = 400; // so long a word that the store is empty is taken up to its refill
     private static final double PRESSED_MS = 1000; // so long a word that there is little left thins out questions
     private static final double PRESSED = 0.25; // share of the burst that is little
-    private static final double ASKED_MORE = 2; // times what the store fills by, that is asked for when pressed
+    private static final double ASKED_MORE = 1.25; // times what the store fills by, that is asked for when pressed
     private static final int OPEN_MAX = 512;
     private static final int ENDED_MAX = 256; // questions given up whose answer may yet come
     private static final double SHARE_USED = 0.8; // of the intake: bursts fit in the rest
@@ -447,7 +447,7 @@
         }
         q.askedAt = now;
         q.peer = config.me();
-        Talk.Verdict v = b.judge(now, q.units, 0, q.of, fill(now, b));
+        Talk.Verdict v = b.judge(now, q.units, 0, q.of, 0, fill(now, b));
         if (q.of != Talk.Of.CEILING) {
             q.known.told(now, b.level(), b.demand());
         }
@@ -502,7 +502,7 @@
         }
         if (capped) {
             Book own = books.get(k.named.customer());
-            own.judge(now, q.units, 0, Talk.Of.CEILING, fill(now, own));
+            own.judge(now, q.units, 0, Talk.Of.CEILING, 0, fill(now, own));
         }
         counts.guessed++;
         k.level -= q.units;
@@ -725,18 +725,18 @@
     private void hearAsk(double now, int from, Peer p, Talk.Ask a) {
         Verdicts.Kept kept = p.verdicts.of(a.serial());
         boolean news = kept == null;
+        boolean possible = a.named().holds(from, peers.length) && a.named().holds(config.me(), peers.length);
+        Book b = news && possible ? book(now, a.named()) : news ? null : kept.book();
+        int before = b == null || a.of() == Talk.Of.CEILING ? -1 : before(now, b);
         if (news) {
-            boolean possible = a.named().holds(from, peers.length) && a.named().holds(config.me(), peers.length);
-            Book b = possible ? book(now, a.named()) : null;
+            double spent = before >= 0 ? b.spentElsewhere(now) : 0;
             Talk.Verdict v = b == null ? Talk.Verdict.UNABLE
-                    : b.judge(now, a.units(), a.more(), a.of(), fill(now, b));
+                    : b.judge(now, a.units(), a.more(), a.of(), spent, fill(now, b));
             boolean took = a.of() != Talk.Of.CEILING && (v == Talk.Verdict.GRANTED || v == Talk.Verdict.CEILING);
             kept = p.verdicts.keep(a.serial(), v, b, took ? a.units() : 0);
+            counts.unable += v == Talk.Verdict.UNABLE ? 1 : 0;
+            counts.stoodIn += before >= 0 ? 1 : 0;
         }
-        Book b = kept.book();
-        int before = b == null || a.of() == Talk.Of.CEILING ? -1 : before(now, b);
-        counts.stoodIn += news && b != null && b.keepers.place(config.me()) > 0 && a.of() != Talk.Of.CEILING ? 1 : 0;
-        counts.unable += kept.verdict() == Talk.Verdict.UNABLE ? 1 : 0;
         if (news && before >= 0 && kept.units() > 0) { // two are asked for one book just now
             serial = serial + 1 & Talk.WORD;
             say(before, new Talk.Used(serial, a.named(), kept.units()));
--- a/src/test/java/deckfall/quota/PartsOfQuotaTest.java
+++ b/src/test/java/deckfall/quota/PartsOfQuotaTest.java
@@ -140,7 +140,7 @@
     void verdictsAreKeptBySerial() {
         Verdicts v = new Verdicts();
         Book b = new Book(NAMED, new Keepers(new int[] {99}, new int[0]), Tier.BASIC, null, 0);
-        b.judge(0, 3, 0, Talk.Of.BOTH, FILL);
+        b.judge(0, 3, 0, Talk.Of.BOTH, 0, FILL);
         v.keep(65_535, Talk.Verdict.GRANTED, b, 3);
         assertEquals(Talk.Verdict.GRANTED, v.of(65_535).verdict());
         assertNull(v.of(65_535 - Verdicts.MOST));
