Keepers tell beside their answers who asks for more than he may

In a cut most gateways have never asked for most customers, and let all in. A message costs its receiver the same whatever it holds, so an answer carries up to four customers whose store is nearly empty and whose demand is above the rate.

--- a/src/main/java/deckfall/quota/Exchange.java
+++ b/src/main/java/deckfall/quota/Exchange.java
@@ -25,6 +25,9 @@
  * missed two is passed over until it is heard of, and is asked for a sign of life now and then. Where nobody is left to
  * ask, {@link Guess} decides. Ceiling units are only ever given by a {@link CeilingShare}.
  *
+ * <p>Beside its answers a keeper tells of customers that ask for more than they may, a few at a time, since a message costs
+ * its receiver the same whatever it holds: in a cut most gateways have never asked for most customers.
+ *
  * <p><b>Restarts.</b> Who leaves passes its books to the stand-ins and says so; who returns says so and is told the books
  * that were kept for it.
  *
@@ -62,6 +65,8 @@
     private static final int LENDERS = 3; // asked for units of a ceiling, one after the other
     private static final double OLDER_EVEN = 0.5; // of a ceiling, that gateways of older versions split evenly
     private static final double OLDER_MS = 60_000; // after its last word an older version is taken to be gone
+    private static final int HINTS = 4; // beside an answer
+    private static final int HINTS_MAX = 4096; // customers known by hints alone
     private static final int EVERYONE = -1;
 
     /**
@@ -159,6 +164,8 @@
         }
     }
 
+    private record Heard(double at, Talk.Hint hint) { }
+
     private static final class Question {
         final String id;
         final Known known;
@@ -190,6 +197,9 @@
     private final Map<Long, Book> books = new LinkedHashMap<>();
     private final Map<Integer, Question> open = new LinkedHashMap<>();
     private final LinkedHashMap<Integer, Boolean> ended = new LinkedHashMap<>(); // serial, and whether it was let in
+    private final LinkedHashMap<Long, Heard> hints = new LinkedHashMap<>();
+    private final List<Book> pressed = new ArrayList<>(); // of those kept here, as of the last word to stand-ins
+    private int hinted;
     private final Map<Integer, List<Talk.Item>> due = new TreeMap<>();
     private final double perMs;
     private double credit;
@@ -248,6 +258,7 @@
         heardSince = Double.POSITIVE_INFINITY;
         hellos = 0;
         books.clear();
+        pressed.clear();
     }
 
     /** This loop stood still for so long: what came meanwhile is read only now. */
@@ -294,6 +305,10 @@
         if (k == null && customers.size() < config.most() && named.plan() < config.plans().size()) {
             k = new Known(named, config.plans().get(named.plan()), keepers(named));
             customers.put(named.customer(), k);
+            Heard h = hints.remove(named.customer());
+            if (h != null && h.hint().plan() == named.plan()) {
+                k.told(h.at(), h.hint().fullness() * k.terms.burst(), h.hint().demand());
+            }
         }
         if (k != null) {
             k.usedAt = now;
@@ -549,7 +564,9 @@
         }
         if (now - syncedAt >= SYNC_MS) {
             syncedAt = now;
+            pressed.clear();
             books.values().forEach(b -> sync(now, b));
+            books.values().stream().filter(b -> asksTooMuch(now, b)).forEach(pressed::add);
             customers.values().forEach(k -> tellGuessed(now, k));
         }
         if (now - sweptAt >= SWEEP_MS) {
@@ -566,6 +583,41 @@
                 .forEach(g -> say(g, new Talk.Presence(Talk.State.SERVES)));
     }
 
+    private boolean asksTooMuch(double now, Book b) {
+        boolean mine = b.keepers.place(config.me()) >= 0 && b.terms.rate() > 0 && b.demand() > b.terms.rate();
+        if (!mine || before(now, b) >= 0) {
+            return false;
+        }
+        b.touch(now, fill(now, b));
+        return b.demand() > b.terms.rate() && b.fullness() < PRESSED;
+    }
+
+    /** The next few of them. */
+    private void hint(double now, int to) {
+        for (int i = 0; i < Math.min(HINTS, pressed.size()); i++) {
+            Book b = pressed.get(hinted++ % pressed.size());
+            b.touch(now, fill(now, b));
+            say(to, new Talk.Hint(b.named.customer(), b.named.plan(), b.fullness(), b.demand()));
+        }
+        hinted %= Math.max(1, pressed.size());
+    }
+
+    private void hearHint(double now, Talk.Hint h) {
+        if (h.plan() >= config.plans().size()) {
+            return;
+        }
+        Known k = customers.get(h.customer());
+        if (k == null) {
+            hints.remove(h.customer());
+            hints.put(h.customer(), new Heard(now, h));
+        } else if (k.named.plan() == h.plan()) {
+            k.told(now, h.fullness() * k.terms.burst(), h.demand());
+        }
+        if (hints.size() > HINTS_MAX) { // the one that has waited longest
+            hints.remove(hints.keySet().iterator().next());
+        }
+    }
+
     /** The keeper is told what was let in without it, once it is there. */
     private void tellGuessed(double now, Known k) {
         if (k.guessed == 0) {
@@ -685,6 +737,8 @@
                 p.synced = true;
                 p.syncCount = talk.count();
                 hearSync(now, from, s);
+            } else if (item instanceof Talk.Hint h) {
+                hearHint(now, h);
             } else if (item instanceof Talk.Presence s) {
                 hearPresence(now, from, p, s.state());
             }
@@ -743,6 +797,7 @@
         }
         say(from, new Talk.Answer(a.serial(), kept.verdict(), b == null ? 0 : b.fullness(), b == null ? 0 : b.demand(),
                 before >= 0));
+        hint(now, from);
     }
 
     /** The keeper that comes before this gateway and is there; -1 where this one is in charge. */
--- a/src/main/java/deckfall/quota/Talk.java
+++ b/src/main/java/deckfall/quota/Talk.java
@@ -40,7 +40,7 @@
     }
 
     /** One thing said. */
-    public sealed interface Item permits Ask, Answer, Back, Used, Sync, Presence { }
+    public sealed interface Item permits Ask, Answer, Back, Used, Sync, Hint, Presence { }
 
     /** A customer as messages name it: a number below 2 to the 33rd, its plan below 128, its set. */
     public record Named(long customer, int plan, int first, int spread) {
@@ -91,6 +91,9 @@
     /** A keeper's book for one that may have to stand in for it, or for a returned one that it belongs to. */
     public record Sync(Named named, double fullness, double demand) implements Item { }
 
+    /** A customer that asks for more than it may, by the word of its keeper; for whoever may have to judge by himself. */
+    public record Hint(long customer, int plan, double fullness, double demand) implements Item { }
+
     /** What a gateway says of itself. */
     public record Presence(State state) implements Item { }
 
@@ -113,6 +116,7 @@
     private static final int PRESENCE = 5;
     private static final int USED = 6;
     private static final int STANDS_IN = 4; // a flag of answers, above the verdict
+    private static final int HINT = 7;
     private static final int KIND = 7;
     private static final int FLAGS_FROM = 3; // bits of the kind's byte from here on are flags
 
@@ -120,6 +124,9 @@
         if (item instanceof Ask) {
             return 14;
         }
+        if (item instanceof Hint) {
+            return 8;
+        }
         return item instanceof Sync ? 12 : item instanceof Used ? 13 : item instanceof Answer ? 5 : item instanceof Back ? 3 : 1;
     }
 
@@ -156,13 +163,21 @@
             b.put((byte) SYNC);
             put(b, s.named);
             put(b, s.fullness, s.demand);
+        } else if (item instanceof Hint h) {
+            b.put((byte) HINT);
+            put(b, h.customer, h.plan);
+            put(b, h.fullness, h.demand);
         } else if (item instanceof Presence p) {
             b.put((byte) (PRESENCE | p.state.ordinal() << FLAGS_FROM));
         }
     }
 
+    private static void put(ByteBuffer b, long customer, int plan) {
+        b.put((byte) (plan << 1 | (int) (customer >>> 32) & 1)).putInt((int) customer);
+    }
+
     private static void put(ByteBuffer b, Named n) {
-        b.put((byte) (n.plan << 1 | (int) (n.customer >>> 32) & 1)).putInt((int) n.customer);
+        put(b, n.customer, n.plan);
         b.putShort((short) n.first).putShort((short) n.spread);
     }
 
@@ -208,6 +223,7 @@
             case BACK -> 2;
             case USED -> 12;
             case SYNC -> 11;
+            case HINT -> 7;
             case PRESENCE -> 0;
             default -> Integer.MAX_VALUE;
         };
@@ -222,14 +238,23 @@
             case BACK -> new Back(b.getShort() & WORD);
             case USED -> new Used(b.getShort() & WORD, named(b), amount(b));
             case SYNC -> new Sync(named(b), fullness(b), demand(b));
+            case HINT -> hint(b);
             default -> flags < State.values().length ? new Presence(State.values()[flags]) : null;
         };
     }
 
+    private static long customer(int head, ByteBuffer b) {
+        return (head & 1L) << 32 | b.getInt() & 0xffff_ffffL;
+    }
+
+    private static Hint hint(ByteBuffer b) {
+        int head = b.get() & BYTE;
+        return new Hint(customer(head, b), head >>> 1, fullness(b), demand(b));
+    }
+
     private static Named named(ByteBuffer b) {
         int head = b.get() & BYTE;
-        long customer = (head & 1L) << 32 | b.getInt() & 0xffff_ffffL;
-        return new Named(customer, head >>> 1, b.getShort() & WORD, b.getShort() & WORD);
+        return new Named(customer(head, b), head >>> 1, b.getShort() & WORD, b.getShort() & WORD);
     }
 
     private static double amount(ByteBuffer b) {
--- a/src/test/java/deckfall/quota/ExchangeTest.java
+++ b/src/test/java/deckfall/quota/ExchangeTest.java
@@ -101,7 +101,7 @@
     @Test
     void inACutTheLastWordDecides() {
         Tier t = busy(100, LOSS);
-        t.pass(4000);
+        t.pass(12_000);
         t.mark();
         t.cut((a, b) -> true);
         t.pass(6000);
--- a/src/test/java/deckfall/quota/PartsOfQuotaTest.java
+++ b/src/test/java/deckfall/quota/PartsOfQuotaTest.java
@@ -21,7 +21,7 @@
     private static Talk all() {
         return new Talk(123_456, 0xfedc, 65_535, List.of(new Talk.Ask(65_535, NAMED, 3.25, 7, Talk.Of.STORE),
                 new Talk.Answer(1, Talk.Verdict.CEILING, -0.25, 16, true), new Talk.Back(0), new Talk.Used(7, NAMED, 63.75),
-                new Talk.Sync(NAMED, 0.5, 4), new Talk.Presence(Talk.State.LEAVES)));
+                new Talk.Sync(NAMED, 0.5, 4), new Talk.Hint(0x1_ffff_fffdL, 1, 0, 25), new Talk.Presence(Talk.State.LEAVES)));
     }
 
     @Test
