A leaver tells its stand-ins alone, and who can't answer is asked once, not three times

A leaver's word to all spares each member at most one miss, and one in six would have asked it before its return; so only those that stand in for it hear it, with its books. A peer that answered fewer than half of its questions at the first asking lately is asked once, then its stand-in.

--- a/src/main/java/deckfall/quota/Exchange.java
+++ b/src/main/java/deckfall/quota/Exchange.java
@@ -39,6 +39,8 @@
     public static final double ANSWER_MS = 50;
     private static final int SENDS = 3; // of one question to one keeper: at one loss in ten seven in a thousand miss
     private static final double SYNC_MS = 500;
+    private static final double ANSWERS_GAIN = 0.2; // weight of one question in that share
+    private static final double ANSWERS_FEW = 0.5; // below it a question is sent once
     private static final double KNOCK_MS = 1000; // between signs of life asked of one that is silent
     private static final double KNOCKS_PER_S = 4; // by this gateway, to all that are silent
     private static final double KNOCKS_MAX = 8;
@@ -67,7 +69,6 @@
     private static final double OLDER_MS = 60_000; // after its last word an older version is taken to be gone
     private static final int HINTS = 4; // beside an answer
     private static final int HINTS_MAX = 4096; // customers known by hints alone
-    private static final int EVERYONE = -1;
 
     /**
      * @param mailPerSecond messages that a gateway takes in
@@ -101,7 +102,6 @@
 
     /** What is done with messages and decisions. */
     public interface Link {
-        /** {@code peer} is -1 for all. */
         void tell(int peer, byte[] data);
 
         void decided(double now, String id, Decision decision);
@@ -114,6 +114,7 @@
         int syncCount;
         boolean synced;
         boolean leaves;
+        double answers = 1; // share of its questions that it answered at the first asking, lately
         boolean silent;
         double silentAt;
         double heardAt = Double.NEGATIVE_INFINITY;
@@ -646,7 +647,13 @@
     }
 
     private void missed(double now, Question q) {
-        if (q.sends < SENDS && now + ANSWER_MS < q.lastMs && takeCredit(now)) {
+        Peer p = peers[q.peer];
+        if (q.sends == 1) {
+            p.answers -= ANSWERS_GAIN * p.answers;
+        }
+        // One that can't take in all that it is asked is not to be asked three times as much.
+        boolean again = q.sends < SENDS && p.answers >= ANSWERS_FEW;
+        if (again && now + ANSWER_MS < q.lastMs && takeCredit(now)) {
             counts.again++;
             send(now, q);
             return;
@@ -654,8 +661,7 @@
         counts.missed++;
         open.remove(q.serial);
         end(q, false); // a grant that comes yet goes back: the next keeper's counts
-        Peer p = peers[q.peer];
-        if (p.heardAt < q.askedAt) {
+        if (p.heardAt < Math.min(q.askedAt, now - SENDS * ANSWER_MS)) {
             p.silentAt = p.silent ? p.silentAt : now;
             p.silent = true;
             p.knockedAt = now - KNOCK_MS + HINTED_MS; // by chance all may have been lost
@@ -688,11 +694,15 @@
         say(to, new Talk.Sync(b.named, b.fullness(), b.demand()));
     }
 
-    /** This gateway is about to end: its books go to the stand-ins, and all turn to these. */
+    /**
+     * This gateway is about to end: its books go to the stand-ins. To the others it is silent soon enough; a word to all would
+     * cost each of them a message, and one in six would have asked before the return.
+     */
     public void leave(double now) {
         books.values().forEach(b -> sync(now, b));
+        IntStream.of(Keepers.neighbours(config.me(), peers.length))
+                .forEach(g -> say(g, new Talk.Presence(Talk.State.LEAVES)));
         flush();
-        tell(EVERYONE, 0, List.of(new Talk.Presence(Talk.State.LEAVES)));
     }
 
     // ---- hearing
@@ -831,6 +841,9 @@
             return;
         }
         open.remove(a.serial());
+        if (q.sends == 1) {
+            peers[from].answers += ANSWERS_GAIN * (1 - peers[from].answers);
+        }
         if (a.standsIn()) { // asked of all that were passed over on the way
             IntStream.range(0, q.place).forEach(i -> knock(now, q.known.keepers.books()[i], HINTED_MS));
         }
