--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -925,7 +925,7 @@
 
     private boolean releaseOne(double now, ClassState c) {
         for (Ask ask : c.queue.stream().limit(SCAN).toList()) {
-            Server s = pick(now, ask);
+            Server s = now > ask.leaveBy && !ask.leftWhole() ? null : pick(now, ask);
             if (s == null) continue;
             c.queue.remove(ask);
             turn = Math.max(turn, c.turn);
--- a/src/main/java/deckfall/quota/CeilingShare.java
+++ b/src/main/java/deckfall/quota/CeilingShare.java
@@ -56,9 +56,11 @@
         if (loans.isEmpty()) {
             lent = 0; // no rest of rounding
         }
-        double filled = fill.on() ? Math.max(0, now - filledAt) / 1000 * rate * fill.part() : 0;
+        double filled = Math.max(0, now - filledAt) / 1000 * rate * fill.part();
         filledAt = Math.max(filledAt, now);
-        store = Math.min(store + filled, hold * fill.part() - lent);
+        // What another process fills its store by leaves this one, or both would have what one may hold.
+        double left = fill.on() ? store + filled : Math.min(store, Math.max(0, store - filled));
+        store = Math.min(left, hold * fill.part() - lent);
         return store;
     }
 
--- a/src/main/java/deckfall/quota/Exchange.java
+++ b/src/main/java/deckfall/quota/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -197,7 +198,7 @@
     private final Map<Long, Known> customers = new HashMap<>();
     private final Map<Long, Book> books = new LinkedHashMap<>();
     private final Map<Integer, Question> open = new LinkedHashMap<>();
-    private final LinkedHashMap<Integer, Boolean> ended = new LinkedHashMap<>(); // serial, and whether it was let in
+    private final LinkedHashSet<Integer> ended = new LinkedHashSet<>(); // serials that nobody waits for
     private final LinkedHashMap<Long, Heard> hints = new LinkedHashMap<>();
     private final List<Book> pressed = new ArrayList<>(); // of those kept here, as of the last word to stand-ins
     private int hinted;
@@ -289,7 +290,7 @@
             Question q = it.next();
             if (q.id.equals(id)) {
                 it.remove();
-                end(q, false);
+                end(q);
                 giveBack(q.quota);
                 return;
             }
@@ -541,12 +542,10 @@
         }
     }
 
-    private void end(Question q, boolean in) {
-        if (q.serial != 0 || q.sends > 0) {
-            ended.put(q.serial, in);
-        }
+    private void end(Question q) {
+        ended.add(q.serial);
         if (ended.size() > ENDED_MAX) {
-            ended.remove(ended.keySet().iterator().next());
+            ended.remove(ended.iterator().next());
         }
     }
 
@@ -660,7 +659,7 @@
         }
         counts.missed++;
         open.remove(q.serial);
-        end(q, false); // a grant that comes yet goes back: the next keeper's counts
+        end(q); // a grant that comes yet goes back: the next keeper's counts
         if (p.heardAt < Math.min(q.askedAt, now - SENDS * ANSWER_MS)) {
             p.silentAt = p.silent ? p.silentAt : now;
             p.silent = true;
@@ -740,7 +739,7 @@
             } else if (item instanceof Talk.Answer a && answersMe) {
                 hearAnswer(now, from, a);
             } else if (item instanceof Talk.Back b) {
-                p.verdicts.back(b.serial());
+                p.verdicts.back(now, b.serial());
             } else if (item instanceof Talk.Used u) {
                 hearUsed(now, from, p, u);
             } else if (item instanceof Talk.Sync s && fresh) {
@@ -769,7 +768,7 @@
     private Book book(double now, Talk.Named named) {
         Book b = books.get(named.customer());
         if (b != null) {
-            return b.named.plan() == named.plan() ? b : null;
+            return b.named.equals(named) ? b : null; // the plan and the set that came first stand
         }
         if (books.size() >= config.most() || named.plan() >= config.plans().size()) {
             return null;
@@ -787,7 +786,7 @@
     }
 
     private void hearAsk(double now, int from, Peer p, Talk.Ask a) {
-        Verdicts.Kept kept = p.verdicts.of(a.serial());
+        Verdicts.Kept kept = p.verdicts.of(now, a.serial());
         boolean news = kept == null;
         boolean possible = a.named().holds(from, peers.length) && a.named().holds(config.me(), peers.length);
         Book b = news && possible ? book(now, a.named()) : news ? null : kept.book();
@@ -797,7 +796,7 @@
             Talk.Verdict v = b == null ? Talk.Verdict.UNABLE
                     : b.judge(now, a.units(), a.more(), a.of(), spent, fill(now, b));
             boolean took = a.of() != Talk.Of.CEILING && (v == Talk.Verdict.GRANTED || v == Talk.Verdict.CEILING);
-            kept = p.verdicts.keep(a.serial(), v, b, took ? a.units() : 0);
+            kept = p.verdicts.keep(now, a.serial(), v, b, took ? a.units() : 0);
             counts.unable += v == Talk.Verdict.UNABLE ? 1 : 0;
             counts.stoodIn += before >= 0 ? 1 : 0;
         }
@@ -823,9 +822,9 @@
 
     private void hearUsed(double now, int from, Peer p, Talk.Used u) {
         boolean possible = u.named().holds(from, peers.length) && u.named().holds(config.me(), peers.length);
-        Book b = possible && p.verdicts.of(u.serial()) == null ? book(now, u.named()) : null;
+        Book b = possible && p.verdicts.of(now, u.serial()) == null ? book(now, u.named()) : null;
         if (b != null) {
-            p.verdicts.keep(u.serial(), Talk.Verdict.GRANTED, b, 0);
+            p.verdicts.keep(now, u.serial(), Talk.Verdict.GRANTED, b, 0);
             b.used(now, u.units(), fill(now, b));
         }
     }
@@ -833,9 +832,8 @@
     private void hearAnswer(double now, int from, Talk.Answer a) {
         Question q = open.get(a.serial());
         if (q == null || q.peer != from) {
-            Boolean in = ended.remove(a.serial());
             boolean took = a.verdict() == Talk.Verdict.GRANTED || a.verdict() == Talk.Verdict.CEILING;
-            if (in != null && !in && took) {
+            if (ended.remove(a.serial()) && took) {
                 say(from, new Talk.Back(a.serial()));
             }
             return;
--- a/src/main/java/deckfall/quota/Verdicts.java
+++ b/src/main/java/deckfall/quota/Verdicts.java
@@ -2,13 +2,15 @@
 
 /**
  * What one peer was answered last, by the serials of its questions: a question that comes again has its first verdict and
- * takes nothing anew, and units are given back once. Bound: the last {@value #MOST} questions by serial.
+ * takes nothing anew, and units are given back once. Bound: the last {@value #MOST} questions by serial, for
+ * {@value #KEPT_MS} ms: no question or word of it is out so long, and serials run over, in hours at the least.
  */
 final class Verdicts {
     static final int MOST = 32;
+    static final double KEPT_MS = 10_000;
 
     /** @param units taken from the book's store, 0 where none were */
-    record Kept(int serial, Talk.Verdict verdict, Book book, double units) { }
+    record Kept(double at, int serial, Talk.Verdict verdict, Book book, double units) { }
 
     private Kept[] kept; // from the first question on
 
@@ -17,25 +19,25 @@
     }
 
     /** Null where no such question is remembered. */
-    Kept of(int serial) {
+    Kept of(double now, int serial) {
         Kept k = kept == null ? null : kept[serial % MOST];
-        return k != null && k.serial() == serial ? k : null;
+        return k != null && k.serial() == serial && now - k.at() < KEPT_MS ? k : null;
     }
 
-    Kept keep(int serial, Talk.Verdict verdict, Book book, double units) {
+    Kept keep(double now, int serial, Talk.Verdict verdict, Book book, double units) {
         if (kept == null) {
             kept = new Kept[MOST];
         }
-        Kept k = new Kept(serial, verdict, book, units);
+        Kept k = new Kept(now, serial, verdict, book, units);
         kept[serial % MOST] = k;
         return k;
     }
 
-    void back(int serial) {
-        Kept k = of(serial);
+    void back(double now, int serial) {
+        Kept k = of(now, serial);
         if (k != null && k.book() != null) {
             k.book().back(k.units());
-            kept[serial % MOST] = new Kept(serial, k.verdict(), k.book(), 0);
+            kept[serial % MOST] = new Kept(k.at(), serial, k.verdict(), k.book(), 0);
         }
     }
 }
--- a/src/test/java/deckfall/HundredsTest.java
+++ b/src/test/java/deckfall/HundredsTest.java
@@ -104,6 +104,23 @@
         assertEquals(6, words, "to those that may stand in for it");
     }
 
+    /** After a stall of its own the loop may turn to what is held before it has seen that its units are no longer good. */
+    @Test
+    void aStallDoesNotOutliveTheUnitsOfACeiling() {
+        FakeGateway bare = new FakeGateway(1000, FakeGateway.settings(0, GATEWAYS));
+        bare.ask("r", "read", "capped", 7, 2, GATEWAYS);
+        FakeGateway.Told last = bare.told.get(0);
+        Talk talk = Talk.read(last.data());
+        Talk.Ask ask = (Talk.Ask) talk.items().get(0);
+        Talk.Answer answer = new Talk.Answer(ask.serial(), Talk.Verdict.GRANTED, 0.2, 3, false);
+        bare.brain.peerSaid(bare.now, last.peer(), new Talk(500, talk.life() & 0xffff, 1, List.of(answer)).bytes());
+        bare.now += 700; // no beat came
+        bare.withHosts("a1"); // the list is what it reads first, and sends what is held
+        assertEquals(List.of(), bare.sent);
+        bare.pass(40);
+        assertEquals(List.of("r"), bare.refused);
+    }
+
     /** The client has gone before the answer: what was granted goes back, and nothing is sent on. */
     @Test
     void aClientThatLeftCostsNothing() {
--- a/src/test/java/deckfall/quota/PartsOfQuotaTest.java
+++ b/src/test/java/deckfall/quota/PartsOfQuotaTest.java
@@ -123,7 +123,9 @@
     void aShareFillsOnlyWithWhatIsItsOwn() {
         CeilingShare share = new CeilingShare(Tier.CAPPED, 0.5, 5000, 4000);
         assertEquals((1000 - CeilingShare.LENT_MS) / 1000 * 17.5, share.at(5000, FILL), 1e-9);
-        assertEquals(share.at(5000, FILL), share.at(9000, new CeilingShare.Fill(false, 1)), 1e-9);
+        CeilingShare.Fill another = new CeilingShare.Fill(false, 1);
+        assertEquals(share.at(5000, FILL) - 0.1 * 17.5, share.at(5100, another), 1e-9);
+        assertEquals(0, share.at(9000, another), 1e-9);
         assertEquals(28.5 / 5, share.at(60_000, new CeilingShare.Fill(true, 0.2)), 1e-9);
     }
 
@@ -141,11 +143,12 @@
         Verdicts v = new Verdicts();
         Book b = new Book(NAMED, new Keepers(new int[] {99}, new int[0]), Tier.BASIC, null, 0);
         b.judge(0, 3, 0, Talk.Of.BOTH, 0, FILL);
-        v.keep(65_535, Talk.Verdict.GRANTED, b, 3);
-        assertEquals(Talk.Verdict.GRANTED, v.of(65_535).verdict());
-        assertNull(v.of(65_535 - Verdicts.MOST));
-        v.back(65_535);
-        v.back(65_535);
+        v.keep(0, 65_535, Talk.Verdict.GRANTED, b, 3);
+        assertEquals(Talk.Verdict.GRANTED, v.of(500, 65_535).verdict());
+        assertNull(v.of(500, 65_535 - Verdicts.MOST));
+        assertNull(v.of(Verdicts.KEPT_MS, 65_535), "serials run over");
+        v.back(500, 65_535);
+        v.back(500, 65_535);
         assertEquals(7, b.level());
         assertArrayEquals(new int[] {99}, b.keepers.books());
     }
