--- a/src/test/java/deckfall/quota/ExchangeTest.java
+++ b/src/test/java/deckfall/quota/ExchangeTest.java
@@ -35,7 +35,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(ints = {40, 100, 200})
+    @ValueSource(ints = {40, 100, 200, 500})
     void aQuietTierRefusesNearlyNobodyWithRoom(int gateways) {
         Tier t = busy(gateways, LOSS);
         t.pass(2000);
