One frame for the messages of all kinds: Tell, UseMessage and Talk had the same check three times

The check sum over all but itself and the reading of version, length and sum stood in Tell, in UseMessage and, copied once more, in Talk; deckfall.frame.Frame has them now, below the pure modules (HouseTest holds it there). In Exchange the question whether a peer and this gateway can be of a customer's set stood three times (bookOf), and back was a second name for giveBack.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -1009,7 +1009,7 @@
         c.open--;
         if (ask.attempts.isEmpty()) { // let in but never sent: the units go back
             c.charge(-ask.request.units(), -ask.request.units(), DEMAND_MS);
-            if (ask.grant != null) exchange.back(ask.grant);
+            if (exchange != null) exchange.back(ask.grant);
         }
     }
 
--- a/src/main/java/deckfall/Tell.java
+++ b/src/main/java/deckfall/Tell.java
@@ -1,9 +1,9 @@
 package deckfall;
 
+import deckfall.frame.Frame;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32;
 
 /**
  * A message between gateways and its bytes: version, check sum, the sender's life, the life it knows of the
@@ -12,7 +12,6 @@
  */
 record Tell(int epoch, int yourEpoch, int serial, int yourSerial, List<Entry> entries) {
     static final int HEAD_BYTES = 16;
-    private static final int CHECKED_FROM = 3;
     static final int ENTRY_BYTES = 27; // the longest entry
     private static final byte VERSION = 3;
     private static final int ANSWER = 1;
@@ -83,20 +82,17 @@
 
     byte[] bytes() {
         int size = HEAD_BYTES + entries.stream().mapToInt(Entry::bytes).sum();
-        ByteBuffer b = ByteBuffer.allocate(size);
-        b.put(VERSION).putShort((short) 0).putInt(epoch).putInt(yourEpoch).putShort((short) serial);
+        ByteBuffer b = Frame.begin(VERSION, size);
+        b.putInt(epoch).putInt(yourEpoch).putShort((short) serial);
         b.putShort((short) yourSerial).put((byte) entries.size());
         entries.forEach(e -> e.put(b));
-        byte[] data = b.array();
-        b.putShort(1, check(data));
-        return data;
+        return Frame.end(b);
     }
 
     /** Null where the message is short, damaged or of another version. */
     static Tell read(byte[] data) {
-        if (data.length < HEAD_BYTES || data[0] != VERSION) return null;
-        ByteBuffer b = ByteBuffer.wrap(data, 1, data.length - 1);
-        if (b.getShort() != check(data)) return null;
+        ByteBuffer b = Frame.open(data, VERSION, HEAD_BYTES, Integer.MAX_VALUE);
+        if (b == null) return null;
         try {
             int epoch = b.getInt();
             int yourEpoch = b.getInt();
@@ -110,11 +106,4 @@
             return null;
         }
     }
-
-    private static short check(byte[] data) {
-        CRC32 sum = new CRC32();
-        sum.update(data, 0, 1);
-        sum.update(data, CHECKED_FROM, data.length - CHECKED_FROM);
-        return (short) sum.getValue();
-    }
 }
--- a/src/main/java/deckfall/gossip/UseMessage.java
+++ b/src/main/java/deckfall/gossip/UseMessage.java
@@ -1,9 +1,9 @@
 package deckfall.gossip;
 
+import deckfall.frame.Frame;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32;
 
 /**
  * What one gateway tells all others of its tier at once, and its bytes: version, check sum, the sender's life, its
@@ -24,7 +24,6 @@
     private static final int LOAN_BYTES = 12; // of a want or a gift
     private static final double PER_LOAN = 4; // fixed point of units wanted or given, in a byte, rounded down
     private static final int ENTRY_BYTES = 9;
-    private static final int CHECKED_FROM = 3;
     private static final byte VERSION = 4; // versions up to 3 are of messages between two gateways
     private static final double PER_UNIT = 16; // fixed point of units used
     private static final double PER_ROOT = 16; // demand goes by its root: fine where it is small
@@ -98,8 +97,8 @@
         if (Math.max(wants.size(), gifts.size()) > LOANS || entries.size() > room(loans)) {
             throw new IllegalArgumentException("too much for one message: " + entries.size() + " and " + loans);
         }
-        ByteBuffer b = ByteBuffer.allocate(HEAD_BYTES + ENTRY_BYTES * entries.size() + LOAN_BYTES * loans);
-        b.put(VERSION).putShort((short) 0).putInt(life).putShort((short) count);
+        ByteBuffer b = Frame.begin(VERSION, HEAD_BYTES + ENTRY_BYTES * entries.size() + LOAN_BYTES * loans);
+        b.putInt(life).putShort((short) count);
         b.put((byte) entries.size()).put((byte) wants.size()).put((byte) gifts.size());
         for (Entry e : entries) {
             putCustomer(b, e.customer(), e.plan());
@@ -117,9 +116,7 @@
             b.putShort((short) g.to()).putShort((short) g.toLife()).putShort((short) g.toCount());
             b.put((byte) (loan(g.units()) * PER_LOAN));
         }
-        byte[] data = b.array();
-        b.putShort(1, check(data));
-        return data;
+        return Frame.end(b);
     }
 
     private static void putCustomer(ByteBuffer b, long customer, int plan) {
@@ -128,11 +125,8 @@
 
     /** Null where the bytes are no such message: short, long, damaged or of another version. */
     public static UseMessage read(byte[] data) {
-        if (data.length < HEAD_BYTES || data.length > MOST_BYTES || data[0] != VERSION) {
-            return null;
-        }
-        ByteBuffer b = ByteBuffer.wrap(data, 1, data.length - 1);
-        if (b.getShort() != check(data)) {
+        ByteBuffer b = Frame.open(data, VERSION, HEAD_BYTES, MOST_BYTES);
+        if (b == null) {
             return null;
         }
         int life = b.getInt();
@@ -172,11 +166,4 @@
         double root = (b.get() & BYTE) / PER_ROOT;
         return new Entry(customer, head >>> 1, used, root * root, (b.get() & BYTE) / (double) BYTE);
     }
-
-    private static short check(byte[] data) {
-        CRC32 sum = new CRC32();
-        sum.update(data, 0, 1);
-        sum.update(data, CHECKED_FROM, data.length - CHECKED_FROM);
-        return (short) sum.getValue();
-    }
 }
--- a/src/main/java/deckfall/quota/Exchange.java
+++ b/src/main/java/deckfall/quota/Exchange.java
@@ -291,15 +291,25 @@
             if (q.id.equals(id)) {
                 it.remove();
                 end(q);
-                giveBack(q.quota);
+                back(q.quota);
                 return;
             }
         }
     }
 
-    /** What was granted was never sent on; the word of it leaves with the next beat. */
+    /** What was granted was never sent on; null where nothing was. The word of it leaves with the next message or beat. */
     public void back(Grant grant) {
-        giveBack(grant);
+        if (grant == null) {
+            return;
+        }
+        if (grant.keeper() != config.me()) {
+            say(grant.keeper(), new Talk.Back(grant.serial()));
+            return;
+        }
+        Book b = books.get(grant.customer());
+        if (b != null) {
+            b.back(grant.units());
+        }
     }
 
     private Known known(double now, Talk.Named named) {
@@ -402,7 +412,7 @@
                 return;
             }
         }
-        giveBack(q.quota);
+        back(q.quota);
         refuse(now, q, Why.CEILING);
     }
 
@@ -482,7 +492,7 @@
             if (now < leaveBy) {
                 link.decided(now, q.id, new Decision(true, Why.GRANTED, leaveBy, 0, q.quota));
             } else { // the units came too late to be used
-                giveBack(q.quota);
+                back(q.quota);
                 refuse(now, q, Why.CEILING);
             }
         } else if (v == Talk.Verdict.GRANTED || v == Talk.Verdict.CEILING) {
@@ -491,7 +501,7 @@
             }
             lender(now, q);
         } else { // where none can judge, two gateways were told different things of this customer
-            giveBack(q.quota);
+            back(q.quota);
             refuse(now, q, v == Talk.Verdict.STORE ? Why.STORE : Why.GUESSED);
         }
     }
@@ -528,20 +538,6 @@
         link.decided(now, q.id, new Decision(true, Why.GUESSED, leaveBy, 0, null));
     }
 
-    private void giveBack(Grant grant) {
-        if (grant == null) {
-            return;
-        }
-        if (grant.keeper() != config.me()) {
-            say(grant.keeper(), new Talk.Back(grant.serial()));
-            return;
-        }
-        Book b = books.get(grant.customer());
-        if (b != null) {
-            b.back(grant.units());
-        }
-    }
-
     private void end(Question q) {
         ended.add(q.serial);
         if (ended.size() > ENDED_MAX) {
@@ -785,11 +781,16 @@
         return b;
     }
 
+    /** The book of a customer that a peer speaks of; null also where the peer or this gateway can't be of its set. */
+    private Book bookOf(double now, Talk.Named named, int from) {
+        boolean possible = named.holds(from, peers.length) && named.holds(config.me(), peers.length);
+        return possible ? book(now, named) : null;
+    }
+
     private void hearAsk(double now, int from, Peer p, Talk.Ask a) {
         Verdicts.Kept kept = p.verdicts.of(now, a.serial());
         boolean news = kept == null;
-        boolean possible = a.named().holds(from, peers.length) && a.named().holds(config.me(), peers.length);
-        Book b = news && possible ? book(now, a.named()) : news ? null : kept.book();
+        Book b = news ? bookOf(now, a.named(), from) : kept.book();
         int before = b == null || a.of() == Talk.Of.CEILING ? -1 : before(now, b);
         if (news) {
             double spent = before >= 0 ? b.spentElsewhere(now) : 0;
@@ -821,8 +822,7 @@
     }
 
     private void hearUsed(double now, int from, Peer p, Talk.Used u) {
-        boolean possible = u.named().holds(from, peers.length) && u.named().holds(config.me(), peers.length);
-        Book b = possible && p.verdicts.of(now, u.serial()) == null ? book(now, u.named()) : null;
+        Book b = p.verdicts.of(now, u.serial()) == null ? bookOf(now, u.named(), from) : null;
         if (b != null) {
             p.verdicts.keep(now, u.serial(), Talk.Verdict.GRANTED, b, 0);
             b.used(now, u.units(), fill(now, b));
@@ -852,10 +852,7 @@
     }
 
     private void hearSync(double now, int from, Talk.Sync s) {
-        if (!s.named().holds(from, peers.length) || !s.named().holds(config.me(), peers.length)) {
-            return;
-        }
-        Book b = book(now, s.named());
+        Book b = bookOf(now, s.named(), from);
         int theirs = b == null ? -1 : b.keepers.place(from);
         int mine = b == null ? -1 : b.keepers.place(config.me());
         if (theirs < 0 || mine < 0) {
--- a/src/main/java/deckfall/quota/Talk.java
+++ b/src/main/java/deckfall/quota/Talk.java
@@ -1,9 +1,9 @@
 package deckfall.quota;
 
+import deckfall.frame.Frame;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32;
 
 /**
  * One message between two gateways of a large tier, or of one to all, and its bytes: version, check sum, the sender's life,
@@ -20,7 +20,6 @@
     static final int HEAD_BYTES = 11;
     static final int WORD = 0xffff;
     private static final byte VERSION = 5; // up to 4: the messages of smaller tiers
-    private static final int CHECKED_FROM = 3;
     private static final int BYTE = 0xff;
     private static final double PER_UNIT = 4; // fixed point of a request's units, in a byte
     private static final double PER_STORE = 200; // fixed point of a store's filling, above nothing
@@ -136,12 +135,10 @@
         if (size > MOST_BYTES) {
             throw new IllegalArgumentException("too much for one message: " + size + " bytes");
         }
-        ByteBuffer b = ByteBuffer.allocate(size);
-        b.put(VERSION).putShort((short) 0).putInt(life).putShort((short) toLife).putShort((short) count);
+        ByteBuffer b = Frame.begin(VERSION, size);
+        b.putInt(life).putShort((short) toLife).putShort((short) count);
         items.forEach(i -> put(b, i));
-        byte[] data = b.array();
-        b.putShort(1, check(data));
-        return data;
+        return Frame.end(b);
     }
 
     private static void put(ByteBuffer b, Item item) {
@@ -193,11 +190,8 @@
 
     /** Null where the bytes are no such message: short, long, damaged or of another version. */
     public static Talk read(byte[] data) {
-        if (data.length < HEAD_BYTES || data.length > MOST_BYTES || data[0] != VERSION) {
-            return null;
-        }
-        ByteBuffer b = ByteBuffer.wrap(data, 1, data.length - 1);
-        if (b.getShort() != check(data)) {
+        ByteBuffer b = Frame.open(data, VERSION, HEAD_BYTES, MOST_BYTES);
+        if (b == null) {
             return null;
         }
         int life = b.getInt();
@@ -269,11 +263,4 @@
         double root = (b.get() & BYTE) / PER_ROOT;
         return root * root;
     }
-
-    private static short check(byte[] data) {
-        CRC32 sum = new CRC32();
-        sum.update(data, 0, 1);
-        sum.update(data, CHECKED_FROM, data.length - CHECKED_FROM);
-        return (short) sum.getValue();
-    }
 }
--- a/src/test/java/deckfall/HouseTest.java
+++ b/src/test/java/deckfall/HouseTest.java
@@ -12,7 +12,7 @@
 
 /** The floors of the house: decisions and the pure modules see no socket, no file and no clock, and nothing above them. */
 class HouseTest {
-    private static final String[] PURE = {"deckfall.account", "deckfall.gossip", "deckfall.lease", "deckfall.list",
+    private static final String[] PURE = {"deckfall.account", "deckfall.frame", "deckfall.gossip", "deckfall.lease", "deckfall.list",
             "deckfall.quota"};
     private static final String[] OUTSIDE = {"java.io..", "java.net..", "java.nio.channels..", "java.nio.file..",
             "java.time..", "java.util.concurrent..", "io.netty..", "com.fasterxml.."};
@@ -38,8 +38,8 @@
     @Test
     void decisionsStandOnPureModulesAlone() {
         classes().that().resideInAPackage("deckfall").and().doNotHaveSimpleName("Main").should()
-                .onlyDependOnClassesThat().resideInAnyPackage("deckfall", "deckfall.account", "deckfall.gossip",
-                        "deckfall.lease", "deckfall.quota", "java.lang..", "java.util", "java.util.function",
+                .onlyDependOnClassesThat().resideInAnyPackage("deckfall", "deckfall.account", "deckfall.frame",
+                        "deckfall.gossip", "deckfall.lease", "deckfall.quota", "java.lang..", "java.util", "java.util.function",
                         "java.util.stream", "java.util.zip", "java.nio").check(ALL);
         askNoClock("deckfall").check(ALL);
     }
--- a/src/test/java/deckfall/HundredsTest.java
+++ b/src/test/java/deckfall/HundredsTest.java
@@ -29,13 +29,15 @@
         return said().filter(i -> i instanceof Talk.Ask).map(i -> (Talk.Ask) i).toList().get(which);
     }
 
-    /** The keeper of the latest question answers it. */
-    private void answer(Talk.Verdict verdict, int count) {
-        FakeGateway.Told last = g.told.get(g.told.size() - 1);
-        int life = Talk.read(last.data()).life();
-        Talk.Ask ask = (Talk.Ask) Talk.read(last.data()).items().get(0);
+    /** The keeper of that gateway's latest message, a question, answers it. */
+    private static Talk.Ask answer(FakeGateway asker, Talk.Verdict verdict, int count) {
+        FakeGateway.Told last = asker.told.get(asker.told.size() - 1);
+        Talk talk = Talk.read(last.data());
+        Talk.Ask ask = assertInstanceOf(Talk.Ask.class, talk.items().get(0));
         Talk.Answer answer = new Talk.Answer(ask.serial(), verdict, 0.2, 3, false);
-        g.brain.peerSaid(g.now, last.peer(), new Talk(500, life & 0xffff, count, List.of(answer)).bytes());
+        asker.brain.peerSaid(asker.now, last.peer(),
+                new Talk(500, talk.life() & 0xffff, count, List.of(answer)).bytes());
+        return ask;
     }
 
     @Test
@@ -43,7 +45,7 @@
         ask("r", "small", 7);
         assertEquals(1, g.told.size());
         assertEquals(List.of(), g.sent);
-        answer(Talk.Verdict.GRANTED, 1);
+        answer(g, Talk.Verdict.GRANTED, 1);
         assertEquals(1, g.sends("r"));
         assertEquals(1, g.told.size(), "nothing is told of a use that the keeper has booked");
     }
@@ -51,7 +53,7 @@
     @Test
     void whatTheKeeperHasNotIsRefusedAtOnceAndIsNotAskedForAgain() {
         ask("r", "small", 7);
-        answer(Talk.Verdict.STORE, 1);
+        answer(g, Talk.Verdict.STORE, 1);
         assertEquals(List.of("r"), g.refused);
         int told = g.told.size();
         g.ask("s", "read", "small", 7, 4, GATEWAYS);
@@ -78,11 +80,7 @@
     void unitsOfACeilingThatCannotBeUsedInTimeGoBack() {
         FakeGateway bare = new FakeGateway(1000, FakeGateway.settings(0, GATEWAYS));
         bare.ask("r", "read", "capped", 7, 2, GATEWAYS);
-        FakeGateway.Told last = bare.told.get(0);
-        Talk talk = Talk.read(last.data());
-        Talk.Ask ask = assertInstanceOf(Talk.Ask.class, talk.items().get(0));
-        Talk.Answer answer = new Talk.Answer(ask.serial(), Talk.Verdict.GRANTED, 0.2, 3, false);
-        bare.brain.peerSaid(bare.now, last.peer(), new Talk(500, talk.life() & 0xffff, 1, List.of(answer)).bytes());
+        Talk.Ask ask = answer(bare, Talk.Verdict.GRANTED, 1);
         bare.pass(300);
         assertEquals(0, bare.answers("r"));
         bare.pass(140);
@@ -109,11 +107,7 @@
     void aStallDoesNotOutliveTheUnitsOfACeiling() {
         FakeGateway bare = new FakeGateway(1000, FakeGateway.settings(0, GATEWAYS));
         bare.ask("r", "read", "capped", 7, 2, GATEWAYS);
-        FakeGateway.Told last = bare.told.get(0);
-        Talk talk = Talk.read(last.data());
-        Talk.Ask ask = (Talk.Ask) talk.items().get(0);
-        Talk.Answer answer = new Talk.Answer(ask.serial(), Talk.Verdict.GRANTED, 0.2, 3, false);
-        bare.brain.peerSaid(bare.now, last.peer(), new Talk(500, talk.life() & 0xffff, 1, List.of(answer)).bytes());
+        answer(bare, Talk.Verdict.GRANTED, 1);
         bare.now += 700; // no beat came
         bare.withHosts("a1"); // the list is what it reads first, and sends what is held
         assertEquals(List.of(), bare.sent);
@@ -126,7 +120,7 @@
     void aClientThatLeftCostsNothing() {
         ask("r", "small", 7);
         g.brain.clientLeft(g.now, "r");
-        answer(Talk.Verdict.GRANTED, 1);
+        answer(g, Talk.Verdict.GRANTED, 1);
         assertEquals(List.of(), g.sent);
         assertTrue(said().anyMatch(i -> i instanceof Talk.Back));
     }
