ConsoleTest compares sends with what the host was asked once both have come to rest

Seen: "waited in vain: svc.sends is 6" in 1 of 7 runs beside other work; here 1 of 60 with twelve burners on eight cores.

Checked: a probe at the failing line printed what the host had been asked and the figures. It had been asked nine times (a, b, the order three times, t, and the slow view three times, two of these while the probe waited) and svc.sends said 9: the figure counts right. The expected value was 6 because ConsoleTest line 163 read host.asked.size() once, as an argument: the line waits before it for svc.current = 1, which rises where a request is taken (Node.taken), ahead of its sending, and the host notes a request on a thread of its own. Where that thread had no core yet, six stood where seven were written, and the figure went past 6 for good. Ruled out: an attempt counted twice or never, a late end of the order's attempts (all three stand in the probe's list).

Change: the test waits until the host was asked the slow view, then for the two counts to be equal, both read each time.

--- a/src/test/java/deckfall/net/ConsoleTest.java
+++ b/src/test/java/deckfall/net/ConsoleTest.java
@@ -160,7 +160,9 @@
         assertEquals(0, all.get("svc.errored.view"));
         assertEquals(1, all.get("svc.errored.order"));
         assertEquals(0, all.get("svc.answered.order"));
-        awaitFigure(node, "svc.sends", host.asked.size());
+        // Taken is not yet sent, and sent not yet noted by the host: what it was asked is looked at anew each time.
+        Sockets.await(() -> host.asked.stream().anyMatch(m -> "slow".equals(m.header("X-Trace-Id"))), "slow is asked");
+        Sockets.await(() -> figures(node).get("svc.sends") == host.asked.size(), "each attempt counts once");
         held.countDown();
         assertEquals(200, slow.receive().status());
         awaitFigure(node, "svc.current", 0);
