--- /dev/null
+++ b/fleet/src/main/java/marlford/lease/Answer.java
@@ -0,0 +1,41 @@
+package marlford.lease;
+
+/**
+ * What came of a {@link Command}.
+ *
+ * @param value for {@code GRANTED} the token or the session, for {@code WAITING} how many stand before
+ */
+public record Answer(Kind kind, long value) {
+    /** What came of it. */
+    public enum Kind {
+        /** It is the asker's; the value is the token, or of {@link Command.Open} the session. */
+        GRANTED,
+        /** It will be, in its turn; the session's watch tells. */
+        WAITING,
+        /** It is done, or was before. */
+        DONE,
+        /** The session has ended: nothing of it is left, and it has to begin anew. */
+        GONE,
+        /** Another living session has this name. */
+        TAKEN,
+        /** Somebody holds it under another limit or number of shards. */
+        DIFFERS,
+        /** A tick that was claimed before, or lies before one that was. */
+        OVER,
+        /** A bound of the book is reached; nothing was changed. */
+        FULL,
+        /** A name or number that can't be. */
+        MALFORMED
+    }
+
+    static final Answer DONE = new Answer(Kind.DONE, 0);
+    static final Answer GONE = new Answer(Kind.GONE, 0);
+
+    static Answer granted(long value) {
+        return new Answer(Kind.GRANTED, value);
+    }
+
+    static Answer no(Kind why) {
+        return new Answer(why, 0);
+    }
+}
