--- /dev/null
+++ b/fleet/src/main/java/marlford/agree/CallBack.java
@@ -0,0 +1,6 @@
+package marlford.agree;
+
+import marlford.lease.Reply;
+
+/** A voter's reply to the call of this number. */
+record CallBack(long id, Reply reply) { }
--- /dev/null
+++ b/fleet/src/main/java/marlford/agree/Caller.java
@@ -0,0 +1,57 @@
+package marlford.agree;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import marlford.lease.Member;
+import marlford.lease.Reply;
+
+/** Carries a member's asks to the voters and brings the replies back. */
+public final class Caller {
+    /** Takes what came of an ask; called on the network's thread. */
+    public interface Ears {
+        void heard(long id, Reply reply);
+
+        /** The connection to a voter ended: what was asked there and not answered has failed. */
+        void lost(String voter);
+    }
+
+    private final Map<String, Link> links = new LinkedHashMap<>();
+
+    public Caller(EventLoopGroup network, Map<String, InetSocketAddress> voters, Ears ears) {
+        voters.forEach((name, address) -> links.put(name, new Link(network, address, new Wire.Ears() {
+            @Override
+            public void frame(Channel from, byte kind, byte[] body) {
+                try {
+                    if (kind == Wire.REPLY) {
+                        CallBack c = Codec.read(body, CallBack.class);
+                        ears.heard(c.id(), c.reply());
+                    }
+                } catch (IOException e) {
+                    from.close(); // a version that can't be read, or noise
+                }
+            }
+
+            @Override
+            public void closed(Channel channel) {
+                ears.lost(name);
+            }
+        })));
+    }
+
+    /** Sends it; false where it can't leave, so that it has failed. From any thread. */
+    public boolean send(Member.Outgoing o) {
+        try {
+            return links.get(o.voter()).send(Wire.CALL, Codec.bytes(new Call(o.id(), o.ask())));
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    public void close() {
+        links.values().forEach(Link::close);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/marlford/agree/Point.java
@@ -0,0 +1,24 @@
+package marlford.agree;
+
+import io.microraft.RaftEndpoint;
+
+/**
+ * A voter as the agreed log knows it: its name and the disk it has. An emptied disk makes another point of the same name, so
+ * that nobody takes it for the one that gave its vote.
+ *
+ * @param id name, a colon, and 16 hexadecimal digits that were drawn when the disk was first used
+ */
+record Point(String id) implements RaftEndpoint {
+    static Point of(String name, long disk) {
+        return new Point(name + ':' + String.format("%016x", disk));
+    }
+
+    String name() {
+        return id.substring(0, id.lastIndexOf(':'));
+    }
+
+    @Override
+    public Object getId() {
+        return id;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/marlford/agree/SegmentStore.java
@@ -0,0 +1,309 @@
+package marlford.agree;
+
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * What a voter must not forget: which disk this is, how often it was started, its term and vote, lines and snapshot. One
+ * file of records ({@link Segment}); each change is a record, and once a snapshot makes most of them idle the file is
+ * written anew beside and put in its place. Lines are kept in memory as well, no more than lie between two snapshots.
+ *
+ * <p>The first failure to write or sync is the last: nothing is written after it, and the voter is told to go out.
+ * Not thread-safe, but for {@link #failed}.
+ */
+final class SegmentStore implements RaftStore {
+    private static final byte IDENTITY = 1;
+    private static final byte LIFE = 2;
+    private static final byte ENDPOINT = 3;
+    private static final byte INITIAL = 4;
+    private static final byte TERM = 5;
+    private static final byte LINE = 6;
+    private static final byte PIECE = 7;
+    private static final byte CUT_FROM = 8;
+    private static final byte CUT_UNTIL = 9;
+    private static final byte DROP_PIECES = 10;
+    private static final long REWRITE_FROM = 1 << 20; // bytes; a smaller file is not written anew
+
+    record Identity(long disk) { }
+
+    record Number(long value) { }
+
+    record Vote(int term, String point) { }
+
+    record Endpoint(String point, boolean voting) { }
+
+    private final Path file;
+    private final Function<Disk, Disk> wrap;
+    private final Consumer<String> log;
+    private Disk disk;
+    private long size;
+    private Identity identity;
+    private long life;
+    private Endpoint endpoint;
+    private Codec.Group initial;
+    private Vote vote;
+    private final TreeMap<Long, byte[]> lines = new TreeMap<>();
+    private final TreeMap<Long, TreeMap<Integer, byte[]>> pieces = new TreeMap<>();
+    private volatile String failed;
+
+    /**
+     * @param wrap what lies over the file, for faults
+     * @param log one line for what operators should know
+     */
+    SegmentStore(Path folder, Function<Disk, Disk> wrap, Consumer<String> log) throws IOException {
+        this.file = folder.resolve("agreed");
+        this.wrap = wrap;
+        this.log = log;
+        Files.createDirectories(folder);
+        byte[] found = Files.exists(file) ? Files.readAllBytes(file) : new byte[0];
+        int whole;
+        try {
+            whole = Segment.read(found, this::take);
+        } catch (UncheckedIOException | IllegalArgumentException e) {
+            throw new Segment.Damaged("a record can't be read: " + e.getMessage());
+        }
+        size = whole;
+        if (whole < found.length) {
+            log.accept("fleet: cut " + (found.length - whole) + " bytes of an interrupted write off " + file);
+            try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
+                channel.truncate(whole);
+                channel.force(true);
+            }
+        }
+        disk = wrap.apply(Disk.open(file));
+    }
+
+    private void take(byte kind, byte[] body) {
+        try {
+            switch (kind) {
+                case IDENTITY -> identity = Codec.read(body, Identity.class);
+                case LIFE -> life = Codec.read(body, Number.class).value();
+                case ENDPOINT -> endpoint = Codec.read(body, Endpoint.class);
+                case INITIAL -> initial = Codec.read(body, Codec.Group.class);
+                case TERM -> vote = Codec.read(body, Vote.class);
+                case LINE -> {
+                    long index = Codec.read(body, Codec.Line.class).index();
+                    lines.put(index, body);
+                }
+                case PIECE -> {
+                    Codec.Piece p = Codec.read(body, Codec.Piece.class);
+                    pieces.computeIfAbsent(p.index(), i -> new TreeMap<>()).put(p.at(), body);
+                }
+                case CUT_FROM -> lines.tailMap(Codec.read(body, Number.class).value(), true).clear();
+                case CUT_UNTIL -> lines.headMap(Codec.read(body, Number.class).value(), true).clear();
+                case DROP_PIECES -> pieces.remove(Codec.read(body, Number.class).value());
+                default -> throw new IllegalArgumentException("a record of kind " + kind);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void put(byte kind, Object value) throws IOException {
+        byte[] body = Codec.bytes(value);
+        append(kind, body);
+        take(kind, body);
+    }
+
+    private void append(byte kind, byte[] body) throws IOException {
+        try {
+            usable();
+            ByteBuffer record = Segment.record(kind, body);
+            size += record.remaining();
+            disk.append(record);
+        } catch (IOException e) {
+            throw fails(e);
+        }
+    }
+
+    private void usable() throws IOException {
+        if (failed != null) {
+            throw new IOException(failed);
+        }
+    }
+
+    private IOException fails(IOException e) {
+        if (failed == null) {
+            failed = "the store failed: " + e.getMessage();
+            log.accept("fleet: " + failed + "; this process votes no more");
+        }
+        return e;
+    }
+
+    /** Why nothing is kept any more; null while all is well. From any thread. */
+    String failed() {
+        return failed;
+    }
+
+    /** Begins another life on this disk, and makes the disk a new one if it was empty. */
+    void begin(long freshDisk) throws IOException {
+        if (identity == null) {
+            put(IDENTITY, new Identity(freshDisk));
+        }
+        put(LIFE, new Number(life + 1));
+        flush();
+    }
+
+    Identity identity() {
+        return identity;
+    }
+
+    long life() {
+        return life;
+    }
+
+    /** What an earlier life left of the engine's state; null for nothing, so that no vote was ever given here. */
+    RestoredRaftState restored() throws IOException {
+        if (endpoint == null || initial == null || vote == null) {
+            return null;
+        }
+        SnapshotEntry snapshot = null;
+        for (var entry : pieces.descendingMap().entrySet()) {
+            List<SnapshotChunk> chunks = new ArrayList<>();
+            for (byte[] p : entry.getValue().values()) {
+                chunks.add(Codec.read(p, Codec.Piece.class).chunk());
+            }
+            SnapshotChunk first = chunks.get(0);
+            if (chunks.size() == first.getSnapshotChunkCount()) {
+                snapshot = Codec.MODELS.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
+                        .setSnapshotChunks(chunks).setGroupMembersView(first.getGroupMembersView()).build();
+                break;
+            }
+        }
+        List<LogEntry> entries = new ArrayList<>();
+        for (byte[] l : lines.tailMap(snapshot == null ? 0 : snapshot.getIndex(), false).values()) {
+            entries.add(Codec.read(l, Codec.Line.class).entry());
+        }
+        Point voted = vote.point() == null ? null : new Point(vote.point());
+        return new RestoredRaftState(
+                Codec.MODELS.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(new Point(endpoint.point()))
+                        .setVoting(endpoint.voting()).build(),
+                initial.view(),
+                Codec.MODELS.createRaftTermPersistentStateBuilder().setTerm(vote.term()).setVotedFor(voted).build(),
+                snapshot, entries);
+    }
+
+    /** The members that the group began with; null where this disk was never part of one. */
+    List<String> initial() {
+        return initial == null ? null : initial.all();
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState s) throws IOException {
+        put(ENDPOINT, new Endpoint(s.getLocalEndpoint().getId().toString(), s.isVoting()));
+        flush();
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
+        put(INITIAL, Codec.Group.of(members));
+        flush();
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState s) throws IOException {
+        put(TERM, new Vote(s.getTerm(), s.getVotedFor() == null ? null : s.getVotedFor().getId().toString()));
+        flush();
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> entries) throws IOException {
+        for (LogEntry e : entries) {
+            byte[] body = Codec.bytes(Codec.Line.of(e));
+            append(LINE, body);
+            lines.put(e.getIndex(), body);
+        }
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
+        put(PIECE, Codec.Piece.of(chunk));
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        put(CUT_FROM, new Number(index));
+    }
+
+    @Override
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        put(CUT_UNTIL, new Number(index));
+        if (size > REWRITE_FROM) {
+            rewrite();
+        }
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int count) throws IOException {
+        put(DROP_PIECES, new Number(index));
+    }
+
+    @Override
+    public void flush() throws IOException {
+        try {
+            usable();
+            disk.force();
+        } catch (IOException e) {
+            throw fails(e);
+        }
+    }
+
+    /** The same state in as few records as it takes. */
+    private void rewrite() throws IOException {
+        Path fresh = file.resolveSibling("agreed.new");
+        try {
+            Files.deleteIfExists(fresh);
+            Disk old = disk;
+            long was = size;
+            disk = wrap.apply(Disk.open(fresh));
+            size = 0;
+            append(IDENTITY, Codec.bytes(identity));
+            append(LIFE, Codec.bytes(new Number(life)));
+            if (endpoint != null) {
+                append(ENDPOINT, Codec.bytes(endpoint));
+            }
+            if (initial != null) {
+                append(INITIAL, Codec.bytes(initial));
+            }
+            if (vote != null) {
+                append(TERM, Codec.bytes(vote));
+            }
+            for (TreeMap<Integer, byte[]> snapshot : pieces.values()) {
+                for (byte[] p : snapshot.values()) {
+                    append(PIECE, p);
+                }
+            }
+            for (byte[] l : lines.values()) {
+                append(LINE, l);
+            }
+            disk.force();
+            Disk.replace(fresh, file);
+            old.close();
+            log.accept("fleet: the store has " + size + " bytes now, " + was + " before");
+        } catch (IOException e) {
+            throw fails(e);
+        }
+    }
+
+    void close() throws IOException {
+        disk.close();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/marlford/agree/Wire.java
@@ -0,0 +1,124 @@
+package marlford.agree;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Frames over TCP: four bytes of length, one of kind, then CBOR. It authenticates nothing: whoever reaches the port is
+ * heard, so it belongs on a network where nobody else is.
+ *
+ * <p>Bounds: a frame of {@value #FRAME_MAX} bytes; {@value #QUEUE_MAX} bytes that wait to leave on one connection, beyond
+ * which a frame is dropped, as if it were lost on the way; {@value #CONNECT_MS} ms to connect.
+ */
+final class Wire {
+    static final byte HELLO = 1;
+    static final byte MAIL = 2;
+    static final byte CALL = 3;
+    static final byte REPLY = 4;
+    private static final int FRAME_MAX = 64 << 20;
+    private static final int QUEUE_MAX = 8 << 20;
+    private static final int LENGTH = 4;
+    private static final int CONNECT_MS = 500;
+    private static final int SILENCE_S = 30; // a connection on which nothing comes for this long is closed
+
+    private Wire() { }
+
+    /** What comes over a connection; called on its event loop. */
+    interface Ears {
+        void frame(Channel from, byte kind, byte[] body);
+
+        default void open(Channel channel) { }
+
+        default void closed(Channel channel) { }
+    }
+
+    /** Listens; the future's channel has the address. */
+    static Channel listen(EventLoopGroup group, InetSocketAddress at, Ears ears) throws InterruptedException {
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
+                .childHandler(pipeline(ears)).bind(at).sync().channel();
+    }
+
+    /** Connects; {@link Ears#open} or {@link Ears#closed} tells what came of it. */
+    static void connect(EventLoopGroup group, InetSocketAddress to, Ears ears) {
+        new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
+                .handler(pipeline(ears)).connect(to).addListener(f -> {
+                    if (!f.isSuccess()) {
+                        ears.closed(null);
+                    }
+                });
+    }
+
+    private static ChannelInitializer<Channel> pipeline(Ears ears) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ChannelPipeline p = ch.pipeline();
+                p.addLast(new ReadTimeoutHandler(SILENCE_S, TimeUnit.SECONDS),
+                        new LengthFieldBasedFrameDecoder(FRAME_MAX, 0, LENGTH, 0, LENGTH),
+                        new LengthFieldPrepender(LENGTH), new Frames(ears));
+            }
+        };
+    }
+
+    /** Sends a frame, or drops it where too much waits already; whether it was taken. From any thread. */
+    static boolean send(Channel to, byte kind, byte[] body) {
+        if (to == null || !to.isActive() || !to.isWritable()) {
+            return false;
+        }
+        ByteBuf frame = to.alloc().buffer(1 + body.length).writeByte(kind).writeBytes(body);
+        to.writeAndFlush(frame, to.voidPromise());
+        return true;
+    }
+
+    private static final class Frames extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Ears ears;
+
+        Frames(Ears ears) {
+            this.ears = ears;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ears.open(ctx.channel());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+            byte kind = frame.readByte();
+            ears.frame(ctx.channel(), kind, ByteBufUtil.getBytes(frame));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            ears.closed(ctx.channel());
+        }
+
+        /** Noise, a frame that is too long, a connection that broke: the connection ends. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -0,0 +1,185 @@
+package marlford.fleet;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import marlford.agree.Caller;
+import marlford.agree.MonotonicTime;
+import marlford.agree.Voter;
+import marlford.lease.Member;
+import marlford.lease.Reply;
+import marlford.task.Act;
+import marlford.task.Duty;
+
+/**
+ * A process's part in the fleet: the member on a thread of its own, the voter where this process is one, and the tasks. It
+ * shares nothing with the loop that serves clients, and nothing there waits for it.
+ */
+final class Fleet {
+    private static final long TICK_MS = 10;
+    private static final long LEAVE_MS = 1000; // for the last word; it takes a few milliseconds where a majority is there
+
+    private final FleetConfig config;
+    private final Consumer<String> log;
+    private final MonotonicTime time = MonotonicTime.ofThisProcess();
+    private final NioEventLoopGroup network = new NioEventLoopGroup(1);
+    private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1, work -> {
+        Thread t = new Thread(work, "marlford-member");
+        t.setDaemon(true);
+        return t;
+    });
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Map<String, FleetConfig.TaskConfig> tasks = new LinkedHashMap<>();
+    private final Map<String, Duty> duties = new LinkedHashMap<>();
+    private final Member member;
+    private final Voter voter; // null where this process is none
+    private final Caller caller;
+    private final CompletableFuture<Void> left = new CompletableFuture<>();
+    private double dueAt = Double.NaN; // when the next tick should come
+    private long session;
+
+    /** @param log one line for what operators should know; from any thread */
+    Fleet(FleetConfig config, Consumer<String> log) {
+        this.config = config;
+        this.log = log;
+        this.member = new Member(config.name(), new SecureRandom().nextLong() >>> 1, config.ttlMs(),
+                List.copyOf(config.voters().keySet()), config.driftPpm(), config.marginMs(), config.stallMs());
+        this.voter = config.voters().containsKey(config.name()) ? new Voter(new Voter.Settings(config.fleet(), config.name(),
+                config.voters(), config.folder().resolve(config.name())), time, network, log) : null;
+        this.caller = new Caller(network, config.voters(), new Caller.Ears() {
+            @Override
+            public void heard(long id, Reply reply) {
+                run(() -> member.heard(id, reply, time.ms()));
+            }
+
+            @Override
+            public void lost(String name) {
+                run(() -> member.lost(name, time.ms()));
+            }
+        });
+        for (FleetConfig.TaskConfig t : config.tasks()) {
+            tasks.put(t.name(), t);
+            duties.put(t.name(), t.duty());
+        }
+    }
+
+    /** Begins; returns at once, whoever else is there. */
+    void start() throws IOException, InterruptedException {
+        if (voter != null) {
+            voter.start();
+        }
+        thread.execute(() -> duties.values().forEach(d -> d.begin(member)));
+        thread.scheduleWithFixedDelay(() -> run(() -> { }), 0, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** All that touches the member happens here, one at a time, and each time what follows from it is sent. */
+    private void run(Runnable what) {
+        thread.execute(() -> {
+            try {
+                what.run();
+                act();
+            } catch (RuntimeException e) {
+                log.accept("fleet: defect: " + e);
+                e.printStackTrace();
+            }
+        });
+    }
+
+    private void act() {
+        double now = time.ms();
+        double late = Double.isNaN(dueAt) ? 0 : Math.max(0, now - dueAt);
+        dueAt = now + TICK_MS;
+        for (Member.Outgoing o : member.due(now)) {
+            if (!caller.send(o)) {
+                member.failed(o.id(), now);
+            }
+        }
+        if (member.session() != session) {
+            session = member.session();
+            log.accept("fleet: " + (session == 0 ? "the session has ended" : "session " + session));
+        }
+        if (member.hasLeft()) {
+            left.complete(null);
+            return;
+        }
+        duties.forEach((name, duty) -> duty.due(member, now, late, System.currentTimeMillis())
+                .forEach(a -> post(tasks.get(name), duty, a)));
+    }
+
+    private void post(FleetConfig.TaskConfig task, Duty duty, Act act) {
+        URI at = task.url();
+        HttpRequest request = HttpRequest.newBuilder(at).timeout(Duration.ofMillis((long) Math.max(1, act.takesMs())))
+                .header("Fencing-Token", Long.toString(act.token())).header("Holder", config.name())
+                .header("Task", act.task()).header("Shard", Integer.toString(act.shard()))
+                .header("Tick", Long.toString(act.tick()))
+                .POST(HttpRequest.BodyPublishers.noBody()).build();
+        http.sendAsync(request, HttpResponse.BodyHandlers.discarding()).whenComplete((answer, e) -> run(() -> {
+            duty.ended(member, act);
+        }));
+    }
+
+    /** Runs work under a lease of its own; the token, or the reason why not. */
+    CompletableFuture<Long> hold(String lease, int limit) {
+        CompletableFuture<Long> held = new CompletableFuture<>();
+        thread.execute(() -> member.want(lease, limit));
+        thread.scheduleWithFixedDelay(() -> {
+            long token = member.token(lease);
+            if (token != 0 && member.mayAct(token, time.ms(), 0, 0)) {
+                held.complete(token);
+            }
+        }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        return held;
+    }
+
+    /** Gives everything back at once, so that nobody waits for the end of a session. */
+    void leave() {
+        double began = time.ms();
+        run(member::leave);
+        try {
+            left.get(LEAVE_MS, TimeUnit.MILLISECONDS);
+            log.accept("fleet: handed over in " + Math.round(time.ms() - began) + " ms");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            log.accept("fleet: could not hand over; the session ends by its silence");
+        }
+    }
+
+    /** What operators see of the fleet from here; from any thread, without waiting for anybody but this member. */
+    String text() {
+        CompletableFuture<String> text = new CompletableFuture<>();
+        thread.execute(() -> text.complete("member=" + member + " left_ms=" + Math.round(member.leftMs(time.ms())) + '\n'));
+        String voters = voter == null ? "" : voter.text();
+        try {
+            return text.get(LEAVE_MS, TimeUnit.MILLISECONDS) + voters;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return voters;
+        } catch (ExecutionException | TimeoutException e) {
+            return "member=late\n" + voters;
+        }
+    }
+
+    void close() {
+        thread.shutdownNow();
+        caller.close();
+        if (voter != null) {
+            voter.close();
+        }
+        network.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- a/fleet/src/main/java/marlford/lease/Book.java
+++ b/fleet/src/main/java/marlford/lease/Book.java
@@ -91,6 +91,11 @@
         return new Image(index, minted, List.copyOf(sessions.values()), lines, all, new TreeMap<>(ticks));
     }
 
+    /** Whether tokens have begun: a fleet's book is of no use before its first line, which says from where. */
+    public boolean isBegun() {
+        return minted > 0;
+    }
+
     /** The index of the last line applied. */
     public long index() {
         return index;
@@ -147,6 +152,10 @@
         if (c instanceof Command.GiveUp y) {
             return lives(y.session(), y.pool(), () -> giveUp(y));
         }
+        if (c instanceof Command.Floor f) {
+            minted = Math.max(minted, f.token());
+            return Answer.DONE;
+        }
         Command.Tick t = (Command.Tick) c;
         return lives(t.session(), t.task(), () -> tick(t));
     }
--- a/fleet/src/main/java/marlford/lease/Command.java
+++ b/fleet/src/main/java/marlford/lease/Command.java
@@ -45,4 +45,7 @@
 
     /** Claims a tick of a periodic task, which runs at most once; ticks before the last one claimed are over. */
     record Tick(long session, String task, long tick) implements Command { }
+
+    /** The first line of a fleet: tokens begin above this one. */
+    record Floor(long token) implements Command { }
 }
--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -266,6 +266,12 @@
         }
     }
 
+    /** The connection to a voter ended: all that was asked there has failed. */
+    public void lost(String voter, double now) {
+        pending.entrySet().stream().filter(e -> e.getValue().voter().equals(voter)).map(Map.Entry::getKey).toList()
+                .forEach(id -> failed(id, now));
+    }
+
     /** A reply came. */
     public void heard(long id, Reply r, double now) {
         Pending p = pending.remove(id);
--- a/gateway/src/main/java/deckfall/console/Console.java
+++ b/gateway/src/main/java/deckfall/console/Console.java
@@ -26,9 +26,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Where operators call: HTTP/1.1, one call on a connection, 2xx for yes, 4xx or 5xx for no. It has an event loop of its
@@ -46,6 +48,7 @@
 
     private final Desk desk;
     private final Figures figures;
+    private final Map<String, Supplier<String>> pages;
     private final Consumer<String> log;
     private final LeftOut leftOut;
     private volatile Set<String> hosts; // those left out
@@ -55,12 +58,15 @@
     private Channel listener;
 
     /**
+     * @param pages what others show under a path of their own; each is asked on this console's loop
      * @param folder where what operators said outlives the process; null for nowhere
      * @param log takes one line for each call that changes something, and for each failure
      */
-    public Console(Desk desk, Figures figures, Path folder, Consumer<String> log) throws IOException {
+    public Console(Desk desk, Figures figures, Map<String, Supplier<String>> pages, Path folder, Consumer<String> log)
+            throws IOException {
         this.desk = desk;
         this.figures = figures;
+        this.pages = Map.copyOf(pages);
         this.log = log;
         this.leftOut = new LeftOut(folder);
         this.hosts = leftOut.hosts();
@@ -160,6 +166,9 @@
                     text = figures.text();
                 } else if (reads && call.uri().equals("/admin/health")) {
                     status = desk.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+                } else if (reads && pages.containsKey(call.uri())) {
+                    status = HttpResponseStatus.OK;
+                    text = pages.get(call.uri()).get();
                 } else {
                     status = acts ? act(call.uri(), call.content().toString(StandardCharsets.UTF_8).trim())
                             : HttpResponseStatus.NOT_FOUND;
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * One api gateway: the event loop on which everything runs, the clock, the timers, the decision module and the
@@ -79,6 +80,7 @@
     private boolean telling;
     private boolean serving; // before, what peers say is for the ears of a module that has not begun
     private final Operators operators;
+    private Map<String, Supplier<String>> pages = Map.of(); // on the console, besides its own
     private Console console; // null where there is none
     private boolean draining;
     private boolean leaving; // that has come so far that clients no longer stay
@@ -114,28 +116,40 @@
 
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
     public static void main(String configFile) {
+        main(configFile, Map.of());
+    }
+
+    /** The same, with pages of others on the console, by their paths. */
+    public static void main(String configFile, Map<String, Supplier<String>> pages) {
         PlainLog.install();
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
-            serve(reload, System.getenv("TMPDIR"), StartBudget.ofThisProcess(), true);
+            serve(reload, System.getenv("TMPDIR"), StartBudget.ofThisProcess(), true, pages);
         } catch (NodeConfig.BadConfig | IOException | InterruptedException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
     }
 
+    static Node serve(Reload reload, String folder, StartBudget budget, boolean alone)
+            throws NodeConfig.BadConfig, IOException, InterruptedException {
+        return serve(reload, folder, budget, alone, Map.of());
+    }
+
     /**
      * The whole of a start. Returns once clients are served.
      *
      * @param folder where the processes of one gateway meet; null for nowhere
      * @param alone whether this process is the node's, and ends with it
+     * @param pages what others show on its console
      */
-    static Node serve(Reload reload, String folder, StartBudget budget, boolean alone)
-            throws NodeConfig.BadConfig, IOException, InterruptedException {
+    private static Node serve(Reload reload, String folder, StartBudget budget, boolean alone,
+            Map<String, Supplier<String>> pages) throws NodeConfig.BadConfig, IOException, InterruptedException {
         NodeConfig config = reload.first();
         Kept kept = Kept.in(folder, config.name());
         Predecessor serves = kept == null ? null : Predecessor.find(kept.successor(), budget.limitMs(Step.HELLO));
         Node early = new Node(config);
+        early.pages = pages;
         early.openConsole(kept);
         if (serves == null) {
             early.loop.execute(early.peers::start);
@@ -149,6 +163,7 @@
         if (newest != config) {
             early.stop();
             node = new Node(newest);
+            node.pages = pages;
             node.openConsole(kept);
             log("the configuration was replaced during the start");
         }
@@ -219,7 +234,7 @@
      */
     void openConsole(Kept kept) throws IOException {
         if (console == null && config.console() != null) {
-            console = new Console(operators, figures, kept == null ? null : kept.leftOut(), Node::log);
+            console = new Console(operators, figures, pages, kept == null ? null : kept.leftOut(), Node::log);
             console.listen(config.console());
         }
     }
--- /dev/null
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -0,0 +1,235 @@
+package marlford.storm;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.awt.Color;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.XYSeries;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** A storm: processes, faults, a verdict. Exit 0 where all held, 1 broken, 2 bad arguments, 3 could not judge. */
+@Command(name = "storm", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Starts several processes of the program, breaks what is between them, and judges what they did.")
+final class Main implements Callable<Integer> {
+    private static final int HELD = 0;
+    private static final int BROKEN = 1;
+    private static final int UNJUDGED = 3;
+    private static final int FEWEST = 3;
+    private static final int SHRINK_RUNS = 40;
+    private static final long BACK_MS = 20_000; // for the fleet to act again after the faults
+    private static final int WIDTH = 1200;
+    private static final int HEIGHT = 400;
+    private static final double NANOS_PER_S = 1e9;
+
+    @Option(names = "--seed", defaultValue = "1", description = "from which the faults are drawn (${DEFAULT-VALUE})")
+    private long seed;
+
+    @Option(names = "--seeds", defaultValue = "1", description = "how many, from --seed on (${DEFAULT-VALUE})")
+    private int seeds;
+
+    @Option(names = "--gateways", defaultValue = "5", description = "processes, 3 at least (${DEFAULT-VALUE})")
+    private int gateways;
+
+    @Option(names = "--seconds", defaultValue = "20", description = "of faults (${DEFAULT-VALUE})")
+    private int seconds;
+
+    @Option(names = "--ttl", defaultValue = "1000", description = "a session's silence in ms (${DEFAULT-VALUE})")
+    private long ttlMs;
+
+    @Option(names = "--drift", defaultValue = "0", description = "by how much clocks run wrong, 0.02 for 2%% (${DEFAULT-VALUE})")
+    private double drift;
+
+    @Option(names = "--schedule", paramLabel = "FILE", description = "faults as JSON lines, instead of a seed")
+    private Path file;
+
+    @Option(names = "--out", paramLabel = "DIR", description = "keeps schedule, logs, table and chart there")
+    private Path out;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "the figures as one JSON line a run")
+    private Path json;
+
+    @Option(names = "--option", description = "passed on to each process's JVM")
+    private List<String> options = List.of();
+
+    @Option(names = "--shrink", description = "a broken schedule is played again with faults left out")
+    private boolean shrink;
+
+    @Option(names = "--quiet", description = "one line a run")
+    private boolean quiet;
+
+    /** What is started. */
+    record Setup(int gateways, long ttlMs, double drift, List<String> options) { }
+
+    private Setup setup() {
+        return new Setup(gateways, ttlMs, drift, options);
+    }
+
+    /**
+     * A run's figures.
+     *
+     * @param back whether the single task was acted on again after the last fault had ended
+     */
+    record Run(Judge.Verdict verdict, List<Long> handOvers, List<String> defects, List<Rig.Played> played, List<Note> notes,
+            long zero, boolean back) {
+        boolean held() {
+            return verdict.broken().isEmpty() && defects.isEmpty();
+        }
+    }
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        if (gateways < FEWEST || seconds < 1 || seeds < 1) {
+            System.err.println("storm: at least 3 gateways, a second and a seed");
+            return CommandLine.ExitCode.USAGE;
+        }
+        int worst = HELD;
+        for (long s = seed; s < seed + seeds; s++) {
+            long ms = TimeUnit.SECONDS.toMillis(seconds);
+            Schedule schedule = file != null ? Schedule.read(file) : Schedule.drawn(s, gateways, Rig.voters(gateways), ms);
+            Run run = run(schedule, setup(), ms, out == null ? null : out.resolve("seed-" + s));
+            if (run == null) {
+                System.err.println("storm: seed " + s + ": the processes did not all take part; nothing is judged");
+                worst = UNJUDGED;
+                continue;
+            }
+            print(s, schedule, run);
+            if (!run.held()) {
+                worst = BROKEN;
+                if (shrink) {
+                    shrink(schedule, ms);
+                }
+            }
+        }
+        return worst;
+    }
+
+    /** Plays a schedule; null where the processes did not come up. */
+    static Run run(Schedule schedule, Setup setup, long ms, Path keep) throws IOException, InterruptedException {
+        Path folder = keep == null ? Files.createTempDirectory("marlford-storm") : Files.createDirectories(keep);
+        try (Rig rig = new Rig(setup.gateways(), folder, setup.ttlMs(), setup.drift(), System.getProperty("java.class.path"),
+                setup.options())) {
+            if (keep != null) {
+                schedule.write(folder.resolve("schedule.jsonl"));
+            }
+            if (!rig.start()) {
+                return null;
+            }
+            rig.play(schedule, ms);
+            boolean back = rig.awaitAct(BACK_MS);
+            Judge.Verdict v = new Judge(rig.notes(), rig.played()).judge(rig.zero(), System.nanoTime());
+            Run run = new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back);
+            if (keep != null) {
+                chart(run, folder.resolve("holders.png"));
+            }
+            return run;
+        } finally {
+            if (keep == null) {
+                wipe(folder);
+            }
+        }
+    }
+
+    private static void wipe(Path folder) throws IOException {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(p);
+            }
+        }
+    }
+
+    private void print(long s, Schedule schedule, Run run) throws IOException {
+        Judge.Verdict v = run.verdict();
+        Map<String, Object> rows = new LinkedHashMap<>();
+        rows.put("seed", s);
+        rows.put("gateways", gateways);
+        rows.put("seconds", seconds);
+        rows.put("faults", run.played().size());
+        rows.put("acts", v.acts());
+        rows.put("turned_away", v.turnedAway());
+        rows.put("holders", v.holders());
+        rows.put("hand_overs", v.gapsMs().size());
+        rows.put("gap_p50_ms", quantile(v.gapsMs(), 0.5));
+        rows.put("gap_p99_ms", quantile(v.gapsMs(), 0.99));
+        rows.put("no_holder_max_ms", Math.round(v.longestMs()));
+        rows.put("planned_max_ms", run.handOvers().stream().mapToLong(Long::longValue).max().orElse(0));
+        rows.put("back", run.back());
+        rows.put("overlaps_bounded", v.overlaps());
+        rows.put("overlaps_unexplained", v.unexplained().size());
+        rows.put("broken", v.broken().size());
+        if (quiet) {
+            System.out.println(rows);
+        } else {
+            rows.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
+        }
+        v.unexplained().forEach(u -> System.out.println("unexplained: " + u));
+        v.broken().forEach(b -> System.out.println("BROKEN: " + b));
+        run.defects().forEach(d -> System.out.println("DEFECT: " + d));
+        if (json != null) {
+            ObjectMapper mapper = new ObjectMapper();
+            ObjectNode line = mapper.valueToTree(rows);
+            line.set("gaps_ms", mapper.valueToTree(v.gapsMs()));
+            Files.writeString(json, mapper.writeValueAsString(line) + '\n', java.nio.file.StandardOpenOption.CREATE,
+                    java.nio.file.StandardOpenOption.APPEND);
+        }
+    }
+
+    private static long quantile(List<Double> values, double q) {
+        List<Double> sorted = new ArrayList<>(values);
+        sorted.sort(null);
+        return sorted.isEmpty() ? 0 : Math.round(sorted.get((int) Math.ceil(q * sorted.size()) - 1));
+    }
+
+    /** Leaves out one fault after another for as long as it still breaks. */
+    private void shrink(Schedule broken, long ms) throws IOException, InterruptedException {
+        Schedule least = broken;
+        int runs = 0;
+        for (int i = least.faults().size() - 1; i >= 0 && runs < SHRINK_RUNS; i--, runs++) {
+            Schedule fewer = least.without(i);
+            Run run = run(fewer, setup(), ms, null);
+            if (run != null && !run.held()) {
+                least = fewer;
+            }
+        }
+        Path to = Files.createDirectories(out == null ? Path.of("found") : out).resolve("broken-" + seed + ".jsonl");
+        least.write(to);
+        System.out.println("shrunk to " + least.faults().size() + " faults: " + to);
+    }
+
+    /** Who acted as the single holder, by time. */
+    private static void chart(Run run, Path to) throws IOException {
+        System.setProperty("java.awt.headless", "true");
+        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title("acts of the single holder")
+                .xAxisTitle("s").yAxisTitle("process").build();
+        chart.getStyler().setDefaultSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter);
+        for (boolean taken : new boolean[] {true, false}) {
+            List<Note> acts = run.notes().stream().filter(n -> n.task().equals(Rig.ONE) && n.taken() == taken).toList();
+            if (!acts.isEmpty()) {
+                XYSeries s = chart.addSeries(taken ? "taken" : "turned away",
+                        acts.stream().map(n -> (n.begin() - run.zero()) / NANOS_PER_S).toList(),
+                        acts.stream().map(n -> Integer.parseInt(n.holder().substring(1))).toList());
+                s.setMarker(SeriesMarkers.CIRCLE).setMarkerColor(taken ? Color.BLUE : Color.RED);
+            }
+        }
+        BitmapEncoder.saveBitmap(chart, to.toString(), BitmapEncoder.BitmapFormat.PNG);
+    }
+}
--- /dev/null
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -0,0 +1,440 @@
+package marlford.storm;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import marlford.storm.Fault.Kind;
+
+/** The processes of a run, what lies between them, and whoever plays the faults. */
+final class Rig implements Closeable {
+    /** The tasks: one holder, two holders, shards, ticks. */
+    static final String ONE = "one";
+    static final String TWO = "two";
+    static final String POOL = "pool";
+    static final String TICK = "tick";
+    private static final int VOTERS_FEW = 3;
+    private static final int VOTERS_MANY = 5;
+    private static final int SHARDS = 12;
+    private static final double MILLION = 1e6;
+    private static final long START_MS = 30_000; // until all take part
+    private static final long END_MS = 5000; // after SIGTERM
+    private static final long LOOK_MS = 20;
+    private static final int HANDS = 8; // faults that are begun or ended at one moment
+
+    /** A fault as it was played, by the machine's monotonic clock in nanoseconds. */
+    record Played(Kind kind, String who, long from, long to) { }
+
+    private final Path folder;
+    private final long ttlMs;
+    private final double drift;
+    private final Map<String, Gateway> gateways = new HashMap<>();
+    private final List<String> names = new ArrayList<>();
+    private final List<String> voters = new ArrayList<>();
+    private final Map<String, Map<String, LinkProxy>> links = new HashMap<>(); // from, to a voter
+    private final Map<String, LinkProxy> toResource = new HashMap<>();
+    private final Map<String, Path> copies = new HashMap<>(); // of disks, before their last life
+    private final List<Played> played = new CopyOnWriteArrayList<>();
+    private final Resource resource = new Resource();
+    private final ScheduledThreadPoolExecutor hands = new ScheduledThreadPoolExecutor(HANDS);
+    private long zero;
+
+    /**
+     * @param drift by how much the clocks of the processes run wrong: of every three one fast, one slow, one right
+     * @param classPath of the program
+     * @param options for each process's JVM
+     */
+    Rig(int count, Path folder, long ttlMs, double drift, String classPath, List<String> options) throws IOException {
+        this.folder = folder;
+        this.ttlMs = ttlMs;
+        this.drift = drift;
+        for (int i = 0; i < count; i++) {
+            names.add("g" + i);
+        }
+        voters.addAll(names.subList(0, count >= VOTERS_MANY ? VOTERS_MANY : VOTERS_FEW));
+        Map<String, Integer> ports = new HashMap<>();
+        for (String v : voters) {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                ports.put(v, free.getLocalPort());
+            }
+        }
+        for (String name : names) {
+            Path own = Files.createDirectories(folder.resolve(name));
+            List<String> all = new ArrayList<>(options);
+            all.add("-Dmarlford.clock.rate=" + (1 + drift * (1 - names.indexOf(name) % 3)));
+            gateways.put(name, new Gateway(name, own, classPath, all));
+            toResource.put(name, new LinkProxy(resource.address()));
+            Map<String, LinkProxy> to = new HashMap<>();
+            for (String v : voters) {
+                if (!v.equals(name)) {
+                    to.put(v, new LinkProxy(new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(v))));
+                }
+            }
+            links.put(name, to);
+            writeSettings(name, ports);
+        }
+    }
+
+    static int voters(int gateways) {
+        return gateways >= VOTERS_MANY ? VOTERS_MANY : VOTERS_FEW;
+    }
+
+    private void writeSettings(String name, Map<String, Integer> ports) throws IOException {
+        ObjectMapper json = new ObjectMapper();
+        ObjectNode root = json.createObjectNode().put("fleet", "storm")
+                .put("folder", gateways.get(name).settings().resolveSibling("state").toString());
+        ArrayNode all = root.putArray("voters");
+        for (String v : voters) {
+            int port = v.equals(name) ? ports.get(v) : links.get(name).get(v).port();
+            all.addObject().put("name", v).put("address", "127.0.0.1:" + port);
+        }
+        root.putObject("session").put("ttl_ms", ttlMs).put("stall_ms", ttlMs / 3.0)
+                .put("drift_ppm", drift * MILLION);
+        ArrayNode tasks = root.putArray("tasks");
+        String url = "http://127.0.0.1:" + toResource.get(name).port() + "/act";
+        task(tasks, ONE, "single", url, 50).put("holders", 1);
+        task(tasks, TWO, "single", url, 100).put("holders", 2);
+        task(tasks, POOL, "sharded", url, 200).put("shards", SHARDS);
+        task(tasks, TICK, "ticking", url, 500);
+        Files.writeString(gateways.get(name).settings(), json.writeValueAsString(root));
+    }
+
+    private ObjectNode task(ArrayNode tasks, String name, String kind, String url, int everyMs) {
+        return tasks.addObject().put("name", name).put("kind", kind).put("url", url).put("every_ms", everyMs)
+                .put("takes_ms", ttlMs / 5.0);
+    }
+
+    /** Starts all and returns once each takes part; false where that does not come about. */
+    boolean start() throws IOException, InterruptedException {
+        for (String name : names) {
+            gateways.get(name).start();
+        }
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
+        for (String name : names) {
+            while (!gateways.get(name).said("fleet: session ")) {
+                if (System.nanoTime() > end || !gateways.get(name).isAlive()) {
+                    return false;
+                }
+                Thread.sleep(LOOK_MS);
+            }
+        }
+        zero = System.nanoTime();
+        return true;
+    }
+
+    /** Plays the faults and returns when the time is up. */
+    void play(Schedule schedule, long ms) throws InterruptedException {
+        for (Fault f : schedule.faults()) {
+            hands.schedule(() -> guarded(() -> begin(f)), f.at(), TimeUnit.MILLISECONDS);
+        }
+        Thread.sleep(Math.max(0, ms - sinceMs()));
+        hands.shutdown(); // what is to end later ends now
+        hands.awaitTermination(END_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Heals nothing further, and waits until the single task is acted on anew; false where it is not within the time. */
+    boolean awaitAct(long patienceMs) throws InterruptedException {
+        long from = System.nanoTime();
+        long end = from + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+        while (System.nanoTime() < end) {
+            if (resource.notes().stream().anyMatch(n -> n.taken() && n.task().equals(ONE) && n.begin() > from)) {
+                return true;
+            }
+            Thread.sleep(LOOK_MS);
+        }
+        return false;
+    }
+
+    private long sinceMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - zero);
+    }
+
+    private void guarded(Callable<Void> what) {
+        try {
+            what.call();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void after(Fault f, Gateway g, Callable<Void> what) {
+        hands.schedule(() -> guarded(() -> {
+            synchronized (g) {
+                return what.call();
+            }
+        }), f.lasts(), TimeUnit.MILLISECONDS); // runs after the end of the play, too
+    }
+
+    /** Another process under the name of one of these; it is not part of the play, and whoever starts it ends it. */
+    Gateway twin(String of) throws IOException {
+        Gateway twin = new Gateway(of, Files.createDirectories(folder.resolve(of + "-twin")),
+                System.getProperty("java.class.path"), List.of());
+        Files.writeString(twin.settings(), Files.readString(gateways.get(of).settings())
+                .replace(folder.resolve(of).toString(), folder.resolve(of + "-twin").toString()));
+        return twin;
+    }
+
+    /** The process that leads now, as the logs say: whoever said so last, of the latest term. */
+    private String leader() throws IOException {
+        String leader = voters.get(0);
+        int latest = 0;
+        for (String v : voters) {
+            String term = gateways.get(v).last(" leads, term ");
+            if (!term.isEmpty() && Integer.parseInt(term.trim()) > latest) {
+                latest = Integer.parseInt(term.trim());
+                leader = v;
+            }
+        }
+        return leader;
+    }
+
+    private Void begin(Fault f) throws IOException, InterruptedException {
+        if (f.kind() == Kind.KILL_ALL) {
+            for (String name : names) {
+                begin(new Fault(f.at(), Kind.KILL, name, f.lasts()));
+            }
+            return null;
+        }
+        String who = f.who().equals("leader") ? leader() : f.who().equals("holder") ? resource.holder() : f.who();
+        Gateway g = gateways.get(who);
+        if (g == null) {
+            return null; // nobody holds anything yet
+        }
+        synchronized (g) {
+            if (g.isAlive() && !g.isStopped()) {
+                long now = System.nanoTime();
+                played.add(new Played(f.kind(), who, now, now + TimeUnit.MILLISECONDS.toNanos(f.lasts())));
+                play(f, g);
+            }
+        }
+        return null;
+    }
+
+    private void play(Fault f, Gateway g) throws IOException, InterruptedException {
+        switch (f.kind()) {
+            case KILL -> {
+                g.kill();
+                copy(g);
+                startAfter(f, g);
+            }
+            case TERM -> {
+                g.term();
+                g.awaitEnd(END_MS);
+                copy(g);
+                startAfter(f, g);
+            }
+            case STOP -> {
+                g.stop();
+                after(f, g, () -> {
+                    g.go();
+                    return null;
+                });
+            }
+            case ISOLATE -> cut(f, g, true, true);
+            case MUTE -> cut(f, g, true, false);
+            case DEAF -> cut(f, g, false, true);
+            case CUT_RESOURCE -> {
+                toResource.get(g.name).cut(true, false);
+                after(f, g, () -> {
+                    toResource.get(g.name).cut(false, false);
+                    return null;
+                });
+            }
+            case SLOW_RESOURCE -> {
+                toResource.get(g.name).delay(ttlMs / 4);
+                after(f, g, () -> {
+                    toResource.get(g.name).delay(0);
+                    return null;
+                });
+            }
+            case RESET -> around(g).forEach(LinkProxy::reset);
+            case EMPTY_DISK -> {
+                g.kill();
+                wipe(g.disk());
+                startAfter(f, g);
+            }
+            case OLDER_DISK, TURNED_BIT -> {
+                g.kill();
+                if (f.kind() == Kind.TURNED_BIT) {
+                    turnBit(g);
+                } else if (copies.containsKey(g.name)) {
+                    wipe(g.disk());
+                    copyAll(copies.get(g.name), g.disk());
+                }
+                g.start();
+                after(f, g, () -> {
+                    g.kill();
+                    wipe(g.disk());
+                    g.start();
+                    return null;
+                });
+            }
+            case FULL_DISK, FAILING_SYNC, HANGING_SYNC -> {
+                if (!voters.contains(g.name)) {
+                    return;
+                }
+                Path order = g.disk().resolve("fault");
+                Files.writeString(order, f.kind() == Kind.FULL_DISK ? "full" : f.kind() == Kind.FAILING_SYNC ? "fail" : "hang");
+                after(f, g, () -> {
+                    Files.deleteIfExists(order);
+                    if (f.kind() != Kind.HANGING_SYNC) { // its vote has ended with this life
+                        g.kill();
+                        g.start();
+                    }
+                    return null;
+                });
+            }
+            default -> throw new IllegalArgumentException("can't play " + f.kind());
+        }
+    }
+
+    private void startAfter(Fault f, Gateway g) {
+        after(f, g, () -> {
+            if (!g.isAlive()) {
+                g.start();
+            }
+            return null;
+        });
+    }
+
+    private void cut(Fault f, Gateway g, boolean out, boolean in) {
+        links.get(g.name).values().forEach(l -> l.cut(out, in));
+        links.forEach((from, to) -> {
+            if (to.containsKey(g.name)) {
+                to.get(g.name).cut(in, out);
+            }
+        });
+        after(f, g, () -> {
+            around(g).forEach(l -> l.cut(false, false));
+            return null;
+        });
+    }
+
+    private Collection<LinkProxy> around(Gateway g) {
+        List<LinkProxy> all = new ArrayList<>(links.get(g.name).values());
+        links.values().forEach(to -> {
+            if (to.containsKey(g.name)) {
+                all.add(to.get(g.name));
+            }
+        });
+        return all;
+    }
+
+    /** Before its next life the disk is kept as it is, for that an older one may come back. */
+    private void copy(Gateway g) throws IOException {
+        if (Files.exists(g.disk())) {
+            Path to = folder.resolve("copies").resolve(g.name);
+            wipe(to);
+            copyAll(g.disk(), to);
+            copies.put(g.name, to);
+        }
+    }
+
+    private static void turnBit(Gateway g) throws IOException {
+        Path file = g.disk().resolve("agreed");
+        byte[] bytes = Files.exists(file) ? Files.readAllBytes(file) : new byte[0];
+        if (bytes.length > 0) {
+            bytes[bytes.length / 2] ^= 1;
+            Files.write(file, bytes);
+        }
+    }
+
+    private static void copyAll(Path from, Path to) throws IOException {
+        Files.createDirectories(to);
+        try (Stream<Path> files = Files.list(from)) {
+            for (Path p : files.toList()) {
+                Files.copy(p, to.resolve(p.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+            }
+        }
+    }
+
+    private static void wipe(Path folder) throws IOException {
+        if (Files.exists(folder)) {
+            try (Stream<Path> all = Files.walk(folder)) {
+                for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(p);
+                }
+            }
+        }
+    }
+
+    List<Note> notes() {
+        return resource.notes();
+    }
+
+    List<Played> played() {
+        return played;
+    }
+
+    /** The moment at which all took part. */
+    long zero() {
+        return zero;
+    }
+
+    /** How long each planned hand-over took, as the processes say, in milliseconds. */
+    List<Long> handOvers() throws IOException {
+        List<Long> took = new ArrayList<>();
+        for (Gateway g : gateways.values()) {
+            try (Stream<String> lines = Files.lines(g.log())) {
+                lines.filter(l -> l.startsWith("fleet: handed over in "))
+                        .forEach(l -> took.add(Long.parseLong(l.replaceAll("\\D", ""))));
+            }
+        }
+        return took;
+    }
+
+    /** Lines of the logs that tell of a defect. */
+    List<String> defects() throws IOException {
+        List<String> found = new ArrayList<>();
+        for (Gateway g : gateways.values()) {
+            try (Stream<String> lines = Files.lines(g.log())) {
+                lines.filter(l -> l.contains("defect")).forEach(l -> found.add(g.name + ": " + l));
+            }
+        }
+        return found;
+    }
+
+    @Override
+    public void close() throws IOException {
+        hands.shutdownNow();
+        for (Gateway g : gateways.values()) {
+            try {
+                if (g.isStopped()) {
+                    g.go();
+                }
+                g.kill();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        for (Map<String, LinkProxy> to : links.values()) {
+            for (LinkProxy l : to.values()) {
+                l.close();
+            }
+        }
+        for (LinkProxy l : toResource.values()) {
+            l.close();
+        }
+        resource.close();
+    }
+}
--- /dev/null
+++ b/storm/src/test/java/marlford/storm/StormTest.java
@@ -0,0 +1,85 @@
+package marlford.storm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The hard cases, each with processes of the program: whatever happens, no token goes back, no two acts that were taken
+ * overlap, no tick runs twice, and the fleet acts again once the faults have ended.
+ */
+class StormTest {
+    private static final long TTL_MS = 1000;
+    private static final long TAIL_MS = 1500; // after the last fault has ended
+
+    private static Schedule schedule(String name) throws IOException, URISyntaxException {
+        return Schedule.read(Path.of(StormTest.class.getResource("/schedules/" + name + ".jsonl").toURI()));
+    }
+
+    private static Main.Run play(Schedule s, int gateways, double drift) throws IOException, InterruptedException {
+        long ms = s.faults().stream().mapToLong(f -> f.at() + f.lasts()).max().orElse(0) + TAIL_MS;
+        Main.Run run = Main.run(s, new Main.Setup(gateways, TTL_MS, drift, List.of()), ms, null);
+        assertNotNull(run, "the processes did not all take part");
+        assertEquals(List.of(), run.verdict().broken());
+        assertEquals(List.of(), run.defects());
+        assertTrue(run.back(), "nobody acts again");
+        return run;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"holder-stopped-in-its-act, 3", "holder-cut-from-the-voters, 3", "cut-in-one-direction, 3",
+        "leader-and-holder-killed-together, 5", "all-killed-one-with-an-empty-disk, 3", "two-of-five-lose-their-disks, 5",
+        "leader-flaps, 3", "disks-that-lie, 5", "disks-that-fail, 3"})
+    void theFleetHolds(String name, int gateways) throws Exception {
+        Main.Run run = play(schedule(name), gateways, 0);
+        assertTrue(run.verdict().acts() > 0);
+        System.out.println("storm: " + name + ": " + run.verdict().acts() + " acts, " + run.verdict().turnedAway()
+                + " turned away, " + run.verdict().gapsMs().size() + " hand-overs, " + run.verdict().overlaps()
+                + " bounded overlaps");
+    }
+
+    /** Who can't reach the resource is still the holder: the lease does not depend on it. */
+    @Test
+    void aHolderThatIsCutFromTheResourceKeepsItsLease() throws Exception {
+        Main.Run run = play(schedule("holder-cut-from-the-resource"), 3, 0);
+        assertEquals(0, run.verdict().gapsMs().size());
+    }
+
+    @Test
+    void aHolderThatEndsInOrderHandsOver() throws Exception {
+        Main.Run run = play(schedule("planned-hand-over"), 3, 0);
+        assertTrue(run.verdict().gapsMs().size() >= 1 && run.handOvers().size() >= 1);
+        System.out.println("storm: planned hand-overs took " + run.handOvers() + " ms, gaps " + run.verdict().gapsMs());
+    }
+
+    /** One clock is 2% fast, one 2% slow, and holders are stopped and cut. */
+    @Test
+    void clocksThatRunApartChangeNothing() throws Exception {
+        play(schedule("holder-stopped-in-its-act"), 3, 0.02);
+    }
+
+    @Test
+    void twoProcessesOfOneNameAreNeverTwoMembers(@TempDir Path dir) throws Exception {
+        try (Rig rig = new Rig(4, dir, TTL_MS, 0, System.getProperty("java.class.path"), List.of())) {
+            assertTrue(rig.start());
+            Gateway twin = rig.twin("g3");
+            twin.start();
+            try {
+                rig.play(new Schedule(List.of()), 3 * TTL_MS);
+                assertTrue(twin.isAlive());
+                assertEquals("", twin.last("fleet: session "));
+            } finally {
+                twin.kill();
+            }
+        }
+    }
+}
