--- a/fleet/src/main/java/marlford/fleet/Fleet.java
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -1,11 +1,13 @@
 package marlford.fleet;
 
+import deckfall.net.Usage;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -48,12 +50,13 @@
     private final Member member;
     private final Voter voter; // null where this process is none
     private final Caller caller;
+    private final Export export; // null where nothing is exported
     private final CompletableFuture<Void> left = new CompletableFuture<>();
     private double dueAt = Double.NaN; // when the next tick should come
     private long session;
 
     /** @param log one line for what operators should know; from any thread */
-    Fleet(FleetConfig config, Consumer<String> log) {
+    Fleet(FleetConfig config, Consumer<String> log) throws IOException {
         this.config = config;
         this.log = log;
         this.member = new Member(config.name(), new SecureRandom().nextLong() >>> 1, config.ttlMs(),
@@ -75,6 +78,13 @@
             tasks.put(t.name(), t);
             duties.put(t.name(), t.duty());
         }
+        export = config.export() == null ? null
+                : new Export(config.export(), Files.createDirectories(config.folder()).resolve(config.name() + ".usage"), log);
+    }
+
+    /** Where a gateway of this process notes what it lets in. */
+    Usage usage() {
+        return export == null ? Usage.NONE : export.usage();
     }
 
     /** Begins; returns at once, whoever else is there. */
@@ -116,6 +126,9 @@
             left.complete(null);
             return;
         }
+        if (export != null) {
+            export.due(member, now, late, () -> run(() -> { }));
+        }
         duties.forEach((name, duty) -> duty.due(member, now, late, System.currentTimeMillis())
                 .forEach(a -> post(tasks.get(name), duty, a)));
     }
@@ -176,6 +189,9 @@
 
     void close() {
         thread.shutdownNow();
+        if (export != null) {
+            export.close();
+        }
         caller.close();
         if (voter != null) {
             voter.close();
--- a/fleet/src/main/java/marlford/fleet/FleetConfig.java
+++ b/fleet/src/main/java/marlford/fleet/FleetConfig.java
@@ -32,13 +32,14 @@
  * with unit and default.
  */
 record FleetConfig(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder, long ttlMs, double driftPpm,
-        double marginMs, double stallMs, List<TaskConfig> tasks) {
+        double marginMs, double stallMs, List<TaskConfig> tasks, ExportConfig export) {
     private static final ObjectMapper JSON = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
     private static final long TTL_MS = 3000;
     private static final double DRIFT_PPM = 1000;
     private static final double MARGIN_MS = 20;
     private static final double STALL_MS = 500;
+    private static final long INTERVAL_MS = 60_000;
     private static final int VOTERS_FEW = 3;
     private static final int VOTERS_MANY = 5;
 
@@ -53,6 +54,9 @@
         }
     }
 
+    /** Where usage goes, and how long an interval is; null where nothing is exported. */
+    record ExportConfig(Path file, long intervalMs) { }
+
     /** One plain line on what is wrong with the settings. */
     static final class BadFleet extends Exception {
         private static final long serialVersionUID = 1L;
@@ -114,9 +118,12 @@
                     t.path("every_ms").asLong(), t.path("takes_ms").asDouble(), t.path("holders").asInt(1),
                     t.path("shards").asInt(1)));
         }
+        JsonNode e = root.path("export");
+        ExportConfig export = e.isMissingNode() ? null
+                : new ExportConfig(Path.of(e.path("file").asText()), e.path("interval_ms").asLong(INTERVAL_MS));
         return new FleetConfig(root.path("fleet").asText(), own, voters, Path.of(root.path("folder").asText()),
                 s.path("ttl_ms").asLong(TTL_MS), s.path("drift_ppm").asDouble(DRIFT_PPM),
-                s.path("margin_ms").asDouble(MARGIN_MS), s.path("stall_ms").asDouble(STALL_MS), List.copyOf(tasks));
+                s.path("margin_ms").asDouble(MARGIN_MS), s.path("stall_ms").asDouble(STALL_MS), List.copyOf(tasks), export);
     }
 
     /** Numbers and a port: there are no names to look up. */
--- a/fleet/src/main/java/marlford/fleet/Main.java
+++ b/fleet/src/main/java/marlford/fleet/Main.java
@@ -1,5 +1,6 @@
 package marlford.fleet;
 
+import deckfall.net.Extras;
 import deckfall.net.Node;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -72,7 +73,7 @@
             if (started == null) {
                 return ExitCode.USAGE;
             }
-            Node.main(System.getenv("NODE_CONFIG"), Map.of("/admin/fleet", started::text));
+            Node.main(System.getenv("NODE_CONFIG"), new Extras(Map.of("/admin/fleet", started::text), started.usage()));
             return ExitCode.OK;
         }
     }
--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -103,7 +103,7 @@
         }
         long token = token(lease);
         if (token != 0) {
-            givenUp.add(token);
+            drop(token);
         }
         // Where no token is known yet, one may be on its way: the queue is left, and what is granted is given back then.
         lines.add(new Command.Release(session, lease, token));
@@ -111,11 +111,18 @@
 
     /** Gives up a shard that is wanted. */
     public void giveUp(Book.Holding h) {
-        if (givenUp.add(h.token())) {
+        if (!givenUp.contains(h.token())) {
+            drop(h.token());
             lines.add(new Command.GiveUp(session, h.name(), h.shard(), h.token()));
         }
     }
 
+    /** Has this no more, at once: the next holder may have it before the next watch comes. */
+    private void drop(long token) {
+        givenUp.add(token);
+        holdings = holdings.stream().filter(h -> h.token() != token).toList();
+    }
+
     /** Claims a tick of a periodic task, once it is asked; {@link #ticked} has the answer. */
     public void claim(String task, long tick) {
         Command line = new Command.Tick(session, task, tick);
--- a/fleet/src/test/java/marlford/FleetHouseTest.java
+++ b/fleet/src/test/java/marlford/FleetHouseTest.java
@@ -16,13 +16,13 @@
     private static ArchRule pure(String... packages) {
         return noClasses().that().resideInAnyPackage(packages).should().dependOnClassesThat().resideInAnyPackage("java.io..",
                 "java.net..", "java.nio..", "java.time..", "java.util.concurrent..", "io..", "com..", "deckfall..",
-                "marlford.agree..", "marlford.fleet..", "marlford.task..");
+                "marlford.agree..", "marlford.fleet..");
     }
 
     @Test
-    void leasesSeeNothingOutside() {
-        pure("marlford.lease").check(ALL);
-        noClasses().that().resideInAPackage("marlford.lease").should().callMethod(System.class, "nanoTime")
+    void decisionsSeeNothingOutside() {
+        pure("marlford.lease", "marlford.task", "marlford.usage", "marlford.voters").check(ALL);
+        noClasses().that().resideInAnyPackage("marlford.lease", "marlford.task", "marlford.usage", "marlford.voters").should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/deckfall/net/Extras.java
@@ -0,0 +1,15 @@
+package deckfall.net;
+
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * What others add to a gateway that is part of something larger.
+ *
+ * @param pages on the operators' console, by their paths; each is asked on the console's loop
+ * @param usage takes note of what was let in
+ */
+public record Extras(Map<String, Supplier<String>> pages, Usage usage) {
+    /** A gateway that stands alone. */
+    public static final Extras NONE = new Extras(Map.of(), Usage.NONE);
+}
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -32,7 +32,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import java.util.function.Supplier;
 
 /**
  * One api gateway: the event loop on which everything runs, the clock, the timers, the decision module and the
@@ -80,7 +79,7 @@
     private boolean telling;
     private boolean serving; // before, what peers say is for the ears of a module that has not begun
     private final Operators operators;
-    private Map<String, Supplier<String>> pages = Map.of(); // on the console, besides its own
+    private Extras extras = Extras.NONE;
     private Console console; // null where there is none
     private boolean draining;
     private boolean leaving; // that has come so far that clients no longer stay
@@ -116,15 +115,15 @@
 
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
     public static void main(String configFile) {
-        main(configFile, Map.of());
+        main(configFile, Extras.NONE);
     }
 
-    /** The same, with pages of others on the console, by their paths. */
-    public static void main(String configFile, Map<String, Supplier<String>> pages) {
+    /** The same, with what others add. */
+    public static void main(String configFile, Extras extras) {
         PlainLog.install();
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
-            serve(reload, System.getenv("TMPDIR"), StartBudget.ofThisProcess(), true, pages);
+            serve(reload, System.getenv("TMPDIR"), StartBudget.ofThisProcess(), true, extras);
         } catch (NodeConfig.BadConfig | IOException | InterruptedException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
@@ -133,7 +132,7 @@
 
     static Node serve(Reload reload, String folder, StartBudget budget, boolean alone)
             throws NodeConfig.BadConfig, IOException, InterruptedException {
-        return serve(reload, folder, budget, alone, Map.of());
+        return serve(reload, folder, budget, alone, Extras.NONE);
     }
 
     /**
@@ -141,15 +140,15 @@
      *
      * @param folder where the processes of one gateway meet; null for nowhere
      * @param alone whether this process is the node's, and ends with it
-     * @param pages what others show on its console
+     * @param extras what others add
      */
     private static Node serve(Reload reload, String folder, StartBudget budget, boolean alone,
-            Map<String, Supplier<String>> pages) throws NodeConfig.BadConfig, IOException, InterruptedException {
+            Extras extras) throws NodeConfig.BadConfig, IOException, InterruptedException {
         NodeConfig config = reload.first();
         Kept kept = Kept.in(folder, config.name());
         Predecessor serves = kept == null ? null : Predecessor.find(kept.successor(), budget.limitMs(Step.HELLO));
         Node early = new Node(config);
-        early.pages = pages;
+        early.extras = extras;
         early.openConsole(kept);
         if (serves == null) {
             early.loop.execute(early.peers::start);
@@ -163,7 +162,7 @@
         if (newest != config) {
             early.stop();
             node = new Node(newest);
-            node.pages = pages;
+            node.extras = extras;
             node.openConsole(kept);
             log("the configuration was replaced during the start");
         }
@@ -234,7 +233,7 @@
      */
     void openConsole(Kept kept) throws IOException {
         if (console == null && config.console() != null) {
-            console = new Console(operators, figures, pages, kept == null ? null : kept.leftOut(), Node::log);
+            console = new Console(operators, figures, extras.pages(), kept == null ? null : kept.leftOut(), Node::log);
             console.listen(config.console());
         }
     }
@@ -325,6 +324,7 @@
     /** One line a second of what was done and how late the loop is: a fleet's logs can be added up by second. */
     private void account() {
         loop.schedule(this::account, ACCOUNT_MS, TimeUnit.MILLISECONDS);
+        extras.usage().look();
         String done = module.account(clock.now());
         if (!done.isEmpty()) {
             log("did " + done + " clients=" + clients.count() + " late=" + Math.round(lag.ms()));
@@ -579,6 +579,9 @@
             attemptEnded(a, Outcome.MOOT, null);
             return;
         }
+        if (a.number == 0) {
+            extras.usage().admitted(r.request.customer(), r.request.units());
+        }
         if (timeoutMs > 0) {
             a.limit(loop.schedule(() -> {
                 a.abandon();
--- a/storm/src/main/java/marlford/storm/Gateway.java
+++ b/storm/src/main/java/marlford/storm/Gateway.java
@@ -11,7 +11,11 @@
 final class Gateway {
     private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
 
+    /** What a process is: a gateway without a fleet, one in a fleet, or a fleet's member without clients. */
+    enum Role { ALONE, SERVES, AGENT }
+
     final String name;
+    private final Role role;
     private final Path folder;
     private final String classPath;
     private final List<String> options;
@@ -20,8 +24,9 @@
     private volatile boolean stopped;
 
     /** @param folder its own, with its settings; its log goes there, too */
-    Gateway(String name, Path folder, String classPath, List<String> options) {
+    Gateway(String name, Role role, Path folder, String classPath, List<String> options) {
         this.name = name;
+        this.role = role;
         this.folder = folder;
         this.classPath = classPath;
         this.options = options;
@@ -44,10 +49,17 @@
         List<String> command = new ArrayList<>(List.of(JAVA, "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
                 "-XX:-UsePerfData", "-Xshare:auto", "-Dmarlford.faults=true"));
         command.addAll(options);
-        command.addAll(List.of("-cp", classPath, "marlford.fleet.Main", "agent", "--fleet", settings().toString(), "--name",
-                name));
-        process = new ProcessBuilder(command).redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                .redirectError(ProcessBuilder.Redirect.appendTo(log().toFile())).start();
+        command.addAll(List.of("-cp", classPath));
+        command.addAll(switch (role) {
+            case ALONE -> List.of("deckfall.Main", "serve");
+            case SERVES -> List.of("marlford.fleet.Main", "serve", "--fleet", settings().toString(), "--name", name);
+            case AGENT -> List.of("marlford.fleet.Main", "agent", "--fleet", settings().toString(), "--name", name);
+        });
+        ProcessBuilder b = new ProcessBuilder(command).redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .redirectError(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        b.environment().put("NODE_CONFIG", folder.resolve("node.json").toString());
+        b.environment().remove("TMPDIR"); // a process that is started anew finds nobody to take over from
+        process = b.start();
         stopped = false;
     }
 
@@ -75,6 +87,22 @@
         return at < 0 ? "" : text.substring(at + part.length()).lines().findFirst().orElse("");
     }
 
+    /** Whether all its parts are there. */
+    boolean isUp() throws IOException {
+        return (role == Role.ALONE || said("fleet: session ")) && (role == Role.AGENT || said("serves after "));
+    }
+
+    /** Where its usage is kept. */
+    Path usage() {
+        return folder.resolve("state").resolve(name + ".usage");
+    }
+
+    /** Processor time and memory now, of {@code /proc}; empty where that is not to be had. */
+    String stat() throws IOException {
+        Path stat = Path.of("/proc", Long.toString(process.pid()), "stat");
+        return Files.exists(stat) ? Files.readString(stat) : "";
+    }
+
     void kill() throws InterruptedException {
         if (process != null) {
             process.destroyForcibly().waitFor();
--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -6,10 +6,12 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -25,12 +27,14 @@
 
 /** A storm: processes, faults, a verdict. Exit 0 where all held, 1 broken, 2 bad arguments, 3 could not judge. */
 @Command(name = "storm", mixinStandardHelpOptions = true, sortOptions = false,
+        subcommands = Compare.class,
         description = "Starts several processes of the program, breaks what is between them, and judges what they did.")
 final class Main implements Callable<Integer> {
     private static final int HELD = 0;
     private static final int BROKEN = 1;
-    private static final int UNJUDGED = 3;
+    static final int UNJUDGED = 3;
     private static final int FEWEST = 3;
+    private static final int CLIENTS = 16;
     private static final int SHRINK_RUNS = 40;
     private static final long BACK_MS = 20_000; // for the fleet to act again after the faults
     private static final int WIDTH = 1200;
@@ -55,6 +59,10 @@
     @Option(names = "--drift", defaultValue = "0", description = "by how much clocks run wrong, 0.02 for 2%% (${DEFAULT-VALUE})")
     private double drift;
 
+    @Option(names = "--requests", defaultValue = "0",
+            description = "of clients a second; more than 0 starts gateways and no mere agents (${DEFAULT-VALUE})")
+    private double perSecond;
+
     @Option(names = "--schedule", paramLabel = "FILE", description = "faults as JSON lines, instead of a seed")
     private Path file;
 
@@ -74,21 +82,23 @@
     private boolean quiet;
 
     /** What is started. */
-    record Setup(int gateways, long ttlMs, double drift, List<String> options) { }
+    record Setup(int gateways, Gateway.Role role, long ttlMs, double drift, double perSecond, List<String> options) { }
 
     private Setup setup() {
-        return new Setup(gateways, ttlMs, drift, options);
+        return new Setup(gateways, perSecond > 0 ? Gateway.Role.SERVES : Gateway.Role.AGENT, ttlMs, drift, perSecond, options);
     }
 
     /**
      * A run's figures.
      *
+     * @param sent what clients asked; empty where there were none
+     * @param usage what was exported of it; null where there were none
      * @param back whether the single task was acted on again after the last fault had ended
      */
     record Run(Judge.Verdict verdict, List<Long> handOvers, List<String> defects, List<Rig.Played> played, List<Note> notes,
-            long zero, boolean back) {
+            long zero, boolean back, List<Load.Sent> sent, UsageJudge.Found usage) {
         boolean held() {
-            return verdict.broken().isEmpty() && defects.isEmpty();
+            return verdict.broken().isEmpty() && defects.isEmpty() && (usage == null || usage.broken().isEmpty());
         }
     }
 
@@ -113,7 +123,7 @@
                 continue;
             }
             print(s, schedule, run);
-            if (!run.held()) {
+            if (!run.held() || !run.verdict().unexplained().isEmpty()) {
                 worst = BROKEN;
                 if (shrink) {
                     shrink(schedule, ms);
@@ -125,8 +135,14 @@
 
     /** Plays a schedule; null where the processes did not come up. */
     static Run run(Schedule schedule, Setup setup, long ms, Path keep) throws IOException, InterruptedException {
+        return run(schedule, setup, ms, keep, System.getProperty("java.class.path"));
+    }
+
+    /** The same, with the program on this class path. */
+    static Run run(Schedule schedule, Setup setup, long ms, Path keep, String classPath)
+            throws IOException, InterruptedException {
         Path folder = keep == null ? Files.createTempDirectory("marlford-storm") : Files.createDirectories(keep);
-        try (Rig rig = new Rig(setup.gateways(), folder, setup.ttlMs(), setup.drift(), System.getProperty("java.class.path"),
+        try (Rig rig = new Rig(setup.gateways(), setup.role(), folder, setup.ttlMs(), setup.drift(), classPath,
                 setup.options())) {
             if (keep != null) {
                 schedule.write(folder.resolve("schedule.jsonl"));
@@ -134,10 +150,16 @@
             if (!rig.start()) {
                 return null;
             }
+            Load load = setup.perSecond() > 0 ? new Load(rig.clientPorts(), CLIENTS, setup.perSecond(), "r") : null;
+            if (load != null) {
+                load.start();
+            }
             rig.play(schedule, ms);
+            List<Load.Sent> sent = load == null ? List.of() : load.stop();
+            UsageJudge.Found usage = load == null ? null : UsageJudge.judge(rig, sent, BACK_MS);
             boolean back = rig.awaitAct(BACK_MS);
             Judge.Verdict v = new Judge(rig.notes(), rig.played()).judge(rig.zero(), System.nanoTime());
-            Run run = new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back);
+            Run run = new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back, sent, usage);
             if (keep != null) {
                 chart(run, folder.resolve("holders.png"));
             }
@@ -175,6 +197,17 @@
         rows.put("back", run.back());
         rows.put("overlaps_bounded", v.overlaps());
         rows.put("overlaps_unexplained", v.unexplained().size());
+        if (run.usage() != null) {
+            Load.ends(run.sent()).forEach((end, n) -> rows.put("requests_" + end.name().toLowerCase(Locale.ROOT), n));
+            List<Double> took = run.sent().stream().filter(r -> r.end() == Load.End.SERVED).map(Load.Sent::tookMs).toList();
+            rows.put("served_p50_ms", quantile(took, 0.5));
+            rows.put("served_p99_ms", quantile(took, 0.99));
+            rows.put("units_exported", run.usage().exported());
+            rows.put("units_seen_at_hosts", run.usage().seen());
+            rows.put("units_in_tables", run.usage().waiting());
+            rows.put("records_passed_over", run.usage().passedOver());
+            run.usage().broken().forEach(b -> System.out.println("BROKEN: " + b));
+        }
         rows.put("broken", v.broken().size());
         if (quiet) {
             System.out.println(rows);
@@ -188,8 +221,7 @@
             ObjectMapper mapper = new ObjectMapper();
             ObjectNode line = mapper.valueToTree(rows);
             line.set("gaps_ms", mapper.valueToTree(v.gapsMs()));
-            Files.writeString(json, mapper.writeValueAsString(line) + '\n', java.nio.file.StandardOpenOption.CREATE,
-                    java.nio.file.StandardOpenOption.APPEND);
+            Files.writeString(json, mapper.writeValueAsString(line) + '\n', StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         }
     }
 
--- a/storm/src/main/java/marlford/storm/Resource.java
+++ b/storm/src/main/java/marlford/storm/Resource.java
@@ -17,6 +17,10 @@
 
 /** What holders act on: it notes each act, and checks its token when it comes and when it is done. */
 final class Resource implements Closeable {
+    static {
+        System.setProperty("sun.net.httpserver.nodelay", "true"); // else each answer waits 40 ms for an acknowledgement
+    }
+
     private static final int OK = 200;
     private static final int CONFLICT = 409;
     private static final int TAKES_MAX_MS = 15;
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -33,6 +33,8 @@
     static final String TICK = "tick";
     private static final int VOTERS_FEW = 3;
     private static final int VOTERS_MANY = 5;
+    private static final int HOSTS = 6;
+    private static final long EXPORT_MS = 1000; // an interval of usage
     private static final int SHARDS = 12;
     private static final double MILLION = 1e6;
     private static final long START_MS = 30_000; // until all take part
@@ -53,6 +55,9 @@
     private final Map<String, LinkProxy> toResource = new HashMap<>();
     private final Map<String, Path> copies = new HashMap<>(); // of disks, before their last life
     private final List<Played> played = new CopyOnWriteArrayList<>();
+    private final Gateway.Role role;
+    private final Hosts hosts; // null where no clients are served
+    private final List<Integer> clientPorts = new ArrayList<>();
     private final Resource resource = new Resource();
     private final ScheduledThreadPoolExecutor hands = new ScheduledThreadPoolExecutor(HANDS);
     private long zero;
@@ -62,8 +67,11 @@
      * @param classPath of the program
      * @param options for each process's JVM
      */
-    Rig(int count, Path folder, long ttlMs, double drift, String classPath, List<String> options) throws IOException {
+    Rig(int count, Gateway.Role role, Path folder, long ttlMs, double drift, String classPath, List<String> options)
+            throws IOException {
         this.folder = folder;
+        this.role = role;
+        this.hosts = role == Gateway.Role.AGENT ? null : new Hosts(HOSTS);
         this.ttlMs = ttlMs;
         this.drift = drift;
         for (int i = 0; i < count; i++) {
@@ -72,15 +80,18 @@
         voters.addAll(names.subList(0, count >= VOTERS_MANY ? VOTERS_MANY : VOTERS_FEW));
         Map<String, Integer> ports = new HashMap<>();
         for (String v : voters) {
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                ports.put(v, free.getLocalPort());
-            }
+            ports.put(v, freePort());
         }
         for (String name : names) {
             Path own = Files.createDirectories(folder.resolve(name));
             List<String> all = new ArrayList<>(options);
             all.add("-Dmarlford.clock.rate=" + (1 + drift * (1 - names.indexOf(name) % 3)));
-            gateways.put(name, new Gateway(name, own, classPath, all));
+            gateways.put(name, new Gateway(name, role, own, classPath, all));
+            if (hosts != null) {
+                clientPorts.add(freePort());
+                Files.writeString(own.resolve("node.json"), hosts.settings(name, names.indexOf(name), count,
+                        clientPorts.get(clientPorts.size() - 1), freePort()));
+            }
             toResource.put(name, new LinkProxy(resource.address()));
             Map<String, LinkProxy> to = new HashMap<>();
             for (String v : voters) {
@@ -93,6 +104,12 @@
         }
     }
 
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
     static int voters(int gateways) {
         return gateways >= VOTERS_MANY ? VOTERS_MANY : VOTERS_FEW;
     }
@@ -108,6 +125,9 @@
         }
         root.putObject("session").put("ttl_ms", ttlMs).put("stall_ms", ttlMs / 3.0)
                 .put("drift_ppm", drift * MILLION);
+        if (role == Gateway.Role.SERVES) {
+            root.putObject("export").put("file", folder.resolve("usage").toString()).put("interval_ms", EXPORT_MS);
+        }
         ArrayNode tasks = root.putArray("tasks");
         String url = "http://127.0.0.1:" + toResource.get(name).port() + "/act";
         task(tasks, ONE, "single", url, 50).put("holders", 1);
@@ -129,7 +149,7 @@
         }
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
         for (String name : names) {
-            while (!gateways.get(name).said("fleet: session ")) {
+            while (!gateways.get(name).isUp()) {
                 if (System.nanoTime() > end || !gateways.get(name).isAlive()) {
                     return false;
                 }
@@ -145,9 +165,7 @@
         for (Fault f : schedule.faults()) {
             hands.schedule(() -> guarded(() -> begin(f)), f.at(), TimeUnit.MILLISECONDS);
         }
-        Thread.sleep(Math.max(0, ms - sinceMs()));
-        hands.shutdown(); // what is to end later ends now
-        hands.awaitTermination(END_MS, TimeUnit.MILLISECONDS);
+        Thread.sleep(Math.max(0, ms - sinceMs())); // what ends later does so while others look
     }
 
     /** Heals nothing further, and waits until the single task is acted on anew; false where it is not within the time. */
@@ -187,7 +205,7 @@
 
     /** Another process under the name of one of these; it is not part of the play, and whoever starts it ends it. */
     Gateway twin(String of) throws IOException {
-        Gateway twin = new Gateway(of, Files.createDirectories(folder.resolve(of + "-twin")),
+        Gateway twin = new Gateway(of, role, Files.createDirectories(folder.resolve(of + "-twin")),
                 System.getProperty("java.class.path"), List.of());
         Files.writeString(twin.settings(), Files.readString(gateways.get(of).settings())
                 .replace(folder.resolve(of).toString(), folder.resolve(of + "-twin").toString()));
@@ -378,6 +396,25 @@
         }
     }
 
+    /** Where clients are served. */
+    List<Integer> clientPorts() {
+        return clientPorts;
+    }
+
+    /** The gateways by name. */
+    Map<String, Gateway> gateways() {
+        return gateways;
+    }
+
+    Hosts hosts() {
+        return hosts;
+    }
+
+    /** Where the fleet's usage goes. */
+    Path exported() {
+        return folder.resolve("usage");
+    }
+
     List<Note> notes() {
         return resource.notes();
     }
@@ -436,5 +473,8 @@
             l.close();
         }
         resource.close();
+        if (hosts != null) {
+            hosts.close();
+        }
     }
 }
--- a/storm/src/test/java/marlford/storm/StormTest.java
+++ b/storm/src/test/java/marlford/storm/StormTest.java
@@ -6,7 +6,9 @@
 
 import java.io.IOException;
 import java.net.URISyntaxException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -27,7 +29,7 @@
 
     private static Main.Run play(Schedule s, int gateways, double drift) throws IOException, InterruptedException {
         long ms = s.faults().stream().mapToLong(f -> f.at() + f.lasts()).max().orElse(0) + TAIL_MS;
-        Main.Run run = Main.run(s, new Main.Setup(gateways, TTL_MS, drift, List.of()), ms, null);
+        Main.Run run = Main.run(s, new Main.Setup(gateways, Gateway.Role.AGENT, TTL_MS, drift, 0, List.of()), ms, null);
         assertNotNull(run, "the processes did not all take part");
         assertEquals(List.of(), run.verdict().broken());
         assertEquals(List.of(), run.defects());
@@ -69,7 +71,7 @@
 
     @Test
     void twoProcessesOfOneNameAreNeverTwoMembers(@TempDir Path dir) throws Exception {
-        try (Rig rig = new Rig(4, dir, TTL_MS, 0, System.getProperty("java.class.path"), List.of())) {
+        try (Rig rig = new Rig(4, Gateway.Role.AGENT, dir, TTL_MS, 0, System.getProperty("java.class.path"), List.of())) {
             assertTrue(rig.start());
             Gateway twin = rig.twin("g3");
             twin.start();
@@ -82,4 +84,44 @@
             }
         }
     }
+
+    /** The restart budget: six commands, two permits. */
+    @Test
+    void noMoreCommandsRunAtOnceThanThereArePermits(@TempDir Path dir) throws Exception {
+        try (Rig rig = new Rig(3, Gateway.Role.AGENT, dir, TTL_MS, 0, System.getProperty("java.class.path"), List.of())) {
+            assertTrue(rig.start());
+            Path notes = Files.createFile(dir.resolve("notes"));
+            List<Process> permits = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                permits.add(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "marlford.fleet.Main",
+                        "permit", "--fleet", rig.gateways().get("g0").settings().toString(), "--name", "ops-" + i,
+                        "--at-once", "2", "--", "sh", "-c", "echo begin >> " + notes + "; sleep 0.3; echo end >> " + notes)
+                        .redirectErrorStream(true).redirectOutput(dir.resolve("permit-" + i).toFile()).start());
+            }
+            for (Process p : permits) {
+                assertEquals(0, p.waitFor());
+            }
+            int running = 0;
+            List<String> lines = Files.readAllLines(notes);
+            for (String line : lines) {
+                running += line.equals("begin") ? 1 : -1;
+                assertTrue(running <= 2, lines.toString());
+            }
+            assertEquals(12, lines.size());
+        }
+    }
+
+    /** Kills at random under load: what was let in is exported, none twice and none missing. */
+    @Test
+    void whatIsExportedIsWhatWasLetIn() throws Exception {
+        Schedule kills = new Schedule(List.of(new Fault(1500, Fault.Kind.KILL, "g1", 500),
+                new Fault(3000, Fault.Kind.STOP, "g2", 1500), new Fault(3500, Fault.Kind.KILL, "leader", 500)));
+        Main.Run run = Main.run(kills, new Main.Setup(3, Gateway.Role.SERVES, TTL_MS, 0, 60, List.of()), 6000, null);
+        assertNotNull(run);
+        assertEquals(List.of(), run.usage().broken());
+        assertEquals(0, run.usage().waiting());
+        assertTrue(run.usage().exported() > 0);
+        System.out.println("storm: usage " + run.usage() + ", requests " + Load.ends(run.sent()));
+    }
 }
