A storm that is ended ends its processes

Seen: nine agents at 5% of a core each, twelve minutes after two storms were ended by SIGTERM (their parents had gone). Cause: Rig.close runs where a storm ends by itself, and nobody else knew the processes. Gateway notes what it starts, and a hook of the rig's process kills that. Tried: three agents of a storm that is ended after 6 s are gone 2 s later.

--- a/storm/src/main/java/marlford/storm/Gateway.java
+++ b/storm/src/main/java/marlford/storm/Gateway.java
@@ -5,11 +5,19 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /** One process of the program. */
 final class Gateway {
     private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
+    static {
+        // Whoever ends a storm ends its processes, too.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
+    }
 
     /** What a process is: a gateway without a fleet, one in a fleet, or a fleet's member without clients. */
     enum Role { ALONE, SERVES, AGENT }
@@ -60,6 +68,8 @@
         b.environment().put("NODE_CONFIG", folder.resolve("node.json").toString());
         b.environment().remove("TMPDIR"); // a process that is started anew finds nobody to take over from
         process = b.start();
+        STARTED.removeIf(p -> !p.isAlive());
+        STARTED.add(process);
         stopped = false;
     }
 
