--- a/fleet/src/main/java/marlford/agree/Caller.java
+++ b/fleet/src/main/java/marlford/agree/Caller.java
@@ -42,8 +42,16 @@
         })));
     }
 
-    /** Sends it; false where it can't leave, so that it has failed. From any thread. */
-    public boolean send(Member.Outgoing o) {
+    /** Sends what a member is to ask now; what can't leave has failed. On the member's thread. */
+    public void drive(Member member, double now) {
+        for (Member.Outgoing o : member.due(now)) {
+            if (!send(o)) {
+                member.failed(o.id(), now);
+            }
+        }
+    }
+
+    private boolean send(Member.Outgoing o) {
         try {
             return links.get(o.voter()).send(Wire.CALL, Codec.bytes(new Call(o.id(), o.ask())));
         } catch (IOException e) {
--- a/fleet/src/main/java/marlford/agree/Codec.java
+++ b/fleet/src/main/java/marlford/agree/Codec.java
@@ -6,8 +6,6 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.ObjectReader;
-import com.fasterxml.jackson.databind.ObjectWriter;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import io.microraft.MembershipChangeMode;
 import io.microraft.RaftEndpoint;
@@ -58,7 +56,7 @@
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "ask")
     @JsonSubTypes({@Type(value = Ask.Submit.class, name = "submit"), @Type(value = Ask.Renew.class, name = "renew"),
-        @Type(value = Ask.Watch.class, name = "watch"), @Type(value = Ask.Look.class, name = "look")})
+        @Type(value = Ask.Watch.class, name = "watch")})
     private interface Asks { }
 
     /** The members of a group as a line of the log has them. */
@@ -134,14 +132,6 @@
         return MAPPER.writeValueAsBytes(value);
     }
 
-    static ObjectWriter writer() {
-        return MAPPER.writer();
-    }
-
-    static ObjectReader reader(Class<?> kind) {
-        return MAPPER.readerFor(kind);
-    }
-
     static <T> T read(byte[] bytes, Class<T> kind) throws IOException {
         return MAPPER.readValue(bytes, kind);
     }
--- a/fleet/src/main/java/marlford/agree/Voter.java
+++ b/fleet/src/main/java/marlford/agree/Voter.java
@@ -137,11 +137,6 @@
         engine.thread().shutdownNow();
     }
 
-    /** Why it takes no part; null while it does. From any thread. */
-    public String out() {
-        return out;
-    }
-
     /** What operators see of the fleet from here; from any thread. A thread that hangs says that it does. */
     public String text() {
         CompletableFuture<String> text = new CompletableFuture<>();
@@ -420,9 +415,7 @@
 
     /** Answers an ask, now or later, once; on this voter's thread. */
     private void answer(Ask ask, Consumer<Reply> to) {
-        if (ask instanceof Ask.Look) {
-            to.accept(new Reply(Reply.Status.OK, leader(), null, book.index(), null, look()));
-        } else if (out != null || node == null || calls >= CALLS_MAX || watches.size() >= WATCHES_MAX) {
+        if (out != null || node == null || calls >= CALLS_MAX || watches.size() >= WATCHES_MAX) {
             to.accept(Reply.no(Reply.Status.BUSY, leader()));
         } else if (ask instanceof Ask.Watch w) {
             watches.add(new Watch(w, time.ms() + WATCH_MS, to));
@@ -441,7 +434,7 @@
         future.whenCompleteAsync((done, e) -> {
             calls--;
             if (e == null && done.getResult() instanceof Answer a) {
-                to.accept(new Reply(Reply.Status.OK, leader(), a, done.getCommitIndex(), null, ""));
+                to.accept(new Reply(Reply.Status.OK, leader(), a, done.getCommitIndex(), null));
                 return;
             }
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
@@ -474,7 +467,7 @@
 
     private Reply seen(Ask.Watch w) {
         boolean there = out == null && book.session(w.session()) != null;
-        return new Reply(Reply.Status.OK, leader(), null, book.index(), there ? book.holdings(w.session()) : null, "");
+        return new Reply(Reply.Status.OK, leader(), null, book.index(), there ? book.holdings(w.session()) : null);
     }
 
     // ---- what operators see
--- a/fleet/src/main/java/marlford/fleet/Export.java
+++ b/fleet/src/main/java/marlford/fleet/Export.java
@@ -29,8 +29,6 @@
  */
 final class Export {
     private static final String LEASE = "usage-export";
-    private static final int PAGES = 16;
-    private static final int ROWS = 4096;
     private static final int BATCHES = 32; // of one turn; then the next member has its turn
     private static final double TAKES_MS = 100; // the least that has to be left of a session for a turn
     private static final long END_MS = 500;
@@ -53,11 +51,11 @@
     Export(FleetConfig.ExportConfig config, Path kept, Consumer<String> log) throws IOException {
         this.config = config;
         this.log = log;
-        int cells = UsageTable.size(PAGES, ROWS);
+        int cells = UsageTable.size(UsageTable.PAGES, UsageTable.ROWS);
         try (FileChannel file = FileChannel.open(kept, StandardOpenOption.CREATE, StandardOpenOption.READ,
                 StandardOpenOption.WRITE)) {
             Mapped mapped = new Mapped(file.map(FileChannel.MapMode.READ_WRITE, 0, (long) cells * CELL), cells);
-            this.table = new UsageTable(mapped, PAGES, ROWS, new SecureRandom().nextLong() >>> 1, config.intervalMs());
+            this.table = new UsageTable(mapped, UsageTable.PAGES, UsageTable.ROWS, new SecureRandom().nextLong() >>> 1, config.intervalMs());
         }
     }
 
--- a/fleet/src/main/java/marlford/fleet/Fleet.java
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -115,11 +115,7 @@
         double now = time.ms();
         double late = Double.isNaN(dueAt) ? 0 : Math.max(0, now - dueAt);
         dueAt = now + TICK_MS;
-        for (Member.Outgoing o : member.due(now)) {
-            if (!caller.send(o)) {
-                member.failed(o.id(), now);
-            }
-        }
+        caller.drive(member, now);
         if (member.session() != session) {
             session = member.session();
             log.accept("fleet: " + (session == 0 ? "the session has ended" : "session " + session));
--- a/fleet/src/main/java/marlford/lease/Ask.java
+++ b/fleet/src/main/java/marlford/lease/Ask.java
@@ -10,7 +10,4 @@
 
     /** What a session has, once that is of a later index than this one; any voter answers. */
     record Watch(long session, long since) implements Ask { }
-
-    /** The whole state of the fleet as this voter has it, for operators. */
-    record Look() implements Ask { }
 }
--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 
 /**
@@ -191,16 +190,6 @@
         return session;
     }
 
-    /** How many sessions it has had. */
-    public int opened() {
-        return opened;
-    }
-
-    /** The voter that it takes for the leader. */
-    public String leader() {
-        return leader;
-    }
-
     // ---- what goes out and comes in
 
     /** The asks to be sent now. To be called often: a pause between two calls that is too long is a stall. */
@@ -268,11 +257,15 @@
         Pending p = pending.remove(id);
         if (p != null) {
             turnFrom(p.voter());
-            tryAt = Math.max(tryAt, now + RETRY_MS);
-            renewAt = Math.max(renewAt, now + RETRY_MS);
+            pause(now);
         }
     }
 
+    private void pause(double now) {
+        tryAt = Math.max(tryAt, now + RETRY_MS);
+        renewAt = Math.max(renewAt, now + RETRY_MS);
+    }
+
     /** The connection to a voter ended: all that was asked there has failed. */
     public void lost(String voter, double now) {
         pending.entrySet().stream().filter(e -> e.getValue().voter().equals(voter)).map(Map.Entry::getKey).toList()
@@ -291,8 +284,7 @@
             } else {
                 turnFrom(p.voter());
             }
-            tryAt = Math.max(tryAt, now + RETRY_MS);
-            renewAt = Math.max(renewAt, now + RETRY_MS);
+            pause(now);
         } else if (p.ask() instanceof Ask.Renew renew) {
             renewed(renew, p.sentAt(), r);
         } else if (p.ask() instanceof Ask.Watch watch) {
@@ -376,11 +368,11 @@
         lines.clear();
         givenUp.clear();
         ticks.clear();
-        pending.values().removeIf(p -> !(p.ask() instanceof Ask.Look));
+        pending.clear();
     }
 
     @Override
     public String toString() {
-        return name + " session " + session + " of " + opened + ", leader " + Objects.toString(leader) + ", has " + holdings;
+        return name + " session " + session + " of " + opened + ", leader " + leader + ", has " + holdings;
     }
 }
--- a/fleet/src/main/java/marlford/lease/Reply.java
+++ b/fleet/src/main/java/marlford/lease/Reply.java
@@ -9,9 +9,8 @@
  * @param answer what came of a line; of a renewal {@code DONE} or {@code GONE}; null where none is due
  * @param index the line that the voter had applied last
  * @param holdings of a watched session; null for other asks, and where the session has ended
- * @param text what operators see; empty for other asks
  */
-public record Reply(Status status, String leader, Answer answer, long index, List<Book.Holding> holdings, String text) {
+public record Reply(Status status, String leader, Answer answer, long index, List<Book.Holding> holdings) {
     /** How far an ask came. */
     public enum Status {
         /** It was answered. */
@@ -26,6 +25,6 @@
 
     /** One that carries no answer. */
     public static Reply no(Status why, String leader) {
-        return new Reply(why, leader, null, 0, null, "");
+        return new Reply(why, leader, null, 0, null);
     }
 }
--- a/fleet/src/main/java/marlford/usage/UsageTable.java
+++ b/fleet/src/main/java/marlford/usage/UsageTable.java
@@ -18,13 +18,15 @@
 public final class UsageTable {
     /** The customer under whom units stand for which a page had no row; no customer has this number. */
     public static final long BEYOND = (1L << 33) - 1;
+    /** The pages and rows of a gateway's table. */
+    public static final int PAGES = 16;
+    public static final int ROWS = 4096;
     private static final long MILLI = 1000;
     private static final long MAGIC = 0x4d41524c55534531L;
-    private static final int HEAD = 4; // cells: magic, source, the last sequence, the interval
+    private static final int HEAD = 3; // cells: magic, source, the last sequence
     private static final int MAGIC_AT = 0;
     private static final int SOURCE_AT = 1;
     private static final int LAST_AT = 2;
-    private static final int INTERVAL_AT = 3;
     private static final int PAGE_HEAD = 3; // cells: state, sequence, begin
     private static final long FREE = 0;
     private static final long OPEN = 1;
@@ -55,7 +57,6 @@
         this.intervalMs = intervalMs;
         if (cells.get(MAGIC_AT) == 0) {
             cells.set(SOURCE_AT, freshSource);
-            cells.set(INTERVAL_AT, intervalMs);
             cells.set(MAGIC_AT, MAGIC);
         } else if (cells.get(MAGIC_AT) != MAGIC) {
             throw new IllegalArgumentException("not a table of usage");
--- a/fleet/src/test/java/marlford/lease/MemberTest.java
+++ b/fleet/src/test/java/marlford/lease/MemberTest.java
@@ -103,7 +103,7 @@
         }
 
         private Reply ok(Answer a) {
-            return new Reply(Reply.Status.OK, "v" + leader, a, index, null, "");
+            return new Reply(Reply.Status.OK, "v" + leader, a, index, null);
         }
 
         private void tellWatches() {
@@ -111,7 +111,7 @@
                 Book.Session s = book.session(w.ask().session());
                 boolean tells = s != null && s.changed() > w.ask().since();
                 if (tells) {
-                    Reply r = new Reply(Reply.Status.OK, "v" + leader, null, index, book.holdings(s.id()), "");
+                    Reply r = new Reply(Reply.Status.OK, "v" + leader, null, index, book.holdings(s.id()));
                     post(() -> w.to().hears(w.id(), r));
                 }
                 return tells || s == null;
--- a/storm/src/main/java/marlford/storm/Compare.java
+++ b/storm/src/main/java/marlford/storm/Compare.java
@@ -19,7 +19,6 @@
  */
 @Command(name = "compare", mixinStandardHelpOptions = true, description = "Plays gateways with and without a fleet side by side.")
 final class Compare implements Callable<Integer> {
-    private static final int CLIENTS = 16;
     private static final int TICKS_PER_S = 100; // of /proc, on every Linux that the program runs on
     private static final int USER_AT = 11; // fields of /proc/PID/stat behind the name
     private static final int SYSTEM_AT = 12;
@@ -86,17 +85,17 @@
         Map<String, Cost> before = new LinkedHashMap<>();
         for (Map.Entry<String, Rig> r : rigs.entrySet()) {
             before.put(r.getKey(), Cost.of(r.getValue().gateways().get(last)));
-            loads.put(r.getKey(), new Load(r.getValue().clientPorts(), CLIENTS, perSecond, name.replace(' ', '-') + r.getKey()));
+            loads.put(r.getKey(), new Load(r.getValue().clientPorts(), Main.CLIENTS, perSecond, name.replace(' ', '-') + r.getKey()));
         }
         loads.values().forEach(Load::start);
         Thread.sleep(TimeUnit.SECONDS.toMillis(seconds));
         for (Map.Entry<String, Load> l : loads.entrySet()) {
             List<Load.Sent> sent = l.getValue().stop();
-            List<Double> took = sent.stream().filter(s -> s.end() == Load.End.SERVED).map(Load.Sent::tookMs).sorted().toList();
+            List<Double> took = sent.stream().filter(s -> s.end() == Load.End.SERVED).map(Load.Sent::tookMs).toList();
             Cost now = Cost.of(rigs.get(l.getKey()).gateways().get(last));
             System.out.printf(Locale.ROOT, "%-12s %-6s asked %6d  served %7.3f%%  p50 %6.1f ms  p99 %6.1f ms  "
                     + "cpu of %s %5.1f ms/s  memory %d MB%n", name, l.getKey(), sent.size(), 100.0 * took.size() / sent.size(),
-                    took.get(took.size() / 2), took.get(took.size() * 99 / 100), last,
+                    Main.quantile(took, 0.5), Main.quantile(took, 0.99), last,
                     (now.cpu() - before.get(l.getKey()).cpu()) / seconds * MS_PER_S, now.mb());
         }
     }
--- a/storm/src/main/java/marlford/storm/Gateway.java
+++ b/storm/src/main/java/marlford/storm/Gateway.java
@@ -28,7 +28,6 @@
     private final String classPath;
     private final List<String> options;
     private Process process;
-    private int lives;
     private volatile boolean stopped;
 
     /** @param folder its own, with its settings; its log goes there, too */
@@ -53,7 +52,6 @@
     }
 
     void start() throws IOException {
-        lives++;
         List<String> command = new ArrayList<>(List.of(JAVA, "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
                 "-XX:-UsePerfData", "-Xshare:auto", "-Dmarlford.faults=true"));
         command.addAll(options);
@@ -77,10 +75,6 @@
         return process != null && process.isAlive();
     }
 
-    int lives() {
-        return lives;
-    }
-
     boolean isStopped() {
         return stopped;
     }
--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -8,14 +8,12 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
@@ -34,7 +32,7 @@
     private static final int BROKEN = 1;
     static final int UNJUDGED = 3;
     private static final int FEWEST = 3;
-    private static final int CLIENTS = 16;
+    static final int CLIENTS = 16;
     private static final int SHRINK_RUNS = 40;
     private static final long BACK_MS = 20_000; // for the fleet to act again after the faults
     private static final int WIDTH = 1200;
@@ -123,7 +121,7 @@
                 worst = UNJUDGED;
                 continue;
             }
-            print(s, schedule, run);
+            print(s, run);
             if (!run.held() || !run.verdict().unexplained().isEmpty()) {
                 worst = BROKEN;
                 if (shrink) {
@@ -165,28 +163,20 @@
             UsageJudge.Found usage = load == null ? null : UsageJudge.judge(rig, sent, BACK_MS);
             boolean back = rig.awaitAct(BACK_MS);
             Judge.Verdict v = new Judge(rig.notes(), rig.played(), rig.takesMs()).judge(rig.zero(), System.nanoTime());
-            Run run = new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back, sent, usage, history.size(),
-                    Linear.holds(history));
+            Run run = new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back, sent,
+                    usage, history.size(), Linear.holds(history));
             if (keep != null) {
                 chart(run, folder.resolve("holders.png"));
             }
             return run;
         } finally {
             if (keep == null) {
-                wipe(folder);
+                Rig.wipe(folder);
             }
         }
     }
 
-    private static void wipe(Path folder) throws IOException {
-        try (Stream<Path> all = Files.walk(folder)) {
-            for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(p);
-            }
-        }
-    }
-
-    private void print(long s, Schedule schedule, Run run) throws IOException {
+    private void print(long s, Run run) throws IOException {
         Judge.Verdict v = run.verdict();
         Map<String, Object> rows = new LinkedHashMap<>();
         rows.put("seed", s);
@@ -197,8 +187,8 @@
         rows.put("turned_away", v.turnedAway());
         rows.put("holders", v.holders());
         rows.put("hand_overs", v.gapsMs().size());
-        rows.put("gap_p50_ms", quantile(v.gapsMs(), 0.5));
-        rows.put("gap_p99_ms", quantile(v.gapsMs(), 0.99));
+        rows.put("gap_p50_ms", Math.round(quantile(v.gapsMs(), 0.5)));
+        rows.put("gap_p99_ms", Math.round(quantile(v.gapsMs(), 0.99)));
         rows.put("no_holder_max_ms", Math.round(v.longestMs()));
         rows.put("planned_max_ms", run.handOvers().stream().mapToLong(Long::longValue).max().orElse(0));
         rows.put("back", run.back());
@@ -209,8 +199,8 @@
         if (run.usage() != null) {
             Load.ends(run.sent()).forEach((end, n) -> rows.put("requests_" + end.name().toLowerCase(Locale.ROOT), n));
             List<Double> took = run.sent().stream().filter(r -> r.end() == Load.End.SERVED).map(Load.Sent::tookMs).toList();
-            rows.put("served_p50_ms", quantile(took, 0.5));
-            rows.put("served_p99_ms", quantile(took, 0.99));
+            rows.put("served_p50_ms", Math.round(quantile(took, 0.5)));
+            rows.put("served_p99_ms", Math.round(quantile(took, 0.99)));
             rows.put("units_exported", run.usage().exported());
             rows.put("units_seen_at_hosts", run.usage().seen());
             rows.put("units_in_tables", run.usage().waiting());
@@ -234,10 +224,11 @@
         }
     }
 
-    private static long quantile(List<Double> values, double q) {
+    /** The quantile of these, or 0 where there are none. */
+    static double quantile(List<Double> values, double q) {
         List<Double> sorted = new ArrayList<>(values);
         sorted.sort(null);
-        return sorted.isEmpty() ? 0 : Math.round(sorted.get((int) Math.ceil(q * sorted.size()) - 1));
+        return sorted.isEmpty() ? 0 : sorted.get((int) Math.ceil(q * sorted.size()) - 1);
     }
 
     /** Leaves out one fault after another for as long as it still breaks. */
--- a/storm/src/main/java/marlford/storm/Register.java
+++ b/storm/src/main/java/marlford/storm/Register.java
@@ -69,11 +69,7 @@
         }
 
         private void tick() {
-            for (Member.Outgoing o : member.due(ms())) {
-                if (!caller.send(o)) {
-                    member.failed(o.id(), ms());
-                }
-            }
+            caller.drive(member, ms());
             long now = System.nanoTime();
             boolean mine = token != 0 && member.mayAct(token, ms(), 0, 0);
             if (token != 0 && !mine) {
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -79,7 +79,7 @@
         for (int i = 0; i < count; i++) {
             names.add("g" + i);
         }
-        voters.addAll(names.subList(0, count >= VOTERS_MANY ? VOTERS_MANY : VOTERS_FEW));
+        voters.addAll(names.subList(0, voters(count)));
         for (String v : voters) {
             ports.put(v, freePort());
         }
@@ -392,11 +392,11 @@
         }
     }
 
-    private static void wipe(Path folder) throws IOException {
+    static void wipe(Path folder) throws IOException {
         if (Files.exists(folder)) {
             try (Stream<Path> all = Files.walk(folder)) {
                 for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(p);
+                    Files.deleteIfExists(p);
                 }
             }
         }
--- a/storm/src/main/java/marlford/storm/UsageJudge.java
+++ b/storm/src/main/java/marlford/storm/UsageJudge.java
@@ -21,8 +21,6 @@
  * was killed before it sent it on.
  */
 final class UsageJudge {
-    private static final int PAGES = 16;
-    private static final int ROWS = 4096;
     private static final long MILLI = 1000;
     private static final long LOOK_MS = 100;
 
@@ -74,7 +72,7 @@
         for (Gateway g : rig.gateways().values()) {
             if (Files.exists(g.usage())) {
                 LongBuffer kept = ByteBuffer.wrap(Files.readAllBytes(g.usage())).order(ByteOrder.nativeOrder()).asLongBuffer();
-                for (Batch b : new UsageTable(new Copy(kept), PAGES, ROWS, 0, 1).all()) {
+                for (Batch b : new UsageTable(new Copy(kept), UsageTable.PAGES, UsageTable.ROWS, 0, 1).all()) {
                     b.milliUnits().forEach((customer, units) -> waiting.merge(customer, units, Long::sum));
                 }
             }
