--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -157,7 +157,7 @@
             List<Linear.Op> history;
             try (register) {
                 rig.play(schedule, ms);
-                history = register.history();
+                history = register.history(BACK_MS);
             }
             List<Load.Sent> sent = load == null ? List.of() : load.stop();
             UsageJudge.Found usage = load == null ? null : UsageJudge.judge(rig, sent, BACK_MS);
--- a/storm/src/main/java/marlford/storm/Register.java
+++ b/storm/src/main/java/marlford/storm/Register.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
     private final NioEventLoopGroup network = new NioEventLoopGroup(1);
     private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1);
     private final List<Linear.Op> history = new ArrayList<>();
+    private final CountDownLatch granted = new CountDownLatch(1);
     private final List<Caller> callers = new ArrayList<>();
 
     Register(Map<String, InetSocketAddress> voters, long ttlMs) {
@@ -89,12 +91,14 @@
                 history.add(new Linear.Op(true, token, wantedAt, now));
                 until = now + TimeUnit.MILLISECONDS.toNanos(ThreadLocalRandom.current().nextInt(HOLDS_MAX_MS));
                 wantedAt = 0;
+                granted.countDown();
             }
         }
     }
 
-    /** What they did until now. */
-    List<Linear.Op> history() throws InterruptedException {
+    /** What they did until now, or until the first of them has had the lease, but for no longer than this. */
+    List<Linear.Op> history(long patienceMs) throws InterruptedException {
+        granted.await(patienceMs, TimeUnit.MILLISECONDS);
         thread.shutdownNow();
         thread.awaitTermination(1, TimeUnit.SECONDS);
         return history;
