Storms begin when the single task is acted on; faults that can't be played are defects

Cause: Rig.start returned once all had sessions, and Rig.begin passed over a fault for "holder" while nobody had acted yet; the fault stands at 500 or 800 ms, the first act came at 774 ms on a busy machine. Shown: with both faults moved to 1 ms the old rig fails in the first of two plays each time, with no fault played.

Measured: PlantedTest and StormTest pass beside 12 busy loops on 8 cores (103 s). With the faults at 1 ms NO_TENURE is still not found: the fault is played, and nobody takes over for as long as it lasts.

--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -97,7 +97,7 @@
     record Run(Judge.Verdict verdict, List<Long> handOvers, List<String> defects, List<Rig.Played> played, List<Note> notes,
             long zero, boolean back, List<Load.Sent> sent, UsageJudge.Found usage, int register, boolean linear) {
         boolean held() {
-            return linear && verdict.broken().isEmpty() && defects.isEmpty() && (usage == null || usage.broken().isEmpty());
+            return linear && verdict.broken().isEmpty() && verdict.unexplained().isEmpty() && defects.isEmpty() && (usage == null || usage.broken().isEmpty());
         }
     }
 
@@ -111,6 +111,10 @@
             System.err.println("storm: at least 3 gateways, a second and a seed");
             return CommandLine.ExitCode.USAGE;
         }
+        if (file != null && !Schedule.read(file).fits(gateways)) {
+            System.err.println("storm: " + file + " names a process that is none of " + gateways);
+            return CommandLine.ExitCode.USAGE;
+        }
         int worst = HELD;
         for (long s = seed; s < seed + seeds; s++) {
             long ms = TimeUnit.SECONDS.toMillis(seconds);
@@ -118,11 +122,11 @@
             Run run = run(schedule, setup(), ms, out == null ? null : out.resolve("seed-" + s));
             if (run == null) {
                 System.err.println("storm: seed " + s + ": the processes did not all take part; nothing is judged");
-                worst = UNJUDGED;
+                worst = worst == BROKEN ? BROKEN : UNJUDGED;
                 continue;
             }
             print(s, run);
-            if (!run.held() || !run.verdict().unexplained().isEmpty()) {
+            if (!run.held()) {
                 worst = BROKEN;
                 if (shrink) {
                     shrink(schedule, ms);
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -56,6 +56,7 @@
     private final Map<String, LinkProxy> toResource = new HashMap<>();
     private final Map<String, Path> copies = new HashMap<>(); // of disks, before their last life
     private final List<Played> played = new CopyOnWriteArrayList<>();
+    private final List<String> failed = new CopyOnWriteArrayList<>();
     private final Gateway.Role role;
     private final Hosts hosts; // null where no clients are served
     private final Map<String, Integer> ports = new HashMap<>(); // of voters
@@ -148,7 +149,10 @@
         return ttlMs / TAKES_PART;
     }
 
-    /** Starts all and returns once each takes part; false where that does not come about. */
+    /**
+     * Starts all and returns once each takes part and the single task is acted on, so that faults that are meant for its holder
+     * find one; false where that does not come about.
+     */
     boolean start() throws IOException, InterruptedException {
         for (String name : names) {
             gateways.get(name).start();
@@ -162,6 +166,12 @@
                 Thread.sleep(LOOK_MS);
             }
         }
+        while (role != Gateway.Role.ALONE && resource.holder().isEmpty()) {
+            if (System.nanoTime() > end) {
+                return false;
+            }
+            Thread.sleep(LOOK_MS);
+        }
         zero = System.nanoTime();
         return true;
     }
@@ -191,13 +201,14 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - zero);
     }
 
+    /** What can't be played is a defect of the rig, not a quieter storm. */
     private void guarded(Callable<Void> what) {
         try {
             what.call();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (Exception e) {
-            throw new IllegalStateException(e);
+            failed.add("rig: " + e);
         }
     }
 
@@ -242,7 +253,7 @@
         String who = f.who().equals("leader") ? leader() : f.who().equals("holder") ? resource.holder() : f.who();
         Gateway g = gateways.get(who);
         if (g == null) {
-            return null; // nobody holds anything yet
+            throw new IllegalStateException("nobody by the name " + who + " for " + f);
         }
         synchronized (g) {
             if (g.isAlive() && !g.isStopped()) {
@@ -317,7 +328,7 @@
                 if (!voters.contains(g.name)) {
                     return;
                 }
-                Path order = g.disk().resolve("fault");
+                Path order = Files.createDirectories(g.disk()).resolve("fault"); // a new life may not have made it yet
                 Files.writeString(order, f.kind() == Kind.FULL_DISK ? "full" : f.kind() == Kind.FAILING_SYNC ? "fail" : "hang");
                 after(f, g, () -> {
                     Files.deleteIfExists(order);
@@ -453,9 +464,9 @@
         return took;
     }
 
-    /** Lines of the logs that tell of a defect. */
+    /** Lines of the logs that tell of a defect, and faults that could not be played. */
     List<String> defects() throws IOException {
-        List<String> found = new ArrayList<>();
+        List<String> found = new ArrayList<>(failed);
         for (Gateway g : gateways.values()) {
             try (Stream<String> lines = Files.lines(g.log())) {
                 lines.filter(l -> l.contains("defect")).forEach(l -> found.add(g.name + ": " + l));
--- a/storm/src/main/java/marlford/storm/Schedule.java
+++ b/storm/src/main/java/marlford/storm/Schedule.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import marlford.storm.Fault.Kind;
 
 /** The faults of a run in their order; drawn from a seed, or read from a file of JSON lines. */
@@ -70,6 +71,12 @@
         return new Schedule(List.copyOf(faults));
     }
 
+    /** Whether each fault finds whom it names among as many gateways. */
+    boolean fits(int gateways) {
+        return faults.stream().map(Fault::who).allMatch(who -> who == null || who.equals("leader") || who.equals("holder")
+                || IntStream.range(0, gateways).anyMatch(i -> who.equals("g" + i)));
+    }
+
     Schedule without(int index) {
         List<Fault> rest = new ArrayList<>(faults);
         rest.remove(index);
