A member no longer waits for its watch at a voter that is cut off

Seen: with the holder cut off (ISOLATE) for 6 s, three gateways, nobody acted as the single holder for 5.3 to 5.6 s in 7 of 10 storms: until the cut ended. With the leader killed it is 2.0 to 2.3 s, with the leader cut off while another one holds 0.4 to 0.7 s. Checked: logs show the new leader and the end of the old session in time, and the rig's own members get their lease; so the grant was agreed and its new holder did not know. Cause: Member.due sends a watch only while none is pending, and Member.expire gave up a watch only after WATCH_MS (8 s) and left it pending when the member turned to another voter. A killed voter closes its connection (Member.lost); one that is cut off says nothing. It happened where the holder led, too, as members watch at the leader. Now a watch goes with the leader: turning to another voter gives up the one at the old.

A pure test of the member alone, which failed before.

--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -234,24 +233,24 @@
     }
 
     private void expire(double now) {
-        for (Iterator<Pending> i = pending.values().iterator(); i.hasNext();) {
-            Pending p = i.next();
-            if (now > p.until()) {
-                i.remove();
-                if (!(p.ask() instanceof Ask.Watch)) {
-                    turnFrom(p.voter());
-                }
-            }
-        }
+        List<Pending> over = pending.values().stream().filter(p -> now > p.until()).toList();
+        pending.values().removeAll(over);
+        over.stream().filter(p -> !(p.ask() instanceof Ask.Watch)).forEach(p -> turnFrom(p.voter()));
     }
 
     /** The next voter, where this one is still the one that is asked. */
     private void turnFrom(String voter) {
         if (leader.equals(voter)) {
-            leader = voters.get((voters.indexOf(voter) + 1) % voters.size());
+            turnTo(voters.get((voters.indexOf(voter) + 1) % voters.size()));
         }
     }
 
+    /** A watch at the one that was asked before is worth nothing more: it may be cut off, and is silent then for long. */
+    private void turnTo(String voter) {
+        leader = voter;
+        pending.values().removeIf(p -> p.ask() instanceof Ask.Watch && !p.voter().equals(voter));
+    }
+
     /** An ask can't reach its voter, or its connection ended. */
     public void failed(long id, double now) {
         Pending p = pending.remove(id);
@@ -280,7 +279,7 @@
         }
         if (r.status() != Reply.Status.OK) {
             if (voters.contains(r.leader()) && !r.leader().equals(p.voter())) {
-                leader = r.leader();
+                turnTo(r.leader());
             } else {
                 turnFrom(p.voter());
             }
--- a/fleet/src/test/java/marlford/lease/MemberTest.java
+++ b/fleet/src/test/java/marlford/lease/MemberTest.java
@@ -243,6 +243,24 @@
         assertTrue(a.member.token("x") > first);
     }
 
+    /** A voter that is cut off is silent and closes nothing: what was watched there is watched elsewhere as soon as renewals are. */
+    @Test
+    void aWatchDoesNotStayWithAVoterThatIsNoLongerAsked() {
+        Member m = new Member("m", 0, TTL, List.of("v0", "v1", "v2"), 0, 0, 300);
+        Member.Outgoing open = m.due(0).get(0);
+        m.heard(open.id(), new Reply(Reply.Status.OK, "v0", Answer.granted(7), 1, null), 1);
+        Map<String, Double> watched = new HashMap<>();
+        for (double now = 1; now < TTL; now += STEP) {
+            for (Member.Outgoing o : m.due(now)) {
+                if (o.ask() instanceof Ask.Watch) {
+                    watched.putIfAbsent(o.voter(), now);
+                }
+            }
+        }
+        assertEquals(1, watched.get("v0"));
+        assertTrue(watched.containsKey("v1"), watched.toString());
+    }
+
     /** 500 members with 20 leases each: what a member costs by itself, and when one of them goes. */
     @Test
     void manyMembersAskFourTimesInTheTimeOfASession() {
