--- a/storm/src/main/java/marlford/storm/Compare.java
+++ b/storm/src/main/java/marlford/storm/Compare.java
@@ -1,8 +1,6 @@
 package marlford.storm;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -51,10 +49,9 @@
 
     @Override
     public Integer call() throws Exception {
-        Path folder = Files.createTempDirectory("marlford-compare");
         String path = System.getProperty("java.class.path");
-        try (Rig alone = new Rig(gateways, Gateway.Role.ALONE, folder.resolve("alone"), ttlMs, 0, path, List.of());
-                Rig fleet = new Rig(gateways, Gateway.Role.SERVES, folder.resolve("fleet"), ttlMs, 0, path, List.of())) {
+        try (Rig alone = new Rig(gateways, Gateway.Role.ALONE, ttlMs, 0, path, List.of());
+                Rig fleet = new Rig(gateways, Gateway.Role.SERVES, ttlMs, 0, path, List.of())) {
             if (!alone.start() || !fleet.start()) {
                 System.err.println("compare: the processes did not all come up");
                 return Main.UNJUDGED;
--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -144,42 +144,41 @@
     /** The same, with the program on this class path. */
     static Run run(Schedule schedule, Setup setup, long ms, Path keep, String classPath)
             throws IOException, InterruptedException {
-        Path folder = keep == null ? Files.createTempDirectory("marlford-storm") : Files.createDirectories(keep);
-        try (Rig rig = new Rig(setup.gateways(), setup.role(), folder, setup.ttlMs(), setup.drift(), classPath,
-                setup.options())) {
-            if (keep != null) {
-                schedule.write(folder.resolve("schedule.jsonl"));
-            }
-            if (!rig.start()) {
-                return null;
-            }
-            Load load = setup.perSecond() > 0 ? new Load(rig.clientPorts(), CLIENTS, setup.perSecond(), "r") : null;
-            if (load != null) {
-                load.start();
-            }
-            Register register = new Register(rig.voterAddresses(), setup.ttlMs());
-            List<Linear.Op> history;
-            try (register) {
-                rig.play(schedule, ms);
-                history = register.history(BACK_MS);
-            }
-            List<Load.Sent> sent = load == null ? List.of() : load.stop();
-            UsageJudge.Found usage = load == null ? null : UsageJudge.judge(rig, sent, BACK_MS);
-            boolean back = rig.awaitAct(BACK_MS);
-            Judge.Verdict v = new Judge(rig.notes(), rig.played(), rig.takesMs()).judge(rig.zero(), System.nanoTime());
-            Run run = new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back, sent,
-                    usage, history.size(), Linear.holds(history));
-            if (keep != null) {
-                chart(run, folder.resolve("holders.png"));
-            }
-            return run;
-        } finally {
-            if (keep == null) {
-                Rig.wipe(folder);
+        try (Rig rig = new Rig(setup.gateways(), setup.role(), setup.ttlMs(), setup.drift(), classPath, setup.options())) {
+            try {
+                Run run = rig.start() ? play(rig, schedule, setup, ms) : null;
+                if (run != null && keep != null) {
+                    chart(run, rig.folder().resolve("holders.png"));
+                }
+                return run;
+            } finally {
+                if (keep != null) {
+                    schedule.write(rig.folder().resolve("schedule.jsonl"));
+                    rig.keep(keep);
+                }
             }
         }
     }
 
+    private static Run play(Rig rig, Schedule schedule, Setup setup, long ms) throws IOException, InterruptedException {
+        Load load = setup.perSecond() > 0 ? new Load(rig.clientPorts(), CLIENTS, setup.perSecond(), "r") : null;
+        if (load != null) {
+            load.start();
+        }
+        Register register = new Register(rig.voterAddresses(), setup.ttlMs());
+        List<Linear.Op> history;
+        try (register) {
+            rig.play(schedule, ms);
+            history = register.history(BACK_MS);
+        }
+        List<Load.Sent> sent = load == null ? List.of() : load.stop();
+        UsageJudge.Found usage = load == null ? null : UsageJudge.judge(rig, sent, BACK_MS);
+        boolean back = rig.awaitAct(BACK_MS);
+        Judge.Verdict v = new Judge(rig.notes(), rig.played(), rig.takesMs()).judge(rig.zero(), System.nanoTime());
+        return new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back, sent,
+                usage, history.size(), Linear.holds(history));
+    }
+
     private void print(long s, Run run) throws IOException {
         Judge.Verdict v = run.verdict();
         Map<String, Object> rows = new LinkedHashMap<>();
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -70,9 +70,8 @@
      * @param classPath of the program
      * @param options for each process's JVM
      */
-    Rig(int count, Gateway.Role role, Path folder, long ttlMs, double drift, String classPath, List<String> options)
-            throws IOException {
-        this.folder = folder;
+    Rig(int count, Gateway.Role role, long ttlMs, double drift, String classPath, List<String> options) throws IOException {
+        this.folder = scratch();
         this.role = role;
         this.hosts = role == Gateway.Role.AGENT ? null : new Hosts(HOSTS);
         this.ttlMs = ttlMs;
@@ -106,6 +105,16 @@
         }
     }
 
+    /**
+     * A new folder for the processes' disks, in memory where the machine has such a place: the faults of disks are the
+     * schedule's, and a machine whose own syncs take seconds at times must not add to them.
+     */
+    private static Path scratch() throws IOException {
+        Path memory = Path.of("/dev/shm");
+        return Files.isWritable(memory) ? Files.createTempDirectory(memory, "marlford-storm")
+                : Files.createTempDirectory("marlford-storm");
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return free.getLocalPort();
@@ -395,15 +404,19 @@
     }
 
     private static void copyAll(Path from, Path to) throws IOException {
-        Files.createDirectories(to);
-        try (Stream<Path> files = Files.list(from)) {
+        try (Stream<Path> files = Files.walk(from)) {
             for (Path p : files.toList()) {
-                Files.copy(p, to.resolve(p.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+                Path copy = to.resolve(from.relativize(p).toString());
+                if (Files.isDirectory(p)) {
+                    Files.createDirectories(copy);
+                } else {
+                    Files.copy(p, copy, StandardCopyOption.REPLACE_EXISTING);
+                }
             }
         }
     }
 
-    static void wipe(Path folder) throws IOException {
+    private static void wipe(Path folder) throws IOException {
         if (Files.exists(folder)) {
             try (Stream<Path> all = Files.walk(folder)) {
                 for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
@@ -475,19 +488,31 @@
         return found;
     }
 
-    @Override
-    public void close() throws IOException {
+    /** Where all that the processes leave lies until the end. */
+    Path folder() {
+        return folder;
+    }
+
+    /** Ends the processes, and keeps what they left in this folder. */
+    void keep(Path in) throws IOException {
+        end();
+        copyAll(folder, in);
+    }
+
+    private void end() {
         hands.shutdownNow();
         for (Gateway g : gateways.values()) {
             try {
-                if (g.isStopped()) {
-                    g.go();
-                }
-                g.kill();
+                g.kill(); // a stopped one dies, too
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
         }
+    }
+
+    @Override
+    public void close() throws IOException {
+        end();
         for (Map<String, LinkProxy> to : links.values()) {
             for (LinkProxy l : to.values()) {
                 l.close();
@@ -500,5 +525,6 @@
         if (hosts != null) {
             hosts.close();
         }
+        wipe(folder);
     }
 }
