--- a/fleet/src/main/java/marlford/agree/Caller.java
+++ b/fleet/src/main/java/marlford/agree/Caller.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
 import marlford.lease.Member;
 import marlford.lease.Reply;
 
@@ -20,6 +21,8 @@
     }
 
     private final Map<String, Link> links = new LinkedHashMap<>();
+    private final LongAdder sent = new LongAdder(); // bytes of asks and replies, without frames
+    private final LongAdder received = new LongAdder();
 
     public Caller(EventLoopGroup network, Map<String, InetSocketAddress> voters, Ears ears) {
         voters.forEach((name, address) -> links.put(name, new Link(network, address, new Wire.Ears() {
@@ -27,6 +30,7 @@
             public void frame(Channel from, byte kind, byte[] body) {
                 try {
                     if (kind == Wire.REPLY) {
+                        received.add(body.length);
                         CallBack c = Codec.read(body, CallBack.class);
                         ears.heard(c.id(), c.reply());
                     }
@@ -53,12 +57,19 @@
 
     private boolean send(Member.Outgoing o) {
         try {
-            return links.get(o.voter()).send(Wire.CALL, Codec.bytes(new Call(o.id(), o.ask())));
+            byte[] bytes = Codec.bytes(new Call(o.id(), o.ask()));
+            sent.add(bytes.length);
+            return links.get(o.voter()).send(Wire.CALL, bytes);
         } catch (IOException e) {
             return false;
         }
     }
 
+    /** What it costs, for operators. */
+    public String text() {
+        return "asks sent_bytes=" + sent.sum() + " received_bytes=" + received.sum() + '\n';
+    }
+
     public void close() {
         links.values().forEach(Link::close);
     }
--- a/fleet/src/main/java/marlford/agree/Voter.java
+++ b/fleet/src/main/java/marlford/agree/Voter.java
@@ -34,6 +34,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import marlford.board.Board;
+import marlford.board.Notice;
 import marlford.lease.Answer;
 import marlford.lease.Ask;
 import marlford.lease.Book;
@@ -82,6 +84,7 @@
     private final Map<String, Link> links = new LinkedHashMap<>();
     private final Silence silence = new Silence(STALL_MS);
     private final Replacement replacement = new Replacement(GONE_MS);
+    private final Board board = new Board();
     private final List<Watch> watches = new ArrayList<>();
     private final SecureRandom random = new SecureRandom();
     private SegmentStore store;
@@ -301,7 +304,7 @@
                 return new Answer(Answer.Kind.GONE, 0);
             }
             follow();
-            return silence.heard(r.session(), time.ms()) ? new Answer(Answer.Kind.DONE, 0) : null;
+            return silence.heard(r.session(), time.ms()) ? Answer.goesOn(s) : null;
         }
         return null; // a term begins
     }
@@ -331,6 +334,7 @@
         } else if (node.getTerm().getTerm() != ledTerm || !silence.leads()) {
             ledTerm = node.getTerm().getTerm();
             silence.lead(time.ms());
+            board.begin(random.nextLong() >>> 1);
             changing = false;
             flooring = false;
             log.accept("fleet: " + self.id() + " leads, term " + ledTerm);
@@ -421,7 +425,9 @@
             watches.add(new Watch(w, time.ms() + WATCH_MS, to));
             tellWatches();
         } else if (ask instanceof Ask.Renew r) {
-            comes(node.query(r, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), to);
+            Notice news = r.telling() == null || !silence.leads() ? null
+                    : board.hear(r.session(), r.telling(), token -> book.holds(r.session(), token), time.ms());
+            comes(node.query(r, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), reply -> to.accept(reply.with(news)));
         } else if (!book.isBegun()) {
             to.accept(Reply.no(Reply.Status.BUSY, leader()));
         } else {
@@ -499,6 +505,9 @@
                     .append(p.members().size()).append(" moving=").append(p.next().stream().filter(n -> n != 0).count())
                     .append('\n');
         }
+        if (silence.leads()) {
+            s.append(board.text()).append('\n');
+        }
         image.ticks().forEach((task, tick) -> s.append("task=").append(task).append(" tick=").append(tick).append('\n'));
         return s.toString();
     }
--- a/fleet/src/main/java/marlford/fleet/Export.java
+++ b/fleet/src/main/java/marlford/fleet/Export.java
@@ -36,6 +36,7 @@
     private static final int READ_MAX = 1 << 20; // bytes at a time
 
     private final FleetConfig.ExportConfig config;
+    private final WallTime wall;
     private final Consumer<String> log;
     private final UsageTable table;
     private final ExportLog exported = new ExportLog();
@@ -48,8 +49,9 @@
     private volatile boolean running;
 
     /** @param kept where this gateway's table lies; it has to outlive the process */
-    Export(FleetConfig.ExportConfig config, Path kept, Consumer<String> log) throws IOException {
+    Export(FleetConfig.ExportConfig config, Path kept, WallTime wall, Consumer<String> log) throws IOException {
         this.config = config;
+        this.wall = wall;
         this.log = log;
         int cells = UsageTable.size(UsageTable.PAGES, UsageTable.ROWS);
         try (FileChannel file = FileChannel.open(kept, StandardOpenOption.CREATE, StandardOpenOption.READ,
@@ -84,12 +86,12 @@
         return new Usage() {
             @Override
             public void admitted(long customer, double units) {
-                table.admitted(customer, units, System.currentTimeMillis());
+                table.admitted(customer, units, wall.ms());
             }
 
             @Override
             public void look() {
-                table.look(System.currentTimeMillis());
+                table.look(wall.ms());
             }
         };
     }
--- /dev/null
+++ b/fleet/src/main/java/marlford/fleet/Eyes.java
@@ -0,0 +1,91 @@
+package marlford.fleet;
+
+import deckfall.Gateway.Outcome;
+import deckfall.net.Inside;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import marlford.lease.Member;
+import marlford.probe.Evidence;
+import marlford.probe.Finding;
+import marlford.probe.Prober;
+
+/**
+ * The gateway's part in one prober of each host for all: carries the {@link Prober}'s probes to the gateway, and what any
+ * member found to its decision module. On the member's thread.
+ */
+final class Eyes {
+    private static final double LOOK_MS = 500; // how often the list of hosts is asked for
+    private static final double BELIEVED_ROUNDS = 2;
+
+    private final Inside gateway;
+    private final Consumer<Runnable> thread;
+    private final Consumer<String> log;
+    private final Prober prober;
+    private final Evidence evidence;
+    private final Map<String, Finding.Kind> told = new HashMap<>(); // of hosts that are not well
+    private double lookedAt = Double.NEGATIVE_INFINITY;
+
+    /** @param thread runs work on the member's thread */
+    Eyes(FleetConfig.ProbeConfig config, Inside gateway, Member member, Consumer<Runnable> thread, Consumer<String> log) {
+        this.gateway = gateway;
+        this.thread = thread;
+        this.log = log;
+        this.prober = new Prober(config.everyMs(), config.takesMs());
+        this.evidence = new Evidence(config.everyMs() * BELIEVED_ROUNDS);
+        prober.begin(member);
+    }
+
+    void due(Member member, double now, double lateMs) {
+        if (now - lookedAt > LOOK_MS) {
+            lookedAt = now;
+            gateway.listed(hosts -> thread.accept(() -> listed(hosts)));
+        }
+        prober.due(member, now, lateMs).forEach(p -> gateway.probe(p.host(), (outcome, tookMs) -> thread.accept(() -> {
+            Finding f = new Finding(kind(outcome), tookMs);
+            prober.ended(member, p, f, p.sentAt() + tookMs);
+        })));
+        for (Evidence.Report r : evidence.read(member.board(), now)) {
+            gateway.evidence(r.host(), outcome(r.finding().kind()), r.finding().tookMs(), r.ageMs());
+            note(r);
+        }
+    }
+
+    private void listed(Set<String> hosts) {
+        prober.listed(hosts);
+        told.keySet().retainAll(hosts);
+    }
+
+    /** One line for a change, not one a round. */
+    private void note(Evidence.Report r) {
+        boolean well = r.finding().kind() == Finding.Kind.WELL;
+        Finding.Kind before = well ? told.remove(r.host()) : told.put(r.host(), r.finding().kind());
+        if (well ? before != null : before != r.finding().kind()) {
+            log.accept("fleet: host " + r.host() + " is " + r.finding().kind() + ", found " + Math.round(r.ageMs()) + " ms ago");
+        }
+    }
+
+    private static Finding.Kind kind(Outcome outcome) {
+        return switch (outcome) {
+            case OK -> Finding.Kind.WELL;
+            case ERROR, FULL, SPOILT -> Finding.Kind.ILL;
+            case TIMEOUT -> Finding.Kind.LATE;
+            default -> Finding.Kind.UNREACHED;
+        };
+    }
+
+    private static Outcome outcome(Finding.Kind kind) {
+        return switch (kind) {
+            case WELL -> Outcome.OK;
+            case ILL -> Outcome.ERROR;
+            case LATE -> Outcome.TIMEOUT;
+            case UNREACHED -> Outcome.CONNECT_FAILED;
+        };
+    }
+
+    /** For operators. */
+    String text() {
+        return prober.text() + '\n' + evidence.text() + '\n';
+    }
+}
--- a/fleet/src/main/java/marlford/fleet/Fleet.java
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -1,5 +1,7 @@
 package marlford.fleet;
 
+import deckfall.net.Inside;
+import deckfall.net.ListTurn;
 import deckfall.net.Usage;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
@@ -38,6 +40,7 @@
     private final FleetConfig config;
     private final Consumer<String> log;
     private final MonotonicTime time = MonotonicTime.ofThisProcess();
+    private final WallTime wall;
     private final NioEventLoopGroup network = new NioEventLoopGroup(1);
     private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1, work -> {
         Thread t = new Thread(work, "marlford-member");
@@ -51,6 +54,8 @@
     private final Voter voter; // null where this process is none
     private final Caller caller;
     private final Export export; // null where nothing is exported
+    private final Lists lists; // null where each gateway calls for lists when it likes
+    private Eyes eyes; // null until the gateway serves, and where nothing is probed
     private final CompletableFuture<Void> left = new CompletableFuture<>();
     private double dueAt = Double.NaN; // when the next tick should come
     private long session;
@@ -61,6 +66,7 @@
     Fleet(FleetConfig config, Consumer<String> log) throws IOException {
         this.config = config;
         this.log = log;
+        this.wall = new WallTime(config.folder());
         this.member = new Member(config.name(), new SecureRandom().nextLong() >>> 1, config.ttlMs(),
                 List.copyOf(config.voters().keySet()), config.driftPpm(), config.marginMs(), config.stallMs());
         this.voter = config.voters().containsKey(config.name()) ? new Voter(new Voter.Settings(config.fleet(), config.name(),
@@ -81,7 +87,20 @@
             duties.put(t.name(), t.duty());
         }
         export = config.export() == null ? null
-                : new Export(config.export(), Files.createDirectories(config.folder()).resolve(config.name() + ".usage"), log);
+                : new Export(config.export(), Files.createDirectories(config.folder()).resolve(config.name() + ".usage"), wall, log);
+        lists = config.lists() ? new Lists(member, this::run, time::ms) : null;
+    }
+
+    /** Whose turn it is to call for a list. */
+    ListTurn lists() {
+        return lists == null ? ListTurn.NONE : lists;
+    }
+
+    /** The gateway of this process serves. */
+    void serving(Inside gateway) {
+        if (config.probes() != null && gateway.mayProbe()) {
+            run(() -> eyes = new Eyes(config.probes(), gateway, member, this::run, log));
+        }
     }
 
     /** Where a gateway of this process notes what it lets in. */
@@ -100,6 +119,9 @@
 
     /** All that touches the member happens here, one at a time, and each time what follows from it is sent. */
     private void run(Runnable what) {
+        if (thread.isShutdown()) {
+            return;
+        }
         thread.execute(() -> {
             try {
                 what.run();
@@ -130,10 +152,16 @@
             }
             return;
         }
+        if (lists != null) {
+            lists.due(now, late);
+        }
+        if (eyes != null) {
+            eyes.due(member, now, late);
+        }
         if (export != null) {
             export.due(member, now, late, () -> run(() -> { }));
         }
-        duties.forEach((name, duty) -> duty.due(member, now, late, System.currentTimeMillis())
+        duties.forEach((name, duty) -> duty.due(member, now, late, wall.ms())
                 .forEach(a -> post(tasks.get(name), duty, a)));
     }
 
@@ -181,7 +209,8 @@
     /** What operators see of the fleet from here; from any thread, without waiting for anybody but this member. */
     String text() {
         CompletableFuture<String> text = new CompletableFuture<>();
-        thread.execute(() -> text.complete("member=" + member + " left_ms=" + Math.round(member.leftMs(time.ms())) + '\n'));
+        thread.execute(() -> text.complete("member=" + member + " left_ms=" + Math.round(member.leftMs(time.ms())) + '\n'
+                + caller.text() + (lists == null ? "" : lists.text()) + (eyes == null ? "" : eyes.text())));
         String voters = voter == null ? "" : voter.text();
         try {
             return text.get(LEAVE_MS, TimeUnit.MILLISECONDS) + voters;
--- a/fleet/src/main/java/marlford/fleet/FleetConfig.java
+++ b/fleet/src/main/java/marlford/fleet/FleetConfig.java
@@ -32,7 +32,8 @@
  * with unit and default.
  */
 record FleetConfig(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder, long ttlMs, double driftPpm,
-        double marginMs, double stallMs, List<TaskConfig> tasks, ExportConfig export) {
+        double marginMs, double stallMs, List<TaskConfig> tasks, ExportConfig export, ProbeConfig probes,
+        boolean lists) {
     private static final ObjectMapper JSON = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
     private static final long TTL_MS = 3000;
@@ -40,6 +41,8 @@
     private static final double MARGIN_MS = 20;
     private static final double STALL_MS = 500;
     private static final long INTERVAL_MS = 60_000;
+    private static final long PROBE_MS = 1000;
+    private static final double PROBE_TAKES_MS = 260; // the gateway gives a probe up after 250
     private static final int VOTERS_FEW = 3;
     private static final int VOTERS_MANY = 5;
 
@@ -57,6 +60,9 @@
     /** Where usage goes, and how long an interval is; null where nothing is exported. */
     record ExportConfig(Path file, long intervalMs) { }
 
+    /** How often each host is probed, by one gateway for all, and the longest that a probe takes; null where none are sent. */
+    record ProbeConfig(long everyMs, double takesMs) { }
+
     /** One plain line on what is wrong with the settings. */
     static final class BadFleet extends Exception {
         private static final long serialVersionUID = 1L;
@@ -121,9 +127,12 @@
         JsonNode e = root.path("export");
         ExportConfig export = e.isMissingNode() ? null
                 : new ExportConfig(Path.of(e.path("file").asText()), e.path("interval_ms").asLong(INTERVAL_MS));
+        JsonNode p = root.path("probes");
+        ProbeConfig probes = p.isMissingNode() ? null : new ProbeConfig(p.path("every_ms").asLong(PROBE_MS), PROBE_TAKES_MS);
         return new FleetConfig(root.path("fleet").asText(), own, voters, Path.of(root.path("folder").asText()),
                 s.path("ttl_ms").asLong(TTL_MS), s.path("drift_ppm").asDouble(DRIFT_PPM),
-                s.path("margin_ms").asDouble(MARGIN_MS), s.path("stall_ms").asDouble(STALL_MS), List.copyOf(tasks), export);
+                s.path("margin_ms").asDouble(MARGIN_MS), s.path("stall_ms").asDouble(STALL_MS), List.copyOf(tasks), export,
+                probes, root.path("lists").asBoolean(false));
     }
 
     /** Numbers and a port: there are no names to look up. */
--- /dev/null
+++ b/fleet/src/main/java/marlford/fleet/Lists.java
@@ -0,0 +1,52 @@
+package marlford.fleet;
+
+import deckfall.net.ListTurn;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import marlford.lease.Member;
+import marlford.turn.ListTurns;
+
+/** The gateway's calls for a list that was away, in turn with the fleet's others. */
+final class Lists implements ListTurn {
+    private final Member member;
+    private final Consumer<Runnable> thread;
+    private final DoubleSupplier clock;
+    private final ListTurns turns = new ListTurns();
+    private Consumer<Told> next; // who waits; on the member's thread
+    private double calledAt;
+
+    /** @param thread runs work on the member's thread, or not at all once the process ends */
+    Lists(Member member, Consumer<Runnable> thread, DoubleSupplier clock) {
+        this.member = member;
+        this.thread = thread;
+        this.clock = clock;
+    }
+
+    @Override
+    public void due(String agent, Consumer<Told> to) {
+        thread.accept(() -> {
+            next = to;
+            turns.due(member, agent, clock.getAsDouble());
+        });
+    }
+
+    @Override
+    public void called(String agent, boolean answered, String whole) {
+        thread.accept(() -> turns.called(member, answered, whole, calledAt));
+    }
+
+    void due(double now, double lateMs) {
+        ListTurns.Decision d = turns.decide(member, now, lateMs);
+        if (d.step() != ListTurns.Step.WAIT && next != null) {
+            Consumer<Told> to = next;
+            next = null;
+            calledAt = now;
+            to.accept(d.step() == ListTurns.Step.CALL ? null : new Told(d.list().value(), d.list().ageMs()));
+        }
+    }
+
+    /** For operators. */
+    String text() {
+        return turns.text() + '\n';
+    }
+}
--- a/fleet/src/main/java/marlford/fleet/Main.java
+++ b/fleet/src/main/java/marlford/fleet/Main.java
@@ -73,7 +73,8 @@
             if (started == null) {
                 return ExitCode.USAGE;
             }
-            Node.main(System.getenv("NODE_CONFIG"), new Extras(Map.of("/admin/fleet", started::text), started.usage()));
+            Node.main(System.getenv("NODE_CONFIG"), new Extras(Map.of("/admin/fleet", started::text), started.usage(),
+                    started.lists(), started::serving));
             return ExitCode.OK;
         }
     }
--- a/fleet/src/main/java/marlford/lease/Answer.java
+++ b/fleet/src/main/java/marlford/lease/Answer.java
@@ -3,7 +3,8 @@
 /**
  * What came of a {@link Command}.
  *
- * @param value for {@code GRANTED} the token or the session, for {@code WAITING} how many stand before
+ * @param value for {@code GRANTED} the token or the session, for {@code WAITING} how many stand before, of a renewal the
+ *        index at which what the session has last changed
  */
 public record Answer(Kind kind, long value) {
     /** What came of it. */
@@ -31,6 +32,11 @@
     static final Answer DONE = new Answer(Kind.DONE, 0);
     static final Answer GONE = new Answer(Kind.GONE, 0);
 
+    /** A renewed session's answer. */
+    public static Answer goesOn(Book.Session s) {
+        return new Answer(Kind.DONE, s.changed());
+    }
+
     static Answer granted(long value) {
         return new Answer(Kind.GRANTED, value);
     }
--- a/fleet/src/main/java/marlford/lease/Ask.java
+++ b/fleet/src/main/java/marlford/lease/Ask.java
@@ -1,12 +1,22 @@
 package marlford.lease;
 
+import marlford.board.Telling;
+
 /** What a member asks of a voter. */
 public sealed interface Ask {
     /** A line for the agreed log; only the leader takes it. */
     record Submit(Command line) implements Ask { }
 
-    /** That a session goes on; only the leader answers, once a majority has confirmed that it leads. */
-    record Renew(long session) implements Ask { }
+    /**
+     * That a session goes on; only the leader answers, once a majority has confirmed that it leads.
+     *
+     * @param telling what goes to the leader's board with it; null from a member that does not read it
+     */
+    record Renew(long session, Telling telling) implements Ask {
+        Renew(long session) {
+            this(session, null);
+        }
+    }
 
     /** What a session has, once that is of a later index than this one; any voter answers. */
     record Watch(long session, long since) implements Ask { }
--- a/fleet/src/main/java/marlford/lease/Book.java
+++ b/fleet/src/main/java/marlford/lease/Book.java
@@ -1,10 +1,13 @@
 package marlford.lease;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * The state machine of sessions and leases on the agreed log. It knows no time: that a session's time is up is a line
@@ -51,6 +54,7 @@
     private final Map<Long, Session> sessions = new TreeMap<>();
     private final Map<String, Long> byMember = new TreeMap<>();
     private final Map<String, Line> leases = new TreeMap<>();
+    private final Map<Long, Set<String>> held = new HashMap<>(); // the leases of each session
     private final Map<String, Shards> pools = new TreeMap<>();
     private final Map<String, Long> ticks = new TreeMap<>();
     private long index; // of the last line that was applied
@@ -74,6 +78,7 @@
             line.holders.putAll(new TreeMap<>(l.holders()));
             line.queue.addAll(l.queue());
             book.leases.put(l.name(), line);
+            line.holders.keySet().forEach(s -> book.held.computeIfAbsent(s, id -> new TreeSet<>()).add(l.name()));
         }
         for (Pool p : image.pools()) {
             book.pools.put(p.name(), Shards.of(p));
@@ -114,16 +119,17 @@
     /** All that a session has now. */
     public List<Holding> holdings(long session) {
         List<Holding> has = new ArrayList<>();
-        leases.forEach((name, l) -> {
-            Long token = l.holders.get(session);
-            if (token != null) {
-                has.add(new Holding(name, -1, token, false));
-            }
-        });
+        held.getOrDefault(session, Set.of()).forEach(name ->
+                has.add(new Holding(name, -1, leases.get(name).holders.get(session), false)));
         pools.forEach((name, p) -> p.addHoldings(session, name, has));
         return has;
     }
 
+    /** Whether a session has this token now. */
+    public boolean holds(long session, long token) {
+        return holdings(session).stream().anyMatch(h -> h.token() == token);
+    }
+
     /**
      * Applies a line.
      *
@@ -204,6 +210,7 @@
             l.holders.remove(id);
             next(name, l);
         }
+        held.remove(id);
         for (String name : List.copyOf(pools.keySet())) {
             leave(id, name);
         }
@@ -253,7 +260,9 @@
         if (r.token() == 0) {
             l.queue.remove(r.session());
         } else {
-            l.holders.remove(r.session(), r.token()); // a late word on an earlier grant leaves a newer one alone
+            if (l.holders.remove(r.session(), r.token())) { // a late word on an earlier grant leaves a newer one alone
+                held.get(r.session()).remove(r.lease());
+            }
         }
         next(r.lease(), l);
         return Answer.DONE;
@@ -264,6 +273,7 @@
         while (l.holders.size() < l.limit && !l.queue.isEmpty()) {
             long session = l.queue.remove(0);
             l.holders.put(session, ++minted);
+            held.computeIfAbsent(session, id -> new TreeSet<>()).add(name);
             touch(session);
         }
         if (l.holders.isEmpty()) {
--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import marlford.board.Notes;
 
 /**
  * One process's part in the fleet: it opens a session, renews it, asks for the leases it is to have, hears by a watch which
@@ -14,7 +15,8 @@
  * back replies and failures; each ask may be lost, late or doubled.
  *
  * <p>What it has is told by watches alone, of which an older one than the last is passed over. What it gives up it has no
- * more from that call on, whatever a late watch says. Milliseconds by one monotonic clock. Not thread-safe.
+ * more from that call on, whatever a late watch says. A watch whose reply is lost, or that waits at a voter which is cut off,
+ * is asked again: renewals tell where what it has last changed. Milliseconds by one monotonic clock. Not thread-safe.
  */
 public final class Member {
     private static final double RENEWALS = 4; // in the time of a session
@@ -43,6 +45,8 @@
     private final List<Command> lines = new ArrayList<>(); // to be agreed, in their order
     private final Set<Long> givenUp = new HashSet<>(); // tokens
     private final Map<Command, Answer> ticks = new HashMap<>();
+    private final Notes notes = new Notes();
+    private boolean reads; // the board
     private List<Book.Holding> holdings = List.of();
     private Tenure tenure;
     private String leader;
@@ -152,6 +156,12 @@
         return leaving && session == 0;
     }
 
+    /** Its side of the leader's board, which is read from the first call on: renewals carry it. */
+    public Notes board() {
+        reads = true;
+        return notes;
+    }
+
     // ---- what it may do
 
     /** What it has and has not given up, as the last watch said. */
@@ -196,8 +206,8 @@
         tenure.look(now);
         expire(now);
         List<Outgoing> out = new ArrayList<>();
-        if (session != 0 && !leaving && now >= renewAt && none(Ask.Renew.class)) {
-            send(out, new Ask.Renew(session), leader, now, ttlMs / RENEWALS);
+        if (session != 0 && !leaving && (now >= renewAt || notes.isUrgent()) && none(Ask.Renew.class)) {
+            send(out, new Ask.Renew(session, reads ? notes.telling(now) : null), leader, now, ttlMs / RENEWALS);
         }
         if (now < tryAt) {
             return out;
@@ -302,6 +312,12 @@
         } else {
             tenure.confirmed(sentAt);
             renewAt = sentAt + ttlMs / RENEWALS;
+            if (r.answer().value() > seen) { // a watch that was sent before should have told: its reply was lost, or comes
+                pending.values().removeIf(p -> p.ask() instanceof Ask.Watch && p.sentAt() < sentAt);
+            }
+            if (reads) {
+                notes.heard(r.notice(), sentAt);
+            }
         }
     }
 
@@ -368,6 +384,7 @@
         givenUp.clear();
         ticks.clear();
         pending.clear();
+        notes.ended();
     }
 
     @Override
--- a/fleet/src/main/java/marlford/lease/Reply.java
+++ b/fleet/src/main/java/marlford/lease/Reply.java
@@ -1,6 +1,7 @@
 package marlford.lease;
 
 import java.util.List;
+import marlford.board.Notice;
 
 /**
  * A voter's reply to an {@link Ask}.
@@ -9,8 +10,19 @@
  * @param answer what came of a line; of a renewal {@code DONE} or {@code GONE}; null where none is due
  * @param index the line that the voter had applied last
  * @param holdings of a watched session; null for other asks, and where the session has ended
+ * @param notice what is new on the leader's board; null where that was not asked for
  */
-public record Reply(Status status, String leader, Answer answer, long index, List<Book.Holding> holdings) {
+public record Reply(Status status, String leader, Answer answer, long index, List<Book.Holding> holdings, Notice notice) {
+    /** One that carries no notice. */
+    public Reply(Status status, String leader, Answer answer, long index, List<Book.Holding> holdings) {
+        this(status, leader, answer, index, holdings, null);
+    }
+
+    /** The same with this notice. */
+    public Reply with(Notice news) {
+        return new Reply(status, leader, answer, index, holdings, news);
+    }
+
     /** How far an ask came. */
     public enum Status {
         /** It was answered. */
--- a/fleet/src/test/java/marlford/FleetHouseTest.java
+++ b/fleet/src/test/java/marlford/FleetHouseTest.java
@@ -19,10 +19,13 @@
                 "marlford.agree..", "marlford.fleet..");
     }
 
+    private static final String[] PURE = {"marlford.board", "marlford.lease", "marlford.probe", "marlford.task",
+        "marlford.turn", "marlford.usage", "marlford.voters"};
+
     @Test
     void decisionsSeeNothingOutside() {
-        pure("marlford.lease", "marlford.task", "marlford.usage", "marlford.voters").check(ALL);
-        noClasses().that().resideInAnyPackage("marlford.lease", "marlford.task", "marlford.usage", "marlford.voters").should().callMethod(System.class, "nanoTime")
+        pure(PURE).check(ALL);
+        noClasses().that().resideInAnyPackage(PURE).should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
     }
 }
--- a/fleet/src/test/java/marlford/lease/MemberTest.java
+++ b/fleet/src/test/java/marlford/lease/MemberTest.java
@@ -3,11 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import marlford.task.Act;
 import marlford.task.Duties;
@@ -17,138 +15,8 @@
 /** Members and the voters they ask, in virtual time: asks and replies are lost, late and doubled, processes stand still. */
 class MemberTest {
     private static final int SEEDS = 300;
-    private static final double STEP = 10; // ms
-    private static final long TTL = 1000;
-    private static final int VOTERS = 3;
-
-    /** A fleet on a clock of the test's own. */
-    private static final class Sim {
-        final Random random;
-        final double loss;
-        final Book book = new Book(1);
-        final Silence[] silence = new Silence[VOTERS];
-        final List<Peer> peers = new ArrayList<>();
-        final PriorityQueue<Mail> mail = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
-        final List<Watching> watches = new ArrayList<>();
-        int leader;
-        double now;
-        long index;
-        long asks;
-
-        private record Mail(double at, Runnable what) { }
-
-        private record Watching(Peer to, long id, Ask.Watch ask) { }
-
-        Sim(long seed, double loss) {
-            this.random = new Random(seed);
-            this.loss = loss;
-            for (int v = 0; v < VOTERS; v++) {
-                silence[v] = new Silence(300);
-            }
-            silence[0].lead(0);
-        }
-
-        Peer add(String name) {
-            Peer p = new Peer(name, random.nextLong() >>> 1);
-            peers.add(p);
-            return p;
-        }
-
-        void post(Runnable what) {
-            for (int copy = random.nextInt(20) == 0 ? 2 : 1; copy > 0; copy--) {
-                if (random.nextDouble() >= loss) {
-                    mail.add(new Mail(now + random.nextInt(30), what));
-                }
-            }
-        }
-
-        void step() {
-            now += STEP;
-            while (!mail.isEmpty() && mail.peek().at() <= now) {
-                mail.poll().what().run();
-            }
-            for (long id : silence[leader].due(now, book.sessions())) {
-                book.apply(++index, new Command.Close(id));
-            }
-            tellWatches();
-            for (Peer p : peers) {
-                if (now >= p.standsUntil) {
-                    for (Member.Outgoing o : p.member.due(now)) {
-                        asks++;
-                        post(() -> ask(p, o));
-                    }
-                }
-            }
-        }
-
-        private void ask(Peer p, Member.Outgoing o) {
-            if (o.ask() instanceof Ask.Watch w) {
-                watches.add(new Watching(p, o.id(), w));
-                return;
-            }
-            Reply r;
-            if (!o.voter().equals("v" + leader)) {
-                r = Reply.no(Reply.Status.NOT_LEADER, "v" + leader);
-            } else if (o.ask() instanceof Ask.Renew renew) {
-                if (book.session(renew.session()) == null) {
-                    r = ok(Answer.GONE);
-                } else {
-                    r = silence[leader].heard(renew.session(), now) ? ok(Answer.DONE)
-                            : Reply.no(Reply.Status.NOT_LEADER, "");
-                }
-            } else {
-                r = ok(book.apply(++index, ((Ask.Submit) o.ask()).line()));
-            }
-            post(() -> p.hears(o.id(), r));
-        }
-
-        private Reply ok(Answer a) {
-            return new Reply(Reply.Status.OK, "v" + leader, a, index, null);
-        }
-
-        private void tellWatches() {
-            watches.removeIf(w -> {
-                Book.Session s = book.session(w.ask().session());
-                boolean tells = s != null && s.changed() > w.ask().since();
-                if (tells) {
-                    Reply r = new Reply(Reply.Status.OK, "v" + leader, null, index, book.holdings(s.id()));
-                    post(() -> w.to().hears(w.id(), r));
-                }
-                return tells || s == null;
-            });
-        }
-
-        void elect() {
-            silence[leader].rest();
-            leader = (leader + 1) % VOTERS;
-            silence[leader].lead(now);
-        }
-
-        final class Peer {
-            final Member member;
-            final List<Duty> duties = new ArrayList<>();
-            final Map<Act, Double> running = new HashMap<>();
-            double standsUntil;
-
-            Peer(String name, long nonce) {
-                member = new Member(name, nonce, TTL, List.of("v0", "v1", "v2"), 0, 20, 300);
-            }
-
-            void hears(long id, Reply r) {
-                if (now < standsUntil) {
-                    mail.add(new Mail(standsUntil, () -> hears(id, r))); // it lies in the socket
-                } else {
-                    member.heard(id, r, now);
-                }
-            }
-
-            Peer with(Duty d) {
-                duties.add(d);
-                d.begin(member);
-                return this;
-            }
-        }
-    }
+    private static final double STEP = Sim.STEP;
+    private static final long TTL = Sim.TTL;
 
     /** No two act at once as the single holder or on one shard, no more than two of two; a tick runs once. */
     @Test
@@ -261,6 +129,21 @@
         assertTrue(watched.containsKey("v1"), watched.toString());
     }
 
+    /** A grant whose watch was lost is known with the next renewal. */
+    @Test
+    void aLostWatchIsAskedAgain() {
+        Member m = new Member("m", 0, TTL, List.of("v0", "v1", "v2"), 0, 0, 300);
+        m.heard(m.due(0).get(0).id(), new Reply(Reply.Status.OK, "v0", Answer.granted(7), 1, null), 1);
+        List<Member.Outgoing> first = m.due(2);
+        Member.Outgoing renew = first.stream().filter(o -> o.ask() instanceof Ask.Renew).findFirst().get();
+        assertTrue(first.stream().anyMatch(o -> o.ask() instanceof Ask.Watch));
+        m.heard(renew.id(), new Reply(Reply.Status.OK, "v0", new Answer(Answer.Kind.DONE, 0), 5, null), 3);
+        assertTrue(m.due(4).isEmpty());
+        List<Member.Outgoing> next = m.due(TTL / 4 + 5);
+        m.heard(next.get(0).id(), new Reply(Reply.Status.OK, "v0", new Answer(Answer.Kind.DONE, 6), 6, null), TTL / 4 + 6);
+        assertTrue(m.due(TTL / 4 + 7).stream().anyMatch(o -> o.ask() instanceof Ask.Watch));
+    }
+
     /** 500 members with 20 leases each: what a member costs by itself, and when one of them goes. */
     @Test
     void manyMembersAskFourTimesInTheTimeOfASession() {
--- /dev/null
+++ b/fleet/src/test/java/marlford/lease/Sim.java
@@ -0,0 +1,157 @@
+package marlford.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import marlford.board.Board;
+import marlford.board.Notice;
+import marlford.task.Act;
+import marlford.task.Duty;
+
+/** A fleet on a clock of the test's own. */
+public final class Sim {
+    /** Of a step, in milliseconds. */
+    public static final double STEP = 10;
+    /** Of a session, in milliseconds. */
+    public static final long TTL = 1000;
+    private static final int VOTERS = 3;
+
+    public final Random random;
+    final double loss;
+    final Book book = new Book(1);
+    final Silence[] silence = new Silence[VOTERS];
+    final Board board = new Board(); // of whoever leads
+    final List<Peer> peers = new ArrayList<>();
+    final PriorityQueue<Mail> mail = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
+    final List<Watching> watches = new ArrayList<>();
+    int leader;
+    public double now;
+    long index;
+    long asks;
+
+    private record Mail(double at, Runnable what) { }
+
+    private record Watching(Peer to, long id, Ask.Watch ask) { }
+
+    public Sim(long seed, double loss) {
+        this.random = new Random(seed);
+        this.loss = loss;
+        for (int v = 0; v < VOTERS; v++) {
+            silence[v] = new Silence(300);
+        }
+        silence[0].lead(0);
+        board.begin(1);
+    }
+
+    public Peer add(String name) {
+        Peer p = new Peer(name, random.nextLong() >>> 1);
+        peers.add(p);
+        return p;
+    }
+
+    void post(Runnable what) {
+        for (int copy = random.nextInt(20) == 0 ? 2 : 1; copy > 0; copy--) {
+            if (random.nextDouble() >= loss) {
+                mail.add(new Mail(now + random.nextInt(30), what));
+            }
+        }
+    }
+
+    public void step() {
+        now += STEP;
+        while (!mail.isEmpty() && mail.peek().at() <= now) {
+            mail.poll().what().run();
+        }
+        for (long id : silence[leader].due(now, book.sessions())) {
+            book.apply(++index, new Command.Close(id));
+        }
+        tellWatches();
+        for (Peer p : peers) {
+            if (now >= p.standsUntil) {
+                for (Member.Outgoing o : p.member.due(now)) {
+                    asks++;
+                    post(() -> ask(p, o));
+                }
+            }
+        }
+    }
+
+    private void ask(Peer p, Member.Outgoing o) {
+        if (o.ask() instanceof Ask.Watch w) {
+            watches.add(new Watching(p, o.id(), w));
+            return;
+        }
+        Reply r;
+        if (!o.voter().equals("v" + leader)) {
+            r = Reply.no(Reply.Status.NOT_LEADER, "v" + leader);
+        } else if (o.ask() instanceof Ask.Renew renew) {
+            if (book.session(renew.session()) == null) {
+                r = ok(Answer.GONE);
+            } else {
+                Notice news = renew.telling() == null ? null : board.hear(renew.session(), renew.telling(),
+                        token -> book.holds(renew.session(), token), now);
+                r = silence[leader].heard(renew.session(), now) ? ok(Answer.goesOn(book.session(renew.session()))).with(news)
+                        : Reply.no(Reply.Status.NOT_LEADER, "");
+            }
+        } else {
+            r = ok(book.apply(++index, ((Ask.Submit) o.ask()).line()));
+        }
+        post(() -> p.hears(o.id(), r));
+    }
+
+    private Reply ok(Answer a) {
+        return new Reply(Reply.Status.OK, "v" + leader, a, index, null);
+    }
+
+    private void tellWatches() {
+        watches.removeIf(w -> {
+            Book.Session s = book.session(w.ask().session());
+            boolean tells = s != null && s.changed() > w.ask().since();
+            if (tells) {
+                Reply r = new Reply(Reply.Status.OK, "v" + leader, null, index, book.holdings(s.id()));
+                post(() -> w.to().hears(w.id(), r));
+            }
+            return tells || s == null;
+        });
+    }
+
+    /** What stands, for a test that failed. */
+    public String text() {
+        return board.text() + " " + book.image();
+    }
+
+    public void elect() {
+        silence[leader].rest();
+        leader = (leader + 1) % VOTERS;
+        silence[leader].lead(now);
+        board.begin(random.nextLong() >>> 1);
+    }
+
+    public final class Peer {
+        public final Member member;
+        final List<Duty> duties = new ArrayList<>();
+        final Map<Act, Double> running = new HashMap<>();
+        public double standsUntil;
+
+        Peer(String name, long nonce) {
+            member = new Member(name, nonce, TTL, List.of("v0", "v1", "v2"), 0, 20, 300);
+        }
+
+        void hears(long id, Reply r) {
+            if (now < standsUntil) {
+                mail.add(new Mail(standsUntil, () -> hears(id, r))); // it lies in the socket
+            } else {
+                member.heard(id, r, now);
+            }
+        }
+
+        Peer with(Duty d) {
+            duties.add(d);
+            d.begin(member);
+            return this;
+        }
+    }
+}
--- a/gateway/src/main/java/deckfall/Brain.java
+++ b/gateway/src/main/java/deckfall/Brain.java
@@ -390,11 +390,12 @@
         if (exchange != null) exchange.restored(now, epoch);
     }
 
-    @Override public void leaving(double now) {
-        if (exchange != null) exchange.leave(now);
-    }
+    @Override public void leaving(double now) { if (exchange != null) exchange.leave(now); }
 
-    @Override public void probed(double now, String host, Outcome outcome, double took, double[] report) { }
+    @Override public void probed(double now, String host, Outcome outcome, double took, double[] report) {
+        Server s = servers.get(host); // now is when the probe was sent, which may be another gateway's
+        if (s != null) s.health.probed(now, outcome, BAD_ANSWER, FAILED_GAIN, SLOW_FADE_MS);
+    }
 
     @Override public void counted(double now, String counter, Outcome outcome, double total) { }
 
@@ -1107,8 +1108,7 @@
     }
 
     @Override public int avoided(double now) {
-        return (int) servers.values().stream()
-                .filter(s -> s.listed)
+        return (int) servers.values().stream().filter(s -> s.listed)
                 .filter(s -> !s.open() || s.health.slowness(now, SLOW_FADE_MS) >= BAD_ANSWER).count();
     }
 
--- a/gateway/src/main/java/deckfall/State.java
+++ b/gateway/src/main/java/deckfall/State.java
@@ -2,6 +2,7 @@
 
 import deckfall.Gateway.Host;
 import deckfall.Gateway.HostState;
+import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Plan;
 import deckfall.Gateway.Request;
 import deckfall.Gateway.RequestClass;
@@ -249,6 +250,20 @@
             slow = slowness(now, fadeMs) + gain * (Math.min(SLOW_MAX, ratio) - slowness(now, fadeMs));
             at = now;
         }
+
+        /**
+         * Takes in what a probe found, of this gateway or another, unless an answer has told since. A host that can't be
+         * reached is as bad as may be, one that is late as bad as a full one; to be well is worth as much as one answer.
+         */
+        void probed(double sentAt, Outcome outcome, double late, double gain, double fadeMs) {
+            if (sentAt > at) {
+                judge(sentAt, switch (outcome) {
+                    case OK -> 1;
+                    case TIMEOUT, ERROR, FULL, SPOILT -> late;
+                    default -> SLOW_MAX;
+                }, gain, fadeMs);
+            }
+        }
     }
 
     /** A host as this gateway sees it. */
--- a/gateway/src/main/java/deckfall/net/Discovery.java
+++ b/gateway/src/main/java/deckfall/net/Discovery.java
@@ -26,9 +26,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -36,6 +38,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
 /**
  * Asks an agent for the whole list of hosts, then watches it without a break; a silent or broken call is asked anew.
@@ -49,7 +53,8 @@
     static final String LIST = "servers";
     private static final String PATH = "/v1/servers";
     private static final long CONNECT_MS = 1000;
-    private static final int GIVEN_UP = 2; // failures from which a start does not wait for a first word
+    private static final int GIVEN_UP = 2; // failures from which a start does not wait for a first word, and the agent is away
+    private static final long TURN_MS = 12_000; // the longest wait for a turn, whoever gives them
     private static final long REVIEW_MS = 1000; // how often the age of the list is looked at
     private static final int MAX_LIST = 4 << 20;
 
@@ -168,13 +173,93 @@
         if (++failures >= GIVEN_UP || calls.turnedAway) { // a start does not wait in that line
             spoken();
         }
+        if (calls.inTurn) {
+            node.lists().called(agent.toString(), false, null);
+        }
         node.loop.schedule(() -> {
             if (calls == current) {
-                connect();
+                again(calls);
             }
         }, wait, TimeUnit.MILLISECONDS);
     }
 
+    /** Calls an agent anew: where it was away, or its whole list is due, in turn with the other gateways. */
+    private void again(Calls before) {
+        if (first != null || failures < GIVEN_UP && list.version(agent) != HostList.NONE) {
+            connect();
+            return;
+        }
+        InetSocketAddress asked = agent;
+        AtomicBoolean over = new AtomicBoolean(); // the turn is had or given up
+        node.lists().due(asked.toString(), told -> onLoop(() -> {
+            if (!over.getAndSet(true) && before == current) {
+                goOn(before, asked, told);
+            }
+        }));
+        if (!over.get()) {
+            node.loop.schedule(() -> {
+                if (!over.getAndSet(true) && before == current) {
+                    goOn(before, asked, null);
+                }
+            }, TURN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void onLoop(Runnable what) {
+        if (node.loop.inEventLoop()) {
+            what.run();
+        } else {
+            node.loop.execute(what);
+        }
+    }
+
+    /** It is this gateway's turn to call, or a list came that another was told. */
+    private void goOn(Calls before, InetSocketAddress asked, ListTurn.Told told) {
+        if (told != null && !taken(asked, told)) { // as one of an agent that counts anew, for a while
+            node.loop.schedule(() -> {
+                if (before == current) {
+                    again(before);
+                }
+            }, pace.broke(), TimeUnit.MILLISECONDS);
+            return;
+        }
+        if (told != null) {
+            failures = 0;
+            failing = false;
+        }
+        connect();
+        current.inTurn = told == null;
+    }
+
+    /** Takes a list that another gateway was told, as if the agent had told it here. */
+    private boolean taken(InetSocketAddress by, ListTurn.Told told) {
+        try (InputStream in = new ByteArrayInputStream(told.text().getBytes(StandardCharsets.UTF_8))) {
+            return take(by, JsonTree.read(in));
+        } catch (IOException | RuntimeException e) {
+            Node.log("discovery: " + by + " as another gateway was told: " + e.getMessage());
+            return false;
+        }
+    }
+
+    /** Takes a word of an agent, or not. What can't be told on is asked for again, and not lost. */
+    private boolean take(InetSocketAddress by, JsonNode said) {
+        List<Entry> entries = entries(said);
+        long version = said.path("version").asLong(HostList.NONE);
+        HostList.Told told = list.heard(node.clock.now(), by, version, said.path("full").asBoolean(), hosts(entries));
+        if (told.taken() && (told.kind() == ListKind.FULL || !told.hosts().isEmpty())) {
+            if (told.kind() == ListKind.FULL) {
+                Node.log("discovery: " + by + " lists " + told.hosts().size() + " hosts, version " + version);
+            }
+            try {
+                tell(told, entries);
+            } catch (RuntimeException e) { // else what this word changed would never be told again
+                list.lost();
+                throw e;
+            }
+        }
+        return told.taken();
+    }
+
     private void spoken() {
         Runnable ready = first;
         first = null;
@@ -232,6 +317,7 @@
         private boolean over;
         private boolean turnedAway;
         private boolean whole; // the list was asked for, and not what changed
+        private boolean inTurn; // others wait for what comes of the first call
 
         Calls(InetSocketAddress to) {
             this.to = to;
@@ -282,32 +368,23 @@
                 throw new IOException("discovery answered " + response.status());
             }
             JsonNode said;
-            try (InputStream in = new ByteBufInputStream(response.content())) {
+            try (InputStream in = new ByteBufInputStream(response.content().duplicate())) {
                 said = JsonTree.read(in);
             } catch (IOException e) {
                 list.lost(); // what it told is lost, and the whole list holds it too
                 throw e;
             }
-            List<Entry> entries = entries(said);
             long before = list.version(to);
-            long version = said.path("version").asLong(HostList.NONE);
-            HostList.Told told = list.heard(node.clock.now(), to, version, said.path("full").asBoolean(),
-                    hosts(entries));
-            if (!told.taken()) {
-                throw new IOException("a word of version " + version + " where " + before + " is held");
+            boolean taken = take(to, said);
+            if (inTurn) { // whether it is believed here or not yet: the others decide for themselves
+                inTurn = false;
+                boolean full = said.path("full").asBoolean();
+                node.lists().called(to.toString(), true, full ? response.content().toString(StandardCharsets.UTF_8) : null);
             }
-            takenFrom(ctx, HttpUtil.isKeepAlive(response));
-            if (told.kind() == ListKind.FULL || !told.hosts().isEmpty()) {
-                if (told.kind() == ListKind.FULL) {
-                    Node.log("discovery: " + to + " lists " + told.hosts().size() + " hosts, version " + version);
-                }
-                try {
-                    tell(told, entries);
-                } catch (RuntimeException e) { // else what this word changed would never be told again
-                    list.lost();
-                    throw e;
-                }
+            if (!taken) {
+                throw new IOException("a word of version " + said.path("version") + " where " + before + " is held");
             }
+            takenFrom(ctx, HttpUtil.isKeepAlive(response));
             spoken();
         }
 
--- a/gateway/src/main/java/deckfall/net/Extras.java
+++ b/gateway/src/main/java/deckfall/net/Extras.java
@@ -1,6 +1,7 @@
 package deckfall.net;
 
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -8,8 +9,10 @@
  *
  * @param pages on the operators' console, by their paths; each is asked on the console's loop
  * @param usage takes note of what was let in
+ * @param lists says whose turn it is to ask an agent for its list
+ * @param serving is given the gateway once it serves clients
  */
-public record Extras(Map<String, Supplier<String>> pages, Usage usage) {
+public record Extras(Map<String, Supplier<String>> pages, Usage usage, ListTurn lists, Consumer<Inside> serving) {
     /** A gateway that stands alone. */
-    public static final Extras NONE = new Extras(Map.of(), Usage.NONE);
+    public static final Extras NONE = new Extras(Map.of(), Usage.NONE, ListTurn.NONE, inside -> { });
 }
--- a/gateway/src/main/java/deckfall/net/HostClient.java
+++ b/gateway/src/main/java/deckfall/net/HostClient.java
@@ -182,7 +182,12 @@
                 EmptyHttpHeaders.INSTANCE);
     }
 
-    void probe(String host) {
+    /** Takes what came of a probe, with what the host reports of itself. */
+    interface ProbeEnd {
+        void ended(Outcome outcome, double tookMs, double[] report);
+    }
+
+    void probe(String host, ProbeEnd end) {
         List<String> names = node.config.settings().reportNames();
         String path = names.isEmpty() ? "/healthz" : "/load";
         double sentAt = node.clock.now();
@@ -193,7 +198,7 @@
             void ended(Outcome outcome, FullHttpResponse response) {
                 if (!over) {
                     over = true;
-                    node.probed(host, outcome, node.clock.now() - sentAt, response == null ? new double[0]
+                    end.ended(outcome, node.clock.now() - sentAt, response == null ? new double[0]
                             : parse(response.content().toString(StandardCharsets.US_ASCII)));
                 }
             }
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -29,8 +29,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -173,6 +175,7 @@
         }
         node.start(serves, budget);
         log("serves after " + budget.ageMs() + " ms of this process");
+        extras.serving().accept(node.inside());
         if (kept != null) {
             // On a thread of its own: the exit runs the hook that ends what is open, and returns to nobody.
             Runnable end = () -> new Thread(() -> System.exit(0)).start();
@@ -550,10 +553,6 @@
         tell((now, m) -> m.hosts(now, kind, list));
     }
 
-    void probed(String host, Outcome outcome, double took, double[] report) {
-        tell((now, m) -> m.probed(now, host, outcome, took, report));
-    }
-
     void peerSaid(int peer, byte[] data) {
         if (serving) {
             tell((now, m) -> m.peerSaid(now, peer, data));
@@ -631,7 +630,36 @@
 
     @Override
     public void probe(String host) {
-        hosts.probe(host);
+        hosts.probe(host, (outcome, took, report) -> tell((now, m) -> m.probed(now, host, outcome, took, report)));
+    }
+
+    /** This gateway as others that add to it see it. */
+    Inside inside() {
+        return new Inside() {
+            @Override
+            public boolean mayProbe() {
+                return config.settings().limits().probes();
+            }
+
+            @Override
+            public void listed(Consumer<Set<String>> to) {
+                loop.execute(() -> to.accept(discovery.listed()));
+            }
+
+            @Override
+            public void probe(String host, ProbeEnd end) {
+                loop.execute(() -> hosts.probe(host, (outcome, took, report) -> end.ended(outcome, took)));
+            }
+
+            @Override
+            public void evidence(String host, Outcome outcome, double tookMs, double ageMs) {
+                loop.execute(() -> tell((now, m) -> m.probed(now - ageMs, host, outcome, tookMs, new double[0])));
+            }
+        };
+    }
+
+    ListTurn lists() {
+        return extras.lists();
     }
 
     @Override
--- /dev/null
+++ b/gateway/src/test/java/deckfall/ProbeEvidenceTest.java
@@ -0,0 +1,56 @@
+package deckfall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.Gateway.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** What probes found, of this gateway or of another, beside what the gateway knows itself. */
+class ProbeEvidenceTest {
+    private final FakeGateway g = FakeGateway.alone().withHosts("a1", "a2");
+
+    private int sentTo(String host, int requests) {
+        long before = g.sent.stream().filter(s -> s.host().equals(host)).count();
+        for (int i = 0; i < requests; i++) {
+            String id = "r" + g.now + "-" + i;
+            g.ask(id, "read");
+            g.end(id, 0, Outcome.OK, 40);
+            g.pass(60);
+        }
+        return (int) (g.sent.stream().filter(s -> s.host().equals(host)).count() - before);
+    }
+
+    @Test
+    void aHostThatCanNotBeReachedIsAvoidedBeforeARequestIsLostThere() {
+        assertTrue(sentTo("a1", 40) > 8);
+        for (int i = 0; i < 4; i++) {
+            g.brain.probed(g.now, "a1", Outcome.CONNECT_FAILED, 0, new double[0]);
+            g.pass(100);
+        }
+        assertEquals(1, g.brain.avoided(g.now));
+        assertTrue(sentTo("a1", 20) <= 4);
+        for (int i = 0; i < 25; i++) {
+            g.brain.probed(g.now, "a1", Outcome.OK, 5, new double[0]);
+            g.pass(100);
+        }
+        assertEquals(0, g.brain.avoided(g.now));
+        assertTrue(sentTo("a1", 40) > 8);
+    }
+
+    /** The own answer is younger than the finding, however late that comes. */
+    @Test
+    void whatIsOlderThanAnOwnAnswerIsPassedOver() {
+        sentTo("a1", 40);
+        for (int i = 0; i < 10; i++) {
+            g.brain.probed(g.now - 5000, "a1", Outcome.CONNECT_FAILED, 0, new double[0]);
+        }
+        assertEquals(0, g.brain.avoided(g.now));
+    }
+
+    @Test
+    void aHostThatNobodyListsIsNoMatter() {
+        g.brain.probed(g.now, "gone", Outcome.CONNECT_FAILED, 0, new double[0]);
+        assertEquals(0, g.brain.avoided(g.now));
+    }
+}
--- a/storm/src/main/java/marlford/storm/Fault.java
+++ b/storm/src/main/java/marlford/storm/Fault.java
@@ -7,7 +7,8 @@
  *
  * @param at when, in milliseconds since all processes took part
  * @param kind what is done
- * @param who a process's name, or {@code leader} or {@code holder} for whoever is that then; null where it concerns all
+ * @param who a process's name, or {@code leader} or {@code holder} for whoever is that then; a host's name where a host is
+ *        meant; null where it concerns all or discovery
  * @param lasts for how long, in milliseconds
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
@@ -45,6 +46,12 @@
         /** Its disk's sync fails; it starts again after it. */
         FAILING_SYNC,
         /** Its disk's sync hangs. */
-        HANGING_SYNC
+        HANGING_SYNC,
+        /** Its time of day goes back by a minute; its monotonic clock goes on. */
+        STEP_BACK,
+        /** A host, and no gateway: nothing that it is asked is answered. */
+        HANG_HOST,
+        /** Discovery answers nobody; when it is back it counts from anew. */
+        AGENT_AWAY
     }
 }
--- a/storm/src/main/java/marlford/storm/Gateway.java
+++ b/storm/src/main/java/marlford/storm/Gateway.java
@@ -91,6 +91,11 @@
         return at < 0 ? "" : text.substring(at + part.length()).lines().findFirst().orElse("");
     }
 
+    /** What it said last. */
+    String lastLine() throws IOException {
+        return Files.exists(log()) ? Files.readString(log()).lines().reduce("", (before, line) -> line) : "";
+    }
+
     /** Whether all its parts are there. */
     boolean isUp() throws IOException {
         return (role == Role.ALONE || said("fleet: session ")) && (role == Role.AGENT || said("serves after "));
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -5,9 +5,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -21,6 +24,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import marlford.storm.Fault.Kind;
 
@@ -41,6 +45,13 @@
     private static final long START_MS = 30_000; // until all take part
     private static final long END_MS = 5000; // after SIGTERM
     private static final long LOOK_MS = 20;
+    private static final long MINUTE_MS = 60_000;
+    static final int PROBE_MS = 400;
+    private static final long SAID_MS = 20_000;
+    private static final int PORT_FIRST = 10_000;
+    private static final int PORT_PARTS = 110; // up to 32,000, below what Linux gives to clients' connections
+    private static final int PORTS_EACH = 200;
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger();
     private static final int HANDS = 8; // faults that are begun or ended at one moment
 
     /** A fault as it was played, by the machine's monotonic clock in nanoseconds. */
@@ -61,6 +72,7 @@
     private final Hosts hosts; // null where no clients are served
     private final Map<String, Integer> ports = new HashMap<>(); // of voters
     private final List<Integer> clientPorts = new ArrayList<>();
+    private final Map<String, Integer> consoles = new HashMap<>();
     private final Resource resource = new Resource();
     private final ScheduledThreadPoolExecutor hands = new ScheduledThreadPoolExecutor(HANDS);
     private long zero;
@@ -90,8 +102,9 @@
             gateways.put(name, new Gateway(name, role, own, classPath, all));
             if (hosts != null) {
                 clientPorts.add(freePort());
+                consoles.put(name, freePort());
                 Files.writeString(own.resolve("node.json"), hosts.settings(name, names.indexOf(name), count,
-                        clientPorts.get(clientPorts.size() - 1), freePort()));
+                        clientPorts.get(clientPorts.size() - 1), consoles.get(name)));
             }
             toResource.put(name, new LinkProxy(resource.address()));
             Map<String, LinkProxy> to = new HashMap<>();
@@ -115,10 +128,21 @@
                 : Files.createTempDirectory("marlford-storm");
     }
 
+    /**
+     * A port that nobody listens at, of those that the system gives to no client's connection, and of a part of them that other
+     * rigs at the same time don't use: a process that is killed finds its port free when it starts again.
+     */
     private static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
+        int first = PORT_FIRST + (int) (ProcessHandle.current().pid() % PORT_PARTS) * PORTS_EACH;
+        for (int i = 0; i < PORTS_EACH; i++) {
+            int port = first + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS_EACH);
+            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            } catch (IOException e) {
+                // somebody has it
+            }
         }
+        throw new IOException("no port is free from " + first + " on");
     }
 
     static int voters(int gateways) {
@@ -137,6 +161,8 @@
         root.putObject("session").put("ttl_ms", ttlMs).put("stall_ms", ttlMs / 3.0)
                 .put("drift_ppm", drift * MILLION);
         if (role == Gateway.Role.SERVES) {
+            root.putObject("probes").put("every_ms", PROBE_MS);
+            root.put("lists", true);
             root.putObject("export").put("file", folder.resolve("usage").toString()).put("interval_ms", EXPORT_MS);
         }
         ArrayNode tasks = root.putArray("tasks");
@@ -170,6 +196,7 @@
         for (String name : names) {
             while (!gateways.get(name).isUp()) {
                 if (System.nanoTime() > end || !gateways.get(name).isAlive()) {
+                    System.err.println("storm: " + name + " is not up: " + gateways.get(name).lastLine());
                     return false;
                 }
                 Thread.sleep(LOOK_MS);
@@ -206,7 +233,36 @@
         return false;
     }
 
-    private long sinceMs() {
+    /** Does something, and waits until each process has said this since; false where one does not within 20 s. */
+    boolean awaitSaid(String part, Runnable what) throws IOException, InterruptedException {
+        Map<Gateway, Integer> from = new HashMap<>();
+        for (Gateway g : gateways.values()) {
+            from.put(g, Files.readString(g.log()).length());
+        }
+        what.run();
+        return awaitSaid(part, from);
+    }
+
+    /** The same, where each may have said it already. */
+    boolean awaitSaid(String part) throws IOException, InterruptedException {
+        return awaitSaid(part, Map.of());
+    }
+
+    private boolean awaitSaid(String part, Map<Gateway, Integer> from) throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SAID_MS);
+        for (Gateway g : gateways.values()) {
+            while (Files.readString(g.log()).indexOf(part, from.getOrDefault(g, 0)) < 0) {
+                if (System.nanoTime() > end) {
+                    return false;
+                }
+                Thread.sleep(LOOK_MS);
+            }
+        }
+        return true;
+    }
+
+    /** Milliseconds since all took part. */
+    long sinceMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - zero);
     }
 
@@ -259,6 +315,11 @@
             }
             return null;
         }
+        if (f.kind() == Kind.AGENT_AWAY || f.kind() == Kind.HANG_HOST) {
+            outside(f, true);
+            hands.schedule(() -> guarded(() -> outside(f, false)), f.lasts(), TimeUnit.MILLISECONDS);
+            return null;
+        }
         String who = f.who().equals("leader") ? leader() : f.who().equals("holder") ? resource.holder() : f.who();
         Gateway g = gateways.get(who);
         if (g == null) {
@@ -274,6 +335,15 @@
         return null;
     }
 
+    private Void outside(Fault f, boolean begins) {
+        if (f.kind() == Kind.AGENT_AWAY) {
+            hosts.away(begins);
+        } else {
+            hosts.hang(f.who(), begins);
+        }
+        return null;
+    }
+
     private void play(Fault f, Gateway g) throws IOException, InterruptedException {
         switch (f.kind()) {
             case KILL -> {
@@ -348,6 +418,13 @@
                     return null;
                 });
             }
+            case STEP_BACK -> {
+                Path order = Files.writeString(g.disk().resolveSibling("clock"), Long.toString(-MINUTE_MS));
+                after(f, g, () -> {
+                    Files.deleteIfExists(order);
+                    return null;
+                });
+            }
             default -> throw new IllegalArgumentException("can't play " + f.kind());
         }
     }
@@ -433,6 +510,13 @@
         return at;
     }
 
+    /** What a process's console says on this page. */
+    String page(String name, String path) throws IOException {
+        try (InputStream in = new URL("http://127.0.0.1:" + consoles.get(name) + path).openStream()) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
     /** Where clients are served. */
     List<Integer> clientPorts() {
         return clientPorts;
--- a/storm/src/test/java/marlford/storm/StormTest.java
+++ b/storm/src/test/java/marlford/storm/StormTest.java
@@ -69,6 +69,46 @@
         play(schedule("holder-stopped-in-its-act"), 3, 0.02);
     }
 
+    /** Who acts is asked of no clock that can be set; a tick that was claimed is claimed by nobody again. */
+    @Test
+    void aClockThatStepsBackAMinuteChangesNothing() throws Exception {
+        Main.Run run = play(new Schedule(List.of(new Fault(800, Fault.Kind.STEP_BACK, "holder", 3000),
+                new Fault(1200, Fault.Kind.STEP_BACK, "leader", 3000))), 3, 0);
+        assertEquals(0, run.verdict().gapsMs().size());
+    }
+
+    /** Every host is probed at one gateway's pace, however many there are, and each learns what the one finds. */
+    @Test
+    void oneGatewayProbesAHostForAll() throws Exception {
+        try (Rig rig = new Rig(4, Gateway.Role.SERVES, TTL_MS, 0, System.getProperty("java.class.path"), List.of())) {
+            assertTrue(rig.start());
+            assertTrue(rig.awaitSaid("fleet: host h2 is LATE", () -> rig.hosts().hang("h2", true)));
+            assertTrue(rig.awaitSaid("fleet: host h2 is WELL", () -> rig.hosts().hang("h2", false)));
+            int before = rig.hosts().probes("h4");
+            long from = System.nanoTime();
+            rig.play(new Schedule(List.of(new Fault(0, Fault.Kind.KILL, "g3", 500))), rig.sinceMs() + 10L * Rig.PROBE_MS);
+            double rounds = (System.nanoTime() - from) / 1e6 / Rig.PROBE_MS;
+            int probes = rig.hosts().probes("h4") - before;
+            // A killed holder's shards pass on, which begins one more round: far from one prober for each of four.
+            assertTrue(probes >= 1 && probes <= rounds + 3, probes + " probes in " + rounds + " rounds");
+            System.out.println("storm: a host was probed " + probes + " times in " + rounds + " rounds by 4 gateways");
+        }
+    }
+
+    /** One gateway calls an agent that was away for its whole list, and the others have it from there. */
+    @Test
+    void oneGatewayCallsForAListThatWasAway() throws Exception {
+        try (Rig rig = new Rig(6, Gateway.Role.SERVES, TTL_MS, 0, System.getProperty("java.class.path"), List.of())) {
+            assertTrue(rig.start());
+            rig.play(new Schedule(List.of(new Fault(0, Fault.Kind.AGENT_AWAY, null, 2500))), rig.sinceMs() + 2600);
+            String back = " lists 6 hosts, version " + rig.hosts().version();
+            assertTrue(rig.awaitSaid(back));
+            System.out.println("storm: 6 gateways have the list again, whole lists told: " + rig.hosts().wholes() + ", calls: "
+                    + rig.hosts().calls());
+            assertTrue(rig.hosts().wholes() < 6, rig.hosts().wholes() + " whole lists for 6 gateways");
+        }
+    }
+
     @Test
     void twoProcessesOfOneNameAreNeverTwoMembers() throws Exception {
         try (Rig rig = new Rig(4, Gateway.Role.AGENT, TTL_MS, 0, System.getProperty("java.class.path"), List.of())) {
@@ -117,7 +157,8 @@
     @Test
     void whatIsExportedIsWhatWasLetIn() throws Exception {
         Schedule kills = new Schedule(List.of(new Fault(1500, Fault.Kind.KILL, "g1", 500),
-                new Fault(3000, Fault.Kind.STOP, "g2", 1500), new Fault(3500, Fault.Kind.KILL, "leader", 500)));
+                new Fault(2500, Fault.Kind.STEP_BACK, "g0", 1500), new Fault(3000, Fault.Kind.STOP, "g2", 1500),
+                new Fault(3500, Fault.Kind.KILL, "leader", 500)));
         Main.Run run = Main.run(kills, new Main.Setup(3, Gateway.Role.SERVES, TTL_MS, 0, 60, List.of()), 6000, null);
         assertNotNull(run);
         assertEquals(List.of(), run.usage().broken());
