Versions beside each other: new kinds of lines wait for the last voter that knows them

Now a voter says in its greeting which level of lines it knows, the leader proposes a kind only once all voters of the group know it (NOT_YET until then), and what is agreed and kept is read strictly: a voter that meets a newer line goes out and says so, its gateway serves on, the others go on by their majority.

--- a/fleet/src/main/java/marlford/agree/Codec.java
+++ b/fleet/src/main/java/marlford/agree/Codec.java
@@ -35,7 +35,10 @@
 import marlford.lease.Book;
 import marlford.lease.Command;
 
-/** Everything that goes over a wire or to a disk, as CBOR. Fields that a reader does not know are passed over. */
+/**
+ * Everything that goes over a wire or to a disk, as CBOR. In what is said, fields that a reader does not know are passed over;
+ * in what is agreed and kept they are an error, since whoever passed one over would have another book than the others.
+ */
 final class Codec {
     static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
     private static final ObjectMapper MAPPER = new CBORMapper()
@@ -44,6 +47,8 @@
             .setVisibility(CBORMapper.builder().build().getVisibilityChecker()
                     .withIsGetterVisibility(JsonAutoDetect.Visibility.NONE));
 
+    private static final ObjectMapper STRICT = MAPPER.copy().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true);
+
     private Codec() { }
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "do")
@@ -132,6 +137,11 @@
         return MAPPER.writeValueAsBytes(value);
     }
 
+    /** Reads what is agreed. */
+    static <T> T agreed(byte[] bytes, Class<T> kind) throws IOException {
+        return STRICT.readValue(bytes, kind);
+    }
+
     static <T> T read(byte[] bytes, Class<T> kind) throws IOException {
         return MAPPER.readValue(bytes, kind);
     }
--- a/fleet/src/main/java/marlford/agree/SegmentStore.java
+++ b/fleet/src/main/java/marlford/agree/SegmentStore.java
@@ -94,22 +94,22 @@
     private void take(byte kind, byte[] body) {
         try {
             switch (kind) {
-                case IDENTITY -> identity = Codec.read(body, Identity.class);
-                case LIFE -> life = Codec.read(body, Number.class).value();
-                case ENDPOINT -> endpoint = Codec.read(body, Endpoint.class);
-                case INITIAL -> initial = Codec.read(body, Codec.Group.class);
-                case TERM -> vote = Codec.read(body, Vote.class);
+                case IDENTITY -> identity = Codec.agreed(body, Identity.class);
+                case LIFE -> life = Codec.agreed(body, Number.class).value();
+                case ENDPOINT -> endpoint = Codec.agreed(body, Endpoint.class);
+                case INITIAL -> initial = Codec.agreed(body, Codec.Group.class);
+                case TERM -> vote = Codec.agreed(body, Vote.class);
                 case LINE -> {
-                    long index = Codec.read(body, Codec.Line.class).index();
+                    long index = Codec.agreed(body, Codec.Line.class).index();
                     lines.put(index, body);
                 }
                 case PIECE -> {
-                    Codec.Piece p = Codec.read(body, Codec.Piece.class);
+                    Codec.Piece p = Codec.agreed(body, Codec.Piece.class);
                     pieces.computeIfAbsent(p.index(), i -> new TreeMap<>()).put(p.at(), body);
                 }
-                case CUT_FROM -> lines.tailMap(Codec.read(body, Number.class).value(), true).clear();
-                case CUT_UNTIL -> lines.headMap(Codec.read(body, Number.class).value(), true).clear();
-                case DROP_PIECES -> pieces.remove(Codec.read(body, Number.class).value());
+                case CUT_FROM -> lines.tailMap(Codec.agreed(body, Number.class).value(), true).clear();
+                case CUT_UNTIL -> lines.headMap(Codec.agreed(body, Number.class).value(), true).clear();
+                case DROP_PIECES -> pieces.remove(Codec.agreed(body, Number.class).value());
                 default -> throw new IllegalArgumentException("a record of kind " + kind);
             }
         } catch (IOException e) {
@@ -179,7 +179,7 @@
         for (var entry : pieces.descendingMap().entrySet()) {
             List<SnapshotChunk> chunks = new ArrayList<>();
             for (byte[] p : entry.getValue().values()) {
-                chunks.add(Codec.read(p, Codec.Piece.class).chunk());
+                chunks.add(Codec.agreed(p, Codec.Piece.class).chunk());
             }
             SnapshotChunk first = chunks.get(0);
             if (chunks.size() == first.getSnapshotChunkCount()) {
@@ -190,7 +190,7 @@
         }
         List<LogEntry> entries = new ArrayList<>();
         for (byte[] l : lines.tailMap(snapshot == null ? 0 : snapshot.getIndex(), false).values()) {
-            entries.add(Codec.read(l, Codec.Line.class).entry());
+            entries.add(Codec.agreed(l, Codec.Line.class).entry());
         }
         Point voted = vote.point() == null ? null : new Point(vote.point());
         return new RestoredRaftState(
--- a/fleet/src/main/java/marlford/agree/Voter.java
+++ b/fleet/src/main/java/marlford/agree/Voter.java
@@ -1,5 +1,7 @@
 package marlford.agree;
 
+import com.fasterxml.jackson.databind.exc.InvalidTypeIdException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import io.microraft.MembershipChangeMode;
 import io.microraft.Ordered;
 import io.microraft.QueryPolicy;
@@ -44,6 +46,7 @@
 import marlford.lease.Silence;
 import marlford.voters.Founding;
 import marlford.voters.Hello;
+import marlford.voters.Levels;
 import marlford.voters.Replacement;
 
 /**
@@ -83,6 +86,7 @@
     private final Consumer<String> log;
     private final Map<String, Link> links = new LinkedHashMap<>();
     private final Silence silence = new Silence(STALL_MS);
+    private final Levels levels = new Levels();
     private final Replacement replacement = new Replacement(GONE_MS);
     private final Board board = new Board();
     private final List<Watch> watches = new ArrayList<>();
@@ -235,7 +239,7 @@
                     engine.execute(guarded(() -> heard(h)));
                 }
                 case Wire.MAIL -> {
-                    RaftMessage m = Codec.message(Codec.read(body, Codec.Mail.class), GROUP);
+                    RaftMessage m = Codec.message(Codec.agreed(body, Codec.Mail.class), GROUP);
                     engine.execute(guarded(() -> {
                         if (node != null && out == null && !replacement.isOlderCopy(((Point) m.getSender()).id())) {
                             node.handle(m);
@@ -248,8 +252,13 @@
                 }
                 default -> from.close();
             }
+        } catch (UnrecognizedPropertyException | InvalidTypeIdException e) {
+            from.close();
+            if (kind == Wire.MAIL) { // passed over, this voter's book would not be the others' any more
+                engine.execute(guarded(() -> goOut("the log has what only a newer version knows: " + e.getOriginalMessage())));
+            }
         } catch (IOException | RuntimeException e) {
-            from.close(); // noise, or a version that can't be read
+            from.close(); // noise
         }
     }
 
@@ -268,6 +277,7 @@
         }
         founding.heard(h);
         replacement.heard(h, time.ms());
+        levels.heard(h);
     }
 
     @Override
@@ -431,7 +441,16 @@
         } else if (!book.isBegun()) {
             to.accept(Reply.no(Reply.Status.BUSY, leader()));
         } else {
-            comes(node.replicate(((Ask.Submit) ask).line()), to);
+            submit(((Ask.Submit) ask).line(), to);
+        }
+    }
+
+    private void submit(Command line, Consumer<Reply> to) {
+        boolean known = line.level() <= levels.common(Codec.ids(node.getCommittedMembers().getVotingMembers()), self.id());
+        if (silence.leads() && !known) {
+            to.accept(new Reply(Reply.Status.OK, leader(), new Answer(Answer.Kind.NOT_YET, 0), book.index(), null));
+        } else {
+            comes(node.replicate(line), to);
         }
     }
 
--- a/fleet/src/main/java/marlford/lease/Answer.java
+++ b/fleet/src/main/java/marlford/lease/Answer.java
@@ -26,7 +26,9 @@
         /** A bound of the book is reached; nothing was changed. */
         FULL,
         /** A name or number that can't be. */
-        MALFORMED
+        MALFORMED,
+        /** Some voter runs a version that does not know this kind of line yet. */
+        NOT_YET
     }
 
     static final Answer DONE = new Answer(Kind.DONE, 0);
--- a/fleet/src/main/java/marlford/lease/Command.java
+++ b/fleet/src/main/java/marlford/lease/Command.java
@@ -5,6 +5,11 @@
  * its answer was lost and it was asked again, changes nothing the second time.
  */
 public sealed interface Command {
+    /** The version that this kind of line came with; it is agreed only where all voters know it. */
+    default int level() {
+        return 1;
+    }
+
     /** The longest name of a member, lease, pool or task, in characters. */
     int NAME_MAX = 128;
 
--- a/fleet/src/main/java/marlford/voters/Hello.java
+++ b/fleet/src/main/java/marlford/voters/Hello.java
@@ -11,8 +11,14 @@
  * @param life how often it was started on that disk
  * @param initial the points that its group began with; null while it is in none
  * @param seen the greatest life that it saw of each point, by which a disk that is an older copy finds itself out
+ * @param level which kinds of lines it knows ({@link Levels}); 0 from a version that does not say
  */
-public record Hello(String fleet, String point, long life, List<String> initial, Map<String, Long> seen) {
+public record Hello(String fleet, String point, long life, List<String> initial, Map<String, Long> seen, int level) {
+    /** Of this version. */
+    public Hello(String fleet, String point, long life, List<String> initial, Map<String, Long> seen) {
+        this(fleet, point, life, initial, seen, Levels.OWN);
+    }
+
     /** The name in a point. */
     public static String name(String point) {
         return point.substring(0, Math.max(0, point.lastIndexOf(':')));
--- a/storm/src/main/java/marlford/storm/Gateway.java
+++ b/storm/src/main/java/marlford/storm/Gateway.java
@@ -25,7 +25,7 @@
     final String name;
     private final Role role;
     private final Path folder;
-    private final String classPath;
+    private String classPath;
     private final List<String> options;
     private Process process;
     private volatile boolean stopped;
@@ -39,6 +39,11 @@
         this.options = options;
     }
 
+    /** Runs another version from its next start on. */
+    void runs(String otherClassPath) {
+        classPath = otherClassPath;
+    }
+
     Path log() {
         return folder.resolve("log");
     }
--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -173,7 +173,7 @@
         }
         List<Load.Sent> sent = load == null ? List.of() : load.stop();
         UsageJudge.Found usage = load == null ? null : UsageJudge.judge(rig, sent, BACK_MS);
-        boolean back = rig.awaitAct(BACK_MS);
+        boolean back = rig.awaitAct(Rig.ONE);
         Judge.Verdict v = new Judge(rig.notes(), rig.played(), rig.takesMs()).judge(rig.zero(), System.nanoTime());
         return new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back, sent,
                 usage, history.size(), Linear.holds(history));
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -220,12 +220,12 @@
         Thread.sleep(Math.max(0, ms - sinceMs())); // what ends later does so while others look
     }
 
-    /** Heals nothing further, and waits until the single task is acted on anew; false where it is not within the time. */
-    boolean awaitAct(long patienceMs) throws InterruptedException {
+    /** Heals nothing further, and waits until a task is acted on anew; false where it is not within 20 s. */
+    boolean awaitAct(String task) throws InterruptedException {
         long from = System.nanoTime();
-        long end = from + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+        long end = from + TimeUnit.MILLISECONDS.toNanos(SAID_MS);
         while (System.nanoTime() < end) {
-            if (resource.notes().stream().anyMatch(n -> n.taken() && n.task().equals(ONE) && n.begin() > from)) {
+            if (resource.notes().stream().anyMatch(n -> n.taken() && n.task().equals(task) && n.begin() > from)) {
                 return true;
             }
             Thread.sleep(LOOK_MS);
@@ -240,17 +240,23 @@
             from.put(g, Files.readString(g.log()).length());
         }
         what.run();
-        return awaitSaid(part, from);
+        return awaitSaid(part, from, gateways.values());
     }
 
     /** The same, where each may have said it already. */
     boolean awaitSaid(String part) throws IOException, InterruptedException {
-        return awaitSaid(part, Map.of());
+        return awaitSaid(part, Map.of(), gateways.values());
     }
 
-    private boolean awaitSaid(String part, Map<Gateway, Integer> from) throws IOException, InterruptedException {
+    /** The same of one. */
+    boolean awaitSaid(String name, String part) throws IOException, InterruptedException {
+        return awaitSaid(part, Map.of(), List.of(gateways.get(name)));
+    }
+
+    private boolean awaitSaid(String part, Map<Gateway, Integer> from, Collection<Gateway> all)
+            throws IOException, InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SAID_MS);
-        for (Gateway g : gateways.values()) {
+        for (Gateway g : all) {
             while (Files.readString(g.log()).indexOf(part, from.getOrDefault(g, 0)) < 0) {
                 if (System.nanoTime() > end) {
                     return false;
--- a/storm/src/test/java/marlford/storm/PlantedTest.java
+++ b/storm/src/test/java/marlford/storm/PlantedTest.java
@@ -3,18 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.File;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import javax.tools.ToolProvider;
+import java.util.Map;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** A test of the rig: what is planted in the program is found by its judge. */
 class PlantedTest {
-    private static final Path SOURCES = Path.of("..", "fleet", "src", "main", "java");
     private static final long TTL_MS = 1000;
     private static final long MS = 9000;
 
@@ -50,18 +47,9 @@
     @ParameterizedTest
     @EnumSource
     void aPlantedFaultIsFound(Planted p, @TempDir Path dir) throws Exception {
-        String source = Files.readString(SOURCES.resolve(p.file));
-        assertTrue(source.contains(p.right), "the place of " + p + " has moved");
-        Path changed = dir.resolve("source").resolve(p.file);
-        Files.createDirectories(changed.getParent());
-        Files.writeString(changed, source.replace(p.right, p.wrong));
-        Path classes = Files.createDirectories(dir.resolve("classes"));
-        String path = System.getProperty("java.class.path");
-        int compiled = ToolProvider.getSystemJavaCompiler().run(null, null, null, "-nowarn", "-proc:none", "-d",
-                classes.toString(), "-cp", path, changed.toString());
-        assertTrue(compiled == 0);
+        String program = Changed.program(dir, Map.of(p.file, List.of(p.right, p.wrong)));
         Main.Run run = Main.run(new Schedule(p.faults), new Main.Setup(3, Gateway.Role.AGENT, TTL_MS, 0, 0, List.of()), MS,
-                null, classes + File.pathSeparator + path);
+                null, program);
         assertNotNull(run);
         List<String> found = run.verdict().broken().isEmpty() ? run.verdict().unexplained() : run.verdict().broken();
         assertTrue(!found.isEmpty(), p + " was not found in " + run.verdict());
