--- a/fleet/src/main/java/marlford/agree/Codec.java
+++ b/fleet/src/main/java/marlford/agree/Codec.java
@@ -1,6 +1,7 @@
 package marlford.agree;
 
 import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonSubTypes.Type;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
@@ -31,9 +32,11 @@
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
+import marlford.lease.Answer;
 import marlford.lease.Ask;
 import marlford.lease.Book;
 import marlford.lease.Command;
+import marlford.lease.Reply;
 
 /**
  * Everything that goes over a wire or to a disk, as CBOR. In what is said, fields that a reader does not know are passed over;
@@ -44,6 +47,8 @@
     private static final ObjectMapper MAPPER = new CBORMapper()
             .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
             .addMixIn(Command.class, Commands.class).addMixIn(Ask.class, Asks.class)
+            .addMixIn(marlford.work.Line.class, Works.class).addMixIn(Book.Image.class, Sparse.class)
+            .addMixIn(Answer.class, Sparse.class).addMixIn(Reply.class, Sparse.class).addMixIn(Ask.Renew.class, Sparse.class)
             .setVisibility(CBORMapper.builder().build().getVisibilityChecker()
                     .withIsGetterVisibility(JsonAutoDetect.Visibility.NONE));
 
@@ -56,14 +61,24 @@
         @Type(value = Command.Acquire.class, name = "acquire"), @Type(value = Command.Release.class, name = "release"),
         @Type(value = Command.Join.class, name = "join"), @Type(value = Command.Leave.class, name = "leave"),
         @Type(value = Command.GiveUp.class, name = "giveUp"), @Type(value = Command.Tick.class, name = "tick"),
-        @Type(value = Command.Floor.class, name = "floor")})
+        @Type(value = Command.Floor.class, name = "floor"), @Type(value = Command.Work.class, name = "work")})
     private interface Commands { }
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "ask")
     @JsonSubTypes({@Type(value = Ask.Submit.class, name = "submit"), @Type(value = Ask.Renew.class, name = "renew"),
-        @Type(value = Ask.Watch.class, name = "watch")})
+        @Type(value = Ask.Watch.class, name = "watch"), @Type(value = Ask.Look.class, name = "look")})
     private interface Asks { }
 
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "work")
+    @JsonSubTypes({@Type(value = marlford.work.Line.Enter.class, name = "enter"), @Type(value = marlford.work.Line.Move.class, name = "move"),
+        @Type(value = marlford.work.Line.End.class, name = "end"), @Type(value = marlford.work.Line.Withdraw.class, name = "withdraw"),
+        @Type(value = marlford.work.Line.Take.class, name = "take"), @Type(value = marlford.work.Line.Forget.class, name = "forget")})
+    private interface Works { }
+
+    /** What is not there is left out: it takes no room, and older versions need not know of it. */
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    private interface Sparse { }
+
     /** The members of a group as a line of the log has them. */
     record Group(long index, List<String> all, List<String> voting) {
         static Group of(RaftGroupMembersView v) {
--- a/fleet/src/main/java/marlford/agree/Voter.java
+++ b/fleet/src/main/java/marlford/agree/Voter.java
@@ -318,6 +318,9 @@
             follow();
             return silence.heard(r.session(), time.ms()) ? Answer.goesOn(s) : null;
         }
+        if (operation instanceof Ask.Look l) {
+            return book.look(l.key(), l.digest());
+        }
         return null; // a term begins
     }
 
@@ -441,6 +444,8 @@
             Notice news = r.telling() == null || !silence.leads() ? null
                     : board.hear(r.session(), r.telling(), token -> book.holds(r.session(), token), time.ms());
             comes(node.query(r, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), reply -> to.accept(reply.with(news)));
+        } else if (ask instanceof Ask.Look l) {
+            comes(node.query(l, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), to);
         } else if (!book.isBegun()) {
             to.accept(Reply.no(Reply.Status.BUSY, leader()));
         } else {
@@ -530,6 +535,7 @@
         if (silence.leads()) {
             s.append(board.text()).append('\n');
         }
+        s.append(book.workText());
         image.ticks().forEach((task, tick) -> s.append("task=").append(task).append(" tick=").append(tick).append('\n'));
         return s.toString();
     }
--- a/fleet/src/main/java/marlford/lease/Answer.java
+++ b/fleet/src/main/java/marlford/lease/Answer.java
@@ -1,12 +1,20 @@
 package marlford.lease;
 
+import marlford.work.Said;
+
 /**
  * What came of a {@link Command}.
  *
  * @param value for {@code GRANTED} the token or the session, for {@code WAITING} how many stand before, of a renewal the
  *        index at which what the session has last changed
+ * @param work what came of a line of work; null for others
  */
-public record Answer(Kind kind, long value) {
+public record Answer(Kind kind, long value, Said work) {
+    /** Of a line that is none of work. */
+    public Answer(Kind kind, long value) {
+        this(kind, value, null);
+    }
+
     /** What came of it. */
     public enum Kind {
         /** It is the asker's; the value is the token, or of {@link Command.Open} the session. */
--- a/fleet/src/main/java/marlford/lease/Ask.java
+++ b/fleet/src/main/java/marlford/lease/Ask.java
@@ -18,6 +18,9 @@
         }
     }
 
+    /** What the register of work has of an order, as it stands; only the leader answers. */
+    record Look(String key, String digest) implements Ask { }
+
     /** What a session has, once that is of a later index than this one; any voter answers. */
     record Watch(long session, long since) implements Ask { }
 }
--- a/fleet/src/main/java/marlford/lease/Book.java
+++ b/fleet/src/main/java/marlford/lease/Book.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import marlford.work.Register;
 
 /**
  * The state machine of sessions and leases on the agreed log. It knows no time: that a session's time is up is a line
@@ -47,9 +48,9 @@
     /** A pool: the sessions that take part, and of each shard owner, token and the one it is to pass to (0: nobody). */
     public record Pool(String name, List<Long> members, List<Long> owners, List<Long> tokens, List<Long> next) { }
 
-    /** The whole book, to be kept and begun from. */
+    /** The whole book, to be kept and begun from; {@code work} is null where there never was any. */
     public record Image(long index, long minted, List<Session> sessions, List<Lease> leases, List<Pool> pools,
-            Map<String, Long> ticks) { }
+            Map<String, Long> ticks, Register.Image work) { }
 
     private final Map<Long, Session> sessions = new TreeMap<>();
     private final Map<String, Long> byMember = new TreeMap<>();
@@ -57,6 +58,7 @@
     private final Map<Long, Set<String>> held = new HashMap<>(); // the leases of each session
     private final Map<String, Shards> pools = new TreeMap<>();
     private final Map<String, Long> ticks = new TreeMap<>();
+    private Register work; // null until there is any
     private long index; // of the last line that was applied
     private long minted; // the last token, also the last session
 
@@ -84,6 +86,7 @@
             book.pools.put(p.name(), Shards.of(p));
         }
         book.ticks.putAll(image.ticks());
+        book.work = image.work() == null ? null : Register.of(image.work());
         return book;
     }
 
@@ -93,7 +96,8 @@
         leases.forEach((name, l) -> lines.add(new Lease(name, l.limit, new LinkedHashMap<>(l.holders), List.copyOf(l.queue))));
         List<Pool> all = new ArrayList<>();
         pools.forEach((name, p) -> all.add(p.image(name)));
-        return new Image(index, minted, List.copyOf(sessions.values()), lines, all, new TreeMap<>(ticks));
+        return new Image(index, minted, List.copyOf(sessions.values()), lines, all, new TreeMap<>(ticks),
+                work == null ? null : work.image());
     }
 
     /** Whether tokens have begun: a fleet's book is of no use before its first line, which says from where. */
@@ -162,10 +166,34 @@
             minted = Math.max(minted, f.token());
             return Answer.DONE;
         }
+        if (c instanceof Command.Work w) {
+            return work(at, w);
+        }
         Command.Tick t = (Command.Tick) c;
         return lives(t.session(), t.task(), () -> tick(t));
     }
 
+    /** What there is of an order. */
+    public Answer look(String key, String digest) {
+        return new Answer(Answer.Kind.DONE, 0, (work == null ? new Register() : work).look(key, digest));
+    }
+
+    /** The register of work for operators; empty where there never was any. */
+    public String workText() {
+        return work == null ? "" : work.text() + '\n';
+    }
+
+    private Answer work(long at, Command.Work w) {
+        if (!sessions.containsKey(w.session())) {
+            return Answer.GONE;
+        }
+        if (work == null) {
+            work = new Register();
+        }
+        return new Answer(Answer.Kind.DONE, 0, work.apply(at, w.session(), w.line(),
+                (session, shard, token) -> holds(session, token), () -> ++minted));
+    }
+
     private interface Step {
         Answer take();
     }
@@ -211,6 +239,9 @@
             next(name, l);
         }
         held.remove(id);
+        if (work != null) {
+            work.ended(id);
+        }
         for (String name : List.copyOf(pools.keySet())) {
             leave(id, name);
         }
--- a/fleet/src/main/java/marlford/lease/Command.java
+++ b/fleet/src/main/java/marlford/lease/Command.java
@@ -1,5 +1,7 @@
 package marlford.lease;
 
+import marlford.work.Line;
+
 /**
  * A line of the agreed log. Every voter applies the same lines in the same order, and a line that is there twice, since
  * its answer was lost and it was asked again, changes nothing the second time.
@@ -51,6 +53,17 @@
     /** Claims a tick of a periodic task, which runs at most once; ticks before the last one claimed are over. */
     record Tick(long session, String task, long tick) implements Command { }
 
+    /** A line of the register of work. */
+    record Work(long session, Line line) implements Command {
+        /** Work came with the second version. */
+        private static final int SECOND = 2;
+
+        @Override
+        public int level() {
+            return SECOND;
+        }
+    }
+
     /** The first line of a fleet: tokens begin above this one. */
     record Floor(long token) implements Command { }
 }
--- a/fleet/src/main/java/marlford/voters/Levels.java
+++ b/fleet/src/main/java/marlford/voters/Levels.java
@@ -11,7 +11,7 @@
  */
 public final class Levels {
     /** Of this version. */
-    public static final int OWN = 1;
+    public static final int OWN = 2;
 
     private static final int POINTS_MAX = 1000;
 
--- /dev/null
+++ b/fleet/src/main/java/marlford/work/Register.java
@@ -0,0 +1,298 @@
+package marlford.work;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+/**
+ * The register of work as the log has it. Each order has at most one entry, each entry at most one owner, and one end; what is
+ * done under a token that is not the entry's changes nothing. It knows no time: that an owner is gone is the end of its session,
+ * and how old an entry is its reader finds out ({@link Ages}).
+ *
+ * <p>Bounds: {@value #OPEN_MAX} open entries, {@value #KEPT_MAX} ends, {@value #CHARS_MAX} characters of messages and answers in
+ * all. A new order beyond them is {@link Said.Kind#FULL}; an end is always taken, without its answer's body where there is no
+ * room, and where there are too many ends the oldest is forgotten: nothing that is open ever is. Not thread-safe.
+ */
+public final class Register {
+    /** Pieces of the work, each seen to by one member. */
+    public static final int SHARDS = 64;
+    static final int OPEN_MAX = 100_000;
+    static final int KEPT_MAX = 100_000;
+    static final long CHARS_MAX = 256L << 20;
+
+    /** An order's end, and where in the log it was agreed. */
+    public record Ended(String key, String digest, Outcome outcome, long at) { }
+
+    /** The whole register, to be kept and begun from. */
+    public record Image(List<Entry> open, List<Ended> ended) { }
+
+    /** Whether a session has a shard of the pool of work under a token, where the line stands. */
+    public interface Shards {
+        boolean has(long session, int shard, long token);
+    }
+
+    private final Map<String, Entry> open = new LinkedHashMap<>();
+    private final Map<String, Ended> ended = new LinkedHashMap<>(); // in the order of their ends
+    private final Map<Long, Set<String>> owned = new TreeMap<>(); // keys by session
+    private final Map<Integer, Set<String>> orphans = new TreeMap<>(); // keys by shard
+    private long chars;
+    private long takenOver;
+    private long unknown;
+
+    /** Begins where another register was. */
+    public static Register of(Image image) {
+        Register r = new Register();
+        image.open().forEach(e -> {
+            r.put(e);
+            r.chars += e.order().message().length();
+        });
+        image.ended().forEach(e -> {
+            r.ended.put(e.key(), e);
+            r.chars += e.outcome().said().length();
+        });
+        return r;
+    }
+
+    /** The whole register; two voters that applied the same lines have equal ones. */
+    public Image image() {
+        return new Image(List.copyOf(open.values()), List.copyOf(ended.values()));
+    }
+
+    /** The piece that a key belongs to. */
+    public static int shard(String key) {
+        int h = key.hashCode() * 0x9E3779B9;
+        return Math.floorMod(h ^ h >>> Short.SIZE, SHARDS);
+    }
+
+    /** The open entry of a key; null where there is none. */
+    public Entry entry(String key) {
+        return open.get(key);
+    }
+
+    /** How the order of this key ended; null where it has not, or that is no longer known. */
+    public Ended end(String key) {
+        return ended.get(key);
+    }
+
+    /** What there is of an order, for whoever waits for it. */
+    public Said look(String key, String digest) {
+        Entry there = open.get(key);
+        Ended over = ended.get(key);
+        if (there == null && over == null) {
+            return Said.of(Said.Kind.NOT_YOURS);
+        }
+        if (!(there != null ? there.order().digest() : over.digest()).equals(digest)) {
+            return Said.of(Said.Kind.DIFFERS);
+        }
+        return there != null ? Said.of(Said.Kind.RUNS) : Said.over(over.outcome());
+    }
+
+    /** The open entries of a shard that nobody owns, at most so many; those that were orphaned first come first. */
+    public List<Entry> orphans(int shard, int most) {
+        return orphans.getOrDefault(shard, Set.of()).stream().limit(most).map(open::get).toList();
+    }
+
+    /**
+     * Applies a line.
+     *
+     * @param at its index in the log
+     * @param session of the asker, which lives
+     * @param mint gives the next token
+     */
+    public Said apply(long at, long session, Line line, Shards shards, LongSupplier mint) {
+        if (line instanceof Line.Enter e) {
+            return enter(at, session, e, mint);
+        }
+        if (line instanceof Line.End e) {
+            return end(at, session, e);
+        }
+        if (line instanceof Line.Take t) {
+            return take(session, t, shards, mint);
+        }
+        if (line instanceof Line.Move m) {
+            return move(at, session, m);
+        }
+        if (line instanceof Line.Withdraw w) {
+            return withdraw(session, w);
+        }
+        return forget((Line.Forget) line);
+    }
+
+    /** A session has ended: what it owned is nobody's, until it is taken over. */
+    public void ended(long session) {
+        Set<String> keys = owned.remove(session);
+        if (keys != null) {
+            keys.forEach(key -> put(open.get(key).orphaned()));
+        }
+    }
+
+    private Said enter(long at, long session, Line.Enter e, LongSupplier mint) {
+        Order order = e.order();
+        if (order == null || !order.isWellFormed() || !named(e.group())) {
+            return Said.of(Said.Kind.MALFORMED);
+        }
+        Ended over = ended.get(order.key());
+        if (over != null) {
+            return over.digest().equals(order.digest()) ? Said.over(over.outcome()) : Said.of(Said.Kind.DIFFERS);
+        }
+        Entry there = open.get(order.key());
+        if (there != null) {
+            if (!there.order().digest().equals(order.digest())) {
+                return Said.of(Said.Kind.DIFFERS);
+            }
+            // What was taken over is judged by its taker, who alone may send it: no ask gets it by entering.
+            boolean again = there.owner() == session && there.ask() == e.ask() && there.taken() == 0;
+            return again ? Said.owned(there) : Said.of(Said.Kind.RUNS);
+        }
+        if (open.size() >= OPEN_MAX || chars + order.message().length() > CHARS_MAX) {
+            return Said.of(Said.Kind.FULL);
+        }
+        Entry fresh = new Entry(order, e.group(), session, mint.getAsLong(), at, 0, e.ask());
+        chars += order.message().length();
+        put(fresh);
+        return Said.owned(fresh);
+    }
+
+    private static boolean named(String name) {
+        return name != null && !name.isEmpty() && name.length() <= Order.NAME_MAX;
+    }
+
+    /** An entry under its owner, or under its shard where it has none. */
+    private void put(Entry e) {
+        String key = e.order().key();
+        Entry before = open.put(key, e);
+        if (before != null) {
+            unlist(before);
+        }
+        if (e.owner() != 0) {
+            owned.computeIfAbsent(e.owner(), s -> new LinkedHashSet<>()).add(key);
+        } else {
+            orphans.computeIfAbsent(shard(key), s -> new LinkedHashSet<>()).add(key);
+        }
+    }
+
+    private void unlist(Entry e) {
+        String key = e.order().key();
+        Set<String> mine = e.owner() != 0 ? owned.get(e.owner()) : orphans.get(shard(key));
+        if (mine != null) {
+            mine.remove(key);
+            if (mine.isEmpty() && e.owner() != 0) {
+                owned.remove(e.owner());
+            } else if (mine.isEmpty()) {
+                orphans.remove(shard(key));
+            }
+        }
+    }
+
+    private Entry mine(long session, String key, long token) {
+        Entry e = key == null ? null : open.get(key);
+        return e != null && e.owner() == session && e.token() == token ? e : null;
+    }
+
+    private Said move(long at, long session, Line.Move m) {
+        Entry e = mine(session, m.key(), m.token());
+        if (!named(m.group())) {
+            return Said.of(Said.Kind.MALFORMED);
+        }
+        if (e == null) {
+            return Said.of(Said.Kind.NOT_YOURS);
+        }
+        if (!e.group().equals(m.group())) { // asked again it has moved already, and its window counts from the first time
+            put(e.movedTo(m.group(), at));
+        }
+        return Said.of(Said.Kind.DONE);
+    }
+
+    private Said end(long at, long session, Line.End end) {
+        if (end.outcome() == null || !end.outcome().isWellFormed()) {
+            return Said.of(Said.Kind.MALFORMED);
+        }
+        Entry e = mine(session, end.key(), end.token());
+        if (e == null) {
+            Ended over = end.key() == null ? null : ended.get(end.key());
+            return over == null ? Said.of(Said.Kind.NOT_YOURS) : Said.over(over.outcome());
+        }
+        open.remove(end.key());
+        unlist(e);
+        chars -= e.order().message().length();
+        Outcome o = end.outcome();
+        if (chars + o.said().length() > CHARS_MAX) {
+            o = new Outcome(o.status(), "");
+        }
+        chars += o.said().length();
+        ended.put(end.key(), new Ended(end.key(), e.order().digest(), o, at));
+        takenOver += e.taken() > 0 ? 1 : 0;
+        unknown += o.isKnown() ? 0 : 1;
+        if (ended.size() > KEPT_MAX) {
+            drop(ended.keySet().iterator().next());
+        }
+        return Said.over(o);
+    }
+
+    private Said withdraw(long session, Line.Withdraw w) {
+        Entry e = mine(session, w.key(), w.token());
+        if (e == null || e.taken() > 0) { // who took it over can't know that it never ran
+            return Said.of(Said.Kind.NOT_YOURS);
+        }
+        open.remove(w.key());
+        unlist(e);
+        chars -= e.order().message().length();
+        return Said.of(Said.Kind.DONE);
+    }
+
+    private Said take(long session, Line.Take t, Shards shards, LongSupplier mint) {
+        Entry e = t.key() == null ? null : open.get(t.key());
+        if (e == null) {
+            Ended over = t.key() == null ? null : ended.get(t.key());
+            return over == null ? Said.of(Said.Kind.NOT_YOURS) : Said.over(over.outcome());
+        }
+        if (e.owner() == session) {
+            return Said.owned(e);
+        }
+        if (e.owner() != 0) {
+            return Said.of(Said.Kind.RUNS);
+        }
+        if (t.shard() != shard(t.key()) || !shards.has(session, t.shard(), t.shardToken())) {
+            return Said.of(Said.Kind.NOT_YOURS);
+        }
+        Entry taken = e.of(session, mint.getAsLong());
+        put(taken);
+        return Said.owned(taken);
+    }
+
+    private Said forget(Line.Forget f) {
+        List<String> old = new ArrayList<>();
+        for (Ended e : ended.values()) {
+            if (e.at() > f.upTo()) {
+                break;
+            }
+            old.add(e.key());
+        }
+        old.forEach(this::drop);
+        return Said.of(Said.Kind.DONE);
+    }
+
+    private void drop(String key) {
+        chars -= ended.remove(key).outcome().said().length();
+    }
+
+    /** The index at which the last end so far was agreed; 0 where none is kept. */
+    public long lastEnd() {
+        long last = 0;
+        for (Ended e : ended.values()) {
+            last = Math.max(last, e.at());
+        }
+        return last;
+    }
+
+    /** For operators. */
+    public String text() {
+        return "work open=" + open.size() + " orphans=" + orphans.values().stream().mapToInt(Set::size).sum() + " ended=" + ended.size()
+                + " taken_over=" + takenOver + " unknown=" + unknown + " chars=" + chars;
+    }
+}
--- a/fleet/src/test/java/marlford/FleetHouseTest.java
+++ b/fleet/src/test/java/marlford/FleetHouseTest.java
@@ -20,7 +20,7 @@
     }
 
     private static final String[] PURE = {"marlford.board", "marlford.lease", "marlford.probe", "marlford.task",
-        "marlford.turn", "marlford.usage", "marlford.voters"};
+        "marlford.turn", "marlford.usage", "marlford.voters", "marlford.work"};
 
     @Test
     void decisionsSeeNothingOutside() {
--- a/storm/src/test/java/marlford/storm/VersionsTest.java
+++ b/storm/src/test/java/marlford/storm/VersionsTest.java
@@ -26,12 +26,12 @@
 
                     @Override
                     public int level() {
-                        return 2;
+                        return 3;
                     }
                 }
                 """));
-        changes.put("marlford/voters/Levels.java", List.of("OWN = 1;", "OWN = 2;"));
-        changes.put("marlford/voters/Hello.java", List.of("Levels.OWN", "2")); // a constant is compiled in
+        changes.put("marlford/voters/Levels.java", List.of("OWN = 2;", "OWN = 3;"));
+        changes.put("marlford/voters/Hello.java", List.of("Levels.OWN", "3")); // a constant is compiled in
         return changes;
     }
 
@@ -72,7 +72,7 @@
     @Test
     void anOldVoterThatMeetsANewLineTakesNoPart(@TempDir Path dir) throws Exception {
         Map<String, List<String>> changes = newer();
-        changes.put("marlford/voters/Levels.java", List.of("OWN = 1;", "OWN = 2;", "levels.getOrDefault(p, 1)", "OWN"));
+        changes.put("marlford/voters/Levels.java", List.of("OWN = 2;", "OWN = 3;", "levels.getOrDefault(p, 1)", "OWN"));
         try (Rig rig = fleet(Changed.program(dir, changes))) {
             assertTrue(rig.awaitSaid("g2", "takes no part any more: the log has what only a newer version knows"));
             assertTrue(rig.awaitAct(Rig.TICK)); // by the two others' majority
