Read once more: one spread of names, one wait of the rig, probes by a look at each host once

Board looked its places up four times for one row; Board and Notes each had a key record. ListTurns asked twice what is fresh. - Discovery had the turn's end twice, for the fleet and for the timer. - The rig's waits are one loop; a schedule's file is read once, not for each seed. - Member.leader and Register.lastEnd were called by nobody.

--- a/fleet/src/main/java/marlford/board/Board.java
+++ b/fleet/src/main/java/marlford/board/Board.java
@@ -26,11 +26,9 @@
     static final double KEEP_MS = 30_000;
     private static final int NAME_MAX = 256;
 
-    private record Key(String topic, String key) { }
+    private record Entry(Row row, double foundAt) { }
 
-    private record Entry(Key key, Row row, double foundAt) { }
-
-    private final Map<Key, Long> places = new HashMap<>();
+    private final Map<Place, Long> places = new HashMap<>();
     private final TreeMap<Long, Entry> rows = new TreeMap<>(); // by the number of their change
     private final Lateness lateness = new Lateness();
     private long id;
@@ -66,25 +64,31 @@
         if (!fits(r) || !(now - foundAt < KEEP_MS)) {
             return false;
         }
-        Key key = new Key(r.topic(), r.key());
-        Entry old = places.containsKey(key) ? rows.get(places.get(key)) : null;
+        Place place = Place.of(r);
+        Entry old = at(place);
         if (old != null && (r.token() < old.row().token() || r.token() == old.row().token() && foundAt <= old.foundAt())) {
             return false;
         }
         expire(now);
-        int more = size(r) - (places.containsKey(key) ? size(rows.get(places.get(key)).row()) : 0);
-        if (!places.containsKey(key) && rows.size() >= ROWS_MAX || chars + more > CHARS_MAX) {
+        Entry there = at(place); // the old one, if it has not expired
+        int more = size(r) - (there == null ? 0 : size(there.row()));
+        if (there == null && rows.size() >= ROWS_MAX || chars + more > CHARS_MAX) {
             return false;
         }
-        if (places.containsKey(key)) {
-            rows.remove(places.get(key));
-        }
         chars += more;
-        rows.put(++changes, new Entry(key, r, foundAt));
-        places.put(key, changes);
+        rows.put(++changes, new Entry(r, foundAt));
+        Long before = places.put(place, changes);
+        if (before != null) {
+            rows.remove(before);
+        }
         return true;
     }
 
+    private Entry at(Place place) {
+        Long change = places.get(place);
+        return change == null ? null : rows.get(change);
+    }
+
     private static boolean fits(Row r) {
         return r.topic() != null && r.key() != null && r.value() != null && r.ageMs() >= 0 && r.value().length() <= VALUE_MAX
                 && r.topic().length() <= NAME_MAX && r.key().length() <= NAME_MAX;
@@ -99,7 +103,7 @@
             Entry e = i.next();
             if (now - e.foundAt() > KEEP_MS) {
                 i.remove();
-                places.remove(e.key());
+                places.remove(Place.of(e.row()));
                 chars -= size(e.row());
             }
         }
--- a/fleet/src/main/java/marlford/board/Notes.java
+++ b/fleet/src/main/java/marlford/board/Notes.java
@@ -16,14 +16,12 @@
     static final int TELL_MAX = 128 * 1024;
     static final int HEARD_MAX = Board.ROWS_MAX;
 
-    private record Key(String topic, String key) { }
-
     /** A row that was found out or heard at this time by the own clock, at the latest, if it had no age then. */
     private record Dated(Row row, double at) { }
 
-    private final Map<Key, Dated> toTell = new LinkedHashMap<>();
-    private final Map<Key, Dated> heard = new LinkedHashMap<>(); // those heard last stand last
-    private final Map<Key, Dated> news = new LinkedHashMap<>();
+    private final Map<Place, Dated> toTell = new LinkedHashMap<>();
+    private final Map<Place, Dated> heard = new LinkedHashMap<>(); // those heard last stand last
+    private final Map<Place, Dated> news = new LinkedHashMap<>();
     private List<Dated> told = List.of(); // with the telling that is under way
     private long board;
     private long upTo;
@@ -36,7 +34,7 @@
      * @param soon whether it should not wait for the next renewal
      */
     public void tell(String topic, String key, long token, String value, double foundAt, boolean soon) {
-        toTell.put(new Key(topic, key), new Dated(new Row(topic, key, token, value, 0), foundAt));
+        toTell.put(new Place(topic, key), new Dated(new Row(topic, key, token, value, 0), foundAt));
         if (toTell.size() > HEARD_MAX) {
             toTell.remove(toTell.keySet().iterator().next());
         }
@@ -85,14 +83,14 @@
         board = n.board();
         upTo = n.upTo();
         for (Row r : n.rows()) {
-            Key key = new Key(r.topic(), r.key());
+            Place place = Place.of(r);
             Dated d = new Dated(r, askedAt);
-            heard.remove(key);
-            heard.put(key, d);
-            news.put(key, d);
+            heard.remove(place);
+            heard.put(place, d);
+            news.put(place, d);
         }
         while (heard.size() > HEARD_MAX) {
-            Key oldest = heard.keySet().iterator().next();
+            Place oldest = heard.keySet().iterator().next();
             heard.remove(oldest);
             news.remove(oldest);
         }
@@ -107,7 +105,7 @@
 
     /** The row of this key that was heard last, with its age of now; null where none was. */
     public Row row(String topic, String key, double now) {
-        Dated d = heard.get(new Key(topic, key));
+        Dated d = heard.get(new Place(topic, key));
         return d == null ? null : d.row().aged(now - d.at());
     }
 
--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -194,11 +194,6 @@
         return tenure.leftMs(now);
     }
 
-    /** The voter that is asked first. */
-    public String leader() {
-        return leader;
-    }
-
     /** Its session's number; 0 while it has none. */
     public long session() {
         return session;
--- a/fleet/src/main/java/marlford/probe/Prober.java
+++ b/fleet/src/main/java/marlford/probe/Prober.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import marlford.lease.Book;
 import marlford.lease.Member;
+import marlford.spread.Spread;
 
 /**
  * One prober of each host for all: the hosts fall into {@value #SHARDS} shards, each shard has one member, and that member
@@ -72,10 +73,8 @@
         there.forEach(h -> hosts.computeIfAbsent(h, name -> new Watched(shard(name))));
     }
 
-    /** Spread evenly whatever names look like. */
     static int shard(String host) {
-        int h = host.hashCode() * 0x9E3779B9; // the golden ratio: names in a row end far from each other
-        return Math.floorMod(h ^ h >>> Short.SIZE, SHARDS);
+        return Spread.piece(host, SHARDS);
     }
 
     /** Where in a round a host has its turn, so that one member's hosts are not asked in one moment; 0 to 1. */
@@ -85,34 +84,35 @@
 
     /** The probes that begin now; each is {@link #ended} later. */
     public List<Probe> due(Member member, double now, double lateMs) {
-        List<Probe> due = new ArrayList<>();
+        Map<Integer, Book.Holding> mine = new HashMap<>();
         for (Book.Holding h : member.holdings()) {
-            if (!h.name().equals(POOL) || h.shard() < 0) {
-                continue;
+            if (h.name().equals(POOL) && h.shard() >= 0) {
+                mine.put(h.shard(), h);
+            }
+        }
+        List<Probe> due = new ArrayList<>();
+        Set<Integer> busy = new HashSet<>();
+        hosts.forEach((host, w) -> {
+            Book.Holding h = mine.get(w.shard);
+            if (h == null) {
+                return;
             }
-            boolean quiet = true;
-            for (Map.Entry<String, Watched> e : hosts.entrySet()) {
-                Watched w = e.getValue();
-                if (w.shard != h.shard()) {
-                    continue;
-                }
-                if (w.token != h.token()) {
-                    w.token = h.token();
-                    w.nextAt = now + phase(e.getKey()) * everyMs;
-                }
-                if (!h.wanted() && !w.running && now >= w.nextAt && running < UNDER_WAY_MAX
-                        && member.mayAct(h.token(), now, lateMs, takesMs)) {
-                    w.running = true;
-                    running++;
-                    w.nextAt = now + everyMs;
-                    due.add(new Probe(e.getKey(), h.shard(), h.token(), now));
-                }
-                quiet &= !w.running;
+            if (w.token != h.token()) {
+                w.token = h.token();
+                w.nextAt = now + phase(host) * everyMs;
             }
-            if (h.wanted() && quiet) {
-                member.giveUp(h);
+            if (!h.wanted() && !w.running && now >= w.nextAt && running < UNDER_WAY_MAX
+                    && member.mayAct(h.token(), now, lateMs, takesMs)) {
+                w.running = true;
+                running++;
+                w.nextAt = now + everyMs;
+                due.add(new Probe(host, h.shard(), h.token(), now));
             }
-        }
+            if (w.running) {
+                busy.add(w.shard);
+            }
+        });
+        mine.values().stream().filter(h -> h.wanted() && !busy.contains(h.shard())).forEach(member::giveUp);
         return due;
     }
 
@@ -136,9 +136,9 @@
     }
 
     private boolean doubtsItself(double now) {
-        long asked = hosts.values().stream().filter(w -> now - w.askedAt < LATELY * everyMs).count();
-        long missed = hosts.values().stream().filter(w -> now - w.askedAt < LATELY * everyMs && !w.reached).count();
-        return asked >= FEWEST && missed * 2 > asked;
+        List<Watched> asked = hosts.values().stream().filter(w -> now - w.askedAt < LATELY * everyMs).toList();
+        long missed = asked.stream().filter(w -> !w.reached).count();
+        return asked.size() >= FEWEST && missed * 2 > asked.size();
     }
 
     /** For operators. */
--- a/fleet/src/main/java/marlford/turn/ListTurns.java
+++ b/fleet/src/main/java/marlford/turn/ListTurns.java
@@ -82,12 +82,12 @@
         if (member.leftMs(now) <= 0) {
             return call(member, 0);
         }
-        Row said = member.board().row(TOPIC, agent, now);
+        Row said = told(member, now);
         Row away = member.board().row(AWAY, agent, now);
         if (away != null) {
             awayAt = Math.max(awayAt, now - away.ageMs());
         }
-        if (said != null && said.ageMs() <= FRESH_MS) {
+        if (said != null) {
             if (said.value().equals(BACK)) {
                 return call(member, 0);
             }
@@ -105,10 +105,15 @@
         return now > Math.min(Math.max(dueAt, awayAt) + PATIENCE_MS, dueAt + LONGEST_MS) ? call(member, 0) : Decision.WAIT;
     }
 
+    /** What the agent told somebody lately; null for nothing. */
+    private Row told(Member member, double now) {
+        Row said = member.board().row(TOPIC, agent, now);
+        return said != null && said.ageMs() <= FRESH_MS ? said : null;
+    }
+
     /** What was found without a turn is told once this gateway has it, unless somebody was faster or it is old by then. */
     private void tellInTurn(Member member, double now) {
-        Row said = member.board().row(TOPIC, agent, now);
-        if (now - foundAt > FRESH_MS || said != null && said.ageMs() <= FRESH_MS) {
+        if (now - foundAt > FRESH_MS || told(member, now) != null) {
             found = null;
             member.release(lease());
             return;
--- a/fleet/src/main/java/marlford/work/Ages.java
+++ b/fleet/src/main/java/marlford/work/Ages.java
@@ -37,14 +37,12 @@
 
     /** For how long, at most, a line of this index may have been agreed; infinite where that is not known. */
     public double most(long index, double now) {
-        double since = Double.NEGATIVE_INFINITY;
         for (Iterator<Look> i = looks.descendingIterator(); i.hasNext();) {
             Look l = i.next();
             if (l.index() < index) {
-                since = l.askedAt();
-                break;
+                return now - l.askedAt();
             }
         }
-        return now - since;
+        return Double.POSITIVE_INFINITY;
     }
 }
--- a/fleet/src/main/java/marlford/work/Register.java
+++ b/fleet/src/main/java/marlford/work/Register.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import marlford.spread.Spread;
 
 /**
  * The register of work as the log has it. Each order has at most one entry, each entry at most one owner, and one end; what is
@@ -65,8 +66,7 @@
 
     /** The piece that a key belongs to. */
     public static int shard(String key) {
-        int h = key.hashCode() * 0x9E3779B9;
-        return Math.floorMod(h ^ h >>> Short.SIZE, SHARDS);
+        return Spread.piece(key, SHARDS);
     }
 
     /** The open entry of a key; null where there is none. */
@@ -136,18 +136,14 @@
         if (order == null || !order.isWellFormed() || !named(e.group())) {
             return Said.of(Said.Kind.MALFORMED);
         }
-        Ended over = ended.get(order.key());
-        if (over != null) {
-            return over.digest().equals(order.digest()) ? Said.over(over.outcome()) : Said.of(Said.Kind.DIFFERS);
-        }
+        Said found = look(order.key(), order.digest());
         Entry there = open.get(order.key());
-        if (there != null) {
-            if (!there.order().digest().equals(order.digest())) {
-                return Said.of(Said.Kind.DIFFERS);
-            }
-            // What was taken over is judged by its taker, who alone may send it: no ask gets it by entering.
-            boolean again = there.owner() == session && there.ask() == e.ask() && there.taken() == 0;
-            return again ? Said.owned(there) : Said.of(Said.Kind.RUNS);
+        // What was taken over is judged by its taker, who alone may send it: no ask gets it by entering.
+        if (found.kind() == Said.Kind.RUNS && there.owner() == session && there.ask() == e.ask() && there.taken() == 0) {
+            return Said.owned(there);
+        }
+        if (found.kind() != Said.Kind.NOT_YOURS) {
+            return found;
         }
         if (open.size() >= OPEN_MAX || chars + order.message().length() > CHARS_MAX) {
             return Said.of(Said.Kind.FULL);
@@ -189,8 +185,20 @@
         }
     }
 
+    private void remove(Entry e) {
+        open.remove(e.order().key());
+        unlist(e);
+        chars -= e.order().message().length();
+    }
+
+    /** Its end for who does not own it any more, or never did. */
+    private Said ifOver(String key) {
+        Ended over = ended.get(key);
+        return over == null ? Said.of(Said.Kind.NOT_YOURS) : Said.over(over.outcome());
+    }
+
     private Entry mine(long session, String key, long token) {
-        Entry e = key == null ? null : open.get(key);
+        Entry e = open.get(key);
         return e != null && e.owner() == session && e.token() == token ? e : null;
     }
 
@@ -214,12 +222,9 @@
         }
         Entry e = mine(session, end.key(), end.token());
         if (e == null) {
-            Ended over = end.key() == null ? null : ended.get(end.key());
-            return over == null ? Said.of(Said.Kind.NOT_YOURS) : Said.over(over.outcome());
+            return ifOver(end.key());
         }
-        open.remove(end.key());
-        unlist(e);
-        chars -= e.order().message().length();
+        remove(e);
         Outcome o = end.outcome();
         if (chars + o.said().length() > CHARS_MAX) {
             o = new Outcome(o.status(), "");
@@ -239,17 +244,14 @@
         if (e == null || e.taken() > 0) { // who took it over can't know that it never ran
             return Said.of(Said.Kind.NOT_YOURS);
         }
-        open.remove(w.key());
-        unlist(e);
-        chars -= e.order().message().length();
+        remove(e);
         return Said.of(Said.Kind.DONE);
     }
 
     private Said take(long session, Line.Take t, Shards shards, LongSupplier mint) {
-        Entry e = t.key() == null ? null : open.get(t.key());
+        Entry e = open.get(t.key());
         if (e == null) {
-            Ended over = t.key() == null ? null : ended.get(t.key());
-            return over == null ? Said.of(Said.Kind.NOT_YOURS) : Said.over(over.outcome());
+            return ifOver(t.key());
         }
         if (e.owner() == session) {
             return Said.owned(e);
@@ -281,15 +283,6 @@
         chars -= ended.remove(key).outcome().said().length();
     }
 
-    /** The index at which the last end so far was agreed; 0 where none is kept. */
-    public long lastEnd() {
-        long last = 0;
-        for (Ended e : ended.values()) {
-            last = Math.max(last, e.at());
-        }
-        return last;
-    }
-
     /** For operators. */
     public String text() {
         return "work open=" + open.size() + " orphans=" + orphans.values().stream().mapToInt(Set::size).sum() + " ended=" + ended.size()
--- a/fleet/src/test/java/marlford/FleetHouseTest.java
+++ b/fleet/src/test/java/marlford/FleetHouseTest.java
@@ -19,7 +19,7 @@
                 "marlford.agree..", "marlford.fleet..");
     }
 
-    private static final String[] PURE = {"marlford.board", "marlford.lease", "marlford.probe", "marlford.task",
+    private static final String[] PURE = {"marlford.board", "marlford.lease", "marlford.probe", "marlford.spread", "marlford.task",
         "marlford.turn", "marlford.usage", "marlford.voters", "marlford.work"};
 
     @Test
--- a/gateway/src/main/java/deckfall/net/Discovery.java
+++ b/gateway/src/main/java/deckfall/net/Discovery.java
@@ -191,17 +191,14 @@
         }
         InetSocketAddress asked = agent;
         AtomicBoolean over = new AtomicBoolean(); // the turn is had or given up
-        node.lists().due(asked.toString(), told -> onLoop(() -> {
+        Consumer<ListTurn.Told> turn = told -> onLoop(() -> {
             if (!over.getAndSet(true) && before == current) {
                 goOn(before, asked, told);
             }
-        }));
+        });
+        node.lists().due(asked.toString(), turn);
         if (!over.get()) {
-            node.loop.schedule(() -> {
-                if (!over.getAndSet(true) && before == current) {
-                    goOn(before, asked, null);
-                }
-            }, TURN_MS, TimeUnit.MILLISECONDS);
+            node.loop.schedule(() -> turn.accept(null), TURN_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -97,7 +97,8 @@
     record Run(Judge.Verdict verdict, List<Long> handOvers, List<String> defects, List<Rig.Played> played, List<Note> notes,
             long zero, boolean back, List<Load.Sent> sent, UsageJudge.Found usage, int register, boolean linear) {
         boolean held() {
-            return linear && verdict.broken().isEmpty() && verdict.unexplained().isEmpty() && defects.isEmpty() && (usage == null || usage.broken().isEmpty());
+            return linear && verdict.broken().isEmpty() && verdict.unexplained().isEmpty() && defects.isEmpty()
+                    && (usage == null || usage.broken().isEmpty());
         }
     }
 
@@ -111,14 +112,15 @@
             System.err.println("storm: at least 3 gateways, a second and a seed");
             return CommandLine.ExitCode.USAGE;
         }
-        if (file != null && !Schedule.read(file).fits(gateways)) {
+        Schedule given = file == null ? null : Schedule.read(file);
+        if (given != null && !given.fits(gateways)) {
             System.err.println("storm: " + file + " names a process that is none of " + gateways);
             return CommandLine.ExitCode.USAGE;
         }
         int worst = HELD;
         for (long s = seed; s < seed + seeds; s++) {
             long ms = TimeUnit.SECONDS.toMillis(seconds);
-            Schedule schedule = file != null ? Schedule.read(file) : Schedule.drawn(s, gateways, Rig.voters(gateways), ms);
+            Schedule schedule = given != null ? given : Schedule.drawn(s, gateways, Rig.voters(gateways), ms);
             Run run = run(schedule, setup(), ms, out == null ? null : out.resolve("seed-" + s));
             if (run == null) {
                 System.err.println("storm: seed " + s + ": the processes did not all take part; nothing is judged");
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -203,11 +203,8 @@
                 Thread.sleep(LOOK_MS);
             }
         }
-        while (role != Gateway.Role.ALONE && resource.holder().isEmpty()) {
-            if (System.nanoTime() > end) {
-                return false;
-            }
-            Thread.sleep(LOOK_MS);
+        if (!await(() -> role == Gateway.Role.ALONE || !resource.holder().isEmpty(), end)) {
+            return false;
         }
         zero = System.nanoTime();
         return true;
@@ -222,16 +219,25 @@
     }
 
     /** Heals nothing further, and waits until a task is acted on anew; false where it is not within 20 s. */
-    boolean awaitAct(String task) throws InterruptedException {
+    boolean awaitAct(String task) throws IOException, InterruptedException {
         long from = System.nanoTime();
-        long end = from + TimeUnit.MILLISECONDS.toNanos(SAID_MS);
-        while (System.nanoTime() < end) {
-            if (resource.notes().stream().anyMatch(n -> n.taken() && n.task().equals(task) && n.begin() > from)) {
-                return true;
+        return await(() -> resource.notes().stream().anyMatch(n -> n.taken() && n.task().equals(task) && n.begin() > from),
+                from + TimeUnit.MILLISECONDS.toNanos(SAID_MS));
+    }
+
+    private interface Check {
+        boolean holds() throws IOException;
+    }
+
+    /** Whether it comes about before this time. */
+    private static boolean await(Check check, long end) throws IOException, InterruptedException {
+        while (!check.holds()) {
+            if (System.nanoTime() > end) {
+                return false;
             }
             Thread.sleep(LOOK_MS);
         }
-        return false;
+        return true;
     }
 
     /** Does something, and waits until each process has said this since; false where one does not within 20 s. */
@@ -258,11 +264,8 @@
             throws IOException, InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SAID_MS);
         for (Gateway g : all) {
-            while (Files.readString(g.log()).indexOf(part, from.getOrDefault(g, 0)) < 0) {
-                if (System.nanoTime() > end) {
-                    return false;
-                }
-                Thread.sleep(LOOK_MS);
+            if (!await(() -> Files.readString(g.log()).indexOf(part, from.getOrDefault(g, 0)) >= 0, end)) {
+                return false;
             }
         }
         return true;
--- a/storm/src/main/java/marlford/storm/Schedule.java
+++ b/storm/src/main/java/marlford/storm/Schedule.java
@@ -90,8 +90,8 @@
 
     /** Whether each fault finds whom it names among as many gateways. */
     boolean fits(int gateways) {
-        return faults.stream().filter(f -> f.kind() != Kind.HANG_HOST).map(Fault::who).allMatch(who -> who == null || who.equals("leader") || who.equals("holder")
-                || IntStream.range(0, gateways).anyMatch(i -> who.equals("g" + i)));
+        return faults.stream().filter(f -> f.kind() != Kind.HANG_HOST).map(Fault::who).allMatch(who -> who == null
+                || who.equals("leader") || who.equals("holder") || IntStream.range(0, gateways).anyMatch(i -> who.equals("g" + i)));
     }
 
     Schedule without(int index) {
