A watch that falls silent is opened anew within its drain's grace, whatever pace and grace are

What a held watch misses counts as told 2 s after its hold, and a drain's grace follows.

Seen by computing, and confirmed by a property that failed without the mend: crowded, a watch was held for 20 s, given up after 6 s more, and called again after a pace of up to 6 s: 33 s where 24 s are allowed with a grace of 2 s and 22.5 s with one of 0.5 s. An agent that was away was called every 0.4 to 0.8 s after up to 1 s of silence, whatever the grace: with the other customer's 0.5 s a host that drained meanwhile could be sent to for longer than that.

Change: CallPace is told the grace and whether lists are pushed. A watch's patience, crowded, is what the grace leaves; one that fell silent is called again at once and not at the pace of a crowd; where lists are pushed (an agent on the own machine, at no cost) patience, connect time and pause shrink with a short grace. Discovery reads its socket before it gives a call up: an answer that stands there was not late, the loop was (held before by the loop's order, now stated).

CallPaceTest: the constructor has two more arguments; the check that crowded calls are patient is kept for calls for a whole list, and two properties over graces from 0.4 to 10 s were added for watches and returns.

--- a/gateway/src/main/java/deckfall/list/CallPace.java
+++ b/gateway/src/main/java/deckfall/list/CallPace.java
@@ -25,15 +25,33 @@
     private static final long HOLD_CROWDED_MS = 20_000;
     private static final long PATIENCE_MS = 1000; // beyond what a call may wait
     private static final long PATIENCE_CROWDED_MS = 6000; // three of discovery's own time limits
+    private static final long PATIENCE_LEAST_MS = 200; // an agent on the own machine answers at once, a late loop apart
     private static final long AGAIN_MS = 50; // after a first broken call; a watch is over only after 200
     private static final long AGAIN_MAX_MS = 800; // each further one doubles the wait, up to this
+    private static final double AGAIN_SHARE = 0.2; // of a drain's grace: the same where that is short
+    private static final double ANSWER_SHARE = 0.5; // of a drain's grace: how long an agent that is called may be silent
+    static final long SILENT_MS = 2000; // by the platform's word: a watch's news counts as told so long after its hold
+    static final long CONNECT_MAX_MS = 1000; // for a connection to an agent
+    static final long ANSWER_MS = 500; // for a list once the connection stands
 
     private final Random random;
+    private final long againMaxMs;
+    private final long answerMs; // for an answer that need not wait for news
+    private final long crowdedWatchMs;
     private double paceMs;
     private int broken;
 
-    public CallPace(Random random) {
+    /**
+     * @param graceMs of a drain, by the settings: how long after its word a host may still be sent to; above 0
+     * @param pushed whether the agent is told by itself, and answers at once and at no cost; else it is one service for
+     *     the whole tier, which short waits of all would only make later
+     */
+    public CallPace(Random random, double graceMs, boolean pushed) {
         this.random = random;
+        this.againMaxMs = pushed ? (long) Math.min(AGAIN_MAX_MS, Math.max(AGAIN_MS, AGAIN_SHARE * graceMs)) : AGAIN_MAX_MS;
+        this.answerMs = pushed ? (long) Math.min(PATIENCE_MS, Math.max(PATIENCE_LEAST_MS, ANSWER_SHARE * graceMs)) : PATIENCE_MS;
+        this.crowdedWatchMs = (long) Math.max(PATIENCE_LEAST_MS, Math.min(PATIENCE_CROWDED_MS,
+                SILENT_MS + graceMs - CONNECT_MAX_MS - ANSWER_MS - AGAIN_MS));
     }
 
     /** A call was answered with a word that counts; how long to wait before the next one, in milliseconds. */
@@ -51,10 +69,24 @@
 
     /** A call broke or nobody answered; how long to wait before the next one, in milliseconds. */
     public long broke() {
-        long wait = Math.min(AGAIN_MAX_MS, AGAIN_MS << Math.min(broken++, Long.SIZE / 4));
+        long wait = Math.min(againMaxMs, AGAIN_MS << Math.min(broken++, Long.SIZE / 4));
         return Math.max(wait / 2 + random.nextInt((int) wait / 2 + 1), drawn(paceMs));
     }
 
+    /**
+     * A watch got no answer within its time; how long to wait before the next call, in milliseconds. It was not turned
+     * away, and what it missed counts as told soon, so the pace of a crowd does not hold it back.
+     */
+    public long fellSilent() {
+        broken++;
+        return AGAIN_MS / 2 + random.nextInt((int) AGAIN_MS / 2 + 1);
+    }
+
+    /** How long a connection to an agent may take to come up, in milliseconds. */
+    public long connectMs() {
+        return Math.min(CONNECT_MAX_MS, answerMs);
+    }
+
     /** Another address is called from here on. */
     public void moved() {
         broken = 0;
@@ -75,8 +107,15 @@
         return crowded() ? HOLD_CROWDED_MS : HOLD_MS;
     }
 
-    /** How long beyond that an answer is waited for, in milliseconds. */
-    public long patienceMs() {
-        return crowded() ? PATIENCE_CROWDED_MS : PATIENCE_MS;
+    /**
+     * How long an answer is waited for beyond what the call may be held, in milliseconds.
+     *
+     * @param watch whether it may be held at all; what such a call misses is to be had before it counts as told
+     */
+    public long patienceMs(boolean watch) {
+        if (watch) {
+            return crowded() ? crowdedWatchMs : PATIENCE_MS;
+        }
+        return crowded() ? PATIENCE_CROWDED_MS : answerMs;
     }
 }
--- a/gateway/src/main/java/deckfall/net/Discovery.java
+++ b/gateway/src/main/java/deckfall/net/Discovery.java
@@ -52,7 +52,6 @@
 final class Discovery {
     static final String LIST = "servers";
     private static final String PATH = "/v1/servers";
-    private static final long CONNECT_MS = 1000;
     private static final int GIVEN_UP = 2; // failures from which a start does not wait for a first word, and the agent is away
     private static final long TURN_MS = 12_000; // the longest wait for a turn, whoever gives them
     private static final long REVIEW_MS = 1000; // how often the age of the list is looked at
@@ -77,7 +76,8 @@
         this.node = node;
         this.agent = node.config.discovery();
         this.list = new HostList(HostList.Limits.DEFAULT, node.clock.now());
-        this.pace = new CallPace(new Random(node.config.settings().seed()));
+        this.pace = new CallPace(new Random(node.config.settings().seed()),
+                node.config.settings().rules().drainGraceMs(), !node.config.settings().subscribe());
     }
 
     /** The list from before the start, for as long as no agent has spoken. */
@@ -140,7 +140,7 @@
         current = calls;
         new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) pace.connectMs())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
@@ -166,7 +166,7 @@
             Node.log("discovery: " + agent + ": " + cause.getMessage());
         }
         failing |= cause != null;
-        long wait = calls.turnedAway ? pace.turnedAway() : pace.broke();
+        long wait = calls.turnedAway ? pace.turnedAway() : calls.fellSilent ? pace.fellSilent() : pace.broke();
         if (calls.turnedAway) {
             list.goOnFromKnown(agent);
         }
@@ -313,6 +313,8 @@
         private boolean heard; // a word of it was taken
         private boolean over;
         private boolean turnedAway;
+        private boolean fellSilent; // a watch that got no answer in its time
+        private int answers;
         private boolean whole; // the list was asked for, and not what changed
         private boolean inTurn; // others wait for what comes of the first call
 
@@ -344,8 +346,20 @@
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             channel.writeAndFlush(request, channel.voidPromise());
-            long limit = (whole ? 0 : pace.holdMs()) + pace.patienceMs();
-            timeout = node.loop.schedule(this::drop, limit, TimeUnit.MILLISECONDS);
+            long limit = (whole ? 0 : pace.holdMs()) + pace.patienceMs(!whole);
+            timeout = node.loop.schedule(this::timeUp, limit, TimeUnit.MILLISECONDS);
+        }
+
+        /** An answer that stands in the socket by now was not late, this loop was. */
+        private void timeUp() {
+            int before = answers;
+            if (channel.isActive()) {
+                Transport.readNow(channel);
+            }
+            if (answers == before) {
+                fellSilent = !whole && heard;
+                drop();
+            }
         }
 
         private void stopTimeout() {
@@ -359,6 +373,7 @@
             if (this != current && this != previous) {
                 return; // an agent that was left: its word may be older than what the new one told
             }
+            answers++;
             stopTimeout();
             if (!response.status().equals(HttpResponseStatus.OK)) {
                 turnedAway = response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
--- a/gateway/src/test/java/deckfall/list/CallPaceTest.java
+++ b/gateway/src/test/java/deckfall/list/CallPaceTest.java
@@ -8,18 +8,26 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 
 /** How often a gateway calls discovery, alone and where discovery turns a whole tier away. */
 class CallPaceTest {
     private static final double MEAN_LOW = 0.5; // of the pace: the shortest wait
+    private static final double GRACE_MS = 4000; // of a drain, so long that it bounds no wait
+    private static final double TOLD_MS = 6000; // what a silent watch misses counts as told so long after it fell silent
+    private static final double ANSWERED_MS = 100; // by an agent on the own machine, and a loop that is late
 
     @Test
     void whereNobodyIsTurnedAwayCallsFollowAtOnce() {
-        CallPace pace = new CallPace(new Random(1));
+        CallPace pace = new CallPace(new Random(1), GRACE_MS, true);
         assertEquals(0, pace.answered());
         assertEquals(5000, pace.holdMs());
-        assertEquals(1000, pace.patienceMs());
+        assertEquals(1000, pace.patienceMs(true));
+        assertEquals(1000, pace.patienceMs(false));
         long first = pace.broke();
         assertTrue(first >= 25 && first <= 50, "after a first broken call: " + first);
         long last = 0;
@@ -31,13 +39,13 @@
 
     @Test
     void refusalsSlowItDownAndAnswersBringItBack() {
-        CallPace pace = new CallPace(new Random(1));
+        CallPace pace = new CallPace(new Random(1), GRACE_MS, false);
         for (int i = 0; i < 20; i++) {
             long wait = pace.turnedAway();
             assertTrue(wait <= 1.5 * CallPace.MOST_MS, "never beyond the bound: " + wait);
         }
         assertTrue(pace.turnedAway() >= MEAN_LOW * CallPace.MOST_MS);
-        assertTrue(pace.holdMs() > 5000 && pace.patienceMs() > 4000, "its calls wait in a line");
+        assertTrue(pace.holdMs() > 5000 && pace.patienceMs(false) > 4000, "its calls wait in a line");
         int answers = 0;
         while (pace.crowded()) {
             pace.answered();
@@ -49,6 +57,36 @@
         assertFalse(pace.crowded(), "another agent has turned nobody away");
     }
 
+    /**
+     * A watch that falls silent as soon as it is called, for each pace and grace: given up, called anew, connected and
+     * answered before a host that drains meanwhile may get nothing more. Crowded it once took 26 s and a pace of up to
+     * 6 s more, where 24 s are allowed with the usual grace, and 22.5 s with one of half a second.
+     */
+    @Property
+    void aSilentWatchIsOpenedAnewBeforeItsNewsMayCostADrain(@ForAll @DoubleRange(min = 400, max = 10_000) double grace,
+            @ForAll boolean pushed, @ForAll @IntRange(max = 8) int refusals, @ForAll long seed) {
+        CallPace pace = new CallPace(new Random(seed), grace, pushed);
+        for (int i = 0; i < refusals; i++) {
+            pace.turnedAway();
+        }
+        double told = Math.max(TOLD_MS, pace.holdMs() + CallPace.SILENT_MS);
+        double known = pace.holdMs() + pace.patienceMs(true) + pace.fellSilent() + pace.connectMs() + ANSWERED_MS;
+        assertTrue(known <= told + grace, "known after " + known + " ms, to be known after " + (told + grace));
+    }
+
+    /** An agent that was away and is back knows at once what drains: a call comes while the drain's grace lasts. */
+    @Property
+    void anAgentThatIsBackIsCalledWithinTheGrace(@ForAll @DoubleRange(min = 400, max = 10_000) double grace,
+            @ForAll @IntRange(min = 1, max = 40) int failures, @ForAll long seed) {
+        CallPace pace = new CallPace(new Random(seed), grace, true);
+        long wait = 0;
+        for (int i = 0; i < failures; i++) {
+            wait = pace.broke();
+        }
+        double silent = Math.max(pace.patienceMs(false), pace.connectMs()); // of the last call ahead of its return
+        assertTrue(silent + wait + ANSWERED_MS <= grace, "called after " + silent + " and " + wait + " ms");
+    }
+
     /**
      * A tier of 14 and one of 100 that lost their lists in one moment, before a discovery that answers four calls a second.
      * Before, each called again within 0.4 to 0.8 s: 23 calls a second of 14, and 160 of 100.
@@ -60,7 +98,7 @@
             List<CallPace> tier = new ArrayList<>();
             PriorityQueue<long[]> due = new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
             for (int i = 0; i < gateways; i++) {
-                tier.add(new CallPace(new Random(random.nextLong())));
+                tier.add(new CallPace(new Random(random.nextLong()), GRACE_MS, false));
                 due.add(new long[] {random.nextInt(200), i});
             }
             int calls = 0;
