The end of a process has a schedule that is derived from the deployment's deadlines

DRAIN, LEAVE and EXIT lay 3.0, 3.2 and 3.4 s after SIGTERM for everyone; the platform may kill after the longest deadline and 0.7 s. With deadlines of 1 s that is 1.7 s, ahead of all three: a request that came 0.8 s after SIGTERM over a kept connection, its host hanging, was found unanswered, and peers were told nothing.

Change: EndSchedule, pure, derives the phases; a property holds order and reserve over all deadlines from 0 to 10 minutes.

What is still held then, and was never sent, is refused with a time to come back and not failed (held before: the module does so as its attempts become void; the code is the guard for what it holds beside).

--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -41,6 +41,7 @@
     private static final double IDLE_MS = 20_000; // idle for so long, it is closed
     private static final double AWAY_MS = 300; // idle for so long, it is closed where clients are sent away
     private static final double AWAY_SILENT_MS = 1500; // without a first request for so long, the same
+    private static final double ASKS_WITHIN_MS = 200; // of connecting: the longest way there and back, and a late loop
     private static final int ASKED_ONCE = 1; // requests on a connection that need not bring another
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
@@ -90,22 +91,33 @@
         return bound;
     }
 
-    /** After this only those who are connected are heard. */
+    /** After this only those who are connected are heard: who stands in the queue by now is, though this loop be late. */
     void stopAccepting() {
-        if (listener != null) { // else the end came during the start
-            listener.close();
+        pause();
+        node.loop.schedule(() -> {
+            if (listener != null) { // else the end came during the start
+                takeQueue();
+                listener.close();
+            }
+        }, Node.TURN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void takeQueue() {
+        for (int taken = 0; taken <= Transport.BACKLOG; taken += ACCEPTED_AT_ONCE) {
+            Transport.readNow(listener);
         }
     }
 
-    /** After this only requests that already came are answered. */
+    /** After this only requests that already came are answered; who has just connected is about to ask. */
     void giveUpIdle() {
+        double young = node.clock.now() - ASKS_WITHIN_MS;
         for (LinkedHashSet<Connection> from : givingWay) {
-            giveUpAll(from);
+            List.copyOf(from).stream().filter(c -> from != unused || c.idleSince < young).forEach(c -> giveUp(c, from));
         }
     }
 
     /**
-     * Accepts nothing for a moment, ahead of {@link #leave} and at least one turn of the event loop before it: a socket
+     * Accepts nothing for a moment, ahead of the listener's end and at least one turn of the event loop before it: a socket
      * that the loop still knows is closed by the system only at its next turn, and takes connections until then.
      */
     void pause() {
@@ -123,9 +135,7 @@
         if (listener == null) {
             return;
         }
-        for (int taken = 0; taken <= Transport.BACKLOG; taken += ACCEPTED_AT_ONCE) {
-            Transport.readNow(listener);
-        }
+        takeQueue();
         listener.close();
         listener = null;
         for (LinkedHashSet<Connection> from : givingWay) {
@@ -161,7 +171,7 @@
                 }
             }
         }
-        if (now - node.awayAt() > Node.ACCEPT_ON_MS) {
+        if (now - node.awayAt() > node.end.acceptsMs()) {
             for (LinkedHashSet<Connection> from : givingWay) {
                 closeIdle(from, now - (from == unused ? AWAY_SILENT_MS : AWAY_MS));
             }
--- a/gateway/src/main/java/deckfall/net/Clock.java
+++ b/gateway/src/main/java/deckfall/net/Clock.java
@@ -1,7 +1,7 @@
 package deckfall.net;
 
 /** The one clock: Unix milliseconds that only advance, so that they compare with a host's start. */
-final class Clock {
+class Clock {
     private static final double NANOS_PER_MS = 1e6;
 
     private final long anchorNanos = System.nanoTime();
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -11,6 +11,7 @@
 import deckfall.Gateway.RequestClass;
 import deckfall.console.Console;
 import deckfall.console.Figures;
+import deckfall.end.EndSchedule;
 import deckfall.start.Birth;
 import deckfall.start.StartBudget;
 import deckfall.start.StartBudget.Step;
@@ -40,15 +41,10 @@
  * table of open requests. It carries out what the module decides and tells it what came of it.
  */
 public final class Node implements Actions {
-    static final long ACCEPT_ON_MS = 500; // after an end is near: new connections still come for a while
-    private static final double LAST_MS = 1000; // for what a client asked last of a gateway that is to end
-    private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
-    private static final long LEAVE_MS = 3200; // after SIGTERM: peers turn to others, who have the books
-    private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final long GAUGE_MS = 250; // how often the hosts are counted for the operators
     private static final long ACCOUNT_MS = 1000; // how often it logs what it did
-    private static final long TURN_MS = 2; // a timer's end: the event loop has been round since it was set
+    static final long TURN_MS = 2; // a timer's end: the event loop has been round since it was set
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_REPORT = new double[0];
 
@@ -63,7 +59,8 @@
     }
 
     final NodeConfig config;
-    final Clock clock = new Clock();
+    final Clock clock;
+    final EndSchedule end;
     final Transport transport;
     final NioEventLoopGroup group;
     final EventLoop loop;
@@ -100,7 +97,15 @@
     }
 
     Node(NodeConfig config, Function<Actions, Events> maker, Transport transport, NioEventLoopGroup group) {
+        this(config, maker, transport, group, new Clock());
+    }
+
+    Node(NodeConfig config, Function<Actions, Events> maker, Transport transport, NioEventLoopGroup group,
+            Clock clock) {
         this.config = config;
+        this.clock = clock;
+        this.end = EndSchedule.of(config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max()
+                .orElse(0));
         this.transport = transport;
         this.group = group;
         this.loop = group.next();
@@ -440,8 +445,9 @@
         return (long) (Math.max(0, ms) * MICROS_PER_MS);
     }
 
+    /** Whether a further request is refused unread; also one that comes when nothing is sent on any more. */
     boolean full() {
-        return open.size() >= config.maxOpen();
+        return over || open.size() >= config.maxOpen();
     }
 
     /** Rule 1: attempts end with the client's time, and what the module then leaves unanswered fails here. */
@@ -684,13 +690,13 @@
      * has gone: it keeps the books of customers whom the others serve, and whoever starts it anew waits that long.
      */
     private void drainAndHalt() {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(EXIT_MS);
+        long exit = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos((long) end.exitsMs());
         loop.execute(this::drain);
         try {
-            awaitDrained(EXIT_MS);
+            awaitDrained((long) end.exitsMs());
             if (isMissed() && !replaced) {
                 log("drained: keeps books for the other gateways until its time is up");
-                TimeUnit.NANOSECONDS.sleep(end - System.nanoTime());
+                TimeUnit.NANOSECONDS.sleep(exit - System.nanoTime());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -704,7 +710,7 @@
      * is empty only from then on, and nobody starts it anew any sooner.
      */
     void drain() {
-        drainAfter(isMissed() && !sendsAway() ? staysMs() : 0);
+        drainAfter(isMissed() && !sendsAway() ? end.staysMs() : 0);
     }
 
     /** @param stay for how long clients may go on asking over what they have open, in milliseconds */
@@ -716,19 +722,13 @@
         } else {
             loop.schedule(this::leave, micros(stay), TimeUnit.MICROSECONDS);
         }
-        loop.schedule(clients::stopAccepting, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(clients::stopAccepting, micros(end.acceptsMs()), TimeUnit.MICROSECONDS);
         loop.schedule(() -> {
             clients.giveUpIdle();
             awaitEmpty();
-        }, micros(Math.max(ACCEPT_ON_MS, stay)), TimeUnit.MICROSECONDS);
-        loop.schedule(this::endAll, DRAIN_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> tell((now, m) -> m.leaving(now)), LEAVE_MS, TimeUnit.MILLISECONDS);
-    }
-
-    /** The platform gives a process that is to end the longest deadline, up to a bound that a drain has, too. */
-    private double staysMs() {
-        double longest = config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0);
-        return Math.min(DRAIN_MS, longest) - LAST_MS;
+        }, micros(Math.max(end.acceptsMs() + POLL_MS, stay)), TimeUnit.MICROSECONDS);
+        loop.schedule(this::endAll, micros(end.endsMs()), TimeUnit.MICROSECONDS);
+        loop.schedule(() -> tell((now, m) -> m.leaving(now)), micros(end.saysMs()), TimeUnit.MICROSECONDS);
     }
 
     /** From here on each answer is its connection's last. */
@@ -744,7 +744,12 @@
             endAttempts(r); // the module refuses or fails it, as its further attempts are void now
         }
         for (OpenRequest r : List.copyOf(open.values())) {
-            if (!r.closed()) { // still held
+            if (r.closed()) {
+                continue;
+            }
+            if (r.attempts.isEmpty()) { // held, and never sent: another gateway may have it
+                answer(r, HttpResponseStatus.TOO_MANY_REQUESTS, config.settings().limits().maxRetryAfterMs());
+            } else { // held for another attempt after one that may have run
                 answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
             }
         }
@@ -754,6 +759,7 @@
         if (open.isEmpty() && clients.idle()) {
             drained.countDown();
         } else {
+            clients.giveUpIdle(); // also those that had just connected, or were asked something meanwhile
             loop.schedule(this::awaitEmpty, POLL_MS, TimeUnit.MILLISECONDS);
         }
     }
