Nothing leaves for a host that drains or a client that left; broken attempts end before others begin

Seen by tests that force each meeting, all failing without the change: - An attempt whose connection was still coming up was written whatever had happened meanwhile. A host told to drain, gone or started anew got it up to connect_timeout_ms later, with a grace of half a second after its end. What comes up for such a host is given up in the call that brings the list, once the module knows of it, and goes to another. - A client that left then: the module cancels only where the settings allow it, so the request went out to nobody's benefit. What has not left yet is given up whatever they say. - A spoilt answer (also one that stalls) was told to the module before its connection was closed. The next attempt leaves in that very call: two out together, which settings without second copies forbid. HostConnection closes first. - Idle connections were looked at each 500 ms from 0.6 of the idle time on, and reuse asked only whether the socket stood: with idle times under 1.25 s one past the host's own limit could be used.

Ruled out, and kept as guards: held requests of one client and of a burst of 200 that leave by end or reset are not sent; an answer that stands in the socket is not late for a late loop.

The hosts' own sides are forced: Door is a listener with a full queue, so that connections come up when the test says so; MovedClock is moved by the test; the module holds the loop until the host has seen its connection end.

--- a/gateway/src/main/java/deckfall/net/HostClient.java
+++ b/gateway/src/main/java/deckfall/net/HostClient.java
@@ -24,9 +24,11 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -37,14 +39,18 @@
     private static final String HOST = "backend.local";
     private static final String REPORT = "Endpoint-Load-Metrics";
     private static final double IDLE_SHARE = 0.6; // of the time after which a host may close an idle connection
-    private static final long SWEEP_MS = 500;
+    private static final double SWEEP_SHARE = 0.1; // of that time: how often idle connections are looked at
+    private static final long SWEEP_LEAST_MS = 20; // that costs a share of a core, however short the time is
+    private static final long SWEEP_MOST_MS = 500; // descriptors of hosts that get nothing more are free by then
     private static final double SOCKET_SHARE = 0.36; // of all descriptors; the program itself needs some, too
     private static final double PROBE_TIMEOUT_MS = 250;
 
     private final Node node;
     private final Map<String, Pool> pools = new LinkedHashMap<>();
+    private final List<Pool> left = new ArrayList<>(); // closed, and what was coming up there is not given up yet
     private final Bootstrap bootstrap;
     private final int maxConnections;
+    private final long sweepMs;
     private int connections;
 
     HostClient(Node node) {
@@ -52,7 +58,8 @@
         this.maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
         this.bootstrap = node.transport.client(node.loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, node.config.connectTimeoutMs()));
-        node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
+        this.sweepMs = (long) Math.max(SWEEP_LEAST_MS, Math.min(SWEEP_MOST_MS, node.config.idleMs() * SWEEP_SHARE));
+        node.loop.schedule(this::closeIdle, sweepMs, TimeUnit.MILLISECONDS);
     }
 
     /** The connections to one host at one address in one life of its process. */
@@ -60,6 +67,7 @@
         final InetSocketAddress address;
         final double startedMs;
         final ArrayDeque<HostConnection> idle = new ArrayDeque<>(); // the last used at the end
+        final Set<HostConnection> comingUp = new LinkedHashSet<>(); // nothing was written on them yet
         boolean closed;
 
         Pool(InetSocketAddress address, double startedMs) {
@@ -111,16 +119,39 @@
         }
     }
 
+    /**
+     * What was to go to a host that takes nothing new, and whose connection has not come up yet, goes to another one: a
+     * connection may be so late that the drain's grace is over by then. To be called once the module knows of the drain,
+     * or it would choose the same host again.
+     */
+    void giveUpComingUp(List<Discovery.Entry> entries) {
+        for (Discovery.Entry e : entries) {
+            Pool pool = pools.get(e.host().id());
+            if (pool != null && e.host().state() != HostState.RUNNING) {
+                giveUpComingUp(pool);
+            }
+        }
+        for (Pool pool : List.copyOf(left)) {
+            giveUpComingUp(pool);
+        }
+        left.clear();
+    }
+
+    private static void giveUpComingUp(Pool pool) {
+        List.copyOf(pool.comingUp).forEach(HostConnection::lost);
+    }
+
     private void close(Pool pool) {
         if (pool != null) {
+            left.add(pool);
             pool.closed = true;
             List.copyOf(pool.idle).forEach(HostConnection::close);
         }
     }
 
     private void closeIdle() {
-        node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
-        double before = node.clock.now() - node.config.idleMs() * IDLE_SHARE;
+        node.loop.schedule(this::closeIdle, sweepMs, TimeUnit.MILLISECONDS);
+        double before = idleBefore();
         for (Pool pool : pools.values()) {
             while (!pool.idle.isEmpty() && pool.idle.peekFirst().idleSince() < before) {
                 pool.idle.pollFirst().close();
@@ -128,6 +159,11 @@
         }
     }
 
+    /** Idle since before then, a connection may meet its host's own closing on the way, and carries nothing more. */
+    private double idleBefore() {
+        return node.clock.now() - node.config.idleMs() * IDLE_SHARE;
+    }
+
     /** Makes room for one more connection at the cost of one that is idle somewhere. */
     private boolean room() {
         if (connections < maxConnections) {
@@ -224,7 +260,9 @@
             return;
         }
         for (HostConnection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
-            if (c.ready()) {
+            if (c.idleSince() < idleBefore()) { // the sweep has not come to it yet
+                c.close();
+            } else if (c.ready()) {
                 c.write(x, message.build());
                 return;
             }
@@ -244,6 +282,7 @@
         connections++;
         HostConnection c = new HostConnection(pool, node.clock);
         c.await(x);
+        pool.comingUp.add(c);
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
@@ -251,6 +290,7 @@
             }
         }).connect(node.transport.at(pool.address));
         connecting.addListener(f -> {
+            pool.comingUp.remove(c);
             if (!f.isSuccess()) { // also where no descriptor was left: then there is no channel to close
                 connections--;
                 c.lost();
@@ -259,6 +299,8 @@
             connecting.channel().closeFuture().addListener(closed -> connections--);
             if (c.awaits(x)) {
                 c.write(x, message.build());
+            } else {
+                c.close(); // nobody waits any more, and nothing may ever leave on it
             }
         });
     }
--- a/gateway/src/main/java/deckfall/net/HostConnection.java
+++ b/gateway/src/main/java/deckfall/net/HostConnection.java
@@ -53,6 +53,7 @@
     private final Decoder decoder = new Decoder();
     private Channel channel;
     private Exchange exchange;
+    private boolean sending; // the request's first byte may have left
     private boolean written; // the request's last byte has left
     private boolean begun; // of the answer, something has come
     private HttpResponse head;
@@ -94,6 +95,11 @@
             return connection != null;
         }
 
+        /** Whether a byte of it may have left for the host; before, its connection is still coming up. */
+        final boolean begun() {
+            return connection != null && connection.sending;
+        }
+
         /** Stops waiting: its connection closes, so late bytes can never reach another request. */
         final void abandon() {
             HostConnection c = connection;
@@ -182,6 +188,7 @@
 
     void write(Exchange x, FullHttpRequest message) {
         await(x);
+        sending = true;
         written = begun = clean = false;
         interim = 0;
         if (message instanceof LongRequest) {
@@ -203,8 +210,7 @@
         if (written) {
             x.written();
         } else {
-            lost();
-            close();
+            breakWith(Outcome.CONNECT_FAILED);
         }
     }
 
@@ -245,13 +251,24 @@
 
     /** What was asked here ended without an answer. It may have run only once its last byte had left. */
     void lost() {
-        end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+        breakWith(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
     }
 
     /** No answer will come of this, whatever else comes; the host has run the request all the same. */
     private void spoilt() {
-        end(Outcome.SPOILT, null);
+        breakWith(Outcome.SPOILT);
+    }
+
+    /**
+     * Ends the connection, and only then tells what was asked on it. Another attempt may leave in the very call that
+     * tells the end of this one; while the connection is still open, the two would be out together (rule 2).
+     */
+    private void breakWith(Outcome outcome) {
+        Exchange x = exchange;
+        exchange = null; // the failure of what is still to be written speaks to nobody
         close();
+        exchange = x;
+        end(outcome, null);
     }
 
     /** What was passed on so far is all that will come. */
@@ -463,6 +480,5 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         lost();
-        close();
     }
 }
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -478,6 +478,13 @@
         }
         close(r);
         tell((now, m) -> m.clientLeft(now, r.request.id()));
+        // Whatever the settings say of cancelling: what has not left for a host yet must never leave.
+        for (Attempt a : List.copyOf(r.attempts)) {
+            if (!a.ended && !a.begun()) {
+                a.abandon();
+                attemptEnded(a, Outcome.CANCELLED, null);
+            }
+        }
         forgetIfOver(r);
     }
 
@@ -557,6 +564,7 @@
         operators.listed(discovery.listed());
         List<Host> list = Discovery.hosts(entries);
         tell((now, m) -> m.hosts(now, kind, list));
+        hosts.giveUpComingUp(entries);
     }
 
     void peerSaid(int peer, byte[] data) {
--- /dev/null
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -0,0 +1,332 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.bytes;
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.ok;
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Brain;
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Request;
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Registry;
+import deckfall.net.Sockets.Server;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Two events that meet: each test brings the meeting about, and none waits for chance to do so. */
+class CrossingsTest extends SocketTest {
+    private Node of(String config, MovedClock clock) throws IOException {
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)), Brain::new, Transport.TCP,
+                new NioEventLoopGroup(1), clock);
+        ends.push(node::stop);
+        node.start();
+        return node;
+    }
+
+    private static boolean known(Node node, String id) throws Exception {
+        return node.loop.submit(() -> node.knows(id)).get();
+    }
+
+    // ---- the end of an attempt, and what follows from it
+
+    /** Sends what it is told once, and holds the loop at its end until the host has seen its connection end. */
+    private static final class Holding implements Quiet {
+        private final Actions act;
+        private final Server host;
+        private final AtomicReference<Outcome> ended;
+        private final AtomicReference<Boolean> closedBefore;
+
+        Holding(Actions act, Server host, AtomicReference<Outcome> ended, AtomicReference<Boolean> closedBefore) {
+            this.act = act;
+            this.host = host;
+            this.ended = ended;
+            this.closedBefore = closedBefore;
+        }
+
+        @Override
+        public void request(double now, Request r) {
+            act.send(r.id(), "h0", 0);
+        }
+
+        @Override
+        public void attemptEnded(double now, AttemptResult r) {
+            ended.set(r.outcome());
+            try {
+                closedBefore.set(host.ended.poll(CLOSES_WITHIN_S, TimeUnit.SECONDS) != null);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            act.fail(r.id());
+        }
+    }
+
+    private static final int LONG_MS = 60_000; // a client's patience, where the clock is moved
+    private static final int CLOSES_WITHIN_S = 5; // on a busy machine; only a gateway at fault takes as long
+
+    /**
+     * The module was once told of a spoilt answer while its connection still stood, and what it sent in that call was a
+     * second attempt out beside the first (rule 2, where settings allow no second copy).
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 twohundred\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nno length",
+        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nand no more", "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n"})
+    void anAttemptsConnectionEndsBeforeTheModuleHearsOfItsEnd(String spoilt) throws Exception {
+        Server host = host((m, s) -> s.getOutputStream().write(bytes(spoilt)));
+        AtomicReference<Outcome> ended = new AtomicReference<>();
+        AtomicReference<Boolean> closedBefore = new AtomicReference<>();
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"),
+                act -> new Holding(act, host, ended, closedBefore));
+        ends.push(node::stop);
+        // An answer that is too long goes nowhere with a client of before chunks and lengths.
+        assertEquals(502, client(node).send(view("v", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals(Outcome.SPOILT, ended.get());
+        assertTrue(closedBefore.get(), "the first attempt was still out");
+    }
+
+    // ---- connections to hosts that come up late
+
+    /** A drain's grace may be over by the time at which a connection comes up: nothing is written on it then. */
+    @ParameterizedTest
+    @ValueSource(strings = {"draining", "gone", "ready"})
+    void whatWasComingUpForAHostThatGoesLeavesForAnother(String state) throws Exception {
+        Door late = kept(new Door());
+        Server other = host(SocketTest::echo);
+        Node node = nodeWith(entry("h0", late.address(), "ready"));
+        awaitWatches(1);
+        Client c = client(node).send(view("v", Sockets.PATIENCE_MS));
+        Sockets.await(() -> known(node, "v"), "the request is taken");
+        String told = state.equals("ready") // in another life, elsewhere
+                ? entry("h0", other.address(), state).replace("\"started_ms\":0", "\"started_ms\":1")
+                : entry("h0", late.address(), state);
+        registry.news.add(list(2, false, told, entry("h1", other.address(), "ready")));
+        awaitWatches(2);
+        late.open();
+        assertEquals("for v ", c.receive().text());
+        assertEquals(List.of(), late.asked);
+        assertEquals(1, other.asked.size());
+    }
+
+    /** Also where the settings allow no attempt to be cancelled: what has not left never does. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRequestWhoseClientLeavesWhileItsConnectionComesUpIsNotSentOn(boolean reset) throws Exception {
+        Door late = kept(new Door());
+        registry = kept(new Registry(list(1, true, entry("h0", late.address(), "ready"))));
+        Node node = running(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"cancel\": true", "\"cancel\": false"));
+        Client c = client(node).send(view("v", Sockets.PATIENCE_MS));
+        Sockets.await(() -> known(node, "v"), "the request is taken");
+        if (reset) {
+            c.socket.setSoLinger(true, 0);
+        }
+        c.close();
+        Sockets.await(() -> node.loop.submit(node::connections).get() == 0, "the gateway has seen the client leave");
+        late.open();
+        Sockets.await(() -> !known(node, "v"), "its attempt is over");
+        assertEquals(List.of(), late.asked);
+    }
+
+    // ---- clients that leave while their requests are held
+
+    /** One, and 200 in one burst, by an end and by a reset: a place that is free later is for others. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void heldRequestsWhoseClientsLeftAreNotSentOn(boolean reset) throws Exception {
+        CountDownLatch left = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            if (m.header("X-Trace-Id").startsWith("first")) {
+                left.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            }
+            echo(m, s);
+        });
+        Node node = nodeBefore(host);
+        List<Client> first = new ArrayList<>();
+        for (int i = 0; i < 40; i++) { // more than the places of one gateway before one host
+            first.add(client(node).send(view("first" + i, Sockets.PATIENCE_MS)));
+        }
+        for (int i = 0; i < 40; i++) {
+            String id = "first" + i;
+            Sockets.await(() -> known(node, id), id);
+        }
+        List<Client> leaving = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            leaving.add(client(node).send(view("left" + i, Sockets.PATIENCE_MS)));
+        }
+        Sockets.await(() -> known(node, "left199"), "the last of them is held");
+        for (Client c : leaving) {
+            if (reset) {
+                c.socket.setSoLinger(true, 0);
+            }
+            c.close();
+        }
+        for (int i = 0; i < 200; i++) {
+            String id = "left" + i;
+            Sockets.await(() -> !known(node, id), id);
+        }
+        left.countDown();
+        for (Client c : first) {
+            assertEquals(200, c.receive().status());
+        }
+        assertTrue(host.asked.stream().noneMatch(m -> m.header("X-Trace-Id").startsWith("left")));
+    }
+
+    // ---- idle connections
+
+    /** Its host may be closing it just now; the sweep had not come to it, and a short idle time is over before it does. */
+    @Test
+    void aConnectionThatWasIdleForTooLongIsNotUsedAgain() throws Exception {
+        List<Socket> used = new ArrayList<>();
+        Server host = host((m, s) -> {
+            used.add(s);
+            echo(m, s);
+        });
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        MovedClock clock = new MovedClock();
+        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"connect_timeout_ms\": 5000", "\"connect_timeout_ms\": 5000, \"conn_idle_ms\": 20000"), clock);
+        Client c = client(node);
+        assertEquals(200, c.send(view("a", LONG_MS)).receive().status());
+        node.loop.submit(() -> {
+            clock.move(13_000); // in one turn of the loop with the request that follows: no sweep falls between
+            try {
+                c.send(view("b", LONG_MS));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }).sync();
+        assertEquals(200, c.receive().status());
+        assertEquals(2, used.size());
+        assertTrue(used.get(0) != used.get(1), "asked again on a connection that its host may be closing");
+    }
+
+    // ---- the end of a process
+
+    /** A request that comes when all has been given up once waited for its time, which the process did not outlive. */
+    @Test
+    void whatComesAfterTheEndOfADrainIsAnsweredAtOnce() throws Exception {
+        Server host = host(SocketTest::echo);
+        Node node = nodeBefore(host);
+        Client c = client(node);
+        assertEquals(200, c.send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        node.loop.submit(node::endAll).sync();
+        Message answer = c.send(view("b", Sockets.PATIENCE_MS)).receive();
+        assertEquals(503, answer.status());
+        assertNotNull(answer.header("Retry-After"));
+        assertEquals(1, host.asked.size());
+    }
+
+    /** What was held and never sent is another gateway's to try: it was once answered as failed. */
+    @Test
+    void whatIsStillHeldAtTheEndIsRefusedWithATimeToComeBack() throws Exception {
+        Server host = host((m, s) -> { });
+        Node node = nodeBefore(host);
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            clients.add(client(node).send(view("v" + i, Sockets.PATIENCE_MS)));
+            String id = "v" + i;
+            Sockets.await(() -> known(node, id), id);
+        }
+        node.loop.submit(node::endAll).sync();
+        for (Client c : clients) {
+            Message answer = c.receive();
+            assertEquals(429, answer.status());
+            assertNotNull(answer.header("Retry-After"));
+        }
+        assertTrue(host.asked.size() < 40, "none was held");
+    }
+
+    /** Who stands in the listener's queue when it closes was once reset with it. */
+    @Test
+    void whoConnectedBeforeTheListenerClosedIsServed() throws Exception {
+        Node node = nodeBefore(host(SocketTest::echo));
+        int port = node.port();
+        Socket waiting = node.loop.submit(() -> {
+            node.clients.stopAccepting();
+            Socket s = new Socket(InetAddress.getLoopbackAddress(), port); // the loop does not come to it before
+            s.setSoTimeout(Sockets.PATIENCE_MS);
+            s.getOutputStream().write(bytes(view("q", Sockets.PATIENCE_MS)));
+            return s;
+        }).get();
+        kept(waiting);
+        assertEquals("for q ", Sockets.read(waiting.getInputStream()).text());
+        assertFalse(node.loop.submit(() -> node.clients.listener().isOpen()).get());
+    }
+
+    /** A connection that was just made is about to ask, and its request once met the end of its connection. */
+    @Test
+    void whoHasJustConnectedIsNotIdle() throws Exception {
+        registry = kept(new Registry(list(1, true, entry("h0", host(SocketTest::echo).address(), "ready"))));
+        MovedClock clock = new MovedClock();
+        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Client c = client(node);
+        Sockets.await(() -> node.loop.submit(node::connections).get() == 1, "it is accepted");
+        node.loop.submit(node.clients::giveUpIdle).sync();
+        assertEquals("for v ", c.send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        Client silent = client(node);
+        Sockets.await(() -> node.loop.submit(node::connections).get() == 2, "it is accepted");
+        clock.move(1000);
+        node.loop.submit(node.clients::giveUpIdle).sync();
+        assertNull(silent.receive());
+    }
+
+    // ---- the list
+
+    /** A late loop finds the answer in the socket and the time limit of its call due, in either order. */
+    @Test
+    void anAnswerThatStandsInTheSocketIsNotLateForBeingReadLate() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch answer = new CountDownLatch(1);
+        List<Integer> connections = new ArrayList<>();
+        Server agent = kept(new Server((m, s) -> {
+            connections.add(s.getPort());
+            asked.countDown();
+            if (!m.start().contains("from=")) {
+                answer.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+                s.getOutputStream().write(ok(list(1, true)));
+            }
+        }));
+        Node node = Sockets.unstarted(Sockets.config(agent.address(), "127.0.0.1:0"));
+        ends.push(node::stop);
+        Thread start = new Thread(() -> {
+            try {
+                node.start();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        start.start();
+        assertTrue(asked.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        node.loop.submit(() -> {
+            answer.countDown();
+            double end = node.clock.now() + 1500; // beyond the patience of a call for a whole list
+            while (node.clock.now() < end) {
+                Thread.onSpinWait();
+            }
+        }).sync();
+        Sockets.await(() -> connections.size() == 2, "the watch follows the list");
+        assertEquals(connections.get(0), connections.get(1), "the call was given up with its answer unread");
+        start.join();
+    }
+}
