A connection rests 50 ms after its answer; clients that left are seen behind what they sent ahead

- A second answer some milliseconds after the first was taken for the next request's where the two crossed: the request's client got it ("the answer of before, once more").
Nothing on the wire tells them apart, so a connection carries nothing for 50 ms after its answer; of several that rested the last used goes first, as before.
- 17 and more requests ahead pause reading, and the client's end stands behind them: its requests went on, one after the other.
- Settings out of range (times of 0 or less, an idle time of 0, shares over 1, an ordinal beyond the tier, two classes of one name, no class) were taken as they stood: 14 of the 17 new cases.
SettingsCheck names the key, before a listener opens.

--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -32,6 +32,7 @@
 final class ClientServer {
     static final int MAX_BODY = 64 * 1024;
     private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
+    private static final int LOOKED_AHEAD = 64; // of them, where reading pauses: so far a client's end is looked for
     private static final double SOCKET_SHARE = 0.42; // of all descriptors; the program itself needs some, too
     private static final double NEWCOMERS_SHARE = 0.25; // of the connections: so many may have asked nothing yet
     private static final double PRESSED_SHARE = 0.5; // of the connections that fit: then idle ones give way early
@@ -164,6 +165,7 @@
         node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         double now = node.clock.now();
         for (Connection c : List.copyOf(connections)) {
+            c.lookAhead();
             if (c.overdue(now)) {
                 Transport.readNow(c.channel); // what stands in its socket was not late, this loop was
                 if (c.overdue(node.clock.now())) {
@@ -395,6 +397,19 @@
             }
         }
 
+        /**
+         * While reading pauses the client's end is not seen: it stands behind what the client sent. So that requests of one
+         * that has left are not sent on, a little more is read now and then.
+         */
+        private void lookAhead() {
+            int before = -1;
+            while (!ended && !paused && waiting.size() >= PIPELINED && waiting.size() < LOOKED_AHEAD
+                    && waiting.size() != before && channel.isActive()) {
+                before = waiting.size();
+                Transport.readNow(channel);
+            }
+        }
+
         /** How long the rest of its body may take at the least speed that clients have; 0 where all is here. */
         private double restMs() {
             if (upload == null || upload.over()) {
--- a/gateway/src/main/java/deckfall/net/HostClient.java
+++ b/gateway/src/main/java/deckfall/net/HostClient.java
@@ -27,6 +27,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -39,6 +40,12 @@
     private static final String HOST = "backend.local";
     private static final String REPORT = "Endpoint-Load-Metrics";
     private static final double IDLE_SHARE = 0.6; // of the time after which a host may close an idle connection
+    /**
+     * For so long after an answer its connection carries nothing else. A host that answers twice does so some milliseconds
+     * later, by the platform's word; where the next request is on its way by then, nothing tells the two apart. The same
+     * everywhere, as it is of the hosts' faults and not of a deployment's traffic.
+     */
+    static final double REST_MS = 50;
     private static final double SWEEP_SHARE = 0.1; // of that time: how often idle connections are looked at
     private static final long SWEEP_LEAST_MS = 20; // that costs a share of a core, however short the time is
     private static final long SWEEP_MOST_MS = 500; // descriptors of hosts that get nothing more are free by then
@@ -75,6 +82,18 @@
             this.startedMs = startedMs;
         }
 
+        /** Takes the last used of those that have been idle since then; null where there is none. */
+        HostConnection rested(double since) {
+            for (Iterator<HostConnection> all = idle.descendingIterator(); all.hasNext();) {
+                HostConnection c = all.next();
+                if (c.idleSince() <= since) {
+                    all.remove();
+                    return c;
+                }
+            }
+            return null;
+        }
+
         @Override
         public boolean closed() {
             return closed;
@@ -259,7 +278,7 @@
             x.ended(Outcome.CONNECT_FAILED, null); // its address was taken from the list
             return;
         }
-        for (HostConnection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
+        for (HostConnection c = pool.rested(node.clock.now() - REST_MS); c != null; c = pool.rested(node.clock.now() - REST_MS)) {
             if (c.idleSince() < idleBefore()) { // the sweep has not come to it yet
                 c.close();
             } else if (c.ready()) {
--- a/gateway/src/main/java/deckfall/net/NodeConfig.java
+++ b/gateway/src/main/java/deckfall/net/NodeConfig.java
@@ -74,7 +74,7 @@
         flatten("", root.path("settings"), pairs);
         pairs.put("rng_seed", Long.toString(Long.parseUnsignedLong(text(root, "seed"), HEX)));
         Fields fields = new Fields(pairs);
-        Settings settings = SettingsReader.read(fields);
+        Settings settings = SettingsCheck.checked(SettingsReader.read(fields));
         List<InetSocketAddress> peers = new ArrayList<>();
         for (JsonNode peer : root.path("peers")) {
             peers.add(address(peer.asText()));
@@ -85,10 +85,16 @@
                 address(text(root, "listen")), address(text(root, "discovery")),
                 mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
-                root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS), root.path("known"), settings,
-                fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS),
-                fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS),
-                (int) fields.number("limits.max_open", DEFAULT_MAX_OPEN));
+                (int) above(0, "limits.sockets", root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS)),
+                root.path("known"), settings,
+                above(0, "limits.connect_timeout_ms", fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS)),
+                above(0, "limits.conn_idle_ms", fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS)),
+                (int) above(0, "limits.max_open", fields.number("limits.max_open", DEFAULT_MAX_OPEN)));
+    }
+
+    private static double above(double least, String name, double value) {
+        SettingsCheck.hold(value > least, name, value, "above " + (long) least);
+        return value;
     }
 
     /** Nested settings under the names that the simulator's wire gives them. */
--- a/gateway/src/test/java/deckfall/net/CrossingsTest.java
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -221,6 +221,72 @@
         assertTrue(used.get(0) != used.get(1), "asked again on a connection that its host may be closing");
     }
 
+    /** A second answer that a host sends while the next request is on its way was served to that request's client. */
+    @Test
+    void aSecondAnswerThatCrossesTheNextRequestReachesNobody() throws Exception {
+        List<Socket> used = new ArrayList<>();
+        Server host = host((m, s) -> {
+            if (used.contains(s)) { // as if it had left just before this request came
+                s.getOutputStream().write(ok("the answer of before, once more"));
+            }
+            used.add(s);
+            echo(m, s);
+        });
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        MovedClock clock = MovedClock.standing();
+        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Client c = client(node);
+        for (int i = 0; i < 5; i++) {
+            assertEquals("for v" + i + " ", c.send(view("v" + i, LONG_MS)).receive().text());
+            clock.move(HostClient.REST_MS / 10);
+        }
+        assertEquals(5, used.size());
+    }
+
+    /** Once what a host may still have said would have come, its connection is used again. */
+    @Test
+    void aRestedConnectionIsUsedAgain() throws Exception {
+        List<Socket> used = new ArrayList<>();
+        Server host = host((m, s) -> {
+            used.add(s);
+            echo(m, s);
+        });
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        MovedClock clock = MovedClock.standing();
+        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Client c = client(node);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(200, c.send(view("v" + i, LONG_MS)).receive().status());
+            clock.move(HostClient.REST_MS);
+        }
+        assertEquals(1, used.stream().distinct().count());
+    }
+
+    // ---- clients that are not read
+
+    /** Its end stands behind what it sent ahead, and the gateway reads only so much of that: none of it is sent on. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 16, 17, 40, 60})
+    void requestsSentAheadByAClientThatLeftAreNotSentOn(int many) throws Exception {
+        CountDownLatch left = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            left.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            echo(m, s);
+        });
+        Node node = nodeBefore(host);
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < many; i++) {
+            all.append(view("p" + i, Sockets.PATIENCE_MS));
+        }
+        Client c = client(node).send(all.toString());
+        assertNotNull(host.next());
+        c.close();
+        Sockets.await(() -> node.loop.submit(node::connections).get() == 0, "the gateway has seen the client leave");
+        left.countDown();
+        assertEquals("for w ", client(node).send(view("w", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(2, host.asked.size());
+    }
+
     // ---- the end of a process
 
     /** A request that comes when all has been given up once waited for its time, which the process did not outlive. */
--- a/gateway/src/test/java/deckfall/net/NodeTest.java
+++ b/gateway/src/test/java/deckfall/net/NodeTest.java
@@ -35,6 +35,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** A node between real sockets: each test is a failure that must not cost a request or break a rule. */
 class NodeTest extends SocketTest {
@@ -495,6 +497,27 @@
         assertEquals("for held ", held.receive().text());
     }
 
+    /** Each was once taken as it stood, and showed only in what then happened to requests. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"\"hard_limit_ms\": 60000|\"hard_limit_ms\": 0|hard_limit_ms",
+        "\"hard_limit_ms\": 60000|\"hard_limit_ms\": -5|hard_limit_ms", "\"goal_time_ms\": 20000|\"goal_time_ms\": -1|goal_time_ms",
+        "\"goal_time_ms\": 20000, |''|goal_time_ms", "\"effect\": \"repeatable\"|\"effect\": \"seldom\"|effect",
+        "\"effect\": \"repeatable\", |''|effect", "\"window_ms\": 60000|\"window_ms\": 0|window_ms",
+        "\"connect_timeout_ms\": 5000|\"connect_timeout_ms\": 0|connect_timeout_ms",
+        "\"connect_timeout_ms\": 5000|\"conn_idle_ms\": 0|conn_idle_ms",
+        "\"connect_timeout_ms\": 5000|\"conn_idle_ms\": -3|conn_idle_ms", "\"max_attempts\": 3|\"max_attempts\": 0|max_attempts",
+        "\"units_per_s\": 0.001|\"units_per_s\": -1|units_per_s", "\"ordinal\": 0|\"ordinal\": 1|ordinal",
+        "\"cold_from\": 0.2|\"cold_from\": 1.5|cold_from", "\"name\": \"tiny\"|\"name\": \"free\"|plans.free.name",
+        "\"max_units\": 4|\"max_units\": 0|max_units", "\"sockets\": 1024|\"sockets\": 0|sockets"})
+    void settingsThatCannotBeAreNamed(String good, String bad, String named) {
+        String config = Sockets.config("127.0.0.1:1", "127.0.0.1:0");
+        assertTrue(config.contains(good));
+        Exception e = assertThrows(RuntimeException.class, () -> NodeConfig.of(
+                new com.fasterxml.jackson.databind.ObjectMapper().readTree(config.replace(good, bad))));
+        assertTrue(e.getMessage().contains(named), e.getMessage());
+        assertEquals(1, e.getMessage().lines().count());
+    }
+
     @Test
     void aBadConfigurationIsOnePlainLine() {
         for (String bad : List.of("[]", "{}", Sockets.config("nowhere", "127.0.0.1:0"),
