A connection must rest 10 ms after its answer, and one that rested 50 ms is taken first

Now only 10 ms are a must, "some milliseconds" and the way, and reuse prefers the last used of those that rested 50 ms.

--- a/gateway/src/main/java/deckfall/net/HostClient.java
+++ b/gateway/src/main/java/deckfall/net/HostClient.java
@@ -45,7 +45,9 @@
      * later, by the platform's word; where the next request is on its way by then, nothing tells the two apart. The same
      * everywhere, as it is of the hosts' faults and not of a deployment's traffic.
      */
-    static final double REST_MS = 50;
+    static final double REST_MS = 10;
+    /** One that has rested for so long is taken first; to wait for it would cost new connections, which may come late. */
+    static final double RESTED_MS = 50;
     private static final double SWEEP_SHARE = 0.1; // of that time: how often idle connections are looked at
     private static final long SWEEP_LEAST_MS = 20; // that costs a share of a core, however short the time is
     private static final long SWEEP_MOST_MS = 500; // descriptors of hosts that get nothing more are free by then
@@ -82,8 +84,13 @@
             this.startedMs = startedMs;
         }
 
-        /** Takes the last used of those that have been idle since then; null where there is none. */
-        HostConnection rested(double since) {
+        /** Takes the last used of those that have rested well, or else enough; null where there is none. */
+        HostConnection rested(double now) {
+            HostConnection well = idleSince(now - RESTED_MS);
+            return well != null ? well : idleSince(now - REST_MS);
+        }
+
+        private HostConnection idleSince(double since) {
             for (Iterator<HostConnection> all = idle.descendingIterator(); all.hasNext();) {
                 HostConnection c = all.next();
                 if (c.idleSince() <= since) {
@@ -278,7 +285,8 @@
             x.ended(Outcome.CONNECT_FAILED, null); // its address was taken from the list
             return;
         }
-        for (HostConnection c = pool.rested(node.clock.now() - REST_MS); c != null; c = pool.rested(node.clock.now() - REST_MS)) {
+        double now = node.clock.now();
+        for (HostConnection c = pool.rested(now); c != null; c = pool.rested(now)) {
             if (c.idleSince() < idleBefore()) { // the sweep has not come to it yet
                 c.close();
             } else if (c.ready()) {
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -437,7 +437,7 @@
         figures.taken();
         client.holds(entry);
         double left = r.deadlineMs() - clock.now();
-        entry.guard = loop.schedule(() -> deadline(entry), micros(left), TimeUnit.MICROSECONDS);
+        entry.guard = loop.schedule(() -> deadline(r.id()), micros(left), TimeUnit.MICROSECONDS);
         tell((now, m) -> m.request(now, r));
     }
 
@@ -451,7 +451,11 @@
     }
 
     /** Rule 1: attempts end with the client's time, and what the module then leaves unanswered fails here. */
-    private void deadline(OpenRequest r) {
+    void deadline(String id) {
+        OpenRequest r = open.get(id);
+        if (r == null) {
+            return;
+        }
         endAttempts(r);
         if (!r.closed()) {
             log("defect: no answer from the module in time, request failed");
--- a/gateway/src/main/java/deckfall/net/Transport.java
+++ b/gateway/src/main/java/deckfall/net/Transport.java
@@ -23,8 +23,8 @@
  * What carries a node's connections: TCP, or for its warm-up the process's own memory, which nobody else can reach.
  * Channels are made by their constructors: by name the virtual machine would write code of its own at the sixteenth.
  */
-enum Transport {
-    TCP {
+abstract class Transport {
+    static final Transport TCP = new Transport() {
         @Override
         ServerBootstrap server(EventLoopGroup group) {
             return new ServerBootstrap().group(group).channelFactory(NioServerSocketChannel::new)
@@ -53,9 +53,9 @@
         SocketAddress at(InetSocketAddress address) {
             return address;
         }
-    },
+    };
 
-    MEMORY {
+    static final Transport MEMORY = new Transport() {
         @Override
         ServerBootstrap server(EventLoopGroup group) {
             return new ServerBootstrap().group(group).channelFactory(LocalServerChannel::new);
