MeetingsTest hands over six times a step: the longest chain has five

Change: six hand-overs between the loops in place of eight; the longest chain of one step (answer, close, connect, serve, write, arrival) has five.

--- a/gateway/src/test/java/deckfall/net/MeetingsTest.java
+++ b/gateway/src/test/java/deckfall/net/MeetingsTest.java
@@ -56,7 +56,7 @@
     private static final int NODE_PORT = 2001; // in memory
     private static final int[] HOST_PORTS = {2002, 2003, 2004};
     private static final String[] ZONES = {"a", "a", "b"};
-    private static final int LOOPS = 8; // hand-overs between the two loops that the longest step brings about
+    private static final int LOOPS = 6; // hand-overs between the two loops that the longest step brings about
     private static final double GRACE_MS = 2000;
     private static final int PATIENCE_MS = 30_000;
 
