A guard: two nodes of one process know a class by one name and two effects

Nothing failed: attempts follow each node's own settings, and a request whose method does not fit them is refused. Held before, kept as a test (NodeTest).

--- a/gateway/src/test/java/deckfall/net/NodeTest.java
+++ b/gateway/src/test/java/deckfall/net/NodeTest.java
@@ -428,6 +428,24 @@
         assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
     }
 
+    /** Effects come from the settings alone, also where two nodes of one process know a class by the same name. */
+    @Test
+    void oneNodesSettingsAreNotAnothers() throws Exception {
+        Server host = host((m, s) -> s.close());
+        Node repeats = nodeBefore(host);
+        String once = Sockets.config(registry.server.address(), "127.0.0.1:0").replace("repeatable", "once");
+        Node never = running(once);
+        String unsafe = view("u", Sockets.PATIENCE_MS).replace("GET", "POST").replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n");
+        for (int i = 1; i <= 3; i++) {
+            assertEquals(429, client(repeats).send(view("v" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(4 * i - 1, host.asked.size(), "three attempts of what may be repeated");
+            assertEquals(502, client(never).send(unsafe.replace("/u?", "/u" + i + "?")).receive().status());
+            assertEquals(4 * i, host.asked.size(), "one of what may not");
+        }
+        assertEquals(400, client(repeats).send(unsafe).receive().status());
+        assertEquals(400, client(never).send(view("v", Sockets.PATIENCE_MS)).receive().status());
+    }
+
     /** A module that does only what a test says of a request. */
     private record Scripted(BiConsumer<Double, Request> script) implements Quiet {
         @Override
