CrossingsTest moves its clock on the loop, behind the turn in which a connection came to rest

Seen: one of two mvn -B verify on busy cores failed in aRestedConnectionIsUsedAgain. Cause: the client has its answer while the loop is still in the turn that ends with the connection coming to rest; the clock moved between, and it had rested for nothing. Change: the test moves its clock on the loop. The same run failed aBadConfigurationEndsItWithOneLine: it ran under nohup, so the program told of the ignored SIGHUP in a second line.

--- a/gateway/src/test/java/deckfall/net/CrossingsTest.java
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -238,7 +238,7 @@
         Client c = client(node);
         for (int i = 0; i < 5; i++) {
             assertEquals("for v" + i + " ", c.send(view("v" + i, LONG_MS)).receive().text());
-            clock.move(HostClient.REST_MS / 10);
+            node.loop.submit(() -> clock.move(HostClient.REST_MS / 10)).sync();
         }
         assertEquals(5, used.size());
     }
@@ -257,7 +257,7 @@
         Client c = client(node);
         for (int i = 0; i < 3; i++) {
             assertEquals(200, c.send(view("v" + i, LONG_MS)).receive().status());
-            clock.move(HostClient.REST_MS + 1);
+            node.loop.submit(() -> clock.move(HostClient.REST_MS + 1)).sync(); // behind the turn in which it came to rest
         }
         assertEquals(1, used.stream().distinct().count());
     }
