One way to give an attempt up; one host of the tests that notes its connections

Change: giveUp, noting, positive; the comment of CallPace's grace says 0 or more, as it takes it. No behaviour changes.

--- a/gateway/src/main/java/deckfall/list/CallPace.java
+++ b/gateway/src/main/java/deckfall/list/CallPace.java
@@ -42,7 +42,7 @@
     private int broken;
 
     /**
-     * @param graceMs of a drain, by the settings: how long after its word a host may still be sent to; above 0
+     * @param graceMs of a drain, by the settings: how long after its word a host may still be sent to; 0 or more
      * @param pushed whether the agent is told by itself, and answers at once and at no cost; else it is one service for
      *     the whole tier, which short waits of all would only make later
      */
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -463,19 +463,23 @@
         }
     }
 
+    /** Ends an attempt's connection, and only then tells of its end. */
+    private void giveUp(Attempt a, Outcome outcome) {
+        a.abandon();
+        attemptEnded(a, outcome, null);
+    }
+
     private void endAttempts(OpenRequest r) {
         for (Attempt a : List.copyOf(r.attempts)) {
             if (!a.ended && a != r.stream) { // an answer that is on its way outlasts the client's time
-                a.abandon();
-                attemptEnded(a, Outcome.TIMEOUT, null);
+                giveUp(a, Outcome.TIMEOUT);
             }
         }
     }
 
     void clientLeft(OpenRequest r) {
         if (r.stream != null && !r.stream.ended) {
-            r.stream.abandon();
-            attemptEnded(r.stream, Outcome.CANCELLED, null);
+            giveUp(r.stream, Outcome.CANCELLED);
         }
         if (r.closed()) {
             return;
@@ -485,8 +489,7 @@
         // Whatever the settings say of cancelling: what has not left for a host yet must never leave.
         for (Attempt a : List.copyOf(r.attempts)) {
             if (!a.ended && !a.begun()) {
-                a.abandon();
-                attemptEnded(a, Outcome.CANCELLED, null);
+                giveUp(a, Outcome.CANCELLED);
             }
         }
         forgetIfOver(r);
@@ -511,8 +514,7 @@
         tell((now, m) -> m.streamStarted(now, r.request.id(), a.number));
         for (Attempt other : List.copyOf(r.attempts)) {
             if (other != a && !other.ended) {
-                other.abandon();
-                attemptEnded(other, Outcome.CANCELLED, null);
+                giveUp(other, Outcome.CANCELLED);
             }
         }
         return sink;
@@ -601,8 +603,7 @@
         }
         if (timeoutMs > 0) {
             a.limit(loop.schedule(() -> {
-                a.abandon();
-                attemptEnded(a, Outcome.TIMEOUT, null);
+                giveUp(a, Outcome.TIMEOUT);
             }, micros(timeoutMs), TimeUnit.MICROSECONDS));
         }
         hosts.send(a);
@@ -615,8 +616,7 @@
             return;
         }
         Attempt a = r.attempts.get(attempt);
-        a.abandon();
-        attemptEnded(a, Outcome.CANCELLED, null);
+        giveUp(a, Outcome.CANCELLED);
     }
 
     @Override
--- a/gateway/src/main/java/deckfall/net/NodeConfig.java
+++ b/gateway/src/main/java/deckfall/net/NodeConfig.java
@@ -85,15 +85,15 @@
                 address(text(root, "listen")), address(text(root, "discovery")),
                 mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
-                (int) above(0, "limits.sockets", root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS)),
+                (int) positive("limits.sockets", root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS)),
                 root.path("known"), settings,
-                above(0, "limits.connect_timeout_ms", fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS)),
-                above(0, "limits.conn_idle_ms", fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS)),
-                (int) above(0, "limits.max_open", fields.number("limits.max_open", DEFAULT_MAX_OPEN)));
+                positive("limits.connect_timeout_ms", fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS)),
+                positive("limits.conn_idle_ms", fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS)),
+                (int) positive("limits.max_open", fields.number("limits.max_open", DEFAULT_MAX_OPEN)));
     }
 
-    private static double above(double least, String name, double value) {
-        SettingsCheck.hold(value > least, name, value, "above " + (long) least);
+    private static double positive(String name, double value) {
+        SettingsCheck.hold(value > 0, name, value, "above 0");
         return value;
     }
 
--- a/gateway/src/test/java/deckfall/net/CrossingsTest.java
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -44,6 +44,14 @@
         return node;
     }
 
+    /** A host that notes on which connection each request comes. */
+    private Server noting(List<Socket> used) throws IOException {
+        return host((m, s) -> {
+            used.add(s);
+            echo(m, s);
+        });
+    }
+
     private static boolean known(Node node, String id) throws Exception {
         return node.loop.submit(() -> node.knows(id)).get();
     }
@@ -198,10 +206,7 @@
     @Test
     void aConnectionThatWasIdleForTooLongIsNotUsedAgain() throws Exception {
         List<Socket> used = new ArrayList<>();
-        Server host = host((m, s) -> {
-            used.add(s);
-            echo(m, s);
-        });
+        Server host = noting(used);
         registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
         MovedClock clock = new MovedClock();
         Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0")
@@ -247,10 +252,7 @@
     @Test
     void aRestedConnectionIsUsedAgain() throws Exception {
         List<Socket> used = new ArrayList<>();
-        Server host = host((m, s) -> {
-            used.add(s);
-            echo(m, s);
-        });
+        Server host = noting(used);
         registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
         MovedClock clock = MovedClock.standing();
         Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
