A last answer is whole though more was sent; long bodies that wait are released

- An answer that ends its connection was followed by a close.
Where more of what the client sent stood unread (reading pauses behind 16 requests), the close reset the connection, and the system forgot what had not reached the client of the answer: a client of 4 KiB at a time got the reset within 60 KB.
- Of a body beyond 64 KiB that had come whole while it waited behind another request, what is past the kept part was never released where its client left or it was refused in its turn: up to 64 KiB of 16 MiB direct memory for good each time.
A message and its rest are let go of in one place now (LongRequest.free); what a closing connection still had waiting, too.

Ruled out: the first form of the test passed without the mend, as the JDK ends sending first and closes a socket that its selector knows one turn later; the client now begins to read ten turns of the loop later.

--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -2,14 +2,15 @@
 
 import deckfall.Gateway.Request;
 import deckfall.console.Figures;
+import deckfall.end.Linger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -22,7 +23,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -59,6 +60,7 @@
     private final LinkedHashSet<Connection> onlookers = new LinkedHashSet<>(); // idle, asked for health alone
     private final LinkedHashSet<Connection> casual = new LinkedHashSet<>(); // idle, asked once
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // those that ask again and again
+    private final LinkedHashSet<Connection> lingering = new LinkedHashSet<>(); // answered for the last time, the oldest first
     /** Who gives way first, once there are no more newcomers than may be; the longest idle stands first in each. */
     private final List<LinkedHashSet<Connection>> givingWay = List.of(onlookers, casual, idle, unused);
     private final int maxConnections;
@@ -164,6 +166,11 @@
     private void sweep() {
         node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         double now = node.clock.now();
+        for (Connection c : List.copyOf(lingering)) {
+            if (!c.linger.goesOn(now)) {
+                c.channel.close();
+            }
+        }
         for (Connection c : List.copyOf(connections)) {
             c.lookAhead();
             if (c.overdue(now)) {
@@ -205,6 +212,12 @@
      * house each would be closed by the next before its request is there, and none would ever be heard.
      */
     private boolean makeRoom() {
+        if (!lingering.isEmpty()) {
+            Connection oldest = first(lingering);
+            oldest.leave();
+            oldest.channel.close();
+            return true;
+        }
         while (unused.size() > maxNewcomers) {
             if (giveUp(first(unused), unused)) {
                 return true;
@@ -258,6 +271,7 @@
         private boolean paused;
         private Upload upload; // the rest of the body of the request under way; null where all of it is here
         private boolean answered; // that request, though more of its body may come
+        private Linger linger; // null until the last answer has left
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -277,9 +291,31 @@
 
         private void leave() {
             connections.remove(this);
+            lingering.remove(this);
             leavePlace();
         }
 
+        /**
+         * Ends a connection whose last answer has left: what the client sends meanwhile is read and forgotten for a while, as a
+         * close over unread bytes would reset the connection, and the answer may not have reached the client by then.
+         */
+        private void hangUp(Future<? super Void> left) {
+            if (!left.isSuccess() || !(channel instanceof DuplexChannel) || !channel.isActive()) { // in memory nothing stands unread
+                channel.close();
+                return;
+            }
+            linger = new Linger(node.clock.now());
+            lingering.add(this);
+            freeWaiting();
+            reader.forget(bytes -> {
+                if (!linger.read(bytes)) {
+                    channel.close();
+                }
+            });
+            ((DuplexChannel) channel).shutdownOutput();
+            channel.config().setAutoRead(true);
+        }
+
         private void leavePlace() {
             givingWay.forEach(kind -> kind.remove(this));
         }
@@ -295,9 +331,8 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             leave();
-            waiting.forEach(ReferenceCountUtil::release);
-            waiting.clear();
             ended = true;
+            freeWaiting();
             if (upload != null) {
                 upload.drop();
             }
@@ -308,6 +343,13 @@
             }
         }
 
+        /** What was sent ahead gets no answer any more. */
+        private void freeWaiting() {
+            List<Object> ahead = List.copyOf(waiting);
+            waiting.clear(); // first, as letting go of a body may look here
+            ahead.forEach(LongRequest::free);
+        }
+
         /** Whether no request has come for too long on a connection that owes one. */
         private boolean overdue(double now) {
             boolean silent = whole == 0 && !reader.unfinished() && idleSince < now - READ_MS;
@@ -339,11 +381,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (ended) {
-                Upload unwanted = LongRequest.restOf(message);
-                if (unwanted != null) {
-                    unwanted.drop();
-                }
-                ReferenceCountUtil.release(message);
+                LongRequest.free(message);
                 return;
             }
             if (upload != null && !upload.over()) { // a body that can't be read: its request will never be whole
@@ -422,7 +460,7 @@
             keepAlive = HttpUtil.isKeepAlive(request);
             chunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
             if (request.uri().equals(READY)) {
-                request.release();
+                LongRequest.free(request);
                 answer(node.takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
                 return;
             }
@@ -430,11 +468,11 @@
             Request read = terms.read(request, now, now - node.lag.ms(), restMs());
             if (read == null || node.knows(read.id())) {
                 boolean unknown = !request.headers().contains(RequestTerms.ID);
-                request.release();
+                LongRequest.free(request);
                 fault();
                 answer(unknown ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, 0);
             } else if (node.full()) {
-                request.release();
+                LongRequest.free(request);
                 node.figures.ended(read.requestClass(), Figures.End.DEFERRED);
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
             } else {
@@ -552,7 +590,7 @@
                 upload.drop();
             } else if (last) {
                 ended = true;
-                channel.writeAndFlush(end).addListener(ChannelFutureListener.CLOSE);
+                channel.writeAndFlush(end).addListener(this::hangUp);
             } else {
                 channel.writeAndFlush(end, channel.voidPromise());
                 release();
@@ -564,7 +602,7 @@
             upload = null;
             if (!keepAlive) {
                 ended = true;
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(this::hangUp);
                 return;
             }
             busy = false;
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -561,7 +561,7 @@
     private void forgetIfOver(OpenRequest r) {
         if (r.closed() && r.out == 0 && open.remove(r.request.id(), r)) {
             r.guard.cancel(false);
-            r.message.release();
+            LongRequest.free(r.message);
         }
     }
 
--- a/gateway/src/main/java/deckfall/net/RequestReader.java
+++ b/gateway/src/main/java/deckfall/net/RequestReader.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.function.IntConsumer;
 
 /**
  * Puts the requests of one connection together, or passes on that what comes can't be read: then nothing more is, as
@@ -48,6 +49,7 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Upload rest; // of a body too long to be kept; null where it is put together here
     private boolean over;
+    private IntConsumer forgotten = bytes -> { };
     private double since = NONE; // when an unfinished request began to come
     private double readAt; // when something of it last came
     private long read; // bytes of its body
@@ -66,6 +68,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
             if (over) {
+                forgotten.accept(((ByteBuf) bytes).readableBytes());
                 ReferenceCountUtil.release(bytes);
                 return;
             }
@@ -201,6 +204,12 @@
         ctx.fireChannelRead(new Unreadable(status));
     }
 
+    /** No request is read any more; is told how many bytes come all the same. */
+    void forget(IntConsumer bytes) {
+        forgotten = bytes;
+        end();
+    }
+
     private void end() {
         over = true;
         since = NONE;
--- a/gateway/src/test/java/deckfall/net/CrossingsTest.java
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -24,6 +25,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -289,6 +291,68 @@
         assertEquals(2, host.asked.size());
     }
 
+    // ---- the last answer on a connection
+
+    /** A client of few bytes at a time, which the system can't be sent a long answer ahead of its reading. */
+    private Client narrow(Node node) throws IOException {
+        Socket s = new Socket();
+        s.setReceiveBufferSize(4096);
+        s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), node.port()));
+        return kept(new Client(s));
+    }
+
+    /** {@code v}, as the last of its connection, and as many others behind it as the gateway does not read. */
+    private static String lastAndMore(int more) {
+        StringBuilder all = new StringBuilder(view("v", LONG_MS).replace("Host: h", "Host: h\r\nConnection: close"));
+        for (int i = 0; i < more; i++) {
+            all.append(view("p" + i, LONG_MS));
+        }
+        return all.toString();
+    }
+
+    /**
+     * The connection was closed over what stood unread, which resets it: the system then forgets what has not reached the
+     * client of its answer. The client begins to read when the gateway has ended its part.
+     */
+    @Test
+    void theLastAnswerIsWholeThoughItsClientSentMoreThanIsRead() throws Exception {
+        String text = "x".repeat(60_000);
+        Server host = host((m, s) -> s.getOutputStream().write(ok(text)));
+        Node node = nodeBefore(host);
+        Client c = narrow(node).send(lastAndMore(1000));
+        assertNotNull(host.next());
+        Sockets.await(() -> !known(node, "v"), "its answer is on its way");
+        for (int i = 0; i < 10; i++) { // a socket that the loop knows is closed for good in a later turn of it
+            node.loop.submit(() -> { }).sync();
+        }
+        assertEquals(text, c.receive().text());
+        assertNull(c.receive());
+        assertEquals(1, host.asked.size());
+    }
+
+    /** Who neither ends the connection nor stops sending is ended, by time or by what came. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aClientThatStaysAfterItsLastAnswerIsEnded(boolean sends) throws Exception {
+        registry = kept(new Registry(list(1, true, entry("h0", host(SocketTest::echo).address(), "ready"))));
+        MovedClock clock = new MovedClock();
+        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Client c = client(node).send(lastAndMore(0));
+        assertEquals("for v ", c.receive().text());
+        assertNull(c.receive());
+        assertEquals(1, (int) node.loop.submit(node::connections).get());
+        if (sends) {
+            assertThrows(IOException.class, () -> {
+                for (int i = 0; i < 100; i++) {
+                    c.send("x".repeat(64 * 1024));
+                }
+            });
+        } else {
+            clock.move(LONG_MS / 10.0);
+        }
+        Sockets.await(() -> node.loop.submit(node::connections).get() == 0, "the gateway ends it");
+    }
+
     // ---- the end of a process
 
     /** A request that comes when all has been given up once waited for its time, which the process did not outlive. */
--- a/gateway/src/test/java/deckfall/net/LongBodiesTest.java
+++ b/gateway/src/test/java/deckfall/net/LongBodiesTest.java
@@ -257,4 +257,48 @@
         goesOn(c);
         assertEquals(1, host.asked.size());
     }
+
+    private static final int WAITS = ClientServer.MAX_BODY + 20_000; // long, and all of it is read while it waits its turn
+
+    /** What is behind the kept part of a body that waits came to nobody, and was once never released. */
+    @Test
+    void aLongBodyThatWaitsEndsWithItsClient() throws Exception {
+        CountDownLatch left = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            left.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            echo(m, s);
+        });
+        Node node = nodeBefore(host);
+        Client c = client(node).send(view("v", Sockets.PATIENCE_MS));
+        assertNotNull(host.next());
+        order(c, "o", content(WAITS));
+        c.close();
+        Sockets.await(() -> node.loop.submit(node::connections).get() == 0, "the gateway has seen the client leave");
+        left.countDown();
+        goesOn(client(node));
+    }
+
+    /** The same where it is refused in its turn, all of it being there. */
+    @Test
+    void aLongBodyThatWaitedAndIsRefusedIsReleased() throws Exception {
+        CountDownLatch read = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            read.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            echo(m, s);
+        });
+        Node node = nodeBefore(host);
+        Client c = client(node).send(view("v", Sockets.PATIENCE_MS));
+        assertNotNull(host.next());
+        c.send(head("o", "Content-Length: " + WAITS)
+                .replace("X-Plan: free", "X-Plan: tiny").replace("b4d65521", "b4d65522").replace("units=1", "units=4"));
+        c.socket.getOutputStream().write(content(WAITS));
+        for (int i = 0; i < 100; i++) {
+            node.loop.submit(() -> { }).sync(); // each turn of the loop reads of it what there is
+        }
+        read.countDown();
+        assertEquals("for v ", c.receive().text());
+        assertEquals(429, c.receive().status());
+        goesOn(c);
+        assertEquals(2, host.asked.size());
+    }
 }
--- a/gateway/src/test/java/deckfall/net/Sockets.java
+++ b/gateway/src/test/java/deckfall/net/Sockets.java
@@ -176,7 +176,11 @@
         final Socket socket;
 
         Client(Node node) throws IOException {
-            socket = new Socket(InetAddress.getLoopbackAddress(), node.port());
+            this(new Socket(InetAddress.getLoopbackAddress(), node.port()));
+        }
+
+        Client(Socket socket) throws IOException {
+            this.socket = socket;
             socket.setSoTimeout(PATIENCE_MS);
         }
 
