An end that comes during a start or an upgrade opens no listener and gives the place back at once

Seen by tests on the program before (both failing there): told to end while discovery's first word was waited for, the start went on and opened its listener when the drain had closed "it" already; clients were taken until the process was gone (3.4 s among others). In an upgrade it held peers and books of the running process for as long. Now a process that has served nobody ends at once, opens no listener, and the running one takes its place back.

--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -98,7 +98,7 @@
     void stopAccepting() {
         pause();
         node.loop.schedule(() -> {
-            if (listener != null) { // else the end came during the start
+            if (listener != null) { // else another process took this one's place meanwhile
                 takeQueue();
                 listener.close();
             }
@@ -106,6 +106,9 @@
     }
 
     private void takeQueue() {
+        if (!listener.isOpen()) {
+            return; // an end and a process that takes this one's place may come to it both
+        }
         for (int taken = 0; taken <= Transport.BACKLOG; taken += ACCEPTED_AT_ONCE) {
             Transport.readNow(listener);
         }
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -86,6 +86,7 @@
     private boolean replaced; // another process accepts clients in this one's place
     private double awayAt = Double.POSITIVE_INFINITY; // since when clients are sent away
     private boolean over; // the drain's time is up: nothing more is sent
+    private volatile boolean unserved; // told to end before any client was served
 
     Node(NodeConfig config) {
         this(config, Brain::new);
@@ -178,7 +179,10 @@
         if (alone) {
             Runtime.getRuntime().addShutdownHook(drain);
         }
-        node.start(serves, budget);
+        if (!node.start(serves, budget)) {
+            log("told to end during its start: it serves nobody");
+            return node; // the drain ends the process, and with it whoever served before learns of it
+        }
         log("serves after " + budget.ageMs() + " ms of this process");
         extras.serving().accept(node.inside());
         if (kept != null) {
@@ -196,12 +200,14 @@
 
     /**
      * Returns once clients are served. Configuration, list and listener are of one moment: the listener opens when
-     * discovery has spoken, or has had its time, and not with the list of some earlier life.
+     * discovery has spoken, or has had its time, and not with the list of some earlier life. It opens for nobody who was
+     * told to end by then: its clients would be shut out again within moments.
      *
+     * @return whether clients are served
      * @param serves the process that serves in this one's place until then; null for nobody
      * @param budget what the start may still wait for
      */
-    void start(Predecessor serves, StartBudget budget) throws IOException {
+    boolean start(Predecessor serves, StartBudget budget) throws IOException {
         openConsole(null);
         CountDownLatch heard = new CountDownLatch(1);
         try {
@@ -221,11 +227,16 @@
             }).sync();
             // Without a word the list of before the start serves.
             heard.await(budget.limitMs(Step.WORD), TimeUnit.MILLISECONDS);
-            loop.submit(clients::start).sync().getNow().sync();
+            ChannelFuture opening = loop.submit(() -> draining ? null : clients.start()).sync().getNow();
+            if (opening == null) {
+                return false;
+            }
+            opening.sync();
             if (taken && !serves.serving(budget.limitMs(Step.LEFT))) {
                 log("upgrade: the process that served did not say that it left");
             }
             operators.ready(!taken || !serves.away());
+            return true;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -706,7 +717,7 @@
         loop.execute(this::drain);
         try {
             awaitDrained((long) end.exitsMs());
-            if (isMissed() && !replaced) {
+            if (isMissed() && !replaced && !unserved) {
                 log("drained: keeps books for the other gateways until its time is up");
                 TimeUnit.NANOSECONDS.sleep(exit - System.nanoTime());
             }
@@ -719,9 +730,15 @@
     /**
      * Accepts on for a while, since clients still come; answers all; then lets the process end. A gateway among others
      * serves on over the connections that clients have, for as long as what they ask can still be answered: its place
-     * is empty only from then on, and nobody starts it anew any sooner.
+     * is empty only from then on, and nobody starts it anew any sooner. Who has not served yet ends at once.
      */
     void drain() {
+        if (clients.listener() == null && !replaced) {
+            draining = true;
+            unserved = true;
+            drained.countDown();
+            return;
+        }
         drainAfter(isMissed() && !sendsAway() ? end.staysMs() : 0);
     }
 
--- a/gateway/src/test/java/deckfall/net/CrossingsTest.java
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -22,6 +22,8 @@
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
+import deckfall.start.StartBudget;
+import deckfall.upgrade.Successor;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -423,6 +425,67 @@
         assertNull(silent.receive());
     }
 
+    /** A listener that opens when the end has closed it already stood open for clients until the process was gone. */
+    @Test
+    void anEndDuringTheStartOpensNoListener() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch answer = new CountDownLatch(1);
+        Server agent = kept(new Server((m, s) -> {
+            asked.countDown();
+            if (!m.start().contains("from=")) {
+                answer.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+                s.getOutputStream().write(ok(list(1, true)));
+            }
+        }));
+        Node node = Sockets.unstarted(Sockets.config(agent.address(), "127.0.0.1:0"));
+        ends.push(node::stop);
+        AtomicReference<Boolean> served = new AtomicReference<>();
+        Thread start = new Thread(() -> {
+            try {
+                served.set(node.start(null, new StartBudget(() -> 0)));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        start.start();
+        assertTrue(asked.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS), "the start waits for a first word");
+        node.loop.submit(() -> {
+            node.drain();
+            node.clients.stopAccepting(); // as if its time had come
+        }).sync();
+        answer.countDown();
+        start.join();
+        assertEquals(false, served.get());
+        assertNull(node.clients.listener());
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    /** Told to end and to make room for another process, in either order: what stands in the queue is served once. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anEndAndAnUpgradeCloseTheListenerOnce(boolean endFirst) throws Exception {
+        Node node = nodeBefore(host(SocketTest::echo));
+        int port = node.port();
+        Successor.Place place = node.place(() -> { });
+        Socket waiting = kept(new Socket());
+        node.loop.submit(() -> {
+            node.clients.pause();
+            waiting.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            if (endFirst) {
+                node.clients.stopAccepting();
+            }
+            return null;
+        }).sync();
+        place.leave();
+        if (!endFirst) {
+            node.loop.submit(node.clients::stopAccepting).sync();
+        }
+        waiting.setSoTimeout(Sockets.PATIENCE_MS);
+        waiting.getOutputStream().write(bytes(view("q", Sockets.PATIENCE_MS)));
+        assertEquals("for q ", Sockets.read(waiting.getInputStream()).text());
+        assertNull(node.clients.listener());
+    }
+
     // ---- the list
 
     /** A late loop finds the answer in the socket and the time limit of its call due, in either order. */
--- a/gateway/src/test/java/deckfall/net/ProcessTest.java
+++ b/gateway/src/test/java/deckfall/net/ProcessTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Message;
@@ -143,6 +144,19 @@
         assertEquals(0, process.exitValue());
     }
 
+    /** Told to end while discovery's first word is waited for: it once opened its listener all the same, and was gone soon. */
+    @Test
+    void sigtermDuringTheStartEndsItUnserved() throws Exception {
+        try (Sockets.Server agent = new Sockets.Server((m, s) -> { })) {
+            choosePort();
+            start(config(agent.address()));
+            assertNotNull(agent.next());
+            process.destroy();
+            assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertFalse(Files.readString(dir.resolve("log")).contains("serves after"));
+        }
+    }
+
     /** Its keepers' books are wanted for as long as nobody can start it anew. */
     @Test
     void amongOthersItKeepsBooksUntilItsTimeIsUp() throws Exception {
@@ -260,9 +274,13 @@
     }
 
     private Process beside(String log) throws IOException {
+        return beside(log, "config.json");
+    }
+
+    private Process beside(String log, String config) throws IOException {
         ProcessBuilder b = new ProcessBuilder(JAVA, "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
                 "deckfall.Main", "serve");
-        b.environment().put("NODE_CONFIG", dir.resolve("config.json").toString());
+        b.environment().put("NODE_CONFIG", dir.resolve(config).toString());
         b.environment().put("TMPDIR", Files.createDirectories(dir.resolve("tmp")).toString());
         return b.redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectError(dir.resolve(log).toFile()).start();
     }
@@ -301,6 +319,29 @@
         }
     }
 
+    /** It had taken peers and books when it was told to end: the running process once had neither until 3.4 s later. */
+    @Test
+    void sigtermDuringAnUpgradeGivesThePlaceBackAtOnce() throws Exception {
+        choosePort();
+        Files.writeString(dir.resolve("config.json"), config("127.0.0.1:1"));
+        process = beside("log");
+        awaitReady();
+        try (Sockets.Server agent = new Sockets.Server((m, s) -> { })) { // the new process waits for its first word
+            Files.writeString(dir.resolve("new.json"), config(agent.address()));
+            Process ended = beside("ended", "new.json");
+            try {
+                assertNotNull(agent.next());
+                ended.destroy();
+                assertTrue(ended.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                awaitLog("did not come to serve, the place is taken back");
+                assertTrue(ready());
+                assertFalse(Files.readString(dir.resolve("ended")).contains("serves after"));
+            } finally {
+                ended.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void aBadConfigurationEndsItWithOneLine() throws Exception {
         start("{\"name\": \"n0\"}");
