--- a/gateway/src/test/java/deckfall/quota/QuietDayTest.java
+++ b/gateway/src/test/java/deckfall/quota/QuietDayTest.java
@@ -8,7 +8,7 @@
 /**
  * The operators' term on quotas: on a quiet day what passes beyond them, all gateways together, costs at most a tenth more
  * than under a policy that sees the true state late. Tiers that keep exact books, in virtual time, with a loss of 8% of
- * messages; smaller ones ask keepers by other words (LargeTierTest, PartsTest) and are not played here.
+ * messages; smaller ones ask keepers by other words (QuietTierTest).
  */
 class QuietDayTest {
     private static final double LOSS = 0.08;
--- a/gateway/src/test/java/deckfall/quota/Tier.java
+++ b/gateway/src/test/java/deckfall/quota/Tier.java
@@ -1,11 +1,10 @@
 package deckfall.quota;
 
-import java.util.ArrayDeque;
+import deckfall.LatePolicy;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -30,49 +29,6 @@
     private static final double BEAT_MS = 20;
     private static final double DEADLINE_MS = 1000;
 
-    /**
-     * The same requests let in by one policy that sees every store as it truly was some time ago, whichever gateway they
-     * come through: what no exchange of messages can do much better than.
-     */
-    static final class Late {
-        static final double LATE_MS = 100; // two ways of a message, and one that is lost in ten
-
-        private record Seen(double at, double level) { }
-
-        private final Map<Customer, ArrayDeque<Seen>> seen = new HashMap<>();
-        private final Map<Customer, double[]> stores = new HashMap<>(); // level, and since when
-        double beyond;
-        double sent;
-
-        void ask(Customer c, double units, double now) {
-            double[] store = stores.computeIfAbsent(c, k -> new double[] {k.terms.burst(), now});
-            store[0] = Math.min(c.terms.burst(), store[0] + (now - store[1]) / 1000 * c.terms.rate());
-            store[1] = now;
-            ArrayDeque<Seen> past = seen.computeIfAbsent(c, k -> new ArrayDeque<>());
-            while (past.size() > 1 && second(past).at() <= now - LATE_MS) {
-                past.poll();
-            }
-            boolean known = !past.isEmpty() && past.peek().at() <= now - LATE_MS;
-            double level = known ? Math.min(c.terms.burst(),
-                    past.peek().level() + (now - LATE_MS - past.peek().at()) / 1000 * c.terms.rate()) : c.terms.burst();
-            if (level >= units) {
-                sent += units;
-                if (store[0] < units) {
-                    beyond += units;
-                } else {
-                    store[0] -= units;
-                }
-                past.add(new Seen(now, store[0]));
-            }
-        }
-
-        private static Seen second(ArrayDeque<Seen> past) {
-            Iterator<Seen> it = past.iterator();
-            it.next();
-            return it.next();
-        }
-    }
-
     private record Mail(double at, int order, int from, int to, byte[] data) { }
 
     private record Sending(double at, int order, Customer customer, double units) { }
@@ -132,7 +88,7 @@
     long bytes;
     double beyond;
     double sent;
-    final Late late = new Late();
+    final LatePolicy late = new LatePolicy();
     private ToIntFunction<Customer> through = c -> -1;
 
     Tier(int count, double loss, long seed) {
@@ -260,7 +216,7 @@
     void askAt(int gateway, Customer c, double units) {
         tries++;
         if (c.terms.rate() > 0) {
-            late.ask(c, units, now);
+            late.ask(c, c.terms.rate(), c.terms.burst(), units, now);
         }
         String id = "r" + asked++;
         open.put(id, new Open(c, gateway, units, now));
@@ -314,12 +270,12 @@
 
     /** Of each unit that was sent on, what went beyond quotas at the full price of it; the same of the late policy. */
     double[] costs() {
-        return new double[] {beyond / Math.max(1, sent), late.beyond / Math.max(1, late.sent)};
+        return new double[] {beyond / Math.max(1, sent), late.cost()};
     }
 
     /** Counts begin anew. */
     void mark() {
-        late.beyond = late.sent = 0;
+        late.mark();
         tries = 0;
         refusedWithRoom = 0;
         told = 0;
