An answer that stands in its socket is read before its time limit counts

A time limit of an attempt, of a client, of a probe and of an answer that stands still fired on a late loop ahead of what had come: netty takes timers that fell due while it read other connections before it looks at the sockets again. Seen by a test that holds the loop within the reading of another client until the answer was written and its limit had passed: both cases failed before (502 with outcome TIMEOUT, and SPOILT where the first bytes had come), both are served now. For an unsafe class such an end is final; for the others it was a second attempt, and slowness taught of a host that had none. Change: each of the four limits reads the socket once and ends what is still open. Lists and clients' connections did so before. Ruled out: held by the loop's order where the hold lies in a task, as an earlier test has it; that one stays.

--- a/gateway/src/main/java/deckfall/net/HostClient.java
+++ b/gateway/src/main/java/deckfall/net/HostClient.java
@@ -52,7 +52,7 @@
     private static final long SWEEP_LEAST_MS = 20; // that costs a share of a core, however short the time is
     private static final long SWEEP_MOST_MS = 500; // descriptors of hosts that get nothing more are free by then
     private static final double SOCKET_SHARE = 0.36; // of all descriptors; the program itself needs some, too
-    private static final double PROBE_TIMEOUT_MS = 250;
+    private static final double PROBE_TIMEOUT_MS = 250; // the platform's own for all deployments: their files have it fixed
 
     private final Node node;
     private final Map<String, Pool> pools = new LinkedHashMap<>();
@@ -272,6 +272,7 @@
             return message;
         });
         node.loop.schedule(() -> {
+            probe.look();
             if (probe.under()) {
                 probe.abandon();
                 probe.ended(Outcome.TIMEOUT, null);
--- a/gateway/src/main/java/deckfall/net/HostConnection.java
+++ b/gateway/src/main/java/deckfall/net/HostConnection.java
@@ -100,6 +100,14 @@
             return connection != null && connection.sending;
         }
 
+        /** Its time is up by the clock: what stands in its socket by now was not late, this loop was. It may end in this call. */
+        final void look() {
+            HostConnection c = connection;
+            if (c != null && c.channel != null && c.channel.isActive() && c.channel.config().isAutoRead()) {
+                Transport.readNow(c.channel);
+            }
+        }
+
         /** Stops waiting: its connection closes, so late bytes can never reach another request. */
         final void abandon() {
             HostConnection c = connection;
@@ -450,6 +458,9 @@
         }
         stall = channel.eventLoop().schedule(() -> {
             stall = null;
+            if (exchange == x) {
+                x.look(); // it watches by itself where something came
+            }
             if (exchange == x) {
                 watch();
             }
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -482,9 +482,14 @@
 
     private void endAttempts(OpenRequest r) {
         for (Attempt a : List.copyOf(r.attempts)) {
-            if (!a.ended && a != r.stream) { // an answer that is on its way outlasts the client's time
-                giveUp(a, Outcome.TIMEOUT);
-            }
+            timeUp(a);
+        }
+    }
+
+    private void timeUp(Attempt a) {
+        a.look();
+        if (!a.ended && a != a.owner.stream) { // an answer that is on its way outlasts the client's time
+            giveUp(a, Outcome.TIMEOUT);
         }
     }
 
@@ -613,9 +618,7 @@
             extras.usage().admitted(r.request.customer(), r.request.units());
         }
         if (timeoutMs > 0) {
-            a.limit(loop.schedule(() -> {
-                giveUp(a, Outcome.TIMEOUT);
-            }, micros(timeoutMs), TimeUnit.MICROSECONDS));
+            a.limit(loop.schedule(() -> timeUp(a), micros(timeoutMs), TimeUnit.MICROSECONDS));
         }
         hosts.send(a);
     }
--- a/gateway/src/test/java/deckfall/net/CrossingsTest.java
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -93,6 +93,79 @@
         }
     }
 
+    /** Sends the first request with this time limit; the second holds the loop until the first is answered and its time is up. */
+    private static final class Late implements Quiet {
+        private static final double LIMIT_MS = 300;
+        private final Actions act;
+        private final CountDownLatch held;
+        private final CountDownLatch answered;
+        private final AtomicReference<Outcome> ended;
+
+        Late(Actions act, CountDownLatch held, CountDownLatch answered, AtomicReference<Outcome> ended) {
+            this.act = act;
+            this.held = held;
+            this.answered = answered;
+            this.ended = ended;
+        }
+
+        @Override
+        public void request(double now, Request r) {
+            if (r.id().equals("a")) {
+                act.send(r.id(), "h0", LIMIT_MS);
+                return;
+            }
+            held.countDown();
+            try {
+                assertTrue(answered.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos((long) LIMIT_MS); System.nanoTime() < end;) {
+                Thread.onSpinWait();
+            }
+            act.refuse(r.id(), 0);
+        }
+
+        @Override
+        public void attemptEnded(double now, AttemptResult r) {
+            ended.compareAndSet(null, r.outcome());
+            act.fail(r.id()); // where it was answered, nobody is owed this
+        }
+    }
+
+    /**
+     * The loop reads a client while an answer comes and its time runs out; the limit's timer is then ahead of the answer. The
+     * same holds for an answer whose first part came in time, and that then seemed to stand still.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAnswerThatStandsInItsSocketIsNotTimedOutByALateLoop(boolean begun) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        CountDownLatch first = new CountDownLatch(1);
+        byte[] answer = ok("in time");
+        int split = begun ? 10 : 0;
+        Server host = host((m, s) -> {
+            s.getOutputStream().write(answer, 0, split);
+            first.countDown();
+            held.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            s.getOutputStream().write(answer, split, answer.length - split);
+            answered.countDown();
+        });
+        AtomicReference<Outcome> ended = new AtomicReference<>();
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"),
+                act -> new Late(act, held, answered, ended));
+        ends.push(node::stop);
+        Client waits = client(node).send(view("a", Sockets.PATIENCE_MS));
+        assertTrue(first.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        Client holds = client(node).send(view("b", Sockets.PATIENCE_MS));
+        assertEquals(200, waits.receive().status());
+        Sockets.await(() -> ended.get() != null, "the module is told, just after the client is");
+        assertEquals(Outcome.OK, ended.get());
+        assertEquals(429, holds.receive().status());
+    }
+
     private static final int LONG_MS = 60_000; // a client's patience, where the clock is moved
     private static final int CLOSES_WITHIN_S = 5; // on a busy machine; only a gateway at fault takes as long
 
