A storm after which nobody acts tells what each process said last

Change: Run.stuck holds whether each process runs and its last 30 lines; the test's message and the command line show it. The check is as it was.

--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -92,10 +92,15 @@
      * @param sent what clients asked; empty where there were none
      * @param register the calls of the lease register, and {@code linear} whether there is an order of them
      * @param usage what was exported of it; null where there were none
-     * @param back whether the single task was acted on again after the last fault had ended
+     * @param stuck what each process said last, where the single task was not acted on again after the last fault had ended;
+     *     empty where it was
      */
     record Run(Judge.Verdict verdict, List<Long> handOvers, List<String> defects, List<Rig.Played> played, List<Note> notes,
-            long zero, boolean back, List<Load.Sent> sent, UsageJudge.Found usage, int register, boolean linear) {
+            long zero, String stuck, List<Load.Sent> sent, UsageJudge.Found usage, int register, boolean linear) {
+        boolean back() {
+            return stuck.isEmpty();
+        }
+
         boolean held() {
             return linear && verdict.broken().isEmpty() && verdict.unexplained().isEmpty() && defects.isEmpty()
                     && (usage == null || usage.broken().isEmpty());
@@ -175,9 +180,9 @@
         }
         List<Load.Sent> sent = load == null ? List.of() : load.stop();
         UsageJudge.Found usage = load == null ? null : UsageJudge.judge(rig, sent, BACK_MS);
-        boolean back = rig.awaitAct(Rig.ONE);
+        String stuck = rig.awaitAct(Rig.ONE) ? "" : rig.lastWords();
         Judge.Verdict v = new Judge(rig.notes(), rig.played(), rig.takesMs()).judge(rig.zero(), System.nanoTime());
-        return new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), back, sent,
+        return new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), stuck, sent,
                 usage, history.size(), Linear.holds(history));
     }
 
@@ -218,6 +223,9 @@
         } else {
             rows.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
         }
+        if (!run.back()) {
+            System.out.println(run.stuck());
+        }
         v.unexplained().forEach(u -> System.out.println("unexplained: " + u));
         v.broken().forEach(b -> System.out.println("BROKEN: " + b));
         run.defects().forEach(d -> System.out.println("DEFECT: " + d));
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -53,6 +53,7 @@
     private static final int PORT_PARTS = 110; // up to 32,000, below what Linux gives to clients' connections
     private static final int PORTS_EACH = 200;
     private static final AtomicInteger NEXT_PORT = new AtomicInteger();
+    private static final int LAST_WORDS = 30; // lines of each process
     private static final int HANDS = 8; // faults that are begun or ended at one moment
 
     /** A fault as it was played, by the machine's monotonic clock in nanoseconds. */
@@ -582,6 +583,19 @@
         return found;
     }
 
+    /** Of each process whether it runs, and what it said last: for whoever is told that nothing goes on. */
+    String lastWords() throws IOException {
+        StringBuilder all = new StringBuilder();
+        for (String name : names) {
+            Gateway g = gateways.get(name);
+            List<String> lines = Files.readAllLines(g.log());
+            all.append(name).append(g.isStopped() ? " is stopped" : g.isAlive() ? " runs" : " has ended").append('\n');
+            lines.subList(Math.max(0, lines.size() - LAST_WORDS), lines.size())
+                    .forEach(l -> all.append("  ").append(l).append('\n'));
+        }
+        return all.toString();
+    }
+
     /** Where all that the processes leave lies until the end. */
     Path folder() {
         return folder;
--- a/storm/src/test/java/marlford/storm/StormTest.java
+++ b/storm/src/test/java/marlford/storm/StormTest.java
@@ -33,7 +33,7 @@
         assertEquals(List.of(), run.verdict().broken());
         assertEquals(List.of(), run.defects());
         assertTrue(run.linear() && run.register() > 0, run.register() + " calls of the register");
-        assertTrue(run.back(), "nobody acts again");
+        assertTrue(run.back(), () -> "nobody acts again: " + s.faults() + '\n' + run.stuck());
         return run;
     }
 
