The line of each second counts clients that left, and what was sent on after they had

Change: left_waiting, left_served and sent_for_left (attempts written more than 0.3 s after their client was seen to leave; it is to stay 0), counted in Leavings, where attempts are written. Nothing else changes.

--- a/gateway/src/main/java/deckfall/net/Attempt.java
+++ b/gateway/src/main/java/deckfall/net/Attempt.java
@@ -12,6 +12,7 @@
     final String host;
     double sentAt; // of a long body, when its last byte left
     private final Node node;
+    boolean left; // for its host
     boolean ended;
     double streamedAt; // when its answer began to go to the client as it comes; 0: it does not
     private Future<?> timeout;
--- a/gateway/src/main/java/deckfall/net/HostClient.java
+++ b/gateway/src/main/java/deckfall/net/HostClient.java
@@ -212,6 +212,7 @@
     }
 
     private FullHttpRequest attemptMessage(Attempt a) {
+        node.leaves(a);
         FullHttpRequest from = a.owner.message;
         Upload rest = LongRequest.restOf(from);
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri());
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -67,6 +67,7 @@
     final LoopLag lag;
     final Figures figures;
     private final Events module;
+    private final Leavings leavings = new Leavings();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
     final ClientServer clients;
@@ -346,7 +347,7 @@
         extras.usage().look();
         String done = module.account(clock.now());
         if (!done.isEmpty()) {
-            log("did " + done + " clients=" + clients.count() + " late=" + Math.round(lag.ms()));
+            log("did " + done + " clients=" + clients.count() + " late=" + Math.round(lag.ms()) + leavings.take());
         }
     }
 
@@ -501,6 +502,8 @@
             return;
         }
         close(r);
+        r.leftAt = clock.now();
+        leavings.left(r.attempts.stream().anyMatch(a -> a.left));
         tell((now, m) -> m.clientLeft(now, r.request.id()));
         // Whatever the settings say of cancelling: what has not left for a host yet must never leave.
         for (Attempt a : List.copyOf(r.attempts)) {
@@ -690,6 +693,12 @@
         };
     }
 
+    /** An attempt is about to be written to its host. */
+    void leaves(Attempt a) {
+        a.left = true;
+        leavings.sent(clock.now() - a.owner.leftAt);
+    }
+
     ListTurn lists() {
         return extras.lists();
     }
--- a/gateway/src/main/java/deckfall/net/OpenRequest.java
+++ b/gateway/src/main/java/deckfall/net/OpenRequest.java
@@ -14,6 +14,7 @@
     private ClientServer.Connection client;
     private boolean closed;
     Attempt stream; // whose answer goes to the client as it comes
+    double leftAt = Double.POSITIVE_INFINITY; // when its client was seen to leave without an answer
     int out; // attempts that have not ended
     Future<?> guard;
 
