A gateway of the same name at another address is no predecessor

Seen by a test with two processes of one name, one TMPDIR and two addresses, failing before: the second took the first one's peers and books, told it that it served in its place, and the first closed its listener and ended 10 s later. They shared hosts left out, too. Change: the place where processes of one gateway meet goes by name and address. Where the address is taken and nobody waits there, a process of a version before is looked for under its name alone, so that an upgrade from it goes as ever (a test plays it). Not taken: the address in the words of the hand-over; versions before would refuse each other.

--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -154,8 +154,13 @@
     private static Node serve(Reload reload, String folder, StartBudget budget, boolean alone,
             Extras extras) throws NodeConfig.BadConfig, IOException, InterruptedException {
         NodeConfig config = reload.first();
-        Kept kept = Kept.in(folder, config.name());
+        Kept kept = Kept.in(folder, config.name(), config.listen());
         Predecessor serves = kept == null ? null : Predecessor.find(kept.successor(), budget.limitMs(Step.HELLO));
+        if (kept != null && serves == null && !Transport.TCP.isFree(config.listen())) { // a process of before, or a stranger
+            Kept before = Kept.before(folder, config.name());
+            serves = Predecessor.find(before.successor(), budget.limitMs(Step.HELLO));
+            kept = serves == null ? kept : new Kept(before.leftOut(), kept.successor());
+        }
         Node early = new Node(config);
         early.extras = extras;
         early.openConsole(kept);
--- a/gateway/src/main/java/deckfall/net/Rehearsal.java
+++ b/gateway/src/main/java/deckfall/net/Rehearsal.java
@@ -79,7 +79,7 @@
             for (String call : CALLS) {
                 call(console, call);
             }
-            Path successor = Kept.in(folder.toString(), NAME).successor();
+            Path successor = Kept.in(folder.toString(), NAME, at).successor();
             Predecessor.find(successor, PATIENCE_MS).close(); // as a process that ends before it takes over
         } finally {
             node.stop(); // or a build would never end
--- a/gateway/src/main/java/deckfall/net/Transport.java
+++ b/gateway/src/main/java/deckfall/net/Transport.java
@@ -87,6 +87,16 @@
      */
     abstract void claim(InetSocketAddress address) throws IOException;
 
+    /** Whether no program listens there now. */
+    final boolean isFree(InetSocketAddress address) {
+        try {
+            claim(address);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     abstract SocketAddress at(InetSocketAddress address);
 
     /** Reads what stands unread in a socket before the loop comes to it; in memory nothing stands unread. */
--- a/gateway/src/test/java/deckfall/net/ProcessTest.java
+++ b/gateway/src/test/java/deckfall/net/ProcessTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Message;
+import deckfall.upgrade.Successor;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -342,6 +343,49 @@
         }
     }
 
+    /** Gateways of two deployments may have one name: the second once took the first one's place, and the first ended. */
+    @Test
+    void aGatewayOfThatNameAtAnotherAddressIsLeftAlone() throws Exception {
+        choosePort();
+        int first = port;
+        Files.writeString(dir.resolve("config.json"), config("127.0.0.1:1"));
+        process = beside("log");
+        awaitReady();
+        choosePort();
+        Files.writeString(dir.resolve("other.json"), config("127.0.0.1:1"));
+        Process other = beside("other", "other.json");
+        try {
+            awaitReady();
+            port = first;
+            assertTrue(ready());
+            assertFalse(Files.readString(dir.resolve("log")).contains("upgrade: "));
+        } finally {
+            other.destroyForcibly();
+        }
+    }
+
+    /** A running process of a version before waits under its name alone, and is replaced as ever. */
+    @Test
+    void aProcessThatWaitsUnderItsNameAloneIsReplaced() throws Exception {
+        choosePort();
+        String config = config("127.0.0.1:1");
+        Files.writeString(dir.resolve("config.json"), config);
+        Path tmp = Files.createDirectories(dir.resolve("tmp"));
+        CountDownLatch replaced = new CountDownLatch(1);
+        Node before = Sockets.node(config);
+        try (Successor successor = new Successor(Kept.before(tmp.toString(), "n0").successor(), before.place(() -> { }), line -> {
+            if (line.equals("upgrade: the new process serves")) {
+                replaced.countDown();
+            }
+        })) {
+            successor.open();
+            process = beside("log");
+            assertTrue(replaced.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        } finally {
+            before.stop();
+        }
+    }
+
     @Test
     void aBadConfigurationEndsItWithOneLine() throws Exception {
         start("{\"name\": \"n0\"}");
