--- a/gateway/src/main/java/deckfall/Brain.java
+++ b/gateway/src/main/java/deckfall/Brain.java
@@ -21,8 +21,6 @@
     // Housekeeping
     private static final double TICK_MS = 20; // held requests expire and tells leave on this beat
     private static final double SWEEP_MS = 5000; // how often customers and hosts long gone are forgotten
-    private static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
-    private static final double FILLED = 2; // times the time in which its slowest store fills from nothing
     private static final int CUSTOMERS_MAX = 20_000; // books kept; a new customer beyond them is refused
     // Admission by parts
     private static final double DEMAND_MS = 2000; // averaging of demand: longer than gaps between requests
@@ -337,7 +335,7 @@
     /** Leases last by words and their answers, also where there is nothing else to tell. */
     private void pulse(double now) {
         for (Peer peer : peers) {
-            if (now - peer.sharedAt < FORGET_MS && now - peer.toldAt >= pulse) queue(peer, null);
+            if (now - peer.sharedAt < State.FORGET_MS && now - peer.toldAt >= pulse) queue(peer, null);
         }
     }
 
@@ -611,7 +609,7 @@
         if (in) return;
         close(ask);
         Customer c = ask.customer;
-        act.refuse(ask.request.id(), waitTold(c == null ? FORGET_MS : c.refillMs(ask.request.units())));
+        act.refuse(ask.request.id(), waitTold(c == null ? State.FORGET_MS : c.refillMs(ask.request.units())));
     }
 
     /** Silence of a peer shows only where an answer was due: then it is passed over for a while. */
@@ -744,7 +742,7 @@
             if (c == null || c.planNumber != e.plan()) continue;
             // What a peer used in a life that began before this one was taken from the store that it sees.
             Member told = c.member(peer);
-            boolean learns = !told.known && now - startedAt < FORGET_MS && m.life() - epoch < 0;
+            boolean learns = !told.known && now - startedAt < State.FORGET_MS && m.life() - epoch < 0;
             double since = told.usedSince(e.used());
             c.others = Math.max(0, c.others + e.demand() - told.demand(now, DEMAND_MS));
             told.demand = e.demand();
@@ -1283,17 +1281,10 @@
         }
     }
 
-    /** From then on an idle customer's stores are as full as those of a new one: forgetting gives nothing. */
-    private static double forgetMs(Plan p) {
-        double quota = p.rate() > 0 ? p.burst() / p.rate() : 0;
-        double ceiling = p.ceilingRate() > 0 ? p.ceilingBurst() / p.ceilingRate() : 0;
-        return Math.max(FORGET_MS, FILLED * 1000 * Math.max(quota, ceiling));
-    }
-
     private void sweep(double now) {
         if (now - sweptAt < SWEEP_MS) return;
         sweptAt = now;
-        customers.values().removeIf(c -> now - c.touchedAt > forgetMs(c.plan)
+        customers.values().removeIf(c -> now - c.touchedAt > State.forgetMs(c.plan)
                 && c.open == 0 && c.pending.isEmpty());
         servers.values().removeIf(s -> !s.listed && s.out.isEmpty());
     }
--- a/gateway/src/main/java/deckfall/State.java
+++ b/gateway/src/main/java/deckfall/State.java
@@ -23,10 +23,19 @@
     static final double NEVER = Double.NEGATIVE_INFINITY;
     static final int EVERYONE = -1; // in the place of a peer
     static final double SLOW_MAX = 12; // largest slowness that is believed
+    static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
+    private static final double FILLED = 2; // times the time in which its slowest store fills from nothing
     private static final double CLOCKS_APART_MS = 60_000; // a life that begins later than this is no life
 
     private State() { }
 
+    /** From then on an idle customer's stores are as full as those of a new one: forgetting gives nothing. */
+    static double forgetMs(Plan p) {
+        double quota = p.rate() > 0 ? p.burst() / p.rate() : 0;
+        double ceiling = p.ceilingRate() > 0 ? p.ceilingBurst() / p.ceilingRate() : 0;
+        return Math.max(FORGET_MS, FILLED * 1000 * Math.max(quota, ceiling));
+    }
+
     /** The gateways of a set that stand first by the hash of a thing: each gateway finds the same by itself. */
     static int[] ranked(long thing, int first, int spread, int gateways, int count) {
         int[] found = new int[spread];
