Two tests of long answers go by events and a clock of their own, not by sleeps

Change: the client's time is ended by the test once the answer is on its way; the pauses between bytes are the test's clock's. Both assert what they did. With an end that spares no answer on its way the first fails.

--- a/gateway/src/test/java/deckfall/net/CrossingsTest.java
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -12,8 +12,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import deckfall.Brain;
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
 import deckfall.Gateway.Outcome;
@@ -24,7 +22,6 @@
 import deckfall.net.Sockets.Server;
 import deckfall.start.StartBudget;
 import deckfall.upgrade.Successor;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -40,14 +37,6 @@
 
 /** Two events that meet: each test brings the meeting about, and none waits for chance to do so. */
 class CrossingsTest extends SocketTest {
-    private Node of(String config, MovedClock clock) throws IOException {
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)), Brain::new, Transport.TCP,
-                new NioEventLoopGroup(1), clock);
-        ends.push(node::stop);
-        node.start();
-        return node;
-    }
-
     /** A host that notes on which connection each request comes. */
     private Server noting(List<Socket> used) throws IOException {
         return host((m, s) -> {
--- a/gateway/src/test/java/deckfall/net/LongAnswersTest.java
+++ b/gateway/src/test/java/deckfall/net/LongAnswersTest.java
@@ -1,6 +1,8 @@
 package deckfall.net;
 
 import static deckfall.net.Sockets.bytes;
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
 import static deckfall.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -9,11 +11,14 @@
 
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.SequenceInputStream;
 import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -195,14 +200,19 @@
     @Test
     void aLongAnswerOutlastsTheClientsTime() throws Exception {
         byte[] content = content(LONG);
+        CountDownLatch timeUp = new CountDownLatch(1);
         Server host = host((m, s) -> {
             s.getOutputStream().write(head("Content-Length: " + LONG));
             s.getOutputStream().write(content, 0, LONG / 2);
-            Thread.sleep(900); // longer than the client said it would wait for the beginning
+            timeUp.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
             s.getOutputStream().write(content, LONG / 2, LONG / 2);
         });
-        Message answer = client(nodeBefore(host)).send(view("long", 600)).receive();
-        assertArrayEquals(content, answer.body());
+        Node node = nodeBefore(host);
+        InputStream in = client(node).send(view("long", Sockets.PATIENCE_MS)).socket.getInputStream();
+        byte[] first = {(byte) in.read()}; // it goes to the client by now
+        node.loop.submit(() -> node.deadline("long")).sync();
+        timeUp.countDown();
+        assertArrayEquals(content, Sockets.read(new SequenceInputStream(new ByteArrayInputStream(first), in)).body());
     }
 
     /** Only a good answer is passed on; a long error is an error, and another attempt follows. */
@@ -218,13 +228,16 @@
 
     @Test
     void anAnswerInSlowPiecesIsServed() throws Exception {
+        MovedClock clock = MovedClock.standing();
         Server host = host((m, s) -> {
             for (byte b : bytes("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")) {
                 s.getOutputStream().write(b);
-                Thread.sleep(10); // in all far longer than a pause may be
+                clock.move(10); // in all far longer than a pause may be
             }
         });
-        assertEquals("abc", client(nodeBefore(host)).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        assertEquals("abc", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
         assertEquals(1, host.asked.size());
     }
 
--- a/gateway/src/test/java/deckfall/net/SocketTest.java
+++ b/gateway/src/test/java/deckfall/net/SocketTest.java
@@ -6,11 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Brain;
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -93,6 +96,15 @@
         return node;
     }
 
+    /** The same, which goes by a clock of the test's own. */
+    Node of(String config, MovedClock clock) throws IOException {
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)), Brain::new, Transport.TCP,
+                new NioEventLoopGroup(1), clock);
+        ends.push(node::stop);
+        node.start();
+        return node;
+    }
+
     Node nodeBefore(Server... hosts) throws IOException {
         String[] entries = new String[hosts.length];
         for (int i = 0; i < hosts.length; i++) {
