An act of a holder always ends, and a session's end is proposed until it is agreed

Two ways to it are left in the program, both closed here, neither shown to be the cause:

- A single task's holder waits for the end of its act.
Where the HTTP client never completed it, the holder kept its lease, renewed it, and never acted again.
- A leader proposed the end of a silent session once in its term.
Where that proposal came to nothing the session was neither renewed nor ended, and what it held stayed held.
Silence proposes again after each further time of the session; an end that is agreed twice changes nothing (BookTest.anEndThatIsNotAgreedIsProposedAgain, failing before).

The gateway module is untouched.

--- /dev/null
+++ b/fleet/src/main/java/marlford/fleet/Acts.java
@@ -0,0 +1,47 @@
+package marlford.fleet;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import marlford.task.Act;
+
+/**
+ * Carries acts to the resources of their tasks. Each is over within its time whatever comes of it, also where the HTTP client
+ * never says so: a holder whose act does not end would keep its lease, and nobody would act again.
+ */
+final class Acts {
+    /** Beyond an act's time, in which the client's own limit is to end it: some turns of its threads. */
+    static final long LATE_MS = 100;
+
+    private final Function<HttpRequest, CompletableFuture<?>> sender;
+
+    Acts() {
+        HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        this.sender = request -> http.sendAsync(request, HttpResponse.BodyHandlers.discarding());
+    }
+
+    /** With another way to send. */
+    Acts(Function<HttpRequest, CompletableFuture<?>> sender) {
+        this.sender = sender;
+    }
+
+    /** Begins an act; the result completes, never with a failure, once it is over. From any thread. */
+    CompletableFuture<Void> post(URI at, Act act, String holder) {
+        long takesMs = (long) Math.max(1, act.takesMs());
+        HttpRequest request = HttpRequest.newBuilder(at).timeout(Duration.ofMillis(takesMs))
+                .header("Fencing-Token", Long.toString(act.token())).header("Holder", holder)
+                .header("Task", act.task()).header("Shard", Integer.toString(act.shard()))
+                .header("Tick", Long.toString(act.tick()))
+                .POST(HttpRequest.BodyPublishers.noBody()).build();
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        CompletableFuture<?> sent = sender.apply(request);
+        sent.whenComplete((answer, e) -> over.complete(null));
+        return over.completeOnTimeout(null, takesMs + LATE_MS, TimeUnit.MILLISECONDS)
+                .whenComplete((done, e) -> sent.cancel(true));
+    }
+}
--- a/fleet/src/main/java/marlford/fleet/Fleet.java
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -5,13 +5,8 @@
 import deckfall.net.Usage;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.security.SecureRandom;
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,7 +42,7 @@
         t.setDaemon(true);
         return t;
     });
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Acts acts = new Acts();
     private final Map<String, FleetConfig.TaskConfig> tasks = new LinkedHashMap<>();
     private final Map<String, Duty> duties = new LinkedHashMap<>();
     private final Member member;
@@ -172,14 +167,8 @@
     }
 
     private void post(FleetConfig.TaskConfig task, Duty duty, Act act) {
-        URI at = task.url();
         running++;
-        HttpRequest request = HttpRequest.newBuilder(at).timeout(Duration.ofMillis((long) Math.max(1, act.takesMs())))
-                .header("Fencing-Token", Long.toString(act.token())).header("Holder", config.name())
-                .header("Task", act.task()).header("Shard", Integer.toString(act.shard()))
-                .header("Tick", Long.toString(act.tick()))
-                .POST(HttpRequest.BodyPublishers.noBody()).build();
-        http.sendAsync(request, HttpResponse.BodyHandlers.discarding()).whenComplete((answer, e) -> run(() -> {
+        acts.post(task.url(), act, config.name()).whenComplete((over, e) -> run(() -> {
             running--;
             duty.ended(member, act);
         }));
--- a/fleet/src/main/java/marlford/lease/Silence.java
+++ b/fleet/src/main/java/marlford/lease/Silence.java
@@ -22,7 +22,7 @@
 public final class Silence {
     private final double stallMs;
     private final Map<Long, Double> heard = new HashMap<>();
-    private final Set<Long> ending = new HashSet<>();
+    private final Map<Long, Double> ending = new HashMap<>(); // since when its end is proposed
     private boolean leads;
     private double looked;
 
@@ -51,7 +51,7 @@
 
     /** A session was heard; whether it may be told that it goes on. */
     public boolean heard(long session, double now) {
-        if (!leads || ending.contains(session)) {
+        if (!leads || ending.containsKey(session)) {
             return false;
         }
         look(now);
@@ -67,7 +67,10 @@
         }
     }
 
-    /** The sessions whose time is up: the caller proposes their end, and from now on they are not renewed. */
+    /**
+     * The sessions whose time is up: the caller proposes their end, and from now on they are not renewed. One that lives on for
+     * another such time is told again, as a proposal may come to nothing; an end that is agreed twice changes nothing.
+     */
     public List<Long> due(double now, List<Book.Session> living) {
         List<Long> due = new ArrayList<>();
         if (!leads) {
@@ -78,17 +81,19 @@
         for (Book.Session s : living) {
             there.add(s.id());
             double at = heard.computeIfAbsent(s.id(), id -> now); // opened since, or in an earlier term
-            if (now - at > s.ttlMs() && ending.add(s.id())) {
+            double proposed = ending.getOrDefault(s.id(), Double.NEGATIVE_INFINITY);
+            if (now - at > s.ttlMs() && now - proposed > s.ttlMs()) {
+                ending.put(s.id(), now);
                 due.add(s.id());
             }
         }
         heard.keySet().retainAll(there);
-        ending.retainAll(there);
+        ending.keySet().retainAll(there);
         return due;
     }
 
     @Override
     public String toString() {
-        return leads ? "leads, heard " + heard + ", ends " + ending : "rests";
+        return leads ? "leads, heard " + heard + ", ends " + ending.keySet() : "rests";
     }
 }
--- a/fleet/src/test/java/marlford/lease/BookTest.java
+++ b/fleet/src/test/java/marlford/lease/BookTest.java
@@ -250,4 +250,24 @@
         s.lead(6100);
         assertTrue(s.heard(a, 6101));
     }
+
+    /** A proposal that came to nothing once left its session neither renewed nor ended for the rest of the leader's term. */
+    @Test
+    void anEndThatIsNotAgreedIsProposedAgain() {
+        long a = member("a");
+        Silence s = new Silence(300);
+        s.lead(0);
+        assertTrue(s.heard(a, 10));
+        List<Double> proposed = new ArrayList<>();
+        for (double now = 100; now < 4000; now += 100) {
+            if (!s.due(now, book.sessions()).isEmpty()) {
+                proposed.add(now);
+            }
+            assertTrue(proposed.isEmpty() || !s.heard(a, now));
+        }
+        assertEquals(3, proposed.size(), proposed.toString());
+        book.apply(100, new Command.Close(a));
+        book.apply(101, new Command.Close(a));
+        assertEquals(List.of(), s.due(9000, book.sessions()));
+    }
 }
