A voter whose engine holds on to a silent leader begins anew: nobody was elected from then on

Seen in the engine's own log: g3 and g4 ask for votes three times a second and g0 refuses, its log being the longest; g0 asks nobody. Eighteen seconds before, g0 had begun a pre-vote one millisecond ahead of the first message of a leader of the same term. Ruled out: processor time, ports, links, disks. Change: a voter that goes by a leader it has not heard for 3 s (three times what the engine waits; stalls of its own thread don't count) ends its engine and begins it from its store, as a start of the process does. Not taken: setting the engine's inner state, which is no part of its interface.

--- a/fleet/src/main/java/marlford/agree/Voter.java
+++ b/fleet/src/main/java/marlford/agree/Voter.java
@@ -28,6 +28,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -70,6 +71,7 @@
     private static final int ELECTION_MS = 1500; // of the engine's milliseconds, EngineTime.FACTOR of ours
     private static final int HEARTBEAT_S = 1; // likewise: 200 ms
     private static final int SILENT_S = 5; // likewise: a leader that is silent for 1 s is no more
+    private static final double DEAF_MS = 3000; // three times that: the engine should have noticed long before
     private static final int SNAPSHOT_LINES = 5000;
     private static final int PENDING_MAX = 5000;
     private static final int REPORT_S = 3600;
@@ -103,6 +105,9 @@
     private boolean changing;
     private double changeAt; // no change of members is tried before
     private boolean flooring;
+    private RaftEndpoint followed; // the leader that the engine goes by
+    private double followedAt; // when it was last heard, but for stalls of this thread
+    private double tickedAt;
     private volatile String out; // why it takes no part
     private volatile boolean closed;
 
@@ -244,6 +249,7 @@
                     RaftMessage m = Codec.message(Codec.agreed(body, Codec.Mail.class), GROUP);
                     engine.execute(guarded(() -> {
                         if (node != null && out == null && !replacement.isOlderCopy(((Point) m.getSender()).id())) {
+                            followedAt = m.getSender().equals(followed) ? time.ms() : followedAt;
                             node.handle(m);
                         }
                     }));
@@ -369,6 +375,10 @@
             goOut("the engine ended");
             return;
         }
+        wake(now);
+        if (node == null || out != null) {
+            return;
+        }
         follow();
         if (!silence.leads()) {
             return;
@@ -384,6 +394,31 @@
         replace(now);
     }
 
+    /**
+     * Begins the engine anew, from its store as at a start, where it goes by a leader that has long been silent. An engine that asked
+     * for votes of its own just before a leader of the same term was first heard keeps that question open for good, and asks
+     * no other; where a majority needs this voter's log, nobody is elected from then on.
+     */
+    private void wake(double now) {
+        double gap = now - tickedAt;
+        tickedAt = now;
+        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
+        if (!Objects.equals(leader, followed)) {
+            followed = leader;
+            followedAt = now;
+        } else if (gap > STALL_MS) {
+            followedAt += gap; // what it said meanwhile stands unread
+        }
+        if (leader != null && !self.equals(leader) && now - followedAt > DEAF_MS) {
+            log.accept("fleet: the engine does not notice that " + leader.getId() + " is silent, and begins anew");
+            node.terminate();
+            node = null;
+            book = new Book(0);
+            followed = null;
+            begin(founding.decide());
+        }
+    }
+
     /** A fleet that is founded anew after all disks were lost must not give out tokens that an older one did. */
     private void floor() {
         if (!flooring) {
