One way to a node before one host in the tests; a clock that moved within a turn of the loop

Seven tests of CrossingsTest and LongAnswersTest wrote list, configuration and node before one host again. Change: SocketTest.nodeBefore takes a clock or a decision module; the assertions are as they were.

--- a/gateway/src/test/java/deckfall/net/CrossingsTest.java
+++ b/gateway/src/test/java/deckfall/net/CrossingsTest.java
@@ -142,10 +142,7 @@
             answered.countDown();
         });
         AtomicReference<Outcome> ended = new AtomicReference<>();
-        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"),
-                act -> new Late(act, held, answered, ended));
-        ends.push(node::stop);
+        Node node = nodeBefore(host, act -> new Late(act, held, answered, ended));
         Client waits = client(node).send(view("a", Sockets.PATIENCE_MS));
         assertTrue(first.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
         Client holds = client(node).send(view("b", Sockets.PATIENCE_MS));
@@ -169,10 +166,7 @@
         Server host = host((m, s) -> s.getOutputStream().write(bytes(spoilt)));
         AtomicReference<Outcome> ended = new AtomicReference<>();
         AtomicReference<Boolean> closedBefore = new AtomicReference<>();
-        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"),
-                act -> new Holding(act, host, ended, closedBefore));
-        ends.push(node::stop);
+        Node node = nodeBefore(host, act -> new Holding(act, host, ended, closedBefore));
         // An answer that is too long goes nowhere with a client of before chunks and lengths.
         assertEquals(502, client(node).send(view("v", Sockets.PATIENCE_MS)).receive().status());
         assertEquals(Outcome.SPOILT, ended.get());
@@ -303,9 +297,8 @@
             used.add(s);
             echo(m, s);
         });
-        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
         MovedClock clock = MovedClock.standing();
-        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Node node = nodeBefore(host, clock);
         Client c = client(node);
         for (int i = 0; i < 5; i++) {
             assertEquals("for v" + i + " ", c.send(view("v" + i, LONG_MS)).receive().text());
@@ -319,9 +312,8 @@
     void aRestedConnectionIsUsedAgain() throws Exception {
         List<Socket> used = new ArrayList<>();
         Server host = noting(used);
-        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
         MovedClock clock = MovedClock.standing();
-        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Node node = nodeBefore(host, clock);
         Client c = client(node);
         for (int i = 0; i < 3; i++) {
             assertEquals(200, c.send(view("v" + i, LONG_MS)).receive().status());
@@ -398,9 +390,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void aClientThatStaysAfterItsLastAnswerIsEnded(boolean sends) throws Exception {
-        registry = kept(new Registry(list(1, true, entry("h0", host(SocketTest::echo).address(), "ready"))));
         MovedClock clock = new MovedClock();
-        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Node node = nodeBefore(host(SocketTest::echo), clock);
         Client c = client(node).send(lastAndMore(0));
         assertEquals("for v ", c.receive().text());
         assertNull(c.receive());
@@ -473,9 +464,8 @@
     /** A connection that was just made is about to ask, and its request once met the end of its connection. */
     @Test
     void whoHasJustConnectedIsNotIdle() throws Exception {
-        registry = kept(new Registry(list(1, true, entry("h0", host(SocketTest::echo).address(), "ready"))));
         MovedClock clock = new MovedClock();
-        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Node node = nodeBefore(host(SocketTest::echo), clock);
         Client c = client(node);
         Sockets.await(() -> node.loop.submit(node::connections).get() == 1, "it is accepted");
         node.loop.submit(node.clients::giveUpIdle).sync();
--- a/gateway/src/test/java/deckfall/net/LongAnswersTest.java
+++ b/gateway/src/test/java/deckfall/net/LongAnswersTest.java
@@ -1,8 +1,6 @@
 package deckfall.net;
 
 import static deckfall.net.Sockets.bytes;
-import static deckfall.net.Sockets.entry;
-import static deckfall.net.Sockets.list;
 import static deckfall.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -11,7 +9,6 @@
 
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
-import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -24,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
 /** Answers that are too long to be kept, and peers that take their time over them. */
@@ -226,17 +224,19 @@
         assertEquals(2, host.asked.size());
     }
 
+    /** The clock moves on the loop, where it can't do so between a reading and the look at its time. */
     @Test
     void anAnswerInSlowPiecesIsServed() throws Exception {
         MovedClock clock = MovedClock.standing();
+        AtomicReference<Node> gateway = new AtomicReference<>();
         Server host = host((m, s) -> {
             for (byte b : bytes("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")) {
                 s.getOutputStream().write(b);
-                clock.move(10); // in all far longer than a pause may be
+                gateway.get().loop.submit(() -> clock.move(10)).sync(); // in all far longer than a pause may be
             }
         });
-        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-        Node node = of(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        Node node = nodeBefore(host, clock);
+        gateway.set(node);
         assertEquals("abc", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
         assertEquals(1, host.asked.size());
     }
--- a/gateway/src/test/java/deckfall/net/SocketTest.java
+++ b/gateway/src/test/java/deckfall/net/SocketTest.java
@@ -8,6 +8,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Brain;
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.Events;
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
@@ -21,6 +23,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -105,6 +108,23 @@
         return node;
     }
 
+    /** Before one host, by a clock of the test's own. */
+    Node nodeBefore(Server host, MovedClock clock) throws IOException {
+        return of(configBefore(host), clock);
+    }
+
+    /** Before one host, with a decision module of the test's own. */
+    Node nodeBefore(Server host, Function<Actions, Events> module) throws IOException {
+        Node node = Sockets.node(configBefore(host), module);
+        ends.push(node::stop);
+        return node;
+    }
+
+    private String configBefore(Server host) throws IOException {
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        return Sockets.config(registry.server.address(), "127.0.0.1:0");
+    }
+
     Node nodeBefore(Server... hosts) throws IOException {
         String[] entries = new String[hosts.length];
         for (int i = 0; i < hosts.length; i++) {
