No attempt begins later than 0.1 s after its client left: its socket is read first

Cause: a client's end was seen only where the loop came to read it. Where it stood unread (a late loop, a request that waited for a place or a keeper, an attempt that failed, a connection to a host that came up late, reading paused by requests sent ahead, by faults or by a long body) whatever let the attempt begin sent it on. The term was 0.3 s and is 0.1 s now.

Change: before each attempt, and before the first byte on a connection that has just come up, the client's socket is read to its end where that was not done for 40 ms, within 256 KiB a connection and 4 MiB in all. What a late loop has read is begun one turn later, so that an end right behind it is read. Where more is unread than may be read ahead, the request is answered 429 with Retry-After, or 502 after an attempt. Of a long body the last part is held back until the client was looked for behind it, so that no host ever has the whole. What has not left whole for its host is given up with its client.

Ruled out: a selector's word of the peer's end (NIO has none), /proc/net/tcp (blocks), reading all that is sent ahead (memory).

--- a/gateway/src/main/java/deckfall/net/Attempt.java
+++ b/gateway/src/main/java/deckfall/net/Attempt.java
@@ -36,6 +36,12 @@
         }
     }
 
+    /** The connection may have come up late, and the client may have left meanwhile. */
+    @Override
+    void connected() {
+        node.endIfClientLeft(owner);
+    }
+
     @Override
     void written() {
         if (owner.message instanceof LongRequest) {
--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -4,6 +4,7 @@
 import deckfall.console.Figures;
 import deckfall.end.Linger;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -33,7 +34,10 @@
 final class ClientServer {
     static final int MAX_BODY = 64 * 1024;
     private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
-    private static final int LOOKED_AHEAD = 64; // of them, where reading pauses: so far a client's end is looked for
+    private static final int HEAD_BYTES = 1024; // that a request read ahead takes in memory beside its body
+    private static final int LOOKED_AHEAD = 256 * 1024; // bytes read ahead on one connection to look for the client's end
+    private static final int LOOKED_AHEAD_IN_ALL = 4 * 1024 * 1024; // the same on all connections
+    private static final double UNSEEN_MS = 40; // a client seen so lately is not looked for again: half of what is allowed
     private static final double SOCKET_SHARE = 0.42; // of all descriptors; the program itself needs some, too
     private static final double NEWCOMERS_SHARE = 0.25; // of the connections: so many may have asked nothing yet
     private static final double PRESSED_SHARE = 0.5; // of the connections that fit: then idle ones give way early
@@ -66,6 +70,7 @@
     private final int maxConnections;
     private final int maxNewcomers;
     private Channel listener;
+    private long readAhead; // bytes of requests that wait their turn, on all connections
     private boolean swept; // the sweep has begun
 
     ClientServer(Node node) {
@@ -175,7 +180,7 @@
             }
         }
         for (Connection c : List.copyOf(connections)) {
-            c.lookAhead();
+            c.lookWhilePaused();
             if (c.overdue(now)) {
                 Transport.readNow(c.channel); // what stands in its socket was not late, this loop was
                 if (c.overdue(node.clock.now())) {
@@ -243,7 +248,7 @@
             Transport.readNow(c.channel);
         }
         boolean asking = from != unused && c.reader.unfinished(); // half a request is more than none
-        boolean free = c.whole == before && !asking;
+        boolean free = c.whole == before && c.waiting.isEmpty() && !asking;
         if (free) {
             c.leave(); // now, as its end is told only later
             c.channel.close();
@@ -256,11 +261,19 @@
         return free;
     }
 
+    /** What a look into a client's socket says; unknown where too much unread stands in front of its end. */
+    enum Presence { CONNECTED, LEFT, UNKNOWN }
+
     /** One client connection: one request at a time, in order; what is sent ahead waits its turn. */
     final class Connection extends ChannelInboundHandlerAdapter {
         private final Channel channel;
         private final RequestReader reader;
         private final ArrayDeque<Object> waiting = new ArrayDeque<>(); // requests, and at the end what is unreadable
+        private final Runnable next = this::next;
+        private long waitingBytes;
+        private double seenAt = node.clock.now(); // the client was surely connected then
+        private boolean behind; // reading paused: what is read may be older than this loop is late
+        private boolean hidden; // more is unread than is read ahead
         private OpenRequest current;
         private boolean busy;
         private boolean keepAlive = true;
@@ -325,7 +338,7 @@
 
         /** Takes its place among those that may give way, behind the others of its kind. */
         private void rest() {
-            if (!busy && !ended) {
+            if (!busy && !ended && waiting.isEmpty()) {
                 idleSince = node.clock.now();
                 (requests > ASKED_ONCE ? idle : requests == ASKED_ONCE ? casual : onlookers).add(this);
             }
@@ -350,6 +363,8 @@
         private void freeWaiting() {
             List<Object> ahead = List.copyOf(waiting);
             waiting.clear(); // first, as letting go of a body may look here
+            readAhead -= waitingBytes;
+            waitingBytes = 0;
             ahead.forEach(LongRequest::free);
         }
 
@@ -374,6 +389,10 @@
 
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof RequestReader.BodyRead) { // not at once: the socket is just being read
+                node.loop.execute(() -> confirm(((RequestReader.BodyRead) event).body()));
+                return;
+            }
             // Ahead of an answer that is still due it would be taken to belong to that one; then the client waits.
             if (event == RequestReader.Asks.TO_GO_ON && !busy && !ended && waiting.isEmpty()) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
@@ -391,11 +410,40 @@
                 channel.close();
                 return;
             }
-            waiting.add(message);
-            next();
+            whole++;
+            queue(message);
+            if (!behind) {
+                seenAt = node.clock.now() - node.lag.ms(); // what a late loop reads may have stood in the socket for so long
+            }
+            if (isUnseen()) {
+                node.loop.execute(next); // once an end that stands right behind this could be read
+            } else {
+                next();
+            }
             steer();
         }
 
+        private void queue(Object message) {
+            waiting.add(message);
+            waitingBytes += size(message);
+            readAhead += size(message);
+        }
+
+        private Object unqueue() {
+            Object message = waiting.poll();
+            waitingBytes -= size(message);
+            readAhead -= size(message);
+            return message;
+        }
+
+        private static int size(Object message) {
+            return HEAD_BYTES + (message instanceof ByteBufHolder ? ((ByteBufHolder) message).content().readableBytes() : 0);
+        }
+
+        private boolean isUnseen() {
+            return node.clock.now() - seenAt > UNSEEN_MS;
+        }
+
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             if (more != null && channel.isWritable()) {
@@ -407,12 +455,11 @@
         /** Goes on with what was sent ahead, but only as fast as the client takes the answers. */
         private void next() {
             while (!busy && !ended && !waiting.isEmpty() && channel.isWritable()) {
-                Object message = waiting.poll();
+                Object message = unqueue();
                 steer();
                 busy = true;
                 answered = false;
                 upload = LongRequest.restOf(message);
-                whole++;
                 leavePlace();
                 if (message instanceof RequestReader.Unreadable) {
                     keepAlive = false; // where the next request would begin is not known
@@ -425,29 +472,71 @@
 
         /** Reads on or pauses: while much waits, after faults, and where a body comes faster than its host takes it. */
         private void steer() {
-            boolean fast = upload != null && upload.full()
-                    || !waiting.isEmpty() && waiting.peekLast() instanceof LongRequest
-                    && ((LongRequest) waiting.peekLast()).rest.full();
+            boolean fast = upload != null && upload.full() || isLongBodyAhead();
             boolean reads = !paused && !fast && waiting.size() < PIPELINED;
             if (reads && !channel.config().isAutoRead()) {
                 reader.resume();
             }
+            behind |= !reads;
             channel.config().setAutoRead(reads);
             if (answered && upload != null && upload.over()) {
                 release();
             }
         }
 
+        /** While reading pauses the client's end is not seen: so that nothing of one that left is sent on, it is looked for. */
+        private void lookWhilePaused() {
+            if (!ended && !paused && !channel.config().isAutoRead()) {
+                look();
+            }
+        }
+
         /**
-         * While reading pauses the client's end is not seen: it stands behind what the client sent. So that requests of one
-         * that has left are not sent on, a little more is read now and then.
+         * Whether the client is still connected. Its end stands behind what it sent, so that is read where it was not for
+         * {@value #UNSEEN_MS} ms, within the bounds of what is read ahead. Until a body is whole nobody need look: its last part is
+         * held back. The module is to be told of an end by the caller, as the channel's own word of it comes later.
          */
-        private void lookAhead() {
-            int before = -1;
-            while (!ended && !paused && waiting.size() >= PIPELINED && waiting.size() < LOOKED_AHEAD
-                    && waiting.size() != before && channel.isActive()) {
-                before = waiting.size();
+        Presence look() {
+            boolean bodyComes = upload != null && !upload.over();
+            if (channel.isActive() && (bodyComes || reader.reading() || !isUnseen())) {
+                return Presence.CONNECTED;
+            }
+            return readToEnd();
+        }
+
+        private Presence readToEnd() {
+            while (channel.isActive()) {
+                boolean full = hasReadAheadEnough();
+                if (full && hidden) {
+                    return Presence.UNKNOWN;
+                }
+                long before = reader.taken();
                 Transport.readNow(channel);
+                boolean nothing = reader.taken() == before;
+                hidden = full && !nothing;
+                if (channel.isActive() && nothing) {
+                    seenAt = node.clock.now();
+                    behind = false;
+                    return Presence.CONNECTED;
+                }
+            }
+            return Presence.LEFT;
+        }
+
+        private boolean hasReadAheadEnough() {
+            return waitingBytes >= LOOKED_AHEAD || readAhead >= LOOKED_AHEAD_IN_ALL || isLongBodyAhead();
+        }
+
+        /** Whether the last request that waits has a long body, of which as much was read as is kept. */
+        private boolean isLongBodyAhead() {
+            Upload ahead = LongRequest.restOf(waiting.peekLast());
+            return ahead != null && ahead.full();
+        }
+
+        /** A long body has come whole: its last part may go on where the client has not left behind it. */
+        private void confirm(Upload body) {
+            if (readToEnd() != Presence.LEFT) {
+                body.confirm();
             }
         }
 
@@ -612,7 +701,7 @@
             if (waiting.isEmpty()) {
                 rest();
             } else { // not at once: an answer may be given while the request is being taken
-                node.loop.execute(this::next);
+                node.loop.execute(next);
             }
         }
 
--- a/gateway/src/main/java/deckfall/net/HostClient.java
+++ b/gateway/src/main/java/deckfall/net/HostClient.java
@@ -326,6 +326,9 @@
                 return;
             }
             connecting.channel().closeFuture().addListener(closed -> connections--);
+            if (c.awaits(x)) {
+                x.connected();
+            }
             if (c.awaits(x)) {
                 c.write(x, message.build());
             } else {
--- a/gateway/src/main/java/deckfall/net/HostConnection.java
+++ b/gateway/src/main/java/deckfall/net/HostConnection.java
@@ -53,7 +53,6 @@
     private final Decoder decoder = new Decoder();
     private Channel channel;
     private Exchange exchange;
-    private boolean sending; // the request's first byte may have left
     private boolean written; // the request's last byte has left
     private boolean begun; // of the answer, something has come
     private HttpResponse head;
@@ -76,6 +75,9 @@
     abstract static class Exchange {
         private HostConnection connection;
 
+        /** Its connection has come up and nothing of it was written yet; it may be given up in this call. */
+        void connected() { }
+
         /** Its last byte has left for the host. */
         void written() { }
 
@@ -95,9 +97,9 @@
             return connection != null;
         }
 
-        /** Whether a byte of it may have left for the host; before, its connection is still coming up. */
-        final boolean begun() {
-            return connection != null && connection.sending;
+        /** Whether its last byte has left for the host. */
+        final boolean leftWhole() {
+            return connection != null && connection.written;
         }
 
         /** Its time is up by the clock: what stands in its socket by now was not late, this loop was. It may end in this call. */
@@ -196,7 +198,6 @@
 
     void write(Exchange x, FullHttpRequest message) {
         await(x);
-        sending = true;
         written = begun = clean = false;
         interim = 0;
         if (message instanceof LongRequest) {
--- a/gateway/src/main/java/deckfall/net/Leavings.java
+++ b/gateway/src/main/java/deckfall/net/Leavings.java
@@ -6,8 +6,8 @@
  * more than {@value #SOON_MS} ms after their client was seen to leave, which is to stay 0. On the event loop.
  */
 final class Leavings {
-    /** By the operators' term: what waits when its client leaves is not sent on later than that. */
-    static final double SOON_MS = 300;
+    /** By the operators' term no attempt begins later than that after its client left. */
+    static final double SOON_MS = 100;
 
     private int waiting;
     private int served;
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -510,13 +510,36 @@
         r.leftAt = clock.now();
         leavings.left(r.attempts.stream().anyMatch(a -> a.left));
         tell((now, m) -> m.clientLeft(now, r.request.id()));
-        // Whatever the settings say of cancelling: what has not left for a host yet must never leave.
+        giveUpUnsent(r);
+        forgetIfOver(r);
+    }
+
+    /** Whatever the settings say of cancelling: what has not left for a host whole must never do so. */
+    private void giveUpUnsent(OpenRequest r) {
         for (Attempt a : List.copyOf(r.attempts)) {
-            if (!a.ended && !a.begun()) {
+            if (!a.ended && !a.leftWhole()) {
                 giveUp(a, Outcome.CANCELLED);
             }
         }
-        forgetIfOver(r);
+    }
+
+    /**
+     * To be called before an attempt begins, which is not to happen for a client that has left: a late loop may not have read
+     * its end yet. Where the end could not be seen, since too much unread stands in front of it, the request is answered here.
+     */
+    void endIfClientLeft(OpenRequest r) {
+        ClientServer.Connection client = r.client();
+        if (client == null) {
+            return;
+        }
+        switch (client.look()) {
+            case LEFT -> clientLeft(r);
+            case UNKNOWN -> {
+                answerUnserved(r);
+                giveUpUnsent(r);
+            }
+            case CONNECTED -> { }
+        }
     }
 
     /**
@@ -611,6 +634,7 @@
         if (r == null) {
             return;
         }
+        endIfClientLeft(r);
         double now = clock.now();
         Attempt a = new Attempt(this, r, host, now);
         r.attempts.add(a);
@@ -790,17 +814,21 @@
             endAttempts(r); // the module refuses or fails it, as its further attempts are void now
         }
         for (OpenRequest r : List.copyOf(open.values())) {
-            if (r.closed()) {
-                continue;
-            }
-            if (r.attempts.isEmpty()) { // held, and never sent: another gateway may have it
-                answer(r, HttpResponseStatus.TOO_MANY_REQUESTS, config.settings().limits().maxRetryAfterMs());
-            } else { // held for another attempt after one that may have run
-                answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
+            if (!r.closed()) {
+                answerUnserved(r);
             }
         }
     }
 
+    /** The final answer to a request that is held and gets no further attempt. */
+    private void answerUnserved(OpenRequest r) {
+        if (r.attempts.isEmpty()) { // never sent: another gateway may have it
+            answer(r, HttpResponseStatus.TOO_MANY_REQUESTS, config.settings().limits().maxRetryAfterMs());
+        } else { // held for another attempt after one that may have run
+            answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
+        }
+    }
+
     private void awaitEmpty() {
         if (open.isEmpty() && clients.idle()) {
             drained.countDown();
--- a/gateway/src/main/java/deckfall/net/RequestReader.java
+++ b/gateway/src/main/java/deckfall/net/RequestReader.java
@@ -39,6 +39,9 @@
     /** In the place of a request: the connection ends with this answer. */
     record Unreadable(HttpResponseStatus status) { }
 
+    /** The last byte of a long body was read. */
+    record BodyRead(Upload body) { }
+
     /** The client sends the body only once it is told that its head was read. */
     enum Asks { TO_GO_ON }
 
@@ -53,6 +56,8 @@
     private double since = NONE; // when an unfinished request began to come
     private double readAt; // when something of it last came
     private long read; // bytes of its body
+    private long taken; // bytes of the connection's whole life
+    private boolean reading; // what was read last is still being passed on
 
     /** @param steer runs where reading on may have to pause or to go on */
     RequestReader(Clock clock, Runnable steer) {
@@ -67,6 +72,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+            taken += ((ByteBuf) bytes).readableBytes();
             if (over) {
                 forgotten.accept(((ByteBuf) bytes).readableBytes());
                 ReferenceCountUtil.release(bytes);
@@ -76,7 +82,12 @@
             if (since == NONE) {
                 since = readAt;
             }
-            super.channelRead(ctx, bytes);
+            reading = true;
+            try {
+                super.channelRead(ctx, bytes);
+            } finally {
+                reading = false;
+            }
         }
 
         boolean leftOver() {
@@ -88,6 +99,16 @@
         pipeline.addLast(new HttpResponseEncoder(), decoder, this);
     }
 
+    /** Bytes that were read so far, of whatever kind. */
+    long taken() {
+        return taken;
+    }
+
+    /** Whether this call comes from within a reading of the connection: then it must not be read again. */
+    boolean reading() {
+        return reading;
+    }
+
     /** Whether something unfinished is coming. */
     boolean unfinished() {
         return since != NONE;
@@ -159,13 +180,15 @@
             ctx.fireChannelRead(new LongRequest(head, kept, rest));
         }
         if (rest != null && !over) {
-            rest.add(content.content().retain());
-            if (content instanceof LastHttpContent) {
-                Upload ended = rest;
-                rest = null;
-                nextFrom();
-                ended.end();
+            if (!(content instanceof LastHttpContent)) {
+                rest.add(content.content().retain());
+                return;
             }
+            Upload ended = rest;
+            rest = null;
+            nextFrom();
+            ended.end(content.content().retain());
+            ctx.fireUserEventTriggered(new BodyRead(ended));
             return;
         }
         body = joined(ctx, body, content.content());
--- a/gateway/src/main/java/deckfall/net/Upload.java
+++ b/gateway/src/main/java/deckfall/net/Upload.java
@@ -5,7 +5,9 @@
 
 /**
  * What follows the kept part of a request's long body: taken from the client no faster than a host takes it, handed on
- * once, and dropped where no host wants it. On the event loop of both.
+ * once, and dropped where no host wants it. Its last part is held back until the client was seen to be still connected: the
+ * end of a client that has left stands behind its body, and a host begins a request once that has come whole. On the event
+ * loop of both.
  *
  * <p>Buffers: a part that is added is owned here until it is handed on or dropped. Bound: {@value #AHEAD_MAX} bytes and
  * one reading of the socket wait here; then {@link #full} asks for a pause.
@@ -29,7 +31,9 @@
     private final Runnable steer;
     private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>();
     private long ahead;
+    private ByteBuf lastPart; // read, and held back until confirmed; else null
     private boolean whole; // its last byte came from the client
+    private boolean confirmed; // the client was still connected after that
     private boolean begun; // a part was handed on
     private boolean dropped; // nobody wants it any more
     private Taker taker;
@@ -75,8 +79,26 @@
         }
     }
 
-    void end() {
+    /** Takes over the last part, and holds it back until {@link #confirm}. */
+    void end(ByteBuf part) {
         whole = true;
+        if (dropped) {
+            part.release();
+        } else {
+            lastPart = part;
+            ahead += part.readableBytes();
+        }
+        steer.run();
+    }
+
+    /** The client is still connected, and nothing of the body is missing: all of it may go to a host. */
+    void confirm() {
+        if (dropped || confirmed) {
+            return;
+        }
+        confirmed = true;
+        parts.add(lastPart);
+        lastPart = null;
         flow();
         steer.run();
     }
@@ -106,7 +128,7 @@
             begun = true;
             taker.part(part);
         }
-        if (taker != null && whole && parts.isEmpty()) {
+        if (taker != null && confirmed && parts.isEmpty()) {
             Taker last = taker;
             taker = null;
             begun = true;
@@ -123,6 +145,10 @@
         taker = null;
         parts.forEach(ByteBuf::release);
         parts.clear();
+        if (lastPart != null) {
+            lastPart.release();
+            lastPart = null;
+        }
         ahead = 0;
         steer.run();
     }
