--- a/fleet/src/main/java/marlford/agree/CallBack.java
+++ b/fleet/src/main/java/marlford/agree/CallBack.java
@@ -3,4 +3,4 @@
 import marlford.lease.Reply;
 
 /** A voter's reply to the call of this number. */
-record CallBack(long id, Reply reply) { }
+record CallBack(long id, Reply reply) {}
--- a/fleet/src/main/java/marlford/agree/Codec.java
+++ b/fleet/src/main/java/marlford/agree/Codec.java
@@ -46,38 +46,61 @@
     static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
     private static final ObjectMapper MAPPER = new CBORMapper()
             .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
-            .addMixIn(Command.class, Commands.class).addMixIn(Ask.class, Asks.class)
-            .addMixIn(marlford.work.Line.class, Works.class).addMixIn(Book.Image.class, Sparse.class)
-            .addMixIn(Answer.class, Sparse.class).addMixIn(Reply.class, Sparse.class).addMixIn(Ask.Renew.class, Sparse.class)
-            .setVisibility(CBORMapper.builder().build().getVisibilityChecker()
+            .addMixIn(Command.class, Commands.class)
+            .addMixIn(Ask.class, Asks.class)
+            .addMixIn(marlford.work.Line.class, Works.class)
+            .addMixIn(Book.Image.class, Sparse.class)
+            .addMixIn(Answer.class, Sparse.class)
+            .addMixIn(Reply.class, Sparse.class)
+            .addMixIn(Ask.Renew.class, Sparse.class)
+            .setVisibility(CBORMapper.builder()
+                    .build()
+                    .getVisibilityChecker()
                     .withIsGetterVisibility(JsonAutoDetect.Visibility.NONE));
 
-    private static final ObjectMapper STRICT = MAPPER.copy().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true);
+    private static final ObjectMapper STRICT =
+            MAPPER.copy().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true);
 
-    private Codec() { }
+    private Codec() {}
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "do")
-    @JsonSubTypes({@Type(value = Command.Open.class, name = "open"), @Type(value = Command.Close.class, name = "close"),
-        @Type(value = Command.Acquire.class, name = "acquire"), @Type(value = Command.Release.class, name = "release"),
-        @Type(value = Command.Join.class, name = "join"), @Type(value = Command.Leave.class, name = "leave"),
-        @Type(value = Command.GiveUp.class, name = "giveUp"), @Type(value = Command.Tick.class, name = "tick"),
-        @Type(value = Command.Floor.class, name = "floor"), @Type(value = Command.Work.class, name = "work")})
-    private interface Commands { }
+    @JsonSubTypes({
+        @Type(value = Command.Open.class, name = "open"),
+        @Type(value = Command.Close.class, name = "close"),
+        @Type(value = Command.Acquire.class, name = "acquire"),
+        @Type(value = Command.Release.class, name = "release"),
+        @Type(value = Command.Join.class, name = "join"),
+        @Type(value = Command.Leave.class, name = "leave"),
+        @Type(value = Command.GiveUp.class, name = "giveUp"),
+        @Type(value = Command.Tick.class, name = "tick"),
+        @Type(value = Command.Floor.class, name = "floor"),
+        @Type(value = Command.Work.class, name = "work")
+    })
+    private interface Commands {}
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "ask")
-    @JsonSubTypes({@Type(value = Ask.Submit.class, name = "submit"), @Type(value = Ask.Renew.class, name = "renew"),
-        @Type(value = Ask.Watch.class, name = "watch"), @Type(value = Ask.Look.class, name = "look")})
-    private interface Asks { }
+    @JsonSubTypes({
+        @Type(value = Ask.Submit.class, name = "submit"),
+        @Type(value = Ask.Renew.class, name = "renew"),
+        @Type(value = Ask.Watch.class, name = "watch"),
+        @Type(value = Ask.Look.class, name = "look")
+    })
+    private interface Asks {}
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "work")
-    @JsonSubTypes({@Type(value = marlford.work.Line.Enter.class, name = "enter"), @Type(value = marlford.work.Line.Move.class, name = "move"),
-        @Type(value = marlford.work.Line.End.class, name = "end"), @Type(value = marlford.work.Line.Withdraw.class, name = "withdraw"),
-        @Type(value = marlford.work.Line.Take.class, name = "take"), @Type(value = marlford.work.Line.Forget.class, name = "forget")})
-    private interface Works { }
+    @JsonSubTypes({
+        @Type(value = marlford.work.Line.Enter.class, name = "enter"),
+        @Type(value = marlford.work.Line.Move.class, name = "move"),
+        @Type(value = marlford.work.Line.End.class, name = "end"),
+        @Type(value = marlford.work.Line.Withdraw.class, name = "withdraw"),
+        @Type(value = marlford.work.Line.Take.class, name = "take"),
+        @Type(value = marlford.work.Line.Forget.class, name = "forget")
+    })
+    private interface Works {}
 
     /** What is not there is left out: it takes no room, and older versions need not know of it. */
     @JsonInclude(JsonInclude.Include.NON_NULL)
-    private interface Sparse { }
+    private interface Sparse {}
 
     /** The members of a group as a line of the log has them. */
     record Group(long index, List<String> all, List<String> voting) {
@@ -86,21 +109,31 @@
         }
 
         RaftGroupMembersView view() {
-            return MODELS.createRaftGroupMembersViewBuilder().setLogIndex(index).setMembers(points(all))
-                    .setVotingMembers(points(voting)).build();
+            return MODELS.createRaftGroupMembersViewBuilder()
+                    .setLogIndex(index)
+                    .setMembers(points(all))
+                    .setVotingMembers(points(voting))
+                    .build();
         }
     }
 
     /** A change of the members, as the engine logs it. */
-    record Change(List<String> all, List<String> voting, String point, String mode) { }
+    record Change(List<String> all, List<String> voting, String point, String mode) {}
 
     /** One of the three is there, or none, where a term begins. */
     record Line(long index, int term, Command command, Change change) {
         static Line of(LogEntry e) {
             Object op = e.getOperation();
             if (op instanceof UpdateRaftGroupMembersOp u) {
-                return new Line(e.getIndex(), e.getTerm(), null, new Change(ids(u.getMembers()),
-                        ids(u.getVotingMembers()), u.getEndpoint().getId().toString(), u.getMode().name()));
+                return new Line(
+                        e.getIndex(),
+                        e.getTerm(),
+                        null,
+                        new Change(
+                                ids(u.getMembers()),
+                                ids(u.getVotingMembers()),
+                                u.getEndpoint().getId().toString(),
+                                u.getMode().name()));
             }
             return new Line(e.getIndex(), e.getTerm(), op instanceof Command c ? c : null, null);
         }
@@ -108,35 +141,68 @@
         LogEntry entry() {
             Object op = TermBegins.HERE;
             if (change != null) {
-                op = MODELS.createUpdateRaftGroupMembersOpBuilder().setMembers(points(change.all()))
-                        .setVotingMembers(points(change.voting())).setEndpoint(new Point(change.point()))
-                        .setMode(MembershipChangeMode.valueOf(change.mode())).build();
+                op = MODELS.createUpdateRaftGroupMembersOpBuilder()
+                        .setMembers(points(change.all()))
+                        .setVotingMembers(points(change.voting()))
+                        .setEndpoint(new Point(change.point()))
+                        .setMode(MembershipChangeMode.valueOf(change.mode()))
+                        .build();
             } else if (command != null) {
                 op = command;
             }
-            return MODELS.createLogEntryBuilder().setIndex(index).setTerm(term).setOperation(op).build();
+            return MODELS.createLogEntryBuilder()
+                    .setIndex(index)
+                    .setTerm(term)
+                    .setOperation(op)
+                    .build();
         }
     }
 
     /** What a new leader writes first, so that all lines of earlier terms are agreed. */
-    enum TermBegins { HERE }
+    enum TermBegins {
+        HERE
+    }
 
     /** A snapshot: the book, in one piece. */
     record Piece(long index, int term, Book.Image image, int at, int of, Group group) {
         static Piece of(SnapshotChunk c) {
-            return new Piece(c.getIndex(), c.getTerm(), (Book.Image) c.getOperation(), c.getSnapshotChunkIndex(),
-                    c.getSnapshotChunkCount(), Group.of(c.getGroupMembersView()));
+            return new Piece(
+                    c.getIndex(),
+                    c.getTerm(),
+                    (Book.Image) c.getOperation(),
+                    c.getSnapshotChunkIndex(),
+                    c.getSnapshotChunkCount(),
+                    Group.of(c.getGroupMembersView()));
         }
 
         SnapshotChunk chunk() {
-            return MODELS.createSnapshotChunkBuilder().setIndex(index).setTerm(term).setOperation(image)
-                    .setSnapshotChunkIndex(at).setSnapshotChunkCount(of).setGroupMembersView(group.view()).build();
+            return MODELS.createSnapshotChunkBuilder()
+                    .setIndex(index)
+                    .setTerm(term)
+                    .setOperation(image)
+                    .setSnapshotChunkIndex(at)
+                    .setSnapshotChunkCount(of)
+                    .setGroupMembersView(group.view())
+                    .build();
         }
     }
 
     /** A message of the engine; what a kind of message does not have is 0, false or null. */
-    record Mail(String kind, String from, int term, int lastTerm, long index, long commit, long query, long flow, int pieces,
-            boolean flag, List<Line> lines, Piece piece, List<String> points, Group group) { }
+    record Mail(
+            String kind,
+            String from,
+            int term,
+            int lastTerm,
+            long index,
+            long commit,
+            long query,
+            long flow,
+            int pieces,
+            boolean flag,
+            List<Line> lines,
+            Piece piece,
+            List<String> points,
+            Group group) {}
 
     static List<String> ids(Collection<RaftEndpoint> points) {
         return points.stream().map(p -> p.getId().toString()).toList();
@@ -167,26 +233,77 @@
         if (m instanceof AppendEntriesRequest r) {
             List<Line> lines = new ArrayList<>(r.getLogEntries().size());
             r.getLogEntries().forEach(e -> lines.add(Line.of(e)));
-            return new Mail("append", from, term, r.getPreviousLogTerm(), r.getPreviousLogIndex(), r.getCommitIndex(),
-                    r.getQuerySequenceNumber(), r.getFlowControlSequenceNumber(), 0, false, lines, null, null, null);
+            return new Mail(
+                    "append",
+                    from,
+                    term,
+                    r.getPreviousLogTerm(),
+                    r.getPreviousLogIndex(),
+                    r.getCommitIndex(),
+                    r.getQuerySequenceNumber(),
+                    r.getFlowControlSequenceNumber(),
+                    0,
+                    false,
+                    lines,
+                    null,
+                    null,
+                    null);
         }
         if (m instanceof AppendEntriesSuccessResponse r) {
-            return plain("appended", from, term, 0, r.getLastLogIndex(), r.getQuerySequenceNumber(),
-                    r.getFlowControlSequenceNumber(), false);
+            return plain(
+                    "appended",
+                    from,
+                    term,
+                    0,
+                    r.getLastLogIndex(),
+                    r.getQuerySequenceNumber(),
+                    r.getFlowControlSequenceNumber(),
+                    false);
         }
         if (m instanceof AppendEntriesFailureResponse r) {
-            return plain("notAppended", from, term, 0, r.getExpectedNextIndex(), r.getQuerySequenceNumber(),
-                    r.getFlowControlSequenceNumber(), false);
+            return plain(
+                    "notAppended",
+                    from,
+                    term,
+                    0,
+                    r.getExpectedNextIndex(),
+                    r.getQuerySequenceNumber(),
+                    r.getFlowControlSequenceNumber(),
+                    false);
         }
         if (m instanceof InstallSnapshotRequest r) {
-            return new Mail("snapshot", from, term, r.getSnapshotTerm(), r.getSnapshotIndex(), 0,
-                    r.getQuerySequenceNumber(), r.getFlowControlSequenceNumber(), r.getTotalSnapshotChunkCount(),
-                    r.isSenderLeader(), null, r.getSnapshotChunk() == null ? null : Piece.of(r.getSnapshotChunk()),
-                    ids(r.getSnapshottedMembers()), Group.of(r.getGroupMembersView()));
+            return new Mail(
+                    "snapshot",
+                    from,
+                    term,
+                    r.getSnapshotTerm(),
+                    r.getSnapshotIndex(),
+                    0,
+                    r.getQuerySequenceNumber(),
+                    r.getFlowControlSequenceNumber(),
+                    r.getTotalSnapshotChunkCount(),
+                    r.isSenderLeader(),
+                    null,
+                    r.getSnapshotChunk() == null ? null : Piece.of(r.getSnapshotChunk()),
+                    ids(r.getSnapshottedMembers()),
+                    Group.of(r.getGroupMembersView()));
         }
         if (m instanceof InstallSnapshotResponse r) {
-            return new Mail("installed", from, term, 0, r.getSnapshotIndex(), 0, r.getQuerySequenceNumber(),
-                    r.getFlowControlSequenceNumber(), r.getRequestedSnapshotChunkIndex(), false, null, null, null, null);
+            return new Mail(
+                    "installed",
+                    from,
+                    term,
+                    0,
+                    r.getSnapshotIndex(),
+                    0,
+                    r.getQuerySequenceNumber(),
+                    r.getFlowControlSequenceNumber(),
+                    r.getRequestedSnapshotChunkIndex(),
+                    false,
+                    null,
+                    null,
+                    null,
+                    null);
         }
         if (m instanceof VoteRequest r) {
             return plain("vote", from, term, r.getLastLogTerm(), r.getLastLogIndex(), 0, 0, r.isSticky());
@@ -204,8 +321,8 @@
         return plain("lead", from, term, r.getLastLogTerm(), r.getLastLogIndex(), 0, 0, false);
     }
 
-    private static Mail plain(String kind, String from, int term, int lastTerm, long index, long query, long flow,
-            boolean flag) {
+    private static Mail plain(
+            String kind, String from, int term, int lastTerm, long index, long query, long flow, boolean flag) {
         return new Mail(kind, from, term, lastTerm, index, 0, query, flow, 0, flag, null, null, null, null);
     }
 
@@ -213,35 +330,100 @@
     static RaftMessage message(Mail m, Object group) {
         Point from = new Point(m.from());
         return switch (m.kind()) {
-            case "append" -> MODELS.createAppendEntriesRequestBuilder().setGroupId(group).setSender(from).setTerm(m.term())
-                    .setPreviousLogTerm(m.lastTerm()).setPreviousLogIndex(m.index()).setCommitIndex(m.commit())
-                    .setLogEntries(m.lines().stream().map(Line::entry).toList()).setQuerySequenceNumber(m.query())
-                    .setFlowControlSequenceNumber(m.flow()).build();
-            case "appended" -> MODELS.createAppendEntriesSuccessResponseBuilder().setGroupId(group).setSender(from)
-                    .setTerm(m.term()).setLastLogIndex(m.index()).setQuerySequenceNumber(m.query())
-                    .setFlowControlSequenceNumber(m.flow()).build();
-            case "notAppended" -> MODELS.createAppendEntriesFailureResponseBuilder().setGroupId(group).setSender(from)
-                    .setTerm(m.term()).setExpectedNextIndex(m.index()).setQuerySequenceNumber(m.query())
-                    .setFlowControlSequenceNumber(m.flow()).build();
-            case "snapshot" -> MODELS.createInstallSnapshotRequestBuilder().setGroupId(group).setSender(from)
-                    .setTerm(m.term()).setSenderLeader(m.flag()).setSnapshotTerm(m.lastTerm())
-                    .setSnapshotIndex(m.index()).setTotalSnapshotChunkCount(m.pieces())
-                    .setSnapshotChunk(m.piece() == null ? null : m.piece().chunk())
-                    .setSnapshottedMembers(points(m.points())).setGroupMembersView(m.group().view())
-                    .setQuerySequenceNumber(m.query()).setFlowControlSequenceNumber(m.flow()).build();
-            case "installed" -> MODELS.createInstallSnapshotResponseBuilder().setGroupId(group).setSender(from)
-                    .setTerm(m.term()).setSnapshotIndex(m.index()).setRequestedSnapshotChunkIndex(m.pieces())
-                    .setQuerySequenceNumber(m.query()).setFlowControlSequenceNumber(m.flow()).build();
-            case "vote" -> MODELS.createVoteRequestBuilder().setGroupId(group).setSender(from).setTerm(m.term())
-                    .setLastLogTerm(m.lastTerm()).setLastLogIndex(m.index()).setSticky(m.flag()).build();
-            case "voted" -> MODELS.createVoteResponseBuilder().setGroupId(group).setSender(from).setTerm(m.term())
-                    .setGranted(m.flag()).build();
-            case "preVote" -> MODELS.createPreVoteRequestBuilder().setGroupId(group).setSender(from).setTerm(m.term())
-                    .setLastLogTerm(m.lastTerm()).setLastLogIndex(m.index()).build();
-            case "preVoted" -> MODELS.createPreVoteResponseBuilder().setGroupId(group).setSender(from).setTerm(m.term())
-                    .setGranted(m.flag()).build();
-            case "lead" -> MODELS.createTriggerLeaderElectionRequestBuilder().setGroupId(group).setSender(from)
-                    .setTerm(m.term()).setLastLogTerm(m.lastTerm()).setLastLogIndex(m.index()).build();
+            case "append" ->
+                MODELS.createAppendEntriesRequestBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setPreviousLogTerm(m.lastTerm())
+                        .setPreviousLogIndex(m.index())
+                        .setCommitIndex(m.commit())
+                        .setLogEntries(m.lines().stream().map(Line::entry).toList())
+                        .setQuerySequenceNumber(m.query())
+                        .setFlowControlSequenceNumber(m.flow())
+                        .build();
+            case "appended" ->
+                MODELS.createAppendEntriesSuccessResponseBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setLastLogIndex(m.index())
+                        .setQuerySequenceNumber(m.query())
+                        .setFlowControlSequenceNumber(m.flow())
+                        .build();
+            case "notAppended" ->
+                MODELS.createAppendEntriesFailureResponseBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setExpectedNextIndex(m.index())
+                        .setQuerySequenceNumber(m.query())
+                        .setFlowControlSequenceNumber(m.flow())
+                        .build();
+            case "snapshot" ->
+                MODELS.createInstallSnapshotRequestBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setSenderLeader(m.flag())
+                        .setSnapshotTerm(m.lastTerm())
+                        .setSnapshotIndex(m.index())
+                        .setTotalSnapshotChunkCount(m.pieces())
+                        .setSnapshotChunk(m.piece() == null ? null : m.piece().chunk())
+                        .setSnapshottedMembers(points(m.points()))
+                        .setGroupMembersView(m.group().view())
+                        .setQuerySequenceNumber(m.query())
+                        .setFlowControlSequenceNumber(m.flow())
+                        .build();
+            case "installed" ->
+                MODELS.createInstallSnapshotResponseBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setSnapshotIndex(m.index())
+                        .setRequestedSnapshotChunkIndex(m.pieces())
+                        .setQuerySequenceNumber(m.query())
+                        .setFlowControlSequenceNumber(m.flow())
+                        .build();
+            case "vote" ->
+                MODELS.createVoteRequestBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setLastLogTerm(m.lastTerm())
+                        .setLastLogIndex(m.index())
+                        .setSticky(m.flag())
+                        .build();
+            case "voted" ->
+                MODELS.createVoteResponseBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setGranted(m.flag())
+                        .build();
+            case "preVote" ->
+                MODELS.createPreVoteRequestBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setLastLogTerm(m.lastTerm())
+                        .setLastLogIndex(m.index())
+                        .build();
+            case "preVoted" ->
+                MODELS.createPreVoteResponseBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setGranted(m.flag())
+                        .build();
+            case "lead" ->
+                MODELS.createTriggerLeaderElectionRequestBuilder()
+                        .setGroupId(group)
+                        .setSender(from)
+                        .setTerm(m.term())
+                        .setLastLogTerm(m.lastTerm())
+                        .setLastLogIndex(m.index())
+                        .build();
             default -> throw new IllegalArgumentException("a message of kind " + m.kind());
         };
     }
--- a/fleet/src/main/java/marlford/agree/Disk.java
+++ b/fleet/src/main/java/marlford/agree/Disk.java
@@ -19,8 +19,8 @@
 
     /** The real file. */
     static Disk open(Path file) throws IOException {
-        FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.APPEND);
+        FileChannel channel =
+                FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
         return new Disk() {
             @Override
             public void append(ByteBuffer bytes) throws IOException {
--- a/fleet/src/main/java/marlford/agree/Segment.java
+++ b/fleet/src/main/java/marlford/agree/Segment.java
@@ -16,7 +16,7 @@
     static final int HEAD = 4 + 4 + 1 + 4; // bytes
     static final int BODY_MAX = 64 << 20; // bytes
 
-    private Segment() { }
+    private Segment() {}
 
     /** What was written can't be trusted. */
     static final class Damaged extends IOException {
--- a/fleet/src/main/java/marlford/agree/SegmentStore.java
+++ b/fleet/src/main/java/marlford/agree/SegmentStore.java
@@ -42,13 +42,13 @@
     private static final byte DROP_PIECES = 10;
     private static final long REWRITE_FROM = 1 << 20; // bytes; a smaller file is not written anew
 
-    record Identity(long disk) { }
+    record Identity(long disk) {}
 
-    record Number(long value) { }
+    record Number(long value) {}
 
-    record Vote(int term, String point) { }
+    record Vote(int term, String point) {}
 
-    record Endpoint(String point, boolean voting) { }
+    record Endpoint(String point, boolean voting) {}
 
     private final Path file;
     private final Function<Disk, Disk> wrap;
@@ -107,9 +107,14 @@
                     Codec.Piece p = Codec.agreed(body, Codec.Piece.class);
                     pieces.computeIfAbsent(p.index(), i -> new TreeMap<>()).put(p.at(), body);
                 }
-                case CUT_FROM -> lines.tailMap(Codec.agreed(body, Number.class).value(), true).clear();
-                case CUT_UNTIL -> lines.headMap(Codec.agreed(body, Number.class).value(), true).clear();
-                case DROP_PIECES -> pieces.remove(Codec.agreed(body, Number.class).value());
+                case CUT_FROM ->
+                    lines.tailMap(Codec.agreed(body, Number.class).value(), true)
+                            .clear();
+                case CUT_UNTIL ->
+                    lines.headMap(Codec.agreed(body, Number.class).value(), true)
+                            .clear();
+                case DROP_PIECES ->
+                    pieces.remove(Codec.agreed(body, Number.class).value());
                 default -> throw new IllegalArgumentException("a record of kind " + kind);
             }
         } catch (IOException e) {
@@ -183,22 +188,36 @@
             }
             SnapshotChunk first = chunks.get(0);
             if (chunks.size() == first.getSnapshotChunkCount()) {
-                snapshot = Codec.MODELS.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
-                        .setSnapshotChunks(chunks).setGroupMembersView(first.getGroupMembersView()).build();
+                snapshot = Codec.MODELS
+                        .createSnapshotEntryBuilder()
+                        .setIndex(first.getIndex())
+                        .setTerm(first.getTerm())
+                        .setSnapshotChunks(chunks)
+                        .setGroupMembersView(first.getGroupMembersView())
+                        .build();
                 break;
             }
         }
         List<LogEntry> entries = new ArrayList<>();
-        for (byte[] l : lines.tailMap(snapshot == null ? 0 : snapshot.getIndex(), false).values()) {
+        for (byte[] l :
+                lines.tailMap(snapshot == null ? 0 : snapshot.getIndex(), false).values()) {
             entries.add(Codec.agreed(l, Codec.Line.class).entry());
         }
         Point voted = vote.point() == null ? null : new Point(vote.point());
         return new RestoredRaftState(
-                Codec.MODELS.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(new Point(endpoint.point()))
-                        .setVoting(endpoint.voting()).build(),
+                Codec.MODELS
+                        .createRaftEndpointPersistentStateBuilder()
+                        .setLocalEndpoint(new Point(endpoint.point()))
+                        .setVoting(endpoint.voting())
+                        .build(),
                 initial.view(),
-                Codec.MODELS.createRaftTermPersistentStateBuilder().setTerm(vote.term()).setVotedFor(voted).build(),
-                snapshot, entries);
+                Codec.MODELS
+                        .createRaftTermPersistentStateBuilder()
+                        .setTerm(vote.term())
+                        .setVotedFor(voted)
+                        .build(),
+                snapshot,
+                entries);
     }
 
     /** The members that the group began with; null where this disk was never part of one. */
@@ -220,7 +239,11 @@
 
     @Override
     public void persistAndFlushTerm(RaftTermPersistentState s) throws IOException {
-        put(TERM, new Vote(s.getTerm(), s.getVotedFor() == null ? null : s.getVotedFor().getId().toString()));
+        put(
+                TERM,
+                new Vote(
+                        s.getTerm(),
+                        s.getVotedFor() == null ? null : s.getVotedFor().getId().toString()));
         flush();
     }
 
--- a/fleet/src/main/java/marlford/agree/Voter.java
+++ b/fleet/src/main/java/marlford/agree/Voter.java
@@ -78,9 +78,9 @@
     private static final int FLOOR_SHIFT = 18; // tokens a millisecond of the fleet's founding
 
     /** What a voter is told. */
-    public record Settings(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder) { }
+    public record Settings(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder) {}
 
-    private record Watch(Ask.Watch ask, double until, Consumer<Reply> to) { }
+    private record Watch(Ask.Watch ask, double until, Consumer<Reply> to) {}
 
     private final Settings settings;
     private final MonotonicTime time;
@@ -214,11 +214,21 @@
     private void begin(Founding.Decision d) {
         try {
             RestoredRaftState restored = store.restored();
-            RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId(GROUP).setConfig(RaftConfig.newBuilder()
-                    .setLeaderElectionTimeoutMillis(ELECTION_MS).setLeaderHeartbeatPeriodSecs(HEARTBEAT_S)
-                    .setLeaderHeartbeatTimeoutSecs(SILENT_S).setCommitCountToTakeSnapshot(SNAPSHOT_LINES)
-                    .setMaxPendingLogEntryCount(PENDING_MAX).setRaftNodeReportPublishPeriodSecs(REPORT_S).build())
-                    .setExecutor(engine).setTransport(this).setStateMachine(this).setStore(store).setClock(engine)
+            RaftNode.RaftNodeBuilder b = RaftNode.newBuilder()
+                    .setGroupId(GROUP)
+                    .setConfig(RaftConfig.newBuilder()
+                            .setLeaderElectionTimeoutMillis(ELECTION_MS)
+                            .setLeaderHeartbeatPeriodSecs(HEARTBEAT_S)
+                            .setLeaderHeartbeatTimeoutSecs(SILENT_S)
+                            .setCommitCountToTakeSnapshot(SNAPSHOT_LINES)
+                            .setMaxPendingLogEntryCount(PENDING_MAX)
+                            .setRaftNodeReportPublishPeriodSecs(REPORT_S)
+                            .build())
+                    .setExecutor(engine)
+                    .setTransport(this)
+                    .setStateMachine(this)
+                    .setStore(store)
+                    .setClock(engine)
                     .setRandom(new Random(random.nextLong()));
             if (restored != null) {
                 b.setRestoredState(restored);
@@ -263,7 +273,8 @@
         } catch (UnrecognizedPropertyException | InvalidTypeIdException e) {
             from.close();
             if (kind == Wire.MAIL) { // passed over, this voter's book would not be the others' any more
-                engine.execute(guarded(() -> goOut("the log has what only a newer version knows: " + e.getOriginalMessage())));
+                engine.execute(
+                        guarded(() -> goOut("the log has what only a newer version knows: " + e.getOriginalMessage())));
             }
         } catch (IOException | RuntimeException e) {
             from.close(); // noise
@@ -348,7 +359,9 @@
 
     /** The lead as the engine has it now. */
     private void follow() {
-        boolean leads = out == null && node != null && !RaftNodeStatus.isTerminal(node.getStatus())
+        boolean leads = out == null
+                && node != null
+                && !RaftNodeStatus.isTerminal(node.getStatus())
                 && self.equals(node.getTerm().getLeaderEndpoint());
         if (!leads) {
             silence.rest();
@@ -432,8 +445,8 @@
         if (changing || now < changeAt) {
             return;
         }
-        Replacement.Step step = replacement.next(Codec.ids(members.getVotingMembers()), Codec.ids(members.getMembers()),
-                self.id(), now);
+        Replacement.Step step = replacement.next(
+                Codec.ids(members.getVotingMembers()), Codec.ids(members.getMembers()), self.id(), now);
         if (step == null) {
             return;
         }
@@ -444,13 +457,16 @@
             case VOTE -> MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER;
         };
         log.accept("fleet: " + step.kind() + ' ' + step.point());
-        node.changeMembership(new Point(step.point()), mode, members.getLogIndex()).whenCompleteAsync((done, e) -> {
-            changing = false;
-            if (e != null) { // as before a line of this term is agreed
-                changeAt = time.ms() + CHANGE_AGAIN_MS;
-                log.accept("fleet: " + step.kind() + ' ' + step.point() + " did not come about: " + e);
-            }
-        }, engine.thread());
+        node.changeMembership(new Point(step.point()), mode, members.getLogIndex())
+                .whenCompleteAsync(
+                        (done, e) -> {
+                            changing = false;
+                            if (e != null) { // as before a line of this term is agreed
+                                changeAt = time.ms() + CHANGE_AGAIN_MS;
+                                log.accept("fleet: " + step.kind() + ' ' + step.point() + " did not come about: " + e);
+                            }
+                        },
+                        engine.thread());
     }
 
     // ---- the members' calls
@@ -476,9 +492,12 @@
             watches.add(new Watch(w, time.ms() + WATCH_MS, to));
             tellWatches();
         } else if (ask instanceof Ask.Renew r) {
-            Notice news = r.telling() == null || !silence.leads() ? null
+            Notice news = r.telling() == null || !silence.leads()
+                    ? null
                     : board.hear(r.session(), r.telling(), token -> book.holds(r.session(), token), time.ms());
-            comes(node.query(r, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), reply -> to.accept(reply.with(news)));
+            comes(
+                    node.query(r, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()),
+                    reply -> to.accept(reply.with(news)));
         } else if (ask instanceof Ask.Look l) {
             comes(node.query(l, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), to);
         } else if (!book.isBegun()) {
@@ -489,7 +508,8 @@
     }
 
     private void submit(Command line, Consumer<Reply> to) {
-        boolean known = line.level() <= levels.common(Codec.ids(node.getCommittedMembers().getVotingMembers()), self.id());
+        boolean known = line.level()
+                <= levels.common(Codec.ids(node.getCommittedMembers().getVotingMembers()), self.id());
         if (silence.leads() && !known) {
             to.accept(new Reply(Reply.Status.OK, leader(), new Answer(Answer.Kind.NOT_YET, 0), book.index(), null));
         } else {
@@ -499,21 +519,24 @@
 
     private <T> void comes(CompletableFuture<Ordered<T>> future, Consumer<Reply> to) {
         calls++;
-        future.whenCompleteAsync((done, e) -> {
-            calls--;
-            if (e == null && done.getResult() instanceof Answer a) {
-                to.accept(new Reply(Reply.Status.OK, leader(), a, done.getCommitIndex(), null));
-                return;
-            }
-            Throwable cause = e instanceof CompletionException ? e.getCause() : e;
-            Reply.Status why = cause == null || cause instanceof NotLeaderException ? Reply.Status.NOT_LEADER
-                    : cause instanceof CannotReplicateException ? Reply.Status.BUSY : Reply.Status.UNSURE;
-            to.accept(Reply.no(why, leader()));
-        }, engine.thread());
+        future.whenCompleteAsync(
+                (done, e) -> {
+                    calls--;
+                    if (e == null && done.getResult() instanceof Answer a) {
+                        to.accept(new Reply(Reply.Status.OK, leader(), a, done.getCommitIndex(), null));
+                        return;
+                    }
+                    Throwable cause = e instanceof CompletionException ? e.getCause() : e;
+                    Reply.Status why = cause == null || cause instanceof NotLeaderException
+                            ? Reply.Status.NOT_LEADER
+                            : cause instanceof CannotReplicateException ? Reply.Status.BUSY : Reply.Status.UNSURE;
+                    to.accept(Reply.no(why, leader()));
+                },
+                engine.thread());
     }
 
     private void tellWatches() {
-        for (Iterator<Watch> i = watches.iterator(); i.hasNext();) {
+        for (Iterator<Watch> i = watches.iterator(); i.hasNext(); ) {
             Watch w = i.next();
             Book.Session s = book.session(w.ask().session());
             if (s != null && s.changed() > w.ask().since()) {
@@ -524,7 +547,7 @@
     }
 
     private void expireWatches(double now) {
-        for (Iterator<Watch> i = watches.iterator(); i.hasNext();) {
+        for (Iterator<Watch> i = watches.iterator(); i.hasNext(); ) {
             Watch w = i.next();
             if (now > w.until() || out != null) {
                 i.remove();
@@ -542,36 +565,72 @@
 
     private String look() {
         StringBuilder s = new StringBuilder();
-        s.append("voter=").append(self == null ? settings.name() : self.id()).append(" state=")
-                .append(out != null ? "out (" + out + ')' : node == null ? "waiting for the other voters" : "votes").append('\n');
+        s.append("voter=")
+                .append(self == null ? settings.name() : self.id())
+                .append(" state=")
+                .append(out != null ? "out (" + out + ')' : node == null ? "waiting for the other voters" : "votes")
+                .append('\n');
         if (node != null && out == null) {
             Collection<String> voting = Codec.ids(node.getCommittedMembers().getVotingMembers());
-            s.append("leader=").append(leader()).append(" term=").append(node.getTerm().getTerm()).append(" index=")
-                    .append(book.index()).append('\n');
+            s.append("leader=")
+                    .append(leader())
+                    .append(" term=")
+                    .append(node.getTerm().getTerm())
+                    .append(" index=")
+                    .append(book.index())
+                    .append('\n');
             double now = time.ms();
-            voting.forEach(p -> s.append("member=").append(p).append(" heard=")
-                    .append(p.equals(self.id()) || replacement.isThere(p, now)).append('\n'));
-            Codec.ids(node.getCommittedMembers().getMembers()).stream().filter(p -> !voting.contains(p))
+            voting.forEach(p -> s.append("member=")
+                    .append(p)
+                    .append(" heard=")
+                    .append(p.equals(self.id()) || replacement.isThere(p, now))
+                    .append('\n'));
+            Codec.ids(node.getCommittedMembers().getMembers()).stream()
+                    .filter(p -> !voting.contains(p))
                     .forEach(p -> s.append("listener=").append(p).append('\n'));
         }
         Book.Image image = book.image();
-        image.sessions().forEach(m -> s.append("session=").append(m.id()).append(" member=").append(m.member())
-                .append(" ttl_ms=").append(m.ttlMs()).append('\n'));
+        image.sessions()
+                .forEach(m -> s.append("session=")
+                        .append(m.id())
+                        .append(" member=")
+                        .append(m.member())
+                        .append(" ttl_ms=")
+                        .append(m.ttlMs())
+                        .append('\n'));
         for (Book.Lease l : image.leases()) {
-            l.holders().forEach((session, token) -> s.append("lease=").append(l.name()).append(" holder=")
-                    .append(book.session(session).member()).append(" token=").append(token).append(" waiting=")
-                    .append(l.queue().size()).append('\n'));
+            l.holders()
+                    .forEach((session, token) -> s.append("lease=")
+                            .append(l.name())
+                            .append(" holder=")
+                            .append(book.session(session).member())
+                            .append(" token=")
+                            .append(token)
+                            .append(" waiting=")
+                            .append(l.queue().size())
+                            .append('\n'));
         }
         for (Book.Pool p : image.pools()) {
-            s.append("pool=").append(p.name()).append(" shards=").append(p.owners().size()).append(" members=")
-                    .append(p.members().size()).append(" moving=").append(p.next().stream().filter(n -> n != 0).count())
+            s.append("pool=")
+                    .append(p.name())
+                    .append(" shards=")
+                    .append(p.owners().size())
+                    .append(" members=")
+                    .append(p.members().size())
+                    .append(" moving=")
+                    .append(p.next().stream().filter(n -> n != 0).count())
                     .append('\n');
         }
         if (silence.leads()) {
             s.append(board.text()).append('\n');
         }
         s.append(book.workText());
-        image.ticks().forEach((task, tick) -> s.append("task=").append(task).append(" tick=").append(tick).append('\n'));
+        image.ticks()
+                .forEach((task, tick) -> s.append("task=")
+                        .append(task)
+                        .append(" tick=")
+                        .append(tick)
+                        .append('\n'));
         return s.toString();
     }
 }
--- a/fleet/src/main/java/marlford/agree/Wire.java
+++ b/fleet/src/main/java/marlford/agree/Wire.java
@@ -38,32 +38,42 @@
     private static final int CONNECT_MS = 500;
     private static final int SILENCE_S = 30; // a connection on which nothing comes for this long is closed
 
-    private Wire() { }
+    private Wire() {}
 
     /** What comes over a connection; called on its event loop. */
     interface Ears {
         void frame(Channel from, byte kind, byte[] body);
 
-        default void open(Channel channel) { }
+        default void open(Channel channel) {}
 
-        default void closed(Channel channel) { }
+        default void closed(Channel channel) {}
     }
 
     /** Listens; the future's channel has the address. */
     static Channel listen(EventLoopGroup group, InetSocketAddress at, Ears ears) throws InterruptedException {
-        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
-                .childHandler(pipeline(ears)).bind(at).sync().channel();
+                .childHandler(pipeline(ears))
+                .bind(at)
+                .sync()
+                .channel();
     }
 
     /** Connects; {@link Ears#open} or {@link Ears#closed} tells what came of it. */
     static void connect(EventLoopGroup group, InetSocketAddress to, Ears ears) {
-        new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
-                .handler(pipeline(ears)).connect(to).addListener(f -> {
+                .handler(pipeline(ears))
+                .connect(to)
+                .addListener(f -> {
                     if (!f.isSuccess()) {
                         ears.closed(null);
                     }
@@ -75,9 +85,11 @@
             @Override
             protected void initChannel(Channel ch) {
                 ChannelPipeline p = ch.pipeline();
-                p.addLast(new ReadTimeoutHandler(SILENCE_S, TimeUnit.SECONDS),
+                p.addLast(
+                        new ReadTimeoutHandler(SILENCE_S, TimeUnit.SECONDS),
                         new LengthFieldBasedFrameDecoder(FRAME_MAX, 0, LENGTH, 0, LENGTH),
-                        new LengthFieldPrepender(LENGTH), new Frames(ears));
+                        new LengthFieldPrepender(LENGTH),
+                        new Frames(ears));
             }
         };
     }
--- a/fleet/src/main/java/marlford/board/Board.java
+++ b/fleet/src/main/java/marlford/board/Board.java
@@ -20,13 +20,14 @@
 public final class Board {
     /** The longest value, in characters: a list of some six hundred hosts. */
     public static final int VALUE_MAX = 96 * 1024;
+
     static final int ROWS_MAX = 4096;
     static final int CHARS_MAX = 1 << 20;
     static final int NOTICE_MAX = 128 * 1024;
     static final double KEEP_MS = 30_000;
     private static final int NAME_MAX = 256;
 
-    private record Entry(Row row, double foundAt) { }
+    private record Entry(Row row, double foundAt) {}
 
     private final Map<Place, Long> places = new HashMap<>();
     private final TreeMap<Long, Entry> rows = new TreeMap<>(); // by the number of their change
@@ -66,7 +67,8 @@
         }
         Place place = Place.of(r);
         Entry old = at(place);
-        if (old != null && (r.token() < old.row().token() || r.token() == old.row().token() && foundAt <= old.foundAt())) {
+        if (old != null
+                && (r.token() < old.row().token() || r.token() == old.row().token() && foundAt <= old.foundAt())) {
             return false;
         }
         expire(now);
@@ -90,8 +92,13 @@
     }
 
     private static boolean fits(Row r) {
-        return r.topic() != null && r.key() != null && r.value() != null && r.ageMs() >= 0 && r.value().length() <= VALUE_MAX
-                && r.topic().length() <= NAME_MAX && r.key().length() <= NAME_MAX;
+        return r.topic() != null
+                && r.key() != null
+                && r.value() != null
+                && r.ageMs() >= 0
+                && r.value().length() <= VALUE_MAX
+                && r.topic().length() <= NAME_MAX
+                && r.key().length() <= NAME_MAX;
     }
 
     private static int size(Row r) {
@@ -99,7 +106,7 @@
     }
 
     private void expire(double now) {
-        for (Iterator<Entry> i = rows.values().iterator(); i.hasNext();) {
+        for (Iterator<Entry> i = rows.values().iterator(); i.hasNext(); ) {
             Entry e = i.next();
             if (now - e.foundAt() > KEEP_MS) {
                 i.remove();
--- a/fleet/src/main/java/marlford/board/Notes.java
+++ b/fleet/src/main/java/marlford/board/Notes.java
@@ -17,7 +17,7 @@
     static final int HEARD_MAX = Board.ROWS_MAX;
 
     /** A row that was found out or heard at this time by the own clock, at the latest, if it had no age then. */
-    private record Dated(Row row, double at) { }
+    private record Dated(Row row, double at) {}
 
     private final Map<Place, Dated> toTell = new LinkedHashMap<>();
     private final Map<Place, Dated> heard = new LinkedHashMap<>(); // those heard last stand last
@@ -99,7 +99,8 @@
     /** What was heard of this topic since this was asked last, with its age of now. */
     public List<Row> news(String topic, double now) {
         List<Row> rows = new ArrayList<>();
-        news.values().removeIf(d -> d.row().topic().equals(topic) && rows.add(d.row().aged(now - d.at())));
+        news.values()
+                .removeIf(d -> d.row().topic().equals(topic) && rows.add(d.row().aged(now - d.at())));
         return rows;
     }
 
--- a/fleet/src/main/java/marlford/fleet/Acts.java
+++ b/fleet/src/main/java/marlford/fleet/Acts.java
@@ -21,7 +21,8 @@
     private final Function<HttpRequest, CompletableFuture<?>> sender;
 
     Acts() {
-        HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        HttpClient http =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
         this.sender = request -> http.sendAsync(request, HttpResponse.BodyHandlers.discarding());
     }
 
@@ -33,11 +34,15 @@
     /** Begins an act; the result completes, never with a failure, once it is over. From any thread. */
     CompletableFuture<Void> post(URI at, Act act, String holder) {
         long takesMs = (long) Math.max(1, act.takesMs());
-        HttpRequest request = HttpRequest.newBuilder(at).timeout(Duration.ofMillis(takesMs))
-                .header("Fencing-Token", Long.toString(act.token())).header("Holder", holder)
-                .header("Task", act.task()).header("Shard", Integer.toString(act.shard()))
+        HttpRequest request = HttpRequest.newBuilder(at)
+                .timeout(Duration.ofMillis(takesMs))
+                .header("Fencing-Token", Long.toString(act.token()))
+                .header("Holder", holder)
+                .header("Task", act.task())
+                .header("Shard", Integer.toString(act.shard()))
                 .header("Tick", Long.toString(act.tick()))
-                .POST(HttpRequest.BodyPublishers.noBody()).build();
+                .POST(HttpRequest.BodyPublishers.noBody())
+                .build();
         CompletableFuture<Void> over = new CompletableFuture<>();
         CompletableFuture<?> sent = sender.apply(request);
         sent.whenComplete((answer, e) -> over.complete(null));
--- a/fleet/src/main/java/marlford/fleet/Export.java
+++ b/fleet/src/main/java/marlford/fleet/Export.java
@@ -54,16 +54,22 @@
         this.wall = wall;
         this.log = log;
         int cells = UsageTable.size(UsageTable.PAGES, UsageTable.ROWS);
-        try (FileChannel file = FileChannel.open(kept, StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE)) {
+        try (FileChannel file =
+                FileChannel.open(kept, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
             Mapped mapped = new Mapped(file.map(FileChannel.MapMode.READ_WRITE, 0, (long) cells * CELL), cells);
-            this.table = new UsageTable(mapped, UsageTable.PAGES, UsageTable.ROWS, new SecureRandom().nextLong() >>> 1, config.intervalMs());
+            this.table = new UsageTable(
+                    mapped,
+                    UsageTable.PAGES,
+                    UsageTable.ROWS,
+                    new SecureRandom().nextLong() >>> 1,
+                    config.intervalMs());
         }
     }
 
     /** Numbers in mapped memory, in this machine's order. */
     private record Mapped(MappedByteBuffer bytes, int size) implements Cells {
-        private static final VarHandle LONGS = MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
+        private static final VarHandle LONGS =
+                MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
 
         @Override
         public long get(int at) {
@@ -130,8 +136,8 @@
     }
 
     private void turn(long token) throws IOException {
-        try (FileChannel file = FileChannel.open(config.file(), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        try (FileChannel file = FileChannel.open(
+                        config.file(), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
                 FileChannel end = FileChannel.open(config.file(), StandardOpenOption.APPEND)) {
             catchUp(file);
             for (int i = 0; i < BATCHES; i++) {
@@ -140,7 +146,8 @@
                     return;
                 }
                 if (!exported.has(b.source(), b.sequence())) {
-                    end.write(ByteBuffer.wrap(ExportLog.record(token, b))); // a part of it is no record, and comes again
+                    end.write(
+                            ByteBuffer.wrap(ExportLog.record(token, b))); // a part of it is no record, and comes again
                     end.force(false);
                     catchUp(file);
                 }
--- a/fleet/src/main/java/marlford/fleet/Eyes.java
+++ b/fleet/src/main/java/marlford/fleet/Eyes.java
@@ -28,7 +28,12 @@
     private double lookedAt = Double.NEGATIVE_INFINITY;
 
     /** @param thread runs work on the member's thread */
-    Eyes(FleetConfig.ProbeConfig config, Inside gateway, Member member, Consumer<Runnable> thread, Consumer<String> log) {
+    Eyes(
+            FleetConfig.ProbeConfig config,
+            Inside gateway,
+            Member member,
+            Consumer<Runnable> thread,
+            Consumer<String> log) {
         this.gateway = gateway;
         this.thread = thread;
         this.log = log;
@@ -42,10 +47,13 @@
             lookedAt = now;
             gateway.listed(hosts -> thread.accept(() -> listed(hosts)));
         }
-        prober.due(member, now, lateMs).forEach(p -> gateway.probe(p.host(), (outcome, tookMs) -> thread.accept(() -> {
-            Finding f = new Finding(kind(outcome), tookMs);
-            prober.ended(member, p, f, p.sentAt() + tookMs);
-        })));
+        prober.due(member, now, lateMs)
+                .forEach(p -> gateway.probe(
+                        p.host(),
+                        (outcome, tookMs) -> thread.accept(() -> {
+                            Finding f = new Finding(kind(outcome), tookMs);
+                            prober.ended(member, p, f, p.sentAt() + tookMs);
+                        })));
         for (Evidence.Report r : evidence.read(member.board(), now)) {
             gateway.evidence(r.host(), outcome(r.finding().kind()), r.finding().tookMs(), r.ageMs());
             note(r);
@@ -60,9 +68,11 @@
     /** One line for a change, not one a round. */
     private void note(Evidence.Report r) {
         boolean well = r.finding().kind() == Finding.Kind.WELL;
-        Finding.Kind before = well ? told.remove(r.host()) : told.put(r.host(), r.finding().kind());
+        Finding.Kind before =
+                well ? told.remove(r.host()) : told.put(r.host(), r.finding().kind());
         if (well ? before != null : before != r.finding().kind()) {
-            log.accept("fleet: host " + r.host() + " is " + r.finding().kind() + ", found " + Math.round(r.ageMs()) + " ms ago");
+            log.accept("fleet: host " + r.host() + " is " + r.finding().kind() + ", found " + Math.round(r.ageMs())
+                    + " ms ago");
         }
     }
 
--- a/fleet/src/main/java/marlford/fleet/Fleet.java
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -30,7 +30,8 @@
  */
 final class Fleet {
     private static final long TICK_MS = 10;
-    private static final long LEAVE_MS = 1000; // for the last word; it takes a few milliseconds where a majority is there
+    private static final long LEAVE_MS =
+            1000; // for the last word; it takes a few milliseconds where a majority is there
 
     private final FleetConfig config;
     private final Consumer<String> log;
@@ -63,10 +64,25 @@
         this.config = config;
         this.log = log;
         this.wall = new WallTime(config.folder());
-        this.member = new Member(config.name(), new SecureRandom().nextLong() >>> 1, config.ttlMs(),
-                List.copyOf(config.voters().keySet()), config.driftPpm(), config.marginMs(), config.stallMs());
-        this.voter = config.voters().containsKey(config.name()) ? new Voter(new Voter.Settings(config.fleet(), config.name(),
-                config.voters(), config.folder().resolve(config.name())), time, network, log) : null;
+        this.member = new Member(
+                config.name(),
+                new SecureRandom().nextLong() >>> 1,
+                config.ttlMs(),
+                List.copyOf(config.voters().keySet()),
+                config.driftPpm(),
+                config.marginMs(),
+                config.stallMs());
+        this.voter = config.voters().containsKey(config.name())
+                ? new Voter(
+                        new Voter.Settings(
+                                config.fleet(),
+                                config.name(),
+                                config.voters(),
+                                config.folder().resolve(config.name())),
+                        time,
+                        network,
+                        log)
+                : null;
         this.caller = new Caller(network, config.voters(), new Caller.Ears() {
             @Override
             public void heard(long id, Reply reply) {
@@ -82,8 +98,13 @@
             tasks.put(t.name(), t);
             duties.put(t.name(), t.duty());
         }
-        export = config.export() == null ? null
-                : new Export(config.export(), Files.createDirectories(config.folder()).resolve(config.name() + ".usage"), wall, log);
+        export = config.export() == null
+                ? null
+                : new Export(
+                        config.export(),
+                        Files.createDirectories(config.folder()).resolve(config.name() + ".usage"),
+                        wall,
+                        log);
         lists = config.lists() ? new Lists(member, this::run, time::ms) : null;
     }
 
@@ -113,7 +134,7 @@
             duties.values().forEach(d -> d.begin(member));
             begun = true;
         });
-        thread.scheduleWithFixedDelay(() -> run(() -> { }), 0, TICK_MS, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(() -> run(() -> {}), 0, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** All that touches the member happens here, one at a time, and each time what follows from it is sent. */
@@ -160,30 +181,35 @@
             eyes.due(member, now, late);
         }
         if (export != null) {
-            export.due(member, now, late, () -> run(() -> { }));
+            export.due(member, now, late, () -> run(() -> {}));
         }
-        duties.forEach((name, duty) -> duty.due(member, now, late, wall.ms())
-                .forEach(a -> post(tasks.get(name), duty, a)));
+        duties.forEach(
+                (name, duty) -> duty.due(member, now, late, wall.ms()).forEach(a -> post(tasks.get(name), duty, a)));
     }
 
     private void post(FleetConfig.TaskConfig task, Duty duty, Act act) {
         running++;
-        acts.post(task.url(), act, config.name()).whenComplete((over, e) -> run(() -> {
-            running--;
-            duty.ended(member, act);
-        }));
+        acts.post(task.url(), act, config.name())
+                .whenComplete((over, e) -> run(() -> {
+                    running--;
+                    duty.ended(member, act);
+                }));
     }
 
     /** Runs work under a lease of its own; the token, or the reason why not. */
     CompletableFuture<Long> hold(String lease, int limit) {
         CompletableFuture<Long> held = new CompletableFuture<>();
         thread.execute(() -> member.want(lease, limit));
-        thread.scheduleWithFixedDelay(() -> {
-            long token = member.token(lease);
-            if (token != 0 && member.mayAct(token, time.ms(), 0, 0)) {
-                held.complete(token);
-            }
-        }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(
+                () -> {
+                    long token = member.token(lease);
+                    if (token != 0 && member.mayAct(token, time.ms(), 0, 0)) {
+                        held.complete(token);
+                    }
+                },
+                TICK_MS,
+                TICK_MS,
+                TimeUnit.MILLISECONDS);
         return held;
     }
 
@@ -204,8 +230,8 @@
     /** What operators see of the fleet from here; from any thread, without waiting for anybody but this member. */
     String text() {
         CompletableFuture<String> text = new CompletableFuture<>();
-        thread.execute(() -> text.complete("member=" + member + " left_ms=" + Math.round(member.leftMs(time.ms())) + '\n'
-                + caller.text() + (lists == null ? "" : lists.text()) + (eyes == null ? "" : eyes.text())));
+        thread.execute(() -> text.complete("member=" + member + " left_ms=" + Math.round(member.leftMs(time.ms()))
+                + '\n' + caller.text() + (lists == null ? "" : lists.text()) + (eyes == null ? "" : eyes.text())));
         String voters = voter == null ? "" : voter.text();
         try {
             return text.get(LEAVE_MS, TimeUnit.MILLISECONDS) + voters;
--- a/fleet/src/main/java/marlford/fleet/FleetConfig.java
+++ b/fleet/src/main/java/marlford/fleet/FleetConfig.java
@@ -31,11 +31,23 @@
  * What operators say of a fleet, in JSON that {@code fleet.schema.json} describes; docs/operators/fleet.md has each value
  * with unit and default.
  */
-record FleetConfig(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder, long ttlMs, double driftPpm,
-        double marginMs, double stallMs, List<TaskConfig> tasks, ExportConfig export, ProbeConfig probes,
+record FleetConfig(
+        String fleet,
+        String name,
+        Map<String, InetSocketAddress> voters,
+        Path folder,
+        long ttlMs,
+        double driftPpm,
+        double marginMs,
+        double stallMs,
+        List<TaskConfig> tasks,
+        ExportConfig export,
+        ProbeConfig probes,
         boolean lists) {
-    private static final ObjectMapper JSON = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+    private static final ObjectMapper JSON = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
     private static final long TTL_MS = 3000;
     private static final double DRIFT_PPM = 1000;
     private static final double MARGIN_MS = 20;
@@ -58,10 +70,10 @@
     }
 
     /** Where usage goes, and how long an interval is; null where nothing is exported. */
-    record ExportConfig(Path file, long intervalMs) { }
+    record ExportConfig(Path file, long intervalMs) {}
 
     /** How often each host is probed, by one gateway for all, and the longest that a probe takes; null where none are sent. */
-    record ProbeConfig(long everyMs, double takesMs) { }
+    record ProbeConfig(long everyMs, double takesMs) {}
 
     /** One plain line on what is wrong with the settings. */
     static final class BadFleet extends Exception {
@@ -78,14 +90,19 @@
         try {
             root = JSON.readTree(Files.readAllBytes(file));
         } catch (IOException e) {
-            throw new BadFleet("can't read " + file + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            throw new BadFleet("can't read " + file + ": "
+                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
         try (InputStream schema = FleetConfig.class.getResourceAsStream("/marlford/fleet.schema.json")) {
-            JsonSchema rules = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(schema);
+            JsonSchema rules = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+                    .getSchema(schema);
             Set<ValidationMessage> wrong = rules.validate(root);
             if (!wrong.isEmpty()) {
-                throw new BadFleet(file + ": " + wrong.stream().map(ValidationMessage::getMessage).sorted()
-                        .collect(Collectors.joining("; ")));
+                throw new BadFleet(file + ": "
+                        + wrong.stream()
+                                .map(ValidationMessage::getMessage)
+                                .sorted()
+                                .collect(Collectors.joining("; ")));
             }
         } catch (IOException e) {
             throw new BadFleet("the schema can't be read: " + e.getMessage());
@@ -103,7 +120,8 @@
         for (JsonNode v : root.path("voters")) {
             InetSocketAddress at = address(v.path("address").asText());
             if (voters.put(v.path("name").asText(), at) != null || !addresses.add(at)) {
-                throw new IllegalArgumentException("voter " + v.path("name").asText() + " or its address is named twice");
+                throw new IllegalArgumentException(
+                        "voter " + v.path("name").asText() + " or its address is named twice");
             }
         }
         if (voters.size() != VOTERS_FEW && voters.size() != VOTERS_MANY) {
@@ -120,19 +138,36 @@
             if (!named.add(t.path("name").asText())) {
                 throw new IllegalArgumentException("task " + t.path("name").asText() + " is named twice");
             }
-            tasks.add(new TaskConfig(t.path("name").asText(), t.path("kind").asText(), URI.create(t.path("url").asText()),
-                    t.path("every_ms").asLong(), t.path("takes_ms").asDouble(), t.path("holders").asInt(1),
+            tasks.add(new TaskConfig(
+                    t.path("name").asText(),
+                    t.path("kind").asText(),
+                    URI.create(t.path("url").asText()),
+                    t.path("every_ms").asLong(),
+                    t.path("takes_ms").asDouble(),
+                    t.path("holders").asInt(1),
                     t.path("shards").asInt(1)));
         }
         JsonNode e = root.path("export");
-        ExportConfig export = e.isMissingNode() ? null
-                : new ExportConfig(Path.of(e.path("file").asText()), e.path("interval_ms").asLong(INTERVAL_MS));
+        ExportConfig export = e.isMissingNode()
+                ? null
+                : new ExportConfig(
+                        Path.of(e.path("file").asText()), e.path("interval_ms").asLong(INTERVAL_MS));
         JsonNode p = root.path("probes");
-        ProbeConfig probes = p.isMissingNode() ? null : new ProbeConfig(p.path("every_ms").asLong(PROBE_MS), PROBE_TAKES_MS);
-        return new FleetConfig(root.path("fleet").asText(), own, voters, Path.of(root.path("folder").asText()),
-                s.path("ttl_ms").asLong(TTL_MS), s.path("drift_ppm").asDouble(DRIFT_PPM),
-                s.path("margin_ms").asDouble(MARGIN_MS), s.path("stall_ms").asDouble(STALL_MS), List.copyOf(tasks), export,
-                probes, root.path("lists").asBoolean(false));
+        ProbeConfig probes =
+                p.isMissingNode() ? null : new ProbeConfig(p.path("every_ms").asLong(PROBE_MS), PROBE_TAKES_MS);
+        return new FleetConfig(
+                root.path("fleet").asText(),
+                own,
+                voters,
+                Path.of(root.path("folder").asText()),
+                s.path("ttl_ms").asLong(TTL_MS),
+                s.path("drift_ppm").asDouble(DRIFT_PPM),
+                s.path("margin_ms").asDouble(MARGIN_MS),
+                s.path("stall_ms").asDouble(STALL_MS),
+                List.copyOf(tasks),
+                export,
+                probes,
+                root.path("lists").asBoolean(false));
     }
 
     /** Numbers and a port: there are no names to look up. */
--- a/fleet/src/main/java/marlford/fleet/Lists.java
+++ b/fleet/src/main/java/marlford/fleet/Lists.java
@@ -41,7 +41,10 @@
             Consumer<Told> to = next;
             next = null;
             calledAt = now;
-            to.accept(d.step() == ListTurns.Step.CALL ? null : new Told(d.list().value(), d.list().ageMs()));
+            to.accept(
+                    d.step() == ListTurns.Step.CALL
+                            ? null
+                            : new Told(d.list().value(), d.list().ageMs()));
         }
     }
 
--- a/fleet/src/main/java/marlford/fleet/Main.java
+++ b/fleet/src/main/java/marlford/fleet/Main.java
@@ -19,13 +19,16 @@
 import picocli.CommandLine.Parameters;
 
 /** The command line of a fleet's member. */
-@Command(name = "marlford", mixinStandardHelpOptions = true, description = "A gateway of a fleet that agrees.",
+@Command(
+        name = "marlford",
+        mixinStandardHelpOptions = true,
+        description = "A gateway of a fleet that agrees.",
         subcommands = {Main.Serve.class, Main.Agent.class, Main.Check.class, Main.Permit.class})
 public final class Main {
     private static final int NOT_HAD = 4;
     private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("HH:mm:ss.SSS");
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         int code = new CommandLine(new Main()).execute(args);
@@ -77,8 +80,10 @@
             if (started == null) {
                 return ExitCode.USAGE;
             }
-            Node.main(System.getenv("NODE_CONFIG"), new Extras(Map.of("/admin/fleet", started::text), started.usage(),
-                    started.lists(), started::serving));
+            Node.main(
+                    System.getenv("NODE_CONFIG"),
+                    new Extras(
+                            Map.of("/admin/fleet", started::text), started.usage(), started.lists(), started::serving));
             return ExitCode.OK;
         }
     }
@@ -110,7 +115,8 @@
         public Integer call() {
             try {
                 FleetConfig c = fleet.read();
-                log("marlford: " + c.name() + " of " + c.fleet() + ", voters " + c.voters().keySet());
+                log("marlford: " + c.name() + " of " + c.fleet() + ", voters "
+                        + c.voters().keySet());
                 return ExitCode.OK;
             } catch (FleetConfig.BadFleet e) {
                 log("marlford: " + e.getMessage());
@@ -131,7 +137,10 @@
         @Option(names = "--at-once", defaultValue = "1", description = "how many there are (${DEFAULT-VALUE})")
         private int limit;
 
-        @Option(names = "--wait", defaultValue = "60", description = "how long to wait for one, in seconds (${DEFAULT-VALUE})")
+        @Option(
+                names = "--wait",
+                defaultValue = "60",
+                description = "how long to wait for one, in seconds (${DEFAULT-VALUE})")
         private long seconds;
 
         @Parameters(arity = "1..*", paramLabel = "COMMAND", description = "what to run; its end gives the permit back")
--- a/fleet/src/main/java/marlford/lease/Ask.java
+++ b/fleet/src/main/java/marlford/lease/Ask.java
@@ -5,7 +5,7 @@
 /** What a member asks of a voter. */
 public sealed interface Ask {
     /** A line for the agreed log; only the leader takes it. */
-    record Submit(Command line) implements Ask { }
+    record Submit(Command line) implements Ask {}
 
     /**
      * That a session goes on; only the leader answers, once a majority has confirmed that it leads.
@@ -19,8 +19,8 @@
     }
 
     /** What the register of work has of an order, as it stands; only the leader answers. */
-    record Look(String key, String digest) implements Ask { }
+    record Look(String key, String digest) implements Ask {}
 
     /** What a session has, once that is of a later index than this one; any voter answers. */
-    record Watch(long session, long since) implements Ask { }
+    record Watch(long session, long since) implements Ask {}
 }
--- a/fleet/src/main/java/marlford/lease/Book.java
+++ b/fleet/src/main/java/marlford/lease/Book.java
@@ -29,6 +29,7 @@
     static final int TASKS_MAX = 1024;
     /** The shortest and the longest silence that a session may ask for, in milliseconds. */
     static final long TTL_MIN_MS = 200;
+
     static final long TTL_MAX_MS = 600_000;
 
     /**
@@ -37,20 +38,26 @@
      * @param shard its number in its pool; -1 for a lease that is none
      * @param wanted whether it is to be given up soon, since another is to have it
      */
-    public record Holding(String name, int shard, long token, boolean wanted) { }
+    public record Holding(String name, int shard, long token, boolean wanted) {}
 
     /** A session as the book has it; {@code changed} is the log's index at which its holdings last did. */
-    public record Session(long id, String member, long nonce, long ttlMs, long changed) { }
+    public record Session(long id, String member, long nonce, long ttlMs, long changed) {}
 
     /** A lease, its holders with their tokens and those who wait, in their order. */
-    public record Lease(String name, int limit, Map<Long, Long> holders, List<Long> queue) { }
+    public record Lease(String name, int limit, Map<Long, Long> holders, List<Long> queue) {}
 
     /** A pool: the sessions that take part, and of each shard owner, token and the one it is to pass to (0: nobody). */
-    public record Pool(String name, List<Long> members, List<Long> owners, List<Long> tokens, List<Long> next) { }
+    public record Pool(String name, List<Long> members, List<Long> owners, List<Long> tokens, List<Long> next) {}
 
     /** The whole book, to be kept and begun from; {@code work} is null where there never was any. */
-    public record Image(long index, long minted, List<Session> sessions, List<Lease> leases, List<Pool> pools,
-            Map<String, Long> ticks, Register.Image work) { }
+    public record Image(
+            long index,
+            long minted,
+            List<Session> sessions,
+            List<Lease> leases,
+            List<Pool> pools,
+            Map<String, Long> ticks,
+            Register.Image work) {}
 
     private final Map<Long, Session> sessions = new TreeMap<>();
     private final Map<String, Long> byMember = new TreeMap<>();
@@ -80,7 +87,10 @@
             line.holders.putAll(new TreeMap<>(l.holders()));
             line.queue.addAll(l.queue());
             book.leases.put(l.name(), line);
-            line.holders.keySet().forEach(s -> book.held.computeIfAbsent(s, id -> new TreeSet<>()).add(l.name()));
+            line.holders
+                    .keySet()
+                    .forEach(s ->
+                            book.held.computeIfAbsent(s, id -> new TreeSet<>()).add(l.name()));
         }
         for (Pool p : image.pools()) {
             book.pools.put(p.name(), Shards.of(p));
@@ -93,10 +103,17 @@
     /** The whole book; two voters that applied the same lines have equal ones. */
     public Image image() {
         List<Lease> lines = new ArrayList<>();
-        leases.forEach((name, l) -> lines.add(new Lease(name, l.limit, new LinkedHashMap<>(l.holders), List.copyOf(l.queue))));
+        leases.forEach(
+                (name, l) -> lines.add(new Lease(name, l.limit, new LinkedHashMap<>(l.holders), List.copyOf(l.queue))));
         List<Pool> all = new ArrayList<>();
         pools.forEach((name, p) -> all.add(p.image(name)));
-        return new Image(index, minted, List.copyOf(sessions.values()), lines, all, new TreeMap<>(ticks),
+        return new Image(
+                index,
+                minted,
+                List.copyOf(sessions.values()),
+                lines,
+                all,
+                new TreeMap<>(ticks),
                 work == null ? null : work.image());
     }
 
@@ -123,8 +140,9 @@
     /** All that a session has now. */
     public List<Holding> holdings(long session) {
         List<Holding> has = new ArrayList<>();
-        held.getOrDefault(session, Set.of()).forEach(name ->
-                has.add(new Holding(name, -1, leases.get(name).holders.get(session), false)));
+        held.getOrDefault(session, Set.of())
+                .forEach(name ->
+                        has.add(new Holding(name, -1, leases.get(name).holders.get(session), false)));
         pools.forEach((name, p) -> p.addHoldings(session, name, has));
         return has;
     }
@@ -190,8 +208,11 @@
         if (work == null) {
             work = new Register();
         }
-        return new Answer(Answer.Kind.DONE, 0, work.apply(at, w.session(), w.line(),
-                (session, shard, token) -> holds(session, token), () -> ++minted));
+        return new Answer(
+                Answer.Kind.DONE,
+                0,
+                work.apply(
+                        at, w.session(), w.line(), (session, shard, token) -> holds(session, token), () -> ++minted));
     }
 
     private interface Step {
--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -25,12 +25,12 @@
     private static final double WATCH_MS = 8000; // a watch without a word for this long is asked again
 
     /** An ask that is to be sent now. */
-    public record Outgoing(long id, String voter, Ask ask) { }
+    public record Outgoing(long id, String voter, Ask ask) {}
 
     /** A lease that is to be had. */
-    private record Wish(int limit, boolean shards) { }
+    private record Wish(int limit, boolean shards) {}
 
-    private record Pending(Ask ask, String voter, double sentAt, double until) { }
+    private record Pending(Ask ask, String voter, double sentAt, double until) {}
 
     private final String name;
     private final long nonce;
@@ -63,7 +63,13 @@
      * @param ttlMs for how long the session may be silent
      * @param voters their names; asked in turn where no leader is known
      */
-    public Member(String name, long nonce, long ttlMs, List<String> voters, double driftPpm, double marginMs,
+    public Member(
+            String name,
+            long nonce,
+            long ttlMs,
+            List<String> voters,
+            double driftPpm,
+            double marginMs,
             double stallMs) {
         this.name = name;
         this.nonce = nonce;
@@ -107,7 +113,8 @@
         if (token != 0) {
             drop(token);
         }
-        // Where no token is known yet, one may be on its way: the queue is left, and what is granted is given back then.
+        // Where no token is known yet, one may be on its way: the queue is left, and what is granted is given back
+        // then.
         lines.add(new Command.Release(session, lease, token));
     }
 
@@ -223,8 +230,10 @@
         }
         wishes.forEach((lease, w) -> {
             if (!leaving && asked.add(lease)) {
-                lines.add(w.shards() ? new Command.Join(session, lease, w.limit())
-                        : new Command.Acquire(session, lease, w.limit()));
+                lines.add(
+                        w.shards()
+                                ? new Command.Join(session, lease, w.limit())
+                                : new Command.Acquire(session, lease, w.limit()));
             }
         });
         if (!lines.isEmpty() && none(Ask.Submit.class)) { // one at a time, so that they are agreed in their order
@@ -243,7 +252,8 @@
     }
 
     private void expire(double now) {
-        List<Pending> over = pending.values().stream().filter(p -> now > p.until()).toList();
+        List<Pending> over =
+                pending.values().stream().filter(p -> now > p.until()).toList();
         pending.values().removeAll(over);
         over.stream().filter(p -> !(p.ask() instanceof Ask.Watch)).forEach(p -> turnFrom(p.voter()));
     }
@@ -258,7 +268,8 @@
     /** A watch at the one that was asked before is worth nothing more: it may be cut off, and is silent then for long. */
     private void turnTo(String voter) {
         leader = voter;
-        pending.values().removeIf(p -> p.ask() instanceof Ask.Watch && !p.voter().equals(voter));
+        pending.values()
+                .removeIf(p -> p.ask() instanceof Ask.Watch && !p.voter().equals(voter));
     }
 
     /** An ask can't reach its voter, or its connection ended. */
@@ -277,7 +288,10 @@
 
     /** The connection to a voter ended: all that was asked there has failed. */
     public void lost(String voter, double now) {
-        pending.entrySet().stream().filter(e -> e.getValue().voter().equals(voter)).map(Map.Entry::getKey).toList()
+        pending.entrySet().stream()
+                .filter(e -> e.getValue().voter().equals(voter))
+                .map(Map.Entry::getKey)
+                .toList()
                 .forEach(id -> failed(id, now));
     }
 
@@ -312,7 +326,8 @@
         } else {
             tenure.confirmed(sentAt);
             renewAt = sentAt + ttlMs / RENEWALS;
-            if (r.answer().value() > seen) { // a watch that was sent before should have told: its reply was lost, or comes
+            if (r.answer().value()
+                    > seen) { // a watch that was sent before should have told: its reply was lost, or comes
                 pending.values().removeIf(p -> p.ask() instanceof Ask.Watch && p.sentAt() < sentAt);
             }
             if (reads) {
--- a/fleet/src/main/java/marlford/lease/Reply.java
+++ b/fleet/src/main/java/marlford/lease/Reply.java
@@ -12,7 +12,8 @@
  * @param holdings of a watched session; null for other asks, and where the session has ended
  * @param notice what is new on the leader's board; null where that was not asked for
  */
-public record Reply(Status status, String leader, Answer answer, long index, List<Book.Holding> holdings, Notice notice) {
+public record Reply(
+        Status status, String leader, Answer answer, long index, List<Book.Holding> holdings, Notice notice) {
     /** One that carries no notice. */
     public Reply(Status status, String leader, Answer answer, long index, List<Book.Holding> holdings) {
         this(status, leader, answer, index, holdings, null);
--- a/fleet/src/main/java/marlford/lease/Shards.java
+++ b/fleet/src/main/java/marlford/lease/Shards.java
@@ -119,7 +119,9 @@
                 changed.add(to);
             }
         }
-        for (long from = most(due), to = fewest(due); due.get(from) - due.get(to) > 1; from = most(due), to = fewest(due)) {
+        for (long from = most(due), to = fewest(due);
+                due.get(from) - due.get(to) > 1;
+                from = most(due), to = fewest(due)) {
             int shard = movable(from);
             next[shard] = owners[shard] != to ? to : NOBODY; // or it need not move after all
             due.merge(from, -1, Integer::sum);
--- a/fleet/src/main/java/marlford/lease/Tenure.java
+++ b/fleet/src/main/java/marlford/lease/Tenure.java
@@ -16,7 +16,8 @@
     private final double stallMs;
     private double until = Double.NEGATIVE_INFINITY;
     private double looked = Double.NEGATIVE_INFINITY;
-    private double stalled = Double.NEGATIVE_INFINITY; // the end of the last stall; a renewal sent before it does not count
+    private double stalled =
+            Double.NEGATIVE_INFINITY; // the end of the last stall; a renewal sent before it does not count
 
     /**
      * @param ttlMs the session's silence, as the fleet knows it
--- a/fleet/src/main/java/marlford/probe/Evidence.java
+++ b/fleet/src/main/java/marlford/probe/Evidence.java
@@ -11,7 +11,7 @@
  */
 public final class Evidence {
     /** A finding with its age, which is the greatest that it can have, in milliseconds. */
-    public record Report(String host, Finding finding, double ageMs) { }
+    public record Report(String host, Finding finding, double ageMs) {}
 
     private final double ageMaxMs;
     private long believed;
--- a/fleet/src/main/java/marlford/probe/Finding.java
+++ b/fleet/src/main/java/marlford/probe/Finding.java
@@ -26,7 +26,8 @@
     static Finding of(String text) {
         try {
             int space = text.indexOf(' ');
-            return new Finding(Kind.valueOf(text.substring(0, Math.max(0, space))), Double.parseDouble(text.substring(space + 1)));
+            return new Finding(
+                    Kind.valueOf(text.substring(0, Math.max(0, space))), Double.parseDouble(text.substring(space + 1)));
         } catch (IllegalArgumentException e) {
             return null;
         }
--- a/fleet/src/main/java/marlford/probe/Prober.java
+++ b/fleet/src/main/java/marlford/probe/Prober.java
@@ -26,6 +26,7 @@
 public final class Prober {
     /** The board's topic of findings. */
     public static final String TOPIC = "probe";
+
     static final String POOL = "host-probe";
     static final int SHARDS = 64;
     static final int HOSTS_MAX = 4096;
@@ -34,7 +35,7 @@
     private static final double LATELY = 3; // rounds
 
     /** A probe that begins now. */
-    public record Probe(String host, int shard, long token, double sentAt) { }
+    public record Probe(String host, int shard, long token, double sentAt) {}
 
     private static final class Watched {
         final int shard;
@@ -68,7 +69,8 @@
 
     /** The hosts there are. */
     public void listed(Collection<String> names) {
-        Set<String> there = new HashSet<>(names.stream().sorted().limit(HOSTS_MAX).toList());
+        Set<String> there =
+                new HashSet<>(names.stream().sorted().limit(HOSTS_MAX).toList());
         hosts.entrySet().removeIf(e -> !there.contains(e.getKey()) && !e.getValue().running);
         there.forEach(h -> hosts.computeIfAbsent(h, name -> new Watched(shard(name))));
     }
@@ -101,7 +103,10 @@
                 w.token = h.token();
                 w.nextAt = now + phase(host) * everyMs;
             }
-            if (!h.wanted() && !w.running && now >= w.nextAt && running < UNDER_WAY_MAX
+            if (!h.wanted()
+                    && !w.running
+                    && now >= w.nextAt
+                    && running < UNDER_WAY_MAX
                     && member.mayAct(h.token(), now, lateMs, takesMs)) {
                 w.running = true;
                 running++;
@@ -112,7 +117,9 @@
                 busy.add(w.shard);
             }
         });
-        mine.values().stream().filter(h -> h.wanted() && !busy.contains(h.shard())).forEach(member::giveUp);
+        mine.values().stream()
+                .filter(h -> h.wanted() && !busy.contains(h.shard()))
+                .forEach(member::giveUp);
         return due;
     }
 
@@ -136,7 +143,9 @@
     }
 
     private boolean doubtsItself(double now) {
-        List<Watched> asked = hosts.values().stream().filter(w -> now - w.askedAt < LATELY * everyMs).toList();
+        List<Watched> asked = hosts.values().stream()
+                .filter(w -> now - w.askedAt < LATELY * everyMs)
+                .toList();
         long missed = asked.stream().filter(w -> !w.reached).count();
         return asked.size() >= FEWEST && missed * 2 > asked.size();
     }
--- a/fleet/src/main/java/marlford/spread/Spread.java
+++ b/fleet/src/main/java/marlford/spread/Spread.java
@@ -4,7 +4,7 @@
 public final class Spread {
     private static final int GOLDEN = 0x9E3779B9; // the golden ratio: names in a row end far from each other
 
-    private Spread() { }
+    private Spread() {}
 
     /** @return from 0 to one less than there are pieces */
     public static int piece(String name, int pieces) {
--- a/fleet/src/main/java/marlford/task/Duties.java
+++ b/fleet/src/main/java/marlford/task/Duties.java
@@ -13,7 +13,7 @@
 public final class Duties {
     private static final int NONE = -1;
 
-    private Duties() { }
+    private Duties() {}
 
     /** One holder, or a few, act again and again. */
     public static final class Single implements Duty {
@@ -84,7 +84,8 @@
                 }
                 if (h.wanted()) {
                     member.giveUp(h); // nothing of it runs
-                } else if (now >= nextAt.getOrDefault(h.shard(), 0.0) && member.mayAct(h.token(), now, lateMs, takesMs)) {
+                } else if (now >= nextAt.getOrDefault(h.shard(), 0.0)
+                        && member.mayAct(h.token(), now, lateMs, takesMs)) {
                     running.add(h.shard());
                     nextAt.put(h.shard(), now + everyMs);
                     acts.add(new Act(name, h.shard(), NONE, h.token(), takesMs));
@@ -114,7 +115,7 @@
         }
 
         @Override
-        public void begin(Member member) { }
+        public void begin(Member member) {}
 
         @Override
         public List<Act> due(Member member, double now, double lateMs, long wallMs) {
--- a/fleet/src/main/java/marlford/turn/ListTurns.java
+++ b/fleet/src/main/java/marlford/turn/ListTurns.java
@@ -24,11 +24,16 @@
     static final double FRESH_MS = 3000;
     private static final double CALL_MS = 200; // that have to be left of a session for a call
     private static final String TOPIC = "list";
-    private static final String AWAY = "away"; // another topic: who is cut off must not write over what another was told
+    private static final String AWAY =
+            "away"; // another topic: who is cut off must not write over what another was told
     private static final String BACK = "back"; // it told what had changed: each one's own call costs it little
 
     /** What is to be done. */
-    public enum Step { WAIT, CALL, TAKE }
+    public enum Step {
+        WAIT,
+        CALL,
+        TAKE
+    }
 
     /** The step, and the list to be taken. */
     public record Decision(Step step, Row list) {
@@ -102,7 +107,9 @@
             inTurn++;
             return call(member, had);
         }
-        return now > Math.min(Math.max(dueAt, awayAt) + PATIENCE_MS, dueAt + LONGEST_MS) ? call(member, 0) : Decision.WAIT;
+        return now > Math.min(Math.max(dueAt, awayAt) + PATIENCE_MS, dueAt + LONGEST_MS)
+                ? call(member, 0)
+                : Decision.WAIT;
     }
 
     /** What the agent told somebody lately; null for nothing. */
--- a/fleet/src/main/java/marlford/usage/Batch.java
+++ b/fleet/src/main/java/marlford/usage/Batch.java
@@ -10,4 +10,4 @@
  * @param startMs the interval's begin, in milliseconds since 1970
  * @param milliUnits thousandths of units by customer
  */
-public record Batch(long source, long sequence, long startMs, Map<Long, Long> milliUnits) { }
+public record Batch(long source, long sequence, long startMs, Map<Long, Long> milliUnits) {}
--- a/fleet/src/main/java/marlford/usage/UsageTable.java
+++ b/fleet/src/main/java/marlford/usage/UsageTable.java
@@ -20,6 +20,7 @@
     public static final long BEYOND = (1L << 33) - 1;
     /** The pages and rows of a gateway's table. */
     public static final int PAGES = 16;
+
     public static final int ROWS = 4096;
     private static final long MILLI = 1000;
     private static final long MAGIC = 0x4d41524c55534531L;
@@ -132,7 +133,8 @@
 
     private void open(long wallMs) {
         int p = free();
-        while (p == NONE) { // an earlier process left no page free: its last one is taken up again, if it is not leaving
+        while (p
+                == NONE) { // an earlier process left no page free: its last one is taken up again, if it is not leaving
             int last = lastClosed();
             if (last != NONE && cells.swap(page(last), CLOSED, OPEN)) {
                 current = last;
--- a/fleet/src/main/java/marlford/voters/Founding.java
+++ b/fleet/src/main/java/marlford/voters/Founding.java
@@ -23,7 +23,7 @@
     }
 
     /** The step and the first members of the group. */
-    public record Decision(Step step, List<String> members) { }
+    public record Decision(Step step, List<String> members) {}
 
     private final Hello self;
     private final Collection<String> names;
@@ -37,7 +37,9 @@
 
     /** What another voter said last. */
     public void heard(Hello h) {
-        if (h.fleet().equals(self.fleet()) && names.contains(h.name()) && !h.name().equals(self.name())) {
+        if (h.fleet().equals(self.fleet())
+                && names.contains(h.name())
+                && !h.name().equals(self.name())) {
             heard.put(h.name(), h);
         }
     }
--- a/fleet/src/main/java/marlford/voters/Levels.java
+++ b/fleet/src/main/java/marlford/voters/Levels.java
@@ -26,6 +26,9 @@
 
     /** The level that all these voters know. */
     public int common(Collection<String> voting, String self) {
-        return voting.stream().mapToInt(p -> p.equals(self) ? OWN : levels.getOrDefault(p, 1)).min().orElse(1);
+        return voting.stream()
+                .mapToInt(p -> p.equals(self) ? OWN : levels.getOrDefault(p, 1))
+                .min()
+                .orElse(1);
     }
 }
--- a/fleet/src/main/java/marlford/voters/Replacement.java
+++ b/fleet/src/main/java/marlford/voters/Replacement.java
@@ -17,10 +17,14 @@
  */
 public final class Replacement {
     /** The next change of members. */
-    public enum Kind { REMOVE, LISTEN, VOTE }
+    public enum Kind {
+        REMOVE,
+        LISTEN,
+        VOTE
+    }
 
     /** A change and whom it concerns. */
-    public record Step(Kind kind, String point) { }
+    public record Step(Kind kind, String point) {}
 
     private static final int POINTS_MAX = 1000; // beyond which a point that was never seen is passed over
 
@@ -82,7 +86,9 @@
             if (voting.contains(fresh) || !isThere(fresh, now)) {
                 continue;
             }
-            List<String> older = all.stream().filter(p -> Hello.name(p).equals(e.getKey()) && !p.equals(fresh)).toList();
+            List<String> older = all.stream()
+                    .filter(p -> Hello.name(p).equals(e.getKey()) && !p.equals(fresh))
+                    .toList();
             if (!older.isEmpty()) {
                 String old = older.get(0);
                 boolean last = !voting.contains(old) || leaves(voting, old, self, now);
@@ -97,7 +103,9 @@
     }
 
     private boolean leaves(Collection<String> voting, String old, String self, double now) {
-        long at = voting.stream().filter(p -> !p.equals(old) && (p.equals(self) || isThere(p, now))).count();
+        long at = voting.stream()
+                .filter(p -> !p.equals(old) && (p.equals(self) || isThere(p, now)))
+                .count();
         return at > voting.size() / 2 && at > (voting.size() - 1) / 2;
     }
 }
--- a/fleet/src/main/java/marlford/work/Ages.java
+++ b/fleet/src/main/java/marlford/work/Ages.java
@@ -16,7 +16,7 @@
 public final class Ages {
     static final int LOOKS_MAX = 1024;
 
-    private record Look(double askedAt, long index) { }
+    private record Look(double askedAt, long index) {}
 
     private final ArrayDeque<Look> looks = new ArrayDeque<>(); // oldest first; both figures grow
 
@@ -37,7 +37,7 @@
 
     /** For how long, at most, a line of this index may have been agreed; infinite where that is not known. */
     public double most(long index, double now) {
-        for (Iterator<Look> i = looks.descendingIterator(); i.hasNext();) {
+        for (Iterator<Look> i = looks.descendingIterator(); i.hasNext(); ) {
             Look l = i.next();
             if (l.index() < index) {
                 return now - l.askedAt();
--- a/fleet/src/main/java/marlford/work/Desk.java
+++ b/fleet/src/main/java/marlford/work/Desk.java
@@ -22,7 +22,7 @@
     private static final double PATIENCE_MS = 500; // for a reply, before the line is sent again
 
     /** A line that goes out now, to whoever leads. */
-    public record Outgoing(long id, Line line) { }
+    public record Outgoing(long id, Line line) {}
 
     private static final class Carried {
         final Line line;
@@ -62,14 +62,15 @@
     public List<Outgoing> due(double now) {
         List<Outgoing> out = new ArrayList<>();
         List<Carried> late = new ArrayList<>();
-        for (Iterator<Carried> i = underWay.values().iterator(); i.hasNext();) {
+        for (Iterator<Carried> i = underWay.values().iterator(); i.hasNext(); ) {
             Carried c = i.next();
             if (now >= c.again) {
                 i.remove();
                 late.add(c);
             }
         }
-        late.forEach(c -> send(out, c, now)); // under a new number: a late reply to the former one is as good, and passed over
+        late.forEach(c ->
+                send(out, c, now)); // under a new number: a late reply to the former one is as good, and passed over
         while (!waiting.isEmpty() && underWay.size() < UNDER_WAY_MAX) {
             send(out, waiting.poll(), now);
         }
--- a/fleet/src/main/java/marlford/work/Hand.java
+++ b/fleet/src/main/java/marlford/work/Hand.java
@@ -110,10 +110,11 @@
         }
         switch (there.kind()) {
             case OVER -> over(there.outcome());
-            case DIFFERS -> state = State.DIFFERS; // another order was faster than this one's line, which came to nothing
+            case DIFFERS ->
+                state = State.DIFFERS; // another order was faster than this one's line, which came to nothing
             // Withdrawn, forgotten, or it never came there; who sent it can't know how it ended.
             case NOT_YOURS -> state = sent ? State.WAITING : State.REFUSED;
-            default -> { }
+            default -> {}
         }
     }
 
--- a/fleet/src/main/java/marlford/work/Order.java
+++ b/fleet/src/main/java/marlford/work/Order.java
@@ -21,8 +21,16 @@
     }
 
     boolean isWellFormed() {
-        return key != null && digest != null && requestClass != null && message != null && !key.isEmpty() && !digest.isEmpty()
-                && key.length() <= NAME_MAX && digest.length() <= NAME_MAX && requestClass.length() <= NAME_MAX
-                && message.length() <= MESSAGE_MAX && units >= 0;
+        return key != null
+                && digest != null
+                && requestClass != null
+                && message != null
+                && !key.isEmpty()
+                && !digest.isEmpty()
+                && key.length() <= NAME_MAX
+                && digest.length() <= NAME_MAX
+                && requestClass.length() <= NAME_MAX
+                && message.length() <= MESSAGE_MAX
+                && units >= 0;
     }
 }
--- a/fleet/src/main/java/marlford/work/Register.java
+++ b/fleet/src/main/java/marlford/work/Register.java
@@ -22,15 +22,16 @@
 public final class Register {
     /** Pieces of the work, each seen to by one member. */
     public static final int SHARDS = 64;
+
     static final int OPEN_MAX = 100_000;
     static final int KEPT_MAX = 100_000;
     static final long CHARS_MAX = 256L << 20;
 
     /** An order's end, and where in the log it was agreed. */
-    public record Ended(String key, String digest, Outcome outcome, long at) { }
+    public record Ended(String key, String digest, Outcome outcome, long at) {}
 
     /** The whole register, to be kept and begun from. */
-    public record Image(List<Entry> open, List<Ended> ended) { }
+    public record Image(List<Entry> open, List<Ended> ended) {}
 
     /** Whether a session has a shard of the pool of work under a token, where the line stands. */
     public interface Shards {
@@ -94,7 +95,10 @@
 
     /** The open entries of a shard that nobody owns, at most so many; those that were orphaned first come first. */
     public List<Entry> orphans(int shard, int most) {
-        return orphans.getOrDefault(shard, Set.of()).stream().limit(most).map(open::get).toList();
+        return orphans.getOrDefault(shard, Set.of()).stream()
+                .limit(most)
+                .map(open::get)
+                .toList();
     }
 
     /**
@@ -139,7 +143,10 @@
         Said found = look(order.key(), order.digest());
         Entry there = open.get(order.key());
         // What was taken over is judged by its taker, who alone may send it: no ask gets it by entering.
-        if (found.kind() == Said.Kind.RUNS && there.owner() == session && there.ask() == e.ask() && there.taken() == 0) {
+        if (found.kind() == Said.Kind.RUNS
+                && there.owner() == session
+                && there.ask() == e.ask()
+                && there.taken() == 0) {
             return Said.owned(there);
         }
         if (found.kind() != Said.Kind.NOT_YOURS) {
@@ -210,7 +217,8 @@
         if (e == null) {
             return Said.of(Said.Kind.NOT_YOURS);
         }
-        if (!e.group().equals(m.group())) { // asked again it has moved already, and its window counts from the first time
+        if (!e.group()
+                .equals(m.group())) { // asked again it has moved already, and its window counts from the first time
             put(e.movedTo(m.group(), at));
         }
         return Said.of(Said.Kind.DONE);
@@ -285,7 +293,8 @@
 
     /** For operators. */
     public String text() {
-        return "work open=" + open.size() + " orphans=" + orphans.values().stream().mapToInt(Set::size).sum() + " ended=" + ended.size()
-                + " taken_over=" + takenOver + " unknown=" + unknown + " chars=" + chars;
+        return "work open=" + open.size() + " orphans="
+                + orphans.values().stream().mapToInt(Set::size).sum() + " ended=" + ended.size() + " taken_over="
+                + takenOver + " unknown=" + unknown + " chars=" + chars;
     }
 }
--- a/fleet/src/test/java/marlford/Courses.java
+++ b/fleet/src/test/java/marlford/Courses.java
@@ -31,7 +31,7 @@
     }
 
     /** What the first broken course up to this length broke, or null, and how many states there are. */
-    public record Found(String broken, int states) { }
+    public record Found(String broken, int states) {}
 
     private static <W extends World> W play(Supplier<W> begin, int[] course) {
         W w = begin.get();
@@ -46,15 +46,20 @@
         List<int[]> edge = List.of(new int[0]);
         AtomicReference<String> broken = new AtomicReference<>();
         for (int depth = 0; depth < length && broken.get() == null; depth++) {
-            edge = edge.parallelStream().flatMap(course -> IntStream.range(0, choices).mapToObj(choice -> {
-                int[] next = Arrays.copyOf(course, course.length + 1);
-                next[course.length] = choice;
-                World w = play(begin, next);
-                if (w.broken() != null) {
-                    broken.compareAndSet(null, w.broken() + " by " + Arrays.toString(next));
-                }
-                return seen.add(UUID.nameUUIDFromBytes(w.state().getBytes(StandardCharsets.UTF_8))) ? next : null;
-            })).filter(Objects::nonNull).toList();
+            edge = edge.parallelStream()
+                    .flatMap(course -> IntStream.range(0, choices).mapToObj(choice -> {
+                        int[] next = Arrays.copyOf(course, course.length + 1);
+                        next[course.length] = choice;
+                        World w = play(begin, next);
+                        if (w.broken() != null) {
+                            broken.compareAndSet(null, w.broken() + " by " + Arrays.toString(next));
+                        }
+                        return seen.add(UUID.nameUUIDFromBytes(w.state().getBytes(StandardCharsets.UTF_8)))
+                                ? next
+                                : null;
+                    }))
+                    .filter(Objects::nonNull)
+                    .toList();
         }
         return new Found(broken.get(), seen.size());
     }
--- a/fleet/src/test/java/marlford/FleetHouseTest.java
+++ b/fleet/src/test/java/marlford/FleetHouseTest.java
@@ -11,21 +11,50 @@
 /** The floors of the fleet's house: what is agreed and decided sees no socket, file or clock, and nothing above it. */
 class FleetHouseTest {
     private static final JavaClasses ALL = new ClassFileImporter()
-            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("marlford");
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+            .importPackages("marlford");
 
     private static ArchRule pure(String... packages) {
-        return noClasses().that().resideInAnyPackage(packages).should().dependOnClassesThat().resideInAnyPackage("java.io..",
-                "java.net..", "java.nio..", "java.time..", "java.util.concurrent..", "io..", "com..", "deckfall..",
-                "marlford.agree..", "marlford.fleet..");
+        return noClasses()
+                .that()
+                .resideInAnyPackage(packages)
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.io..",
+                        "java.net..",
+                        "java.nio..",
+                        "java.time..",
+                        "java.util.concurrent..",
+                        "io..",
+                        "com..",
+                        "deckfall..",
+                        "marlford.agree..",
+                        "marlford.fleet..");
     }
 
-    private static final String[] PURE = {"marlford.board", "marlford.lease", "marlford.probe", "marlford.spread", "marlford.task",
-        "marlford.turn", "marlford.usage", "marlford.voters", "marlford.work"};
+    private static final String[] PURE = {
+        "marlford.board",
+        "marlford.lease",
+        "marlford.probe",
+        "marlford.spread",
+        "marlford.task",
+        "marlford.turn",
+        "marlford.usage",
+        "marlford.voters",
+        "marlford.work"
+    };
 
     @Test
     void decisionsSeeNothingOutside() {
         pure(PURE).check(ALL);
-        noClasses().that().resideInAnyPackage(PURE).should().callMethod(System.class, "nanoTime")
-                .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
+        noClasses()
+                .that()
+                .resideInAnyPackage(PURE)
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .check(ALL);
     }
 }
--- a/fleet/src/test/java/marlford/agree/AgreementTest.java
+++ b/fleet/src/test/java/marlford/agree/AgreementTest.java
@@ -156,7 +156,7 @@
 
         void start() throws IOException {
             int thisLife = life;
-            SegmentStore store = new SegmentStore(sim.folder.resolve("v" + number), Unsynced::new, line -> { });
+            SegmentStore store = new SegmentStore(sim.folder.resolve("v" + number), Unsynced::new, line -> {});
             store.begin(number);
             RestoredRaftState restored = store.restored();
             book = new Book(1);
@@ -180,21 +180,32 @@
                     });
                 }
             };
-            RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId(GROUP).setExecutor(executor).setTransport(this)
-                    .setStateMachine(this).setStore(sim.forgetsVotes ? forgetful(store) : store)
-                    .setRandom(new Random(sim.random.nextLong())).setClock(clock())
-                    .setConfig(RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(1000).setLeaderHeartbeatPeriodSecs(1)
-                            .setLeaderHeartbeatTimeoutSecs(2).setCommitCountToTakeSnapshot(40).build());
-            node = (restored != null ? b.setRestoredState(restored)
-                    : b.setLocalEndpoint(self).setInitialGroupMembers(new ArrayList<>(sim.points))).build();
+            RaftNode.RaftNodeBuilder b = RaftNode.newBuilder()
+                    .setGroupId(GROUP)
+                    .setExecutor(executor)
+                    .setTransport(this)
+                    .setStateMachine(this)
+                    .setStore(sim.forgetsVotes ? forgetful(store) : store)
+                    .setRandom(new Random(sim.random.nextLong()))
+                    .setClock(clock())
+                    .setConfig(RaftConfig.newBuilder()
+                            .setLeaderElectionTimeoutMillis(1000)
+                            .setLeaderHeartbeatPeriodSecs(1)
+                            .setLeaderHeartbeatTimeoutSecs(2)
+                            .setCommitCountToTakeSnapshot(40)
+                            .build());
+            node = (restored != null
+                            ? b.setRestoredState(restored)
+                            : b.setLocalEndpoint(self).setInitialGroupMembers(new ArrayList<>(sim.points)))
+                    .build();
             node.start();
         }
 
         /** The planted fault: a store that keeps the first vote and term, and none after. */
         private static RaftStore forgetful(SegmentStore real) {
             boolean[] kept = {false};
-            return (RaftStore) Proxy.newProxyInstance(RaftStore.class.getClassLoader(), new Class<?>[] {RaftStore.class},
-                    (proxy, method, args) -> {
+            return (RaftStore) Proxy.newProxyInstance(
+                    RaftStore.class.getClassLoader(), new Class<?>[] {RaftStore.class}, (proxy, method, args) -> {
                         boolean vote = args != null && args.length == 1 && args[0] instanceof RaftTermPersistentState;
                         if (vote && kept[0]) {
                             return null;
@@ -239,7 +250,9 @@
                 Voting there = sim.voters.get(sim.points.indexOf(to));
                 for (int copies = sim.random.nextInt(20) == 0 ? 2 : 1; copies > 0; copies--) {
                     if (sim.random.nextInt(10) > 0) {
-                        sim.at(sim.now + 1 + sim.random.nextInt(sim.random.nextInt(10) == 0 ? 800 : 20), () -> there.hear(bytes));
+                        sim.at(
+                                sim.now + 1 + sim.random.nextInt(sim.random.nextInt(10) == 0 ? 800 : 20),
+                                () -> there.hear(bytes));
                     }
                 }
             } catch (IOException e) {
--- a/fleet/src/test/java/marlford/agree/CostTest.java
+++ b/fleet/src/test/java/marlford/agree/CostTest.java
@@ -38,11 +38,12 @@
         }
         sim.size = CostTest::size;
         double seconds = 10;
-        for (double end = sim.now + seconds * 1000; sim.now < end;) {
+        for (double end = sim.now + seconds * 1000; sim.now < end; ) {
             sim.step();
         }
         double each = sim.bytes / seconds / MEMBERS;
-        System.out.println("members: 500 with 10,000 leases cost " + Math.round(each) + " bytes a second each, both ways");
+        System.out.println(
+                "members: 500 with 10,000 leases cost " + Math.round(each) + " bytes a second each, both ways");
         assertTrue(each > 0 && each < 2000, "" + each);
     }
 }
--- a/fleet/src/test/java/marlford/agree/SegmentStoreTest.java
+++ b/fleet/src/test/java/marlford/agree/SegmentStoreTest.java
@@ -27,28 +27,43 @@
     private Path dir;
 
     private SegmentStore open() throws IOException {
-        return new SegmentStore(dir, d -> d, line -> { });
+        return new SegmentStore(dir, d -> d, line -> {});
     }
 
     private static LogEntry line(long index, Command c) {
-        return Codec.MODELS.createLogEntryBuilder().setIndex(index).setTerm(1).setOperation(c).build();
+        return Codec.MODELS
+                .createLogEntryBuilder()
+                .setIndex(index)
+                .setTerm(1)
+                .setOperation(c)
+                .build();
     }
 
     private SegmentStore founded() throws IOException {
         SegmentStore s = open();
         s.begin(7);
-        s.persistAndFlushLocalEndpoint(Codec.MODELS.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(SELF)
-                .setVoting(true).build());
+        s.persistAndFlushLocalEndpoint(Codec.MODELS
+                .createRaftEndpointPersistentStateBuilder()
+                .setLocalEndpoint(SELF)
+                .setVoting(true)
+                .build());
         s.persistAndFlushInitialGroupMembers(new Codec.Group(0, List.of(SELF.id()), List.of(SELF.id())).view());
-        s.persistAndFlushTerm(Codec.MODELS.createRaftTermPersistentStateBuilder().setTerm(3).setVotedFor(SELF).build());
+        s.persistAndFlushTerm(Codec.MODELS
+                .createRaftTermPersistentStateBuilder()
+                .setTerm(3)
+                .setVotedFor(SELF)
+                .build());
         return s;
     }
 
     @Test
     void whatWasSyncedIsThereAgain() throws IOException {
         SegmentStore s = founded();
-        List<Command> lines = List.of(new Command.Open("m", 5, 1000), new Command.Acquire(1, "x", 1),
-                new Command.Floor(9), new Command.Close(1));
+        List<Command> lines = List.of(
+                new Command.Open("m", 5, 1000),
+                new Command.Acquire(1, "x", 1),
+                new Command.Floor(9),
+                new Command.Close(1));
         for (int i = 0; i < lines.size(); i++) {
             s.persistLogEntries(List.of(line(i + 1, lines.get(i))));
         }
@@ -59,7 +74,9 @@
         RestoredRaftState r = again.restored();
         assertEquals(3, r.getTermPersistentState().getTerm());
         assertEquals(SELF, r.getTermPersistentState().getVotedFor());
-        assertEquals(lines.subList(0, 3), r.getLogEntries().stream().map(LogEntry::getOperation).toList());
+        assertEquals(
+                lines.subList(0, 3),
+                r.getLogEntries().stream().map(LogEntry::getOperation).toList());
         again.begin(99);
         assertEquals(7, again.identity().disk());
         assertEquals(2, again.life());
@@ -73,8 +90,9 @@
         for (int i = 1; i <= 20; i++) {
             s.persistLogEntries(List.of(line(i, new Command.Open("n".repeat(100_000) + i, i, 1000))));
         }
-        s.persistSnapshotChunk(new Codec.Piece(15, 1, book.image(), 0, 1,
-                new Codec.Group(0, List.of(SELF.id()), List.of(SELF.id()))).chunk());
+        s.persistSnapshotChunk(
+                new Codec.Piece(15, 1, book.image(), 0, 1, new Codec.Group(0, List.of(SELF.id()), List.of(SELF.id())))
+                        .chunk());
         s.flush();
         s.truncateLogEntriesUntil(15);
         s.close();
@@ -98,7 +116,9 @@
             List<Byte> kinds = new ArrayList<>();
             int kept = Segment.read(Arrays.copyOf(whole, length), (kind, body) -> kinds.add(kind));
             assertEquals(true, kept <= length);
-            assertEquals(kept, Segment.read(Arrays.copyOf(Arrays.copyOf(whole, kept), kept + 50), (k, b) -> { })); // zeros behind
+            assertEquals(
+                    kept,
+                    Segment.read(Arrays.copyOf(Arrays.copyOf(whole, kept), kept + 50), (k, b) -> {})); // zeros behind
         }
         Files.write(dir.resolve("agreed"), Arrays.copyOf(whole, whole.length - 3));
         SegmentStore again = open();
@@ -117,32 +137,35 @@
         for (int bit = 0; bit < whole.length * 8; bit++) {
             byte[] turned = whole.clone();
             turned[bit / 8] ^= (byte) (1 << bit % 8);
-            assertThrows(Segment.Damaged.class, () -> Segment.read(turned, (kind, body) -> { }), "bit " + bit);
+            assertThrows(Segment.Damaged.class, () -> Segment.read(turned, (kind, body) -> {}), "bit " + bit);
         }
     }
 
     @Test
     void theFirstFailureIsTheLast() throws IOException {
         boolean[] fails = {false};
-        SegmentStore s = new SegmentStore(dir, d -> new Disk() {
-            @Override
-            public void append(java.nio.ByteBuffer bytes) throws IOException {
-                d.append(bytes);
-            }
+        SegmentStore s = new SegmentStore(
+                dir,
+                d -> new Disk() {
+                    @Override
+                    public void append(java.nio.ByteBuffer bytes) throws IOException {
+                        d.append(bytes);
+                    }
 
-            @Override
-            public void force() throws IOException {
-                if (fails[0]) {
-                    throw new IOException("no");
-                }
-                d.force();
-            }
+                    @Override
+                    public void force() throws IOException {
+                        if (fails[0]) {
+                            throw new IOException("no");
+                        }
+                        d.force();
+                    }
 
-            @Override
-            public void close() throws IOException {
-                d.close();
-            }
-        }, line -> { });
+                    @Override
+                    public void close() throws IOException {
+                        d.close();
+                    }
+                },
+                line -> {});
         s.begin(7);
         assertNull(s.failed());
         fails[0] = true;
@@ -156,9 +179,16 @@
     /** Every kind of line and ask goes through the codec unchanged. */
     @Test
     void whatIsSentIsWhatComes() throws IOException {
-        for (Command c : List.of(new Command.Open("m", -5, 1000), new Command.Close(1), new Command.Acquire(1, "x", 2),
-                new Command.Release(1, "x", 3), new Command.Join(1, "p", 4), new Command.Leave(1, "p"),
-                new Command.GiveUp(1, "p", 2, 3), new Command.Tick(1, "t", 9), new Command.Floor(1L << 60))) {
+        for (Command c : List.of(
+                new Command.Open("m", -5, 1000),
+                new Command.Close(1),
+                new Command.Acquire(1, "x", 2),
+                new Command.Release(1, "x", 3),
+                new Command.Join(1, "p", 4),
+                new Command.Leave(1, "p"),
+                new Command.GiveUp(1, "p", 2, 3),
+                new Command.Tick(1, "t", 9),
+                new Command.Floor(1L << 60))) {
             Call call = new Call(3, new marlford.lease.Ask.Submit(c));
             assertEquals(call, Codec.read(Codec.bytes(call), Call.class));
         }
--- a/fleet/src/test/java/marlford/agree/VoterTest.java
+++ b/fleet/src/test/java/marlford/agree/VoterTest.java
@@ -30,6 +30,7 @@
 
     @TempDir
     private Path dir;
+
     private final NioEventLoopGroup network = new NioEventLoopGroup(1);
     private final BlockingQueue<Codec.Mail> mail = new LinkedBlockingQueue<>(); // what it sends to B, in its order
     private Voter voter;
@@ -59,7 +60,9 @@
     }
 
     private Codec.Mail next(String kind) throws InterruptedException {
-        for (Codec.Mail m = mail.poll(PATIENCE_S, TimeUnit.SECONDS); m != null; m = mail.poll(PATIENCE_S, TimeUnit.SECONDS)) {
+        for (Codec.Mail m = mail.poll(PATIENCE_S, TimeUnit.SECONDS);
+                m != null;
+                m = mail.poll(PATIENCE_S, TimeUnit.SECONDS)) {
             if (m.kind().equals(kind)) {
                 return m;
             }
@@ -74,9 +77,18 @@
     /** B leads in the first term, and has nothing to say. */
     private RaftMessage lead() {
         RaftEndpoint b = new Point("b:2");
-        return Codec.MODELS.createAppendEntriesRequestBuilder().setGroupId(GROUP).setSender(b).setTerm(1).setPreviousLogTerm(0)
-                .setPreviousLogIndex(0).setCommitIndex(0).setLogEntries(List.of()).setQuerySequenceNumber(0)
-                .setFlowControlSequenceNumber(0).build();
+        return Codec.MODELS
+                .createAppendEntriesRequestBuilder()
+                .setGroupId(GROUP)
+                .setSender(b)
+                .setTerm(1)
+                .setPreviousLogTerm(0)
+                .setPreviousLogIndex(0)
+                .setCommitIndex(0)
+                .setLogEntries(List.of())
+                .setQuerySequenceNumber(0)
+                .setFlowControlSequenceNumber(0)
+                .build();
     }
 
     /**
@@ -92,10 +104,14 @@
         Map<String, InetSocketAddress> voters = new LinkedHashMap<>();
         voters.put("a", own);
         voters.put("b", other(this::frame));
-        voters.put("c", other((from, kind, body) -> { })); // or what it says to both would come in any order
-        voter = new Voter(new Voter.Settings(FLEET, "a", voters, dir), MonotonicTime.ofThisProcess(), network, System.out::println);
+        voters.put("c", other((from, kind, body) -> {})); // or what it says to both would come in any order
+        voter = new Voter(
+                new Voter.Settings(FLEET, "a", voters, dir),
+                MonotonicTime.ofThisProcess(),
+                network,
+                System.out::println);
         voter.start();
-        toVoter = new Link(network, own, (from, kind, body) -> { });
+        toVoter = new Link(network, own, (from, kind, body) -> {});
         while (!toVoter.isOpen()) {
             Thread.sleep(5);
         }
--- a/fleet/src/test/java/marlford/agree/WorkLinesTest.java
+++ b/fleet/src/test/java/marlford/agree/WorkLinesTest.java
@@ -30,8 +30,12 @@
 
     @Test
     void whatIsWrittenIsReadAsItWas() throws Exception {
-        List<Line> lines = List.of(new Line.Enter(ORDER, "a", 3), new Line.Move("7:k", 5, "b"),
-                new Line.End("7:k", 5, new Outcome(200, "done")), new Line.Withdraw("7:k", 5), new Line.Take("7:k", 9, 6),
+        List<Line> lines = List.of(
+                new Line.Enter(ORDER, "a", 3),
+                new Line.Move("7:k", 5, "b"),
+                new Line.End("7:k", 5, new Outcome(200, "done")),
+                new Line.Withdraw("7:k", 5),
+                new Line.Take("7:k", 9, 6),
                 new Line.Forget(12));
         for (Line l : lines) {
             Codec.Line written = new Codec.Line(4, 2, new Command.Work(1, l), null);
@@ -41,7 +45,8 @@
         }
         Register register = new Register();
         Said owned = register.apply(1, 1, lines.get(0), (a, b, c) -> false, () -> 5);
-        CallBack back = new CallBack(1, new Reply(Reply.Status.OK, "v", new Answer(Answer.Kind.DONE, 0, owned), 1, null));
+        CallBack back =
+                new CallBack(1, new Reply(Reply.Status.OK, "v", new Answer(Answer.Kind.DONE, 0, owned), 1, null));
         assertEquals(back, Codec.read(Codec.bytes(back), CallBack.class));
     }
 
@@ -52,18 +57,33 @@
         long b = say(book, new Command.Open("b", 2, 1000)).value();
         say(book, new Command.Join(a, "work", Register.SHARDS));
         say(book, new Command.Join(b, "work", Register.SHARDS));
-        Said first = say(book, new Command.Work(a, new Line.Enter(ORDER, "x", 1))).work();
+        Said first =
+                say(book, new Command.Work(a, new Line.Enter(ORDER, "x", 1))).work();
         assertEquals(Said.Kind.OWNED, first.kind());
-        assertEquals(Said.Kind.RUNS, book.look(ORDER.key(), ORDER.digest()).work().kind());
+        assertEquals(
+                Said.Kind.RUNS, book.look(ORDER.key(), ORDER.digest()).work().kind());
         int shard = Register.shard(ORDER.key());
         say(book, new Command.Close(a));
-        Book.Holding mine = book.holdings(b).stream().filter(h -> h.shard() == shard).findFirst().orElseThrow();
+        Book.Holding mine = book.holdings(b).stream()
+                .filter(h -> h.shard() == shard)
+                .findFirst()
+                .orElseThrow();
         Book copy = Book.of(Codec.agreed(Codec.bytes(book.image()), Book.Image.class)); // as a snapshot
         for (Book each : List.of(book, copy)) {
-            assertEquals(Answer.Kind.GONE, each.apply(90, new Command.Work(a, new Line.End(ORDER.key(), first.token(),
-                    new Outcome(200, "late")))).kind());
-            assertEquals(Said.Kind.NOT_YOURS, each.apply(91, new Command.Work(b, new Line.Take(ORDER.key(), shard, 3))).work().kind());
-            Said taken = each.apply(92, new Command.Work(b, new Line.Take(ORDER.key(), shard, mine.token()))).work();
+            assertEquals(
+                    Answer.Kind.GONE,
+                    each.apply(
+                                    90,
+                                    new Command.Work(
+                                            a, new Line.End(ORDER.key(), first.token(), new Outcome(200, "late"))))
+                            .kind());
+            assertEquals(
+                    Said.Kind.NOT_YOURS,
+                    each.apply(91, new Command.Work(b, new Line.Take(ORDER.key(), shard, 3)))
+                            .work()
+                            .kind());
+            Said taken = each.apply(92, new Command.Work(b, new Line.Take(ORDER.key(), shard, mine.token())))
+                    .work();
             assertEquals(Said.Kind.OWNED, taken.kind());
             assertTrue(taken.token() > first.token());
             Outcome done = new Outcome(200, "done");
--- a/fleet/src/test/java/marlford/board/BoardTest.java
+++ b/fleet/src/test/java/marlford/board/BoardTest.java
@@ -22,7 +22,8 @@
     }
 
     private List<Row> all(double now) {
-        return board.hear(99, new Telling(now, 1, 0, List.of()), t -> false, now).rows();
+        return board.hear(99, new Telling(now, 1, 0, List.of()), t -> false, now)
+                .rows();
     }
 
     @Test
--- a/fleet/src/test/java/marlford/fleet/ActsTest.java
+++ b/fleet/src/test/java/marlford/fleet/ActsTest.java
@@ -17,13 +17,16 @@
     @Test
     void anActThatTheClientNeverEndsIsOverAllTheSame() throws Exception {
         CompletableFuture<Object> never = new CompletableFuture<>();
-        assertNull(new Acts(request -> never).post(URI.create("http://127.0.0.1:1/act"), ACT, "g0").get(PATIENCE_S, TimeUnit.SECONDS));
+        assertNull(new Acts(request -> never)
+                .post(URI.create("http://127.0.0.1:1/act"), ACT, "g0")
+                .get(PATIENCE_S, TimeUnit.SECONDS));
         assertTrue(never.isCancelled());
     }
 
     /** A resource that can't be reached is no failure of the holder. */
     @Test
     void anActThatFailsIsOver() throws Exception {
-        assertNull(new Acts().post(URI.create("http://127.0.0.1:1/act"), ACT, "g0").get(PATIENCE_S, TimeUnit.SECONDS));
+        assertNull(
+                new Acts().post(URI.create("http://127.0.0.1:1/act"), ACT, "g0").get(PATIENCE_S, TimeUnit.SECONDS));
     }
 }
--- a/fleet/src/test/java/marlford/fleet/FleetConfigTest.java
+++ b/fleet/src/test/java/marlford/fleet/FleetConfigTest.java
@@ -37,18 +37,21 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"name\": \"b\", | \"name\": \"a\", | voter a or its address is named twice",
-        "127.0.0.1:2 | 127.0.0.1:1 | voter b or its address is named twice",
-        "127.0.0.1:2 | 127.0.0.1:99999 | bad address",
-        "1000 | 10 | ttl_ms",
-        "\"kind\": \"single\" | \"kind\": \"both\" | kind",
-        "\"fleet\": \"f\", | '' | fleet",
-        "\"session\" | \"sesion\" | sesion",
-        "}]} | }]}} | can't read"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"name\": \"b\", | \"name\": \"a\", | voter a or its address is named twice",
+                "127.0.0.1:2 | 127.0.0.1:1 | voter b or its address is named twice",
+                "127.0.0.1:2 | 127.0.0.1:99999 | bad address",
+                "1000 | 10 | ttl_ms",
+                "\"kind\": \"single\" | \"kind\": \"both\" | kind",
+                "\"fleet\": \"f\", | '' | fleet",
+                "\"session\" | \"sesion\" | sesion",
+                "}]} | }]}} | can't read"
+            })
     void whatIsWrongIsSaidInOneLine(String part, String instead, String says) {
-        FleetConfig.BadFleet e = assertThrows(FleetConfig.BadFleet.class,
-                () -> read(GOOD.replace(part, instead == null ? "" : instead), "a"));
+        FleetConfig.BadFleet e = assertThrows(
+                FleetConfig.BadFleet.class, () -> read(GOOD.replace(part, instead == null ? "" : instead), "a"));
         assertTrue(e.getMessage().contains(says) && e.getMessage().lines().count() == 1, e.getMessage());
     }
 
@@ -61,6 +64,6 @@
     @Test
     void aSessionThatLeavesNoTimeIsRefused() throws Exception {
         FleetConfig c = read(GOOD.replace("1000", "400"), "x");
-        assertThrows(IllegalArgumentException.class, () -> new Fleet(c, line -> { }));
+        assertThrows(IllegalArgumentException.class, () -> new Fleet(c, line -> {}));
     }
 }
--- a/fleet/src/test/java/marlford/lease/BookTest.java
+++ b/fleet/src/test/java/marlford/lease/BookTest.java
@@ -74,7 +74,9 @@
             Answer a = say(new Command.Acquire(member("m" + i), "two", 2));
             assertEquals(i < 2 ? Kind.GRANTED : Kind.WAITING, a.kind());
         }
-        assertEquals(Kind.DIFFERS, say(new Command.Acquire(member("other"), "two", 3)).kind());
+        assertEquals(
+                Kind.DIFFERS,
+                say(new Command.Acquire(member("other"), "two", 3)).kind());
     }
 
     @Test
@@ -90,8 +92,10 @@
     private Map<Long, List<Integer>> owners(String pool) {
         Map<Long, List<Integer>> owners = new HashMap<>();
         for (Book.Session s : book.sessions()) {
-            book.holdings(s.id()).stream().filter(h -> h.name().equals(pool))
-                    .forEach(h -> owners.computeIfAbsent(s.id(), id -> new ArrayList<>()).add(h.shard()));
+            book.holdings(s.id()).stream()
+                    .filter(h -> h.name().equals(pool))
+                    .forEach(h -> owners.computeIfAbsent(s.id(), id -> new ArrayList<>())
+                            .add(h.shard()));
         }
         return owners;
     }
@@ -136,7 +140,8 @@
             Map<Long, List<Integer>> now = t.owners("p");
             if (!living.isEmpty()) {
                 assertEquals(shards, now.values().stream().mapToInt(List::size).sum());
-                assertTrue(now.values().stream().allMatch(has -> has.size() <= (shards + living.size() - 1) / living.size()));
+                assertTrue(now.values().stream()
+                        .allMatch(has -> has.size() <= (shards + living.size() - 1) / living.size()));
             }
         }
     }
@@ -167,7 +172,10 @@
             for (Book.Lease l : image.leases()) {
                 assertTrue(l.holders().size() <= l.limit());
                 assertTrue(l.queue().isEmpty() || l.holders().size() == l.limit());
-                l.holders().keySet().forEach(s -> assertTrue(t.book.session(s) != null && !l.queue().contains(s)));
+                l.holders()
+                        .keySet()
+                        .forEach(s -> assertTrue(
+                                t.book.session(s) != null && !l.queue().contains(s)));
             }
             twin.apply(t.index, c);
             assertEquals(image, twin.image());
@@ -193,8 +201,11 @@
             acquire(a, "l" + i);
         }
         assertEquals(Kind.FULL, acquire(a, "more").kind());
-        assertEquals(Kind.MALFORMED, acquire(a, "n".repeat(Command.NAME_MAX + 1)).kind());
-        assertEquals(Kind.MALFORMED, say(new Command.Join(a, "p", Book.SHARDS_MAX + 1)).kind());
+        assertEquals(
+                Kind.MALFORMED, acquire(a, "n".repeat(Command.NAME_MAX + 1)).kind());
+        assertEquals(
+                Kind.MALFORMED,
+                say(new Command.Join(a, "p", Book.SHARDS_MAX + 1)).kind());
         assertEquals(Book.LEASES_MAX, book.holdings(a).size());
     }
 
--- a/fleet/src/test/java/marlford/lease/MemberTest.java
+++ b/fleet/src/test/java/marlford/lease/MemberTest.java
@@ -28,8 +28,11 @@
             Sim sim = new Sim(seed, 0.1);
             Random random = sim.random;
             for (int i = 0; i < 4; i++) {
-                sim.add("m" + i).with(new Duties.Single("one", 1, 50, 40)).with(new Duties.Single("two", 2, 50, 40))
-                        .with(new Duties.Sharded("pool", 6, 50, 40)).with(new Duties.Ticking("tick", 500, 40));
+                sim.add("m" + i)
+                        .with(new Duties.Single("one", 1, 50, 40))
+                        .with(new Duties.Single("two", 2, 50, 40))
+                        .with(new Duties.Sharded("pool", 6, 50, 40))
+                        .with(new Duties.Ticking("tick", 500, 40));
             }
             Map<String, Long> lastToken = new HashMap<>();
             Map<Long, String> ticked = new HashMap<>();
@@ -41,7 +44,7 @@
                     case 1 -> sim.elect();
                     case 2 -> p.member.release("one");
                     case 3 -> p.member.want("one", 1);
-                    default -> { }
+                    default -> {}
                 }
                 Map<String, Integer> running = new HashMap<>();
                 for (Sim.Peer q : sim.peers) {
@@ -74,14 +77,17 @@
                             }
                         }
                     }
-                    q.running.keySet().stream().filter(a -> a.tick() < 0)
+                    q.running.keySet().stream()
+                            .filter(a -> a.tick() < 0)
                             .forEach(a -> running.merge(a.task() + a.shard(), 1, Integer::sum));
                 }
                 long at = seed;
-                running.forEach((piece, n) -> assertTrue(n <= (piece.startsWith("two") ? 2 : 1), "seed " + at + " " + piece));
+                running.forEach(
+                        (piece, n) -> assertTrue(n <= (piece.startsWith("two") ? 2 : 1), "seed " + at + " " + piece));
             }
         }
-        System.out.println("members: " + SEEDS + " seeds, " + acts + " acts, " + moves + " hand-overs, " + ticks + " ticks");
+        System.out.println(
+                "members: " + SEEDS + " seeds, " + acts + " acts, " + moves + " hand-overs, " + ticks + " ticks");
         assertTrue(acts > 0 && moves > 0 && ticks > 0);
     }
 
@@ -135,12 +141,18 @@
         Member m = new Member("m", 0, TTL, List.of("v0", "v1", "v2"), 0, 0, 300);
         m.heard(m.due(0).get(0).id(), new Reply(Reply.Status.OK, "v0", Answer.granted(7), 1, null), 1);
         List<Member.Outgoing> first = m.due(2);
-        Member.Outgoing renew = first.stream().filter(o -> o.ask() instanceof Ask.Renew).findFirst().get();
+        Member.Outgoing renew = first.stream()
+                .filter(o -> o.ask() instanceof Ask.Renew)
+                .findFirst()
+                .get();
         assertTrue(first.stream().anyMatch(o -> o.ask() instanceof Ask.Watch));
         m.heard(renew.id(), new Reply(Reply.Status.OK, "v0", new Answer(Answer.Kind.DONE, 0), 5, null), 3);
         assertTrue(m.due(4).isEmpty());
         List<Member.Outgoing> next = m.due(TTL / 4 + 5);
-        m.heard(next.get(0).id(), new Reply(Reply.Status.OK, "v0", new Answer(Answer.Kind.DONE, 6), 6, null), TTL / 4 + 6);
+        m.heard(
+                next.get(0).id(),
+                new Reply(Reply.Status.OK, "v0", new Answer(Answer.Kind.DONE, 6), 6, null),
+                TTL / 4 + 6);
         assertTrue(m.due(TTL / 4 + 7).stream().anyMatch(o -> o.ask() instanceof Ask.Watch));
     }
 
@@ -157,13 +169,13 @@
         while (sim.book.image().leases().size() < 10_000) {
             sim.step();
         }
-        for (double end = sim.now + 1000; sim.now < end;) {
+        for (double end = sim.now + 1000; sim.now < end; ) {
             sim.step();
         }
         long before = sim.asks;
         long lines = sim.index;
         double seconds = 10;
-        for (double end = sim.now + seconds * 1000; sim.now < end;) {
+        for (double end = sim.now + seconds * 1000; sim.now < end; ) {
             sim.step();
         }
         double each = (sim.asks - before) / seconds / 500;
--- a/fleet/src/test/java/marlford/lease/Sim.java
+++ b/fleet/src/test/java/marlford/lease/Sim.java
@@ -18,6 +18,7 @@
     public static final double STEP = 10;
     /** Of a session, in milliseconds. */
     public static final long TTL = 1000;
+
     private static final int VOTERS = 3;
 
     public final Random random;
@@ -34,11 +35,12 @@
     long asks;
     /** What asks and replies are measured by, and what they came to. */
     public ToIntFunction<Object> size = o -> 0;
+
     public long bytes;
 
-    private record Mail(double at, Runnable what) { }
+    private record Mail(double at, Runnable what) {}
 
-    private record Watching(Peer to, long id, Ask.Watch ask) { }
+    private record Watching(Peer to, long id, Ask.Watch ask) {}
 
     public Sim(long seed, double loss) {
         this.random = new Random(seed);
@@ -96,9 +98,12 @@
             if (book.session(renew.session()) == null) {
                 r = ok(Answer.GONE);
             } else {
-                Notice news = renew.telling() == null ? null : board.hear(renew.session(), renew.telling(),
-                        token -> book.holds(renew.session(), token), now);
-                r = silence[leader].heard(renew.session(), now) ? ok(Answer.goesOn(book.session(renew.session()))).with(news)
+                Notice news = renew.telling() == null
+                        ? null
+                        : board.hear(
+                                renew.session(), renew.telling(), token -> book.holds(renew.session(), token), now);
+                r = silence[leader].heard(renew.session(), now)
+                        ? ok(Answer.goesOn(book.session(renew.session()))).with(news)
                         : Reply.no(Reply.Status.NOT_LEADER, "");
             }
         } else {
--- a/fleet/src/test/java/marlford/lease/TwoHoldersTest.java
+++ b/fleet/src/test/java/marlford/lease/TwoHoldersTest.java
@@ -24,7 +24,8 @@
         Courses.Found all = COURSES.all(() -> new World(World.Fault.NONE, SHORT_TTL), DEPTH);
         assertNull(all.broken());
         System.out.println("two holders: all courses of up to " + DEPTH + " steps, " + all.states() + " states");
-        String found = COURSES.all(() -> new World(World.Fault.ENDED_EARLY, SHORT_TTL), DEPTH).broken();
+        String found = COURSES.all(() -> new World(World.Fault.ENDED_EARLY, SHORT_TTL), DEPTH)
+                .broken();
         assertNotNull(found, "a session that is ended early must show within this length");
         System.out.println("two holders: ended early, " + found);
     }
--- a/fleet/src/test/java/marlford/lease/World.java
+++ b/fleet/src/test/java/marlford/lease/World.java
@@ -13,8 +13,15 @@
 final class World implements Courses.World {
     /** What may be planted: each is a fault that the invariants have to find. */
     enum Fault {
-        NONE, COUNTED_FROM_REPLY, NO_MARGIN, TOKEN_NOT_CHECKED, ENDED_EARLY, RENEWED_WHILE_ENDING, RENEWED_TWICE,
-        LEADS_BEFORE_READING, OPENING_CONFIRMS
+        NONE,
+        COUNTED_FROM_REPLY,
+        NO_MARGIN,
+        TOKEN_NOT_CHECKED,
+        ENDED_EARLY,
+        RENEWED_WHILE_ENDING,
+        RENEWED_TWICE,
+        LEADS_BEFORE_READING,
+        OPENING_CONFIRMS
     }
 
     static final int CHOICES = 14 + 3 * 2;
@@ -25,7 +32,7 @@
     private static final int BAG_MAX = 2; // messages under way
 
     /** A message under way: a renewal to a voter, or its answer. */
-    private record Mail(Client client, Tenure of, long session, double sentAt, int voter, boolean answer) { }
+    private record Mail(Client client, Tenure of, long session, double sentAt, int voter, boolean answer) {}
 
     /** A client's process. */
     private final class Client {
@@ -53,7 +60,16 @@
 
         @Override
         public String toString() {
-            return name + session + ',' + token + ',' + stopped + ',' + writes + ',' + (tenure == null ? "" : tenure.leftMs(now()));
+            return name
+                    + session
+                    + ','
+                    + token
+                    + ','
+                    + stopped
+                    + ','
+                    + writes
+                    + ','
+                    + (tenure == null ? "" : tenure.leftMs(now()));
         }
     }
 
@@ -120,10 +136,11 @@
         agreeAll();
         List<Book.Session> living = book.sessions();
         if (fault == Fault.ENDED_EARLY) {
-            living = living.stream().map(b -> new Book.Session(b.id(), b.member(), b.nonce(), b.ttlMs() / 4, 0)).toList();
+            living = living.stream()
+                    .map(b -> new Book.Session(b.id(), b.member(), b.nonce(), b.ttlMs() / 4, 0))
+                    .toList();
         }
-        voters[leader].due(time * RATES[leader], living)
-                .forEach(id -> proposed.add(new Command.Close(id)));
+        voters[leader].due(time * RATES[leader], living).forEach(id -> proposed.add(new Command.Close(id)));
     }
 
     private void agreeAll() {
@@ -231,9 +248,19 @@
     /** All that decides what may still happen. */
     @Override
     public String state() {
-        StringBuilder s = new StringBuilder().append(clients).append(leader).append(voters[leader]).append(time)
-                .append(proposed).append(book.image()).append(seen);
-        bag.forEach(m -> s.append(m.client().name).append(m.session()).append('@').append(m.sentAt()).append(m.answer())
+        StringBuilder s = new StringBuilder()
+                .append(clients)
+                .append(leader)
+                .append(voters[leader])
+                .append(time)
+                .append(proposed)
+                .append(book.image())
+                .append(seen);
+        bag.forEach(m -> s.append(m.client().name)
+                .append(m.session())
+                .append('@')
+                .append(m.sentAt())
+                .append(m.answer())
                 .append(m.voter()));
         return s.toString();
     }
--- a/fleet/src/test/java/marlford/probe/ProberTest.java
+++ b/fleet/src/test/java/marlford/probe/ProberTest.java
@@ -66,8 +66,11 @@
             p.running.entrySet().removeIf(e -> {
                 if (e.getValue() <= sim.now) {
                     boolean lost = p.blind || down.contains(e.getKey().host());
-                    p.prober.ended(p.peer.member, e.getKey(),
-                            new Finding(lost ? Finding.Kind.UNREACHED : Finding.Kind.WELL, TAKES), sim.now);
+                    p.prober.ended(
+                            p.peer.member,
+                            e.getKey(),
+                            new Finding(lost ? Finding.Kind.UNREACHED : Finding.Kind.WELL, TAKES),
+                            sim.now);
                 }
                 return e.getValue() <= sim.now;
             });
@@ -92,15 +95,21 @@
         probes = 0;
         double from = sim.now;
         down.add("tile-3.example");
-        while (members.stream().anyMatch(p -> p.last.get("tile-3.example").finding().kind() != Finding.Kind.UNREACHED)) {
+        while (members.stream()
+                .anyMatch(p -> p.last.get("tile-3.example").finding().kind() != Finding.Kind.UNREACHED)) {
             step(sim, "");
         }
-        System.out.println("probes: a host that is down is known to all of " + MEMBERS + " after " + (sim.now - from) + " ms");
+        System.out.println(
+                "probes: a host that is down is known to all of " + MEMBERS + " after " + (sim.now - from) + " ms");
         while (sim.now < from + 20 * EVERY) {
             step(sim, "");
         }
         assertTrue(probes <= 21 * 20 && probes >= 15 * 20, probes + " probes of 20 hosts in 20 rounds");
-        assertEquals(0, members.stream().filter(p -> p.last.get("tile-4.example").finding().kind() != Finding.Kind.WELL).count());
+        assertEquals(
+                0,
+                members.stream()
+                        .filter(p -> p.last.get("tile-4.example").finding().kind() != Finding.Kind.WELL)
+                        .count());
     }
 
     /** Who reaches nobody says nothing of the hosts, and the others' hosts are told all the same. */
@@ -111,7 +120,7 @@
             step(sim, "");
         }
         members.get(0).blind = true;
-        for (double end = sim.now + 20 * EVERY; sim.now < end;) {
+        for (double end = sim.now + 20 * EVERY; sim.now < end; ) {
             step(sim, "");
         }
         Set<String> blamed = new TreeSet<>();
@@ -120,8 +129,11 @@
                 blamed.add(h);
             }
         });
-        assertTrue(blamed.size() < Prober.FEWEST, blamed.toString()); // until it has failed often enough to doubt itself
-        assertTrue(members.get(0).prober.text().matches(".*kept_to_itself=[1-9].*"), members.get(0).prober.text());
+        assertTrue(
+                blamed.size() < Prober.FEWEST, blamed.toString()); // until it has failed often enough to doubt itself
+        assertTrue(
+                members.get(0).prober.text().matches(".*kept_to_itself=[1-9].*"),
+                members.get(0).prober.text());
     }
 
     /** Whatever happens to members, and whatever is lost: never two probers of a host that both live, and probing goes on. */
@@ -137,13 +149,16 @@
                 switch (random.nextInt(150)) {
                     case 0 -> {
                         p.peer.standsUntil = sim.now + random.nextInt(2500);
-                        p.running.keySet().forEach(x -> p.prober.ended(p.peer.member, x, new Finding(Finding.Kind.LATE, 0), sim.now));
+                        p.running
+                                .keySet()
+                                .forEach(x ->
+                                        p.prober.ended(p.peer.member, x, new Finding(Finding.Kind.LATE, 0), sim.now));
                         p.running.clear(); // whoever wakes finds its probes long over
                     }
                     case 1 -> sim.elect();
                     case 2 -> down.add("tile-" + random.nextInt(12) + ".example");
                     case 3 -> down.clear();
-                    default -> { }
+                    default -> {}
                 }
             }
             assertTrue(probes > before, "seed " + seed);
@@ -171,7 +186,10 @@
         }
         down.clear();
         late.evidence.read(late.peer.member.board(), sim.now);
-        late.peer.member.board().tell(Prober.TOPIC, probe.host(), probe.token(), "UNREACHED 1", probe.sentAt() - 200, true);
+        late.peer
+                .member
+                .board()
+                .tell(Prober.TOPIC, probe.host(), probe.token(), "UNREACHED 1", probe.sentAt() - 200, true);
         members.get(1).last.remove(probe.host());
         for (int i = 0; i < 10; i++) {
             step(sim, "");
--- a/fleet/src/test/java/marlford/turn/ListTurnsTest.java
+++ b/fleet/src/test/java/marlford/turn/ListTurnsTest.java
@@ -76,7 +76,7 @@
     }
 
     private void pass(double ms) {
-        for (double end = sim.now + ms; sim.now < end;) {
+        for (double end = sim.now + ms; sim.now < end; ) {
             step();
         }
     }
@@ -85,9 +85,15 @@
         double from = sim.now;
         while (gateways.stream().anyMatch(g -> !g.has)) {
             step();
-            assertTrue(sim.now < from + 3 * ListTurns.LONGEST_MS, "somebody is left without a list: " + gateways.stream().filter(g -> !g.has)
-                    .map(g -> g.peer.member + " " + g.turns.text() + " due " + g.dueAt + " answer " + g.answerAt).toList()
-                    + " at " + sim.now + " " + sim.text());
+            assertTrue(
+                    sim.now < from + 3 * ListTurns.LONGEST_MS,
+                    "somebody is left without a list: "
+                            + gateways.stream()
+                                    .filter(g -> !g.has)
+                                    .map(g -> g.peer.member + " " + g.turns.text() + " due " + g.dueAt + " answer "
+                                            + g.answerAt)
+                                    .toList()
+                            + " at " + sim.now + " " + sim.text());
         }
         return sim.now - from;
     }
@@ -98,8 +104,9 @@
         pass(1500);
         away = false;
         double took = untilAllHave();
-        System.out.println("lists: 40 gateways have the list " + took + " ms after the agent's return, whole lists told: " + wholes
-                + ", calls while it was away 1.5 s: " + callsWhileAway);
+        System.out.println(
+                "lists: 40 gateways have the list " + took + " ms after the agent's return, whole lists told: " + wholes
+                        + ", calls while it was away 1.5 s: " + callsWhileAway);
         assertTrue(wholes <= 3, wholes + " whole lists");
         assertTrue(callsWhileAway <= 40, callsWhileAway + " calls while it was away"); // one after another
     }
@@ -132,7 +139,9 @@
         Gateway alone = gateways.get(0);
         alone.peer.member.leave();
         alone.turns.due(alone.peer.member, "a", sim.now);
-        assertEquals(ListTurns.Step.CALL, alone.turns.decide(alone.peer.member, sim.now, 0).step());
+        assertEquals(
+                ListTurns.Step.CALL,
+                alone.turns.decide(alone.peer.member, sim.now, 0).step());
         Gateway holder = gateways.get(1);
         gateways.forEach(g -> g.dueAt = Double.NaN);
         holder.dueAt = sim.now;
--- a/fleet/src/test/java/marlford/usage/UsageTest.java
+++ b/fleet/src/test/java/marlford/usage/UsageTest.java
@@ -120,7 +120,8 @@
             passedOver += log.passedOver();
             assertEquals(sources.stream().mapToLong(s -> s.cells.admitted).sum(), sumOf(log), "seed " + seed);
         }
-        System.out.println("usage: " + SEEDS + " seeds, " + late + " late writes, " + passedOver + " records passed over");
+        System.out.println(
+                "usage: " + SEEDS + " seeds, " + late + " late writes, " + passedOver + " records passed over");
         assertTrue(late > 0 && passedOver > 0);
     }
 
--- a/fleet/src/test/java/marlford/voters/VotersTest.java
+++ b/fleet/src/test/java/marlford/voters/VotersTest.java
@@ -54,11 +54,14 @@
         assertNull(r.next(Set.of("a:1", "b:1", "c:1"), Set.of("a:1", "b:1", "c:1"), "a:1", 10));
         r.heard(hello("b:1", 1, null), 5000);
         r.heard(hello("c:2", 1, null), 5000);
-        assertEquals(new Replacement.Step(Replacement.Kind.REMOVE, "c:1"),
+        assertEquals(
+                new Replacement.Step(Replacement.Kind.REMOVE, "c:1"),
                 r.next(Set.of("a:1", "b:1", "c:1"), Set.of("a:1", "b:1", "c:1"), "a:1", 5001));
-        assertEquals(new Replacement.Step(Replacement.Kind.LISTEN, "c:2"),
+        assertEquals(
+                new Replacement.Step(Replacement.Kind.LISTEN, "c:2"),
                 r.next(Set.of("a:1", "b:1"), Set.of("a:1", "b:1"), "a:1", 5001));
-        assertEquals(new Replacement.Step(Replacement.Kind.VOTE, "c:2"),
+        assertEquals(
+                new Replacement.Step(Replacement.Kind.VOTE, "c:2"),
                 r.next(Set.of("a:1", "b:1"), Set.of("a:1", "b:1", "c:2"), "a:1", 5001));
     }
 
--- a/fleet/src/test/java/marlford/work/DeskTest.java
+++ b/fleet/src/test/java/marlford/work/DeskTest.java
@@ -82,11 +82,11 @@
     void whatIsBeyondTheBoundIsNotTaken() {
         Desk desk = new Desk(0);
         for (int i = 0; i < Desk.WAITING_MAX; i++) {
-            assertTrue(desk.carry(enter(i), s -> { }));
+            assertTrue(desk.carry(enter(i), s -> {}));
         }
-        assertFalse(desk.carry(enter(1), s -> { }));
+        assertFalse(desk.carry(enter(1), s -> {}));
         assertEquals(Desk.UNDER_WAY_MAX, desk.due(0).size());
         assertEquals(0, desk.due(1).size());
-        assertTrue(desk.carry(enter(1), s -> { }));
+        assertTrue(desk.carry(enter(1), s -> {}));
     }
 }
--- a/fleet/src/test/java/marlford/work/OnceTest.java
+++ b/fleet/src/test/java/marlford/work/OnceTest.java
@@ -14,7 +14,8 @@
     private static final int DEPTH = Integer.getInteger("marlford.work.depth", 7);
     private static final int SCHEDULES = Integer.getInteger("marlford.work.schedules", 100_000);
     private static final int STEPS = 100;
-    private static final int[] OFTEN = {0, 0, 2, 3, 2, 3, 4, 4, 5, 8, 9, 10, 11, 12, 13}; // lines go, arrive, attempts run
+    private static final int[] OFTEN = {0, 0, 2, 3, 2, 3, 4, 4, 5, 8, 9, 10, 11, 12, 13
+    }; // lines go, arrive, attempts run
     private static final Courses COURSES = new Courses(Tier.CHOICES);
 
     private static Tier random(Tier.Fault fault, long seed) {
@@ -41,7 +42,8 @@
             takes += t.takes();
             ends += t.ends();
         }
-        System.out.println("work: seeds 1 to " + SCHEDULES + ", " + runs + " runs, " + takes + " takings over, " + ends + " ends");
+        System.out.println(
+                "work: seeds 1 to " + SCHEDULES + ", " + runs + " runs, " + takes + " takings over, " + ends + " ends");
         assertTrue(runs > 0 && takes > 0 && ends > 0);
     }
 
--- a/fleet/src/test/java/marlford/work/RegisterTest.java
+++ b/fleet/src/test/java/marlford/work/RegisterTest.java
@@ -39,12 +39,16 @@
         assertEquals(first, enter(A, "k", 1));
         assertEquals(Said.Kind.RUNS, enter(A, "k", 2).kind());
         assertEquals(Said.Kind.RUNS, enter(B, "k", 1).kind());
-        assertEquals(Said.Kind.DIFFERS, say(B, new Line.Enter(order("k", "e", ""), "x", 3)).kind());
+        assertEquals(
+                Said.Kind.DIFFERS,
+                say(B, new Line.Enter(order("k", "e", ""), "x", 3)).kind());
         Outcome done = new Outcome(200, "ok");
         assertEquals(done, say(A, new Line.End("k", first.token(), done)).outcome());
         assertEquals(done, say(A, new Line.End("k", first.token(), done)).outcome());
         assertEquals(done, enter(B, "k", 4).outcome());
-        assertEquals(Said.Kind.DIFFERS, say(B, new Line.Enter(order("k", "e", ""), "x", 5)).kind());
+        assertEquals(
+                Said.Kind.DIFFERS,
+                say(B, new Line.Enter(order("k", "e", ""), "x", 5)).kind());
         assertNull(register.entry("k"));
     }
 
@@ -60,13 +64,19 @@
         assertEquals(1, taken.entry().taken());
         assertEquals(taken, take(B, "k"));
         assertEquals(0, register.orphans(Register.shard("k"), 9).size());
-        assertEquals(Said.Kind.NOT_YOURS, say(A, new Line.End("k", token, new Outcome(200, "late"))).kind());
+        assertEquals(
+                Said.Kind.NOT_YOURS,
+                say(A, new Line.End("k", token, new Outcome(200, "late"))).kind());
         assertEquals(Said.Kind.NOT_YOURS, say(A, new Line.Move("k", token, "y")).kind());
         assertEquals(Said.Kind.RUNS, enter(B, "k", 1).kind()); // its taker's own client waits, too
-        assertEquals(Said.Kind.NOT_YOURS, say(B, new Line.Withdraw("k", taken.token())).kind()); // it may have run
+        assertEquals(
+                Said.Kind.NOT_YOURS,
+                say(B, new Line.Withdraw("k", taken.token())).kind()); // it may have run
         Outcome unknown = Outcome.unknown(Judgement.WINDOW);
         assertEquals(unknown, say(B, new Line.End("k", taken.token(), unknown)).outcome());
-        assertEquals(unknown, say(A, new Line.End("k", token, new Outcome(200, "late"))).outcome());
+        assertEquals(
+                unknown,
+                say(A, new Line.End("k", token, new Outcome(200, "late"))).outcome());
     }
 
     @Test
@@ -87,7 +97,9 @@
         Said s = enter(A, "k", 1);
         assertEquals(Said.Kind.DONE, say(A, new Line.Withdraw("k", s.token())).kind());
         assertEquals(new Register.Image(java.util.List.of(), java.util.List.of()), register.image());
-        assertEquals(Said.Kind.OWNED, say(B, new Line.Enter(order("k", "other", ""), "y", 9)).kind());
+        assertEquals(
+                Said.Kind.OWNED,
+                say(B, new Line.Enter(order("k", "other", ""), "y", 9)).kind());
     }
 
     @Test
@@ -104,18 +116,33 @@
 
     @Test
     void whatIsBeyondTheBoundsIsRefusedAndWhatIsOpenIsNeverDropped() {
-        assertEquals(Said.Kind.MALFORMED, say(A, new Line.Enter(order("", "d", ""), "x", 1)).kind());
-        assertEquals(Said.Kind.MALFORMED, say(A, new Line.Enter(order("k", "d", "x".repeat(Order.MESSAGE_MAX + 1)), "x", 1)).kind());
-        assertEquals(Said.Kind.MALFORMED, enter(A, "k".repeat(Order.NAME_MAX + 1), 1).kind());
+        assertEquals(
+                Said.Kind.MALFORMED,
+                say(A, new Line.Enter(order("", "d", ""), "x", 1)).kind());
+        assertEquals(
+                Said.Kind.MALFORMED,
+                say(A, new Line.Enter(order("k", "d", "x".repeat(Order.MESSAGE_MAX + 1)), "x", 1))
+                        .kind());
+        assertEquals(
+                Said.Kind.MALFORMED, enter(A, "k".repeat(Order.NAME_MAX + 1), 1).kind());
         String large = "x".repeat(Order.MESSAGE_MAX);
         int taken = 0;
-        while (say(A, new Line.Enter(order("k" + taken, "d", large), "x", taken)).kind() == Said.Kind.OWNED) {
+        while (say(A, new Line.Enter(order("k" + taken, "d", large), "x", taken))
+                        .kind()
+                == Said.Kind.OWNED) {
             taken++;
         }
         assertEquals(Register.CHARS_MAX / Order.MESSAGE_MAX, taken);
-        assertEquals(Said.Kind.FULL, say(A, new Line.Enter(order("k" + taken, "d", large), "x", taken)).kind());
+        assertEquals(
+                Said.Kind.FULL,
+                say(A, new Line.Enter(order("k" + taken, "d", large), "x", taken))
+                        .kind());
         Entry e = register.entry("k0");
-        assertEquals("kept", say(A, new Line.End("k0", e.token(), new Outcome(200, "kept"))).outcome().said()); // its message has left
+        assertEquals(
+                "kept",
+                say(A, new Line.End("k0", e.token(), new Outcome(200, "kept")))
+                        .outcome()
+                        .said()); // its message has left
         assertEquals(taken - 1, register.image().open().size());
     }
 
@@ -133,15 +160,21 @@
                 case 2 -> say(session, new Line.End(key, token, new Outcome(200, "r" + i)));
                 case 3 -> register.ended(session);
                 case 4 -> take(session, key);
-                default -> say(session, random.nextBoolean() ? new Line.Move(key, token, "g" + i) : new Line.Forget(index - 40));
+                default ->
+                    say(
+                            session,
+                            random.nextBoolean() ? new Line.Move(key, token, "g" + i) : new Line.Forget(index - 40));
             }
             if (i % 100 == 0) {
                 Register other = Register.of(register.image());
                 assertEquals(register.image(), other.image());
-                assertEquals(register.text().replaceAll("taken_over=\\d+ unknown=\\d+ ", ""),
+                assertEquals(
+                        register.text().replaceAll("taken_over=\\d+ unknown=\\d+ ", ""),
                         other.text().replaceAll("taken_over=\\d+ unknown=\\d+ ", ""));
                 for (int shard = 0; shard < Register.SHARDS; shard++) {
-                    assertEquals(register.orphans(shard, 99).size(), other.orphans(shard, 99).size());
+                    assertEquals(
+                            register.orphans(shard, 99).size(),
+                            other.orphans(shard, 99).size());
                 }
             }
         }
@@ -176,7 +209,9 @@
         assertTrue(Judgement.of(e, 6000, 7500, 1400, 0).again());
         assertEquals(Judgement.WINDOW, Judgement.of(e, 6000, 7500, 1500, 0).why());
         assertEquals(Judgement.WINDOW, Judgement.of(e, 6000, 7500, 1400, 10_000).why()); // clocks 1% wrong
-        assertEquals(Judgement.WINDOW, Judgement.of(e, Double.POSITIVE_INFINITY, 7500, 0, 0).why());
+        assertEquals(
+                Judgement.WINDOW,
+                Judgement.of(e, Double.POSITIVE_INFINITY, 7500, 0, 0).why());
         Entry large = new Entry(order("k", "d", ""), "x", B, 1, 1, 1, 1);
         assertEquals(Judgement.NOT_KEPT, Judgement.of(large, 0, 7500, 0, 0).why());
         Entry often = new Entry(order("k", "d", "POST"), "x", B, 1, 1, Judgement.TAKEN_MAX + 1, 1);
--- a/fleet/src/test/java/marlford/work/Tier.java
+++ b/fleet/src/test/java/marlford/work/Tier.java
@@ -12,8 +12,15 @@
  */
 final class Tier implements Courses.World {
     /** What may be planted: each is a fault that the invariants have to find. */
-    enum Fault { NONE, RESENT_AFTER_WINDOW, ANSWERED_BEFORE_AGREED, JOINED_WITHOUT_DIGEST, TAKEN_WITHOUT_SHARD,
-        SENT_BEFORE_ENTERED, ENTERED_WHAT_WAS_TAKEN }
+    enum Fault {
+        NONE,
+        RESENT_AFTER_WINDOW,
+        ANSWERED_BEFORE_AGREED,
+        JOINED_WITHOUT_DIGEST,
+        TAKEN_WITHOUT_SHARD,
+        SENT_BEFORE_ENTERED,
+        ENTERED_WHAT_WAS_TAKEN
+    }
 
     static final int CHOICES = 20;
     private static final double STEP = 100;
@@ -25,9 +32,9 @@
     private static final Order OTHER = new Order("c:k", "d2", "order", 1, "POST");
 
     /** A line on its way, or what was said of it; it belongs to the hand that asked, as a reply does to its call. */
-    private record Mail(int gateway, long session, Hand of, Line line, Said said, double sentAt) { }
+    private record Mail(int gateway, long session, Hand of, Line line, Said said, double sentAt) {}
 
-    private record Attempt(int gateway, int life, Hand of, String group, double leftAt, boolean other) { }
+    private record Attempt(int gateway, int life, Hand of, String group, double leftAt, boolean other) {}
 
     private final class Gateway {
         final int number;
@@ -47,8 +54,8 @@
 
         @Override
         public String toString() {
-            return life + "," + stopped + "," + session + "," + (until - now) + "," + hand + "," + client + other + "," + (now - firstAt)
-                    + "," + ages.most(registerIndex, now) + "," + ages.most(index + 1, now);
+            return life + "," + stopped + "," + session + "," + (until - now) + "," + hand + "," + client + other + ","
+                    + (now - firstAt) + "," + ages.most(registerIndex, now) + "," + ages.most(index + 1, now);
         }
     }
 
@@ -98,11 +105,20 @@
 
     @Override
     public String state() {
-        return gateways + "|" + sessions.keySet() + sessions.values().stream().map(at -> now - at).toList() + "|" + bag.stream()
-                .map(m -> m.gateway() + "," + m.session() + m.line() + m.said() + (m.of() == gateways.get(m.gateway()).hand)).toList() + "|" + attempts.stream()
-                .map(a -> a.gateway() + "," + a.life() + a.group() + (now - a.leftAt()) + a.other()
-                        + (a.of() == gateways.get(a.gateway()).hand)).toList() + "|" + ran.keySet()
-                + ran.values().stream().map(at -> now - at).toList() + "|" + told + toldOther + asked + minted + index + register.image().open() + register.image().ended();
+        return gateways + "|" + sessions.keySet()
+                + sessions.values().stream().map(at -> now - at).toList() + "|"
+                + bag.stream()
+                        .map(m -> m.gateway() + "," + m.session() + m.line() + m.said()
+                                + (m.of() == gateways.get(m.gateway()).hand))
+                        .toList()
+                + "|"
+                + attempts.stream()
+                        .map(a -> a.gateway() + "," + a.life() + a.group() + (now - a.leftAt()) + a.other()
+                                + (a.of() == gateways.get(a.gateway()).hand))
+                        .toList()
+                + "|" + ran.keySet()
+                + ran.values().stream().map(at -> now - at).toList() + "|" + told + toldOther + asked + minted + index
+                + register.image().open() + register.image().ended();
     }
 
     private void open(Gateway g) {
@@ -219,13 +235,22 @@
         if (fault == Fault.JOINED_WITHOUT_DIGEST && line instanceof Line.Enter) {
             line = new Line.Enter(ORDER, "x", e == null ? 0 : e.ask());
         }
-        if (fault == Fault.ENTERED_WHAT_WAS_TAKEN && line instanceof Line.Enter && e != null && e.owner() == m.session()) {
+        if (fault == Fault.ENTERED_WHAT_WAS_TAKEN
+                && line instanceof Line.Enter
+                && e != null
+                && e.owner() == m.session()) {
             return Said.owned(e);
         }
         boolean first = sessions.firstKey() == m.session(); // the one shard is the eldest's
-        Said s = register.apply(index, m.session(), line, (session, shard, token) -> first || fault == Fault.TAKEN_WITHOUT_SHARD,
+        Said s = register.apply(
+                index,
+                m.session(),
+                line,
+                (session, shard, token) -> first || fault == Fault.TAKEN_WITHOUT_SHARD,
                 () -> ++minted);
-        registerIndex = register.entry(ORDER.key()) == null ? 0 : register.entry(ORDER.key()).since();
+        registerIndex = register.entry(ORDER.key()) == null
+                ? 0
+                : register.entry(ORDER.key()).since();
         takes += line instanceof Line.Take && s.kind() == Said.Kind.OWNED ? 1 : 0;
         ends += line instanceof Line.End && s.kind() == Said.Kind.OVER ? 1 : 0;
         return s;
@@ -248,7 +273,13 @@
         boolean open = Double.isNaN(g.firstAt) || now - g.firstAt + FLIGHT < WINDOW / 2;
         if (open && (g.hand.sends(now + FLIGHT <= g.until) || early)) {
             g.firstAt = Double.isNaN(g.firstAt) ? now : g.firstAt;
-            attempts.add(new Attempt(g.number, g.life, g.hand, g.hand.group(), now, g.hand.order().digest().equals(OTHER.digest())));
+            attempts.add(new Attempt(
+                    g.number,
+                    g.life,
+                    g.hand,
+                    g.hand.group(),
+                    now,
+                    g.hand.order().digest().equals(OTHER.digest())));
         }
     }
 
@@ -262,7 +293,8 @@
         Double first = ran.get(place);
         if (first == null || now - first > WINDOW) {
             runs++;
-            boolean elsewhere = ran.keySet().stream().anyMatch(p -> !p.equals(place) && p.endsWith(" other") == a.other());
+            boolean elsewhere =
+                    ran.keySet().stream().anyMatch(p -> !p.equals(place) && p.endsWith(" other") == a.other());
             if (first != null || elsewhere) {
                 broken = "an order ran " + (first != null ? "after its group's window" : "at two groups");
             }
@@ -280,12 +312,18 @@
 
     private void takes(Gateway g) {
         Entry e = register.entry(ORDER.key());
-        if (!g.stopped && g.session != 0 && e != null && e.owner() != g.session && bag.size() < BAG_MAX
-                && (e.owner() == 0 || fault == Fault.TAKEN_WITHOUT_SHARD) && (g.hand == null || !g.client)) {
+        if (!g.stopped
+                && g.session != 0
+                && e != null
+                && e.owner() != g.session
+                && bag.size() < BAG_MAX
+                && (e.owner() == 0 || fault == Fault.TAKEN_WITHOUT_SHARD)
+                && (g.hand == null || !g.client)) {
             if (fault == Fault.TAKEN_WITHOUT_SHARD && e.owner() != 0) {
                 register.ended(e.owner()); // taken from an owner that lives
             }
-            bag.add(new Mail(g.number, g.session, null, new Line.Take(ORDER.key(), Register.shard(ORDER.key()), 1), null, now));
+            bag.add(new Mail(
+                    g.number, g.session, null, new Line.Take(ORDER.key(), Register.shard(ORDER.key()), 1), null, now));
         }
     }
 
@@ -318,8 +356,10 @@
                 g.client = false;
                 g.other = false;
                 g.firstAt = Double.NaN;
-            } else if (g.hand != null && (g.hand.answer() != null || g.hand.state() == Hand.State.REFUSED
-                    || g.hand.state() == Hand.State.DIFFERS)) {
+            } else if (g.hand != null
+                    && (g.hand.answer() != null
+                            || g.hand.state() == Hand.State.REFUSED
+                            || g.hand.state() == Hand.State.DIFFERS)) {
                 g.hand = null;
                 g.client = false;
                 g.other = false;
