Format the module storm

Formatting only, by mvn -pl storm spotless:apply, but for one string of VersionsTest: the source text of fleet that it replaces, whose '{ }' is '{}' now.

--- a/storm/src/main/java/marlford/storm/Compare.java
+++ b/storm/src/main/java/marlford/storm/Compare.java
@@ -18,7 +18,10 @@
  * first with a majority, then while a host hangs and while discovery is away, and last with no majority. Ratios of one run, so
  * that the machine's speed takes no part.
  */
-@Command(name = "compare", mixinStandardHelpOptions = true, description = "Plays gateways with and without a fleet side by side.")
+@Command(
+        name = "compare",
+        mixinStandardHelpOptions = true,
+        description = "Plays gateways with and without a fleet side by side.")
 final class Compare implements Callable<Integer> {
     private static final int TICKS_PER_S = 100; // of /proc, on every Linux that the program runs on
     private static final int USER_AT = 11; // fields of /proc/PID/stat behind the name
@@ -48,7 +51,8 @@
         static Cost of(Gateway g) throws IOException {
             String stat = g.stat();
             String[] f = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-            return new Cost((Long.parseLong(f[USER_AT]) + Long.parseLong(f[SYSTEM_AT])) / (double) TICKS_PER_S,
+            return new Cost(
+                    (Long.parseLong(f[USER_AT]) + Long.parseLong(f[SYSTEM_AT])) / (double) TICKS_PER_S,
                     Long.parseLong(f[PAGES_AT]) * PAGE_KB / KB_PER_MB);
         }
     }
@@ -65,7 +69,10 @@
             part("warm", alone, fleet);
             part("majority", alone, fleet);
             for (Rig r : List.of(alone, fleet)) {
-                r.play(new Schedule(List.of(new Fault(0, Fault.Kind.HANG_HOST, "h2", TimeUnit.SECONDS.toMillis(seconds)))), 0);
+                r.play(
+                        new Schedule(
+                                List.of(new Fault(0, Fault.Kind.HANG_HOST, "h2", TimeUnit.SECONDS.toMillis(seconds)))),
+                        0);
             }
             part("host hangs", alone, fleet);
             if (!away(alone, fleet)) {
@@ -91,8 +98,13 @@
             if (!r.awaitSaid(" hosts, version " + r.hosts().version())) {
                 return false;
             }
-            System.out.printf(Locale.ROOT, "%-12s %-6s calls of discovery until all have its list %4d  whole lists told %4d%n", "agent back",
-                    r == alone ? "alone" : "fleet", r.hosts().calls(), r.hosts().wholes());
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-12s %-6s calls of discovery until all have its list %4d  whole lists told %4d%n",
+                    "agent back",
+                    r == alone ? "alone" : "fleet",
+                    r.hosts().calls(),
+                    r.hosts().wholes());
         }
         return true;
     }
@@ -115,23 +127,43 @@
         Map<String, Cost> before = new LinkedHashMap<>();
         for (Map.Entry<String, Rig> r : rigs.entrySet()) {
             before.put(r.getKey(), Cost.of(r.getValue().gateways().get(last)));
-            loads.put(r.getKey(), new Load(r.getValue().clientPorts(), Main.CLIENTS, perSecond, name.replace(' ', '-') + r.getKey()));
+            loads.put(
+                    r.getKey(),
+                    new Load(r.getValue().clientPorts(), Main.CLIENTS, perSecond, name.replace(' ', '-') + r.getKey()));
         }
         long[] bytes = bytes(fleet, last);
         loads.values().forEach(Load::start);
         Thread.sleep(TimeUnit.SECONDS.toMillis(seconds));
         for (Map.Entry<String, Load> l : loads.entrySet()) {
             List<Load.Sent> sent = l.getValue().stop();
-            List<Double> took = sent.stream().filter(s -> s.end() == Load.End.SERVED).map(Load.Sent::tookMs).toList();
+            List<Double> took = sent.stream()
+                    .filter(s -> s.end() == Load.End.SERVED)
+                    .map(Load.Sent::tookMs)
+                    .toList();
             Cost now = Cost.of(rigs.get(l.getKey()).gateways().get(last));
-            System.out.printf(Locale.ROOT, "%-12s %-6s asked %6d  served %7.3f%%  p50 %6.1f ms  p99 %6.1f ms  "
-                    + "cpu of %s %5.1f ms/s  memory %d MB%n", name, l.getKey(), sent.size(), 100.0 * took.size() / sent.size(),
-                    Main.quantile(took, 0.5), Main.quantile(took, 0.99), last,
-                    (now.cpu() - before.get(l.getKey()).cpu()) / seconds * MS_PER_S, now.mb());
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-12s %-6s asked %6d  served %7.3f%%  p50 %6.1f ms  p99 %6.1f ms  "
+                            + "cpu of %s %5.1f ms/s  memory %d MB%n",
+                    name,
+                    l.getKey(),
+                    sent.size(),
+                    100.0 * took.size() / sent.size(),
+                    Main.quantile(took, 0.5),
+                    Main.quantile(took, 0.99),
+                    last,
+                    (now.cpu() - before.get(l.getKey()).cpu()) / seconds * MS_PER_S,
+                    now.mb());
         }
         long[] since = bytes(fleet, last);
-        System.out.printf(Locale.ROOT, "%-12s %-6s %s asks %d bytes/s, hears %d bytes/s%n", name, "fleet", last,
-                (since[0] - bytes[0]) / seconds, (since[1] - bytes[1]) / seconds);
+        System.out.printf(
+                Locale.ROOT,
+                "%-12s %-6s %s asks %d bytes/s, hears %d bytes/s%n",
+                name,
+                "fleet",
+                last,
+                (since[0] - bytes[0]) / seconds,
+                (since[1] - bytes[1]) / seconds);
     }
 
     /** What a member sent to voters and heard from them until now. */
--- a/storm/src/main/java/marlford/storm/Gateway.java
+++ b/storm/src/main/java/marlford/storm/Gateway.java
@@ -11,7 +11,8 @@
 
 /** One process of the program. */
 final class Gateway {
-    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final String JAVA =
+            Path.of(System.getProperty("java.home"), "bin", "java").toString();
     private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
 
     static {
@@ -20,7 +21,11 @@
     }
 
     /** What a process is: a gateway without a fleet, one in a fleet, or a fleet's member without clients. */
-    enum Role { ALONE, SERVES, AGENT }
+    enum Role {
+        ALONE,
+        SERVES,
+        AGENT
+    }
 
     final String name;
     private final Role role;
@@ -57,16 +62,38 @@
     }
 
     void start() throws IOException {
-        List<String> command = new ArrayList<>(List.of(JAVA, "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-                "-XX:-UsePerfData", "-Xshare:auto", "-Dmarlford.faults=true"));
+        List<String> command = new ArrayList<>(List.of(
+                JAVA,
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData",
+                "-Xshare:auto",
+                "-Dmarlford.faults=true"));
         command.addAll(options);
         command.addAll(List.of("-cp", classPath));
-        command.addAll(switch (role) {
-            case ALONE -> List.of("deckfall.Main", "serve");
-            case SERVES -> List.of("marlford.fleet.Main", "serve", "--fleet", settings().toString(), "--name", name);
-            case AGENT -> List.of("marlford.fleet.Main", "agent", "--fleet", settings().toString(), "--name", name);
-        });
-        ProcessBuilder b = new ProcessBuilder(command).redirectOutput(ProcessBuilder.Redirect.DISCARD)
+        command.addAll(
+                switch (role) {
+                    case ALONE -> List.of("deckfall.Main", "serve");
+                    case SERVES ->
+                        List.of(
+                                "marlford.fleet.Main",
+                                "serve",
+                                "--fleet",
+                                settings().toString(),
+                                "--name",
+                                name);
+                    case AGENT ->
+                        List.of(
+                                "marlford.fleet.Main",
+                                "agent",
+                                "--fleet",
+                                settings().toString(),
+                                "--name",
+                                name);
+                });
+        ProcessBuilder b = new ProcessBuilder(command)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                 .redirectError(ProcessBuilder.Redirect.appendTo(log().toFile()));
         b.environment().put("NODE_CONFIG", folder.resolve("node.json").toString());
         b.environment().remove("TMPDIR"); // a process that is started anew finds nobody to take over from
@@ -93,7 +120,9 @@
     String last(String part) throws IOException {
         String text = Files.exists(log()) ? Files.readString(log()) : "";
         int at = text.lastIndexOf(part);
-        return at < 0 ? "" : text.substring(at + part.length()).lines().findFirst().orElse("");
+        return at < 0
+                ? ""
+                : text.substring(at + part.length()).lines().findFirst().orElse("");
     }
 
     /** What it said last. */
@@ -145,7 +174,9 @@
 
     private void signal(String signal) throws IOException, InterruptedException {
         if (isAlive()) {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
     }
 }
--- a/storm/src/main/java/marlford/storm/Hosts.java
+++ b/storm/src/main/java/marlford/storm/Hosts.java
@@ -143,8 +143,10 @@
 
     /** The list's entries, as JSON. */
     String entries() {
-        return servers.stream().map(s -> "{\"id\":\"h" + servers.indexOf(s) + "\",\"addr\":\"" + address(s)
-                + "\",\"zone\":\"a\",\"kind\":\"k\",\"cell\":0,\"state\":\"ready\",\"weight\":1.0,\"started_ms\":0}")
+        return servers.stream()
+                .map(
+                        s -> "{\"id\":\"h" + servers.indexOf(s) + "\",\"addr\":\"" + address(s)
+                                + "\",\"zone\":\"a\",\"kind\":\"k\",\"cell\":0,\"state\":\"ready\",\"weight\":1.0,\"started_ms\":0}")
                 .collect(Collectors.joining(",", "[", "]"));
     }
 
@@ -163,9 +165,21 @@
 
     /** What a gateway is told at its start. */
     String settings(String name, int ordinal, int gateways, int port, int console) {
-        Map<String, String> values = Map.of("NAME", name, "ORDINAL", Integer.toString(ordinal), "ALL",
-                Integer.toString(gateways), "PORT", Integer.toString(port), "CONSOLE", Integer.toString(console),
-                "DISCOVERY", discovery(), "HOSTS", entries());
+        Map<String, String> values = Map.of(
+                "NAME",
+                name,
+                "ORDINAL",
+                Integer.toString(ordinal),
+                "ALL",
+                Integer.toString(gateways),
+                "PORT",
+                Integer.toString(port),
+                "CONSOLE",
+                Integer.toString(console),
+                "DISCOVERY",
+                discovery(),
+                "HOSTS",
+                entries());
         String text = """
                 {"name": "NAME", "console": "127.0.0.1:CONSOLE", "listen": "127.0.0.1:PORT", "discovery": "DISCOVERY",
                  "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
--- a/storm/src/main/java/marlford/storm/Judge.java
+++ b/storm/src/main/java/marlford/storm/Judge.java
@@ -29,8 +29,17 @@
      * @param gapsMs the times from an act of one holder of the single task to the first of the next, in milliseconds
      * @param longestMs the longest time in which nobody acted as the single holder
      */
-    record Verdict(int acts, int taken, int turnedAway, int holders, int overlaps, List<String> unexplained,
-            List<String> broken, List<Double> gapsMs, double longestMs, long lastActMs) { }
+    record Verdict(
+            int acts,
+            int taken,
+            int turnedAway,
+            int holders,
+            int overlaps,
+            List<String> unexplained,
+            List<String> broken,
+            List<Double> gapsMs,
+            double longestMs,
+            long lastActMs) {}
 
     private final long takesNs;
     private final List<Note> notes;
@@ -68,7 +77,9 @@
                 bounded(piece, acts);
             }
         });
-        List<Note> single = pieces.getOrDefault(Rig.ONE, List.of()).stream().filter(Note::taken).toList();
+        List<Note> single = pieces.getOrDefault(Rig.ONE, List.of()).stream()
+                .filter(Note::taken)
+                .toList();
         List<Double> gaps = new ArrayList<>();
         double longest = 0;
         long last = zero;
@@ -85,8 +96,17 @@
         Set<String> holders = new TreeSet<>();
         single.forEach(n -> holders.add(n.holder()));
         int taken = (int) notes.stream().filter(Note::taken).count();
-        return new Verdict(notes.size(), taken, notes.size() - taken, holders.size(), overlaps, List.copyOf(unexplained),
-                List.copyOf(broken), gaps, longest, (long) ((end - last) / NANOS_PER_MS));
+        return new Verdict(
+                notes.size(),
+                taken,
+                notes.size() - taken,
+                holders.size(),
+                overlaps,
+                List.copyOf(unexplained),
+                List.copyOf(broken),
+                gaps,
+                longest,
+                (long) ((end - last) / NANOS_PER_MS));
     }
 
     private void ticks(List<Note> acts) {
@@ -124,8 +144,8 @@
                 broken.add(piece + ": token " + n.token() + " of " + n.holder() + " was taken after " + greatest);
             } else if (n.token() > greatest) {
                 if (n.begin() < ended && greatest > 0) {
-                    broken.add(piece + ": " + n.holder() + " with " + n.token() + " began before an act with " + greatest
-                            + " was over, and both were taken");
+                    broken.add(piece + ": " + n.holder() + " with " + n.token() + " began before an act with "
+                            + greatest + " was over, and both were taken");
                 }
                 greatest = n.token();
             }
@@ -149,12 +169,16 @@
 
     private void outOfTurn(String piece, Note older, Note newer) {
         overlaps++;
-        boolean excused = played.stream().anyMatch(p -> p.who().equals(older.holder()) && EXCUSES.contains(p.kind())
-                && p.from() <= older.end() && older.begin() <= p.to() + WAKE_NS);
+        boolean excused = played.stream()
+                .anyMatch(p -> p.who().equals(older.holder())
+                        && EXCUSES.contains(p.kind())
+                        && p.from() <= older.end()
+                        && older.begin() <= p.to() + WAKE_NS);
         boolean slow = older.end() - older.begin() > takesNs / 2; // the other half goes by on the way there
         if (!excused && !slow) {
-            unexplained.add(piece + ": " + older.holder() + " with " + older.token() + " beside " + newer.holder() + " with "
-                    + newer.token() + ", by " + Math.round((newer.begin() - older.begin()) / NANOS_PER_MS) + " ms");
+            unexplained.add(piece + ": " + older.holder() + " with " + older.token() + " beside " + newer.holder()
+                    + " with " + newer.token() + ", by " + Math.round((newer.begin() - older.begin()) / NANOS_PER_MS)
+                    + " ms");
         }
     }
 }
--- a/storm/src/main/java/marlford/storm/Linear.java
+++ b/storm/src/main/java/marlford/storm/Linear.java
@@ -22,11 +22,11 @@
      * @param token which grant it is about
      * @param call when it was made, and {@code back} when its answer was there, or {@link Long#MAX_VALUE} for never
      */
-    record Op(boolean grant, long token, long call, long back) { }
+    record Op(boolean grant, long token, long call, long back) {}
 
-    private record State(BitSet done, long holder, long greatest) { }
+    private record State(BitSet done, long holder, long greatest) {}
 
-    private Linear() { }
+    private Linear() {}
 
     /** Whether there is an order. */
     static boolean holds(List<Op> history) {
--- a/storm/src/main/java/marlford/storm/Load.java
+++ b/storm/src/main/java/marlford/storm/Load.java
@@ -21,16 +21,24 @@
 final class Load {
     /** How many customers ask. */
     static final int CUSTOMERS = 20;
+
     private static final int PATIENCE_MS = 4000;
     private static final int CONNECT_MS = 500;
     private static final double NANOS_PER_MS = 1e6;
     private static final long NANOS_PER_S = 1_000_000_000L;
 
     /** How requests ended. */
-    enum End { SERVED, REFUSED, FAILED, CUT_OFF, NEVER, NO_GATEWAY }
+    enum End {
+        SERVED,
+        REFUSED,
+        FAILED,
+        CUT_OFF,
+        NEVER,
+        NO_GATEWAY
+    }
 
     /** A request that was sent. */
-    record Sent(String id, long customer, int units, long at, double tookMs, End end) { }
+    record Sent(String id, long customer, int units, long at, double tookMs, End end) {}
 
     private final List<Integer> ports;
     private final double perSecond;
@@ -129,8 +137,9 @@
 
     private byte[] request(String id, long customer, int units) {
         return ("GET /view/" + id + " HTTP/1.1\r\nHost: h\r\nX-Trace-Id: " + id + "\r\nX-Plan: free\r\nX-Customer: "
-                + String.format("%016x", customer) + "\r\nX-Expires-In-Ms: 2000\r\nX-Quota: units=" + units
-                + ",spread=" + ports.size() + ",first=0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+                        + String.format("%016x", customer) + "\r\nX-Expires-In-Ms: 2000\r\nX-Quota: units=" + units
+                        + ",spread=" + ports.size() + ",first=0\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
     }
 
     /** The end that an answer tells. */
@@ -148,8 +157,9 @@
         if (in.readNBytes(length).length < length) {
             return End.CUT_OFF;
         }
-        return status.contains(" 200") ? End.SERVED : status.contains(" 429") || status.contains(" 503") ? End.REFUSED
-                : End.FAILED;
+        return status.contains(" 200")
+                ? End.SERVED
+                : status.contains(" 429") || status.contains(" 503") ? End.REFUSED : End.FAILED;
     }
 
     private static String line(InputStream in) throws IOException {
--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -24,7 +24,10 @@
 import picocli.CommandLine.Option;
 
 /** A storm: processes, faults, a verdict. Exit 0 where all held, 1 broken, 2 bad arguments, 3 could not judge. */
-@Command(name = "storm", mixinStandardHelpOptions = true, sortOptions = false,
+@Command(
+        name = "storm",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
         subcommands = Compare.class,
         description = "Starts several processes of the program, breaks what is between them, and judges what they did.")
 final class Main implements Callable<Integer> {
@@ -54,10 +57,15 @@
     @Option(names = "--ttl", defaultValue = "1000", description = "a session's silence in ms (${DEFAULT-VALUE})")
     private long ttlMs;
 
-    @Option(names = "--drift", defaultValue = "0", description = "by how much clocks run wrong, 0.02 for 2%% (${DEFAULT-VALUE})")
+    @Option(
+            names = "--drift",
+            defaultValue = "0",
+            description = "by how much clocks run wrong, 0.02 for 2%% (${DEFAULT-VALUE})")
     private double drift;
 
-    @Option(names = "--requests", defaultValue = "0",
+    @Option(
+            names = "--requests",
+            defaultValue = "0",
             description = "of clients a second; more than 0 starts gateways and no mere agents (${DEFAULT-VALUE})")
     private double perSecond;
 
@@ -80,10 +88,11 @@
     private boolean quiet;
 
     /** What is started. */
-    record Setup(int gateways, Gateway.Role role, long ttlMs, double drift, double perSecond, List<String> options) { }
+    record Setup(int gateways, Gateway.Role role, long ttlMs, double drift, double perSecond, List<String> options) {}
 
     private Setup setup() {
-        return new Setup(gateways, perSecond > 0 ? Gateway.Role.SERVES : Gateway.Role.AGENT, ttlMs, drift, perSecond, options);
+        return new Setup(
+                gateways, perSecond > 0 ? Gateway.Role.SERVES : Gateway.Role.AGENT, ttlMs, drift, perSecond, options);
     }
 
     /**
@@ -95,14 +104,27 @@
      * @param stuck what each process said last, where the single task was not acted on again after the last fault had ended;
      *     empty where it was
      */
-    record Run(Judge.Verdict verdict, List<Long> handOvers, List<String> defects, List<Rig.Played> played, List<Note> notes,
-            long zero, String stuck, List<Load.Sent> sent, UsageJudge.Found usage, int register, boolean linear) {
+    record Run(
+            Judge.Verdict verdict,
+            List<Long> handOvers,
+            List<String> defects,
+            List<Rig.Played> played,
+            List<Note> notes,
+            long zero,
+            String stuck,
+            List<Load.Sent> sent,
+            UsageJudge.Found usage,
+            int register,
+            boolean linear) {
         boolean back() {
             return stuck.isEmpty();
         }
 
         boolean held() {
-            return linear && verdict.broken().isEmpty() && verdict.unexplained().isEmpty() && defects.isEmpty()
+            return linear
+                    && verdict.broken().isEmpty()
+                    && verdict.unexplained().isEmpty()
+                    && defects.isEmpty()
                     && (usage == null || usage.broken().isEmpty());
         }
     }
@@ -151,7 +173,8 @@
     /** The same, with the program on this class path. */
     static Run run(Schedule schedule, Setup setup, long ms, Path keep, String classPath)
             throws IOException, InterruptedException {
-        try (Rig rig = new Rig(setup.gateways(), setup.role(), setup.ttlMs(), setup.drift(), classPath, setup.options())) {
+        try (Rig rig =
+                new Rig(setup.gateways(), setup.role(), setup.ttlMs(), setup.drift(), classPath, setup.options())) {
             try {
                 Run run = rig.start() ? play(rig, schedule, setup, ms) : null;
                 if (run != null && keep != null) {
@@ -182,8 +205,18 @@
         UsageJudge.Found usage = load == null ? null : UsageJudge.judge(rig, sent, BACK_MS);
         String stuck = rig.awaitAct(Rig.ONE) ? "" : rig.lastWords();
         Judge.Verdict v = new Judge(rig.notes(), rig.played(), rig.takesMs()).judge(rig.zero(), System.nanoTime());
-        return new Run(v, rig.handOvers(), rig.defects(), rig.played(), List.copyOf(rig.notes()), rig.zero(), stuck, sent,
-                usage, history.size(), Linear.holds(history));
+        return new Run(
+                v,
+                rig.handOvers(),
+                rig.defects(),
+                rig.played(),
+                List.copyOf(rig.notes()),
+                rig.zero(),
+                stuck,
+                sent,
+                usage,
+                history.size(),
+                Linear.holds(history));
     }
 
     private void print(long s, Run run) throws IOException {
@@ -200,15 +233,21 @@
         rows.put("gap_p50_ms", Math.round(quantile(v.gapsMs(), 0.5)));
         rows.put("gap_p99_ms", Math.round(quantile(v.gapsMs(), 0.99)));
         rows.put("no_holder_max_ms", Math.round(v.longestMs()));
-        rows.put("planned_max_ms", run.handOvers().stream().mapToLong(Long::longValue).max().orElse(0));
+        rows.put(
+                "planned_max_ms",
+                run.handOvers().stream().mapToLong(Long::longValue).max().orElse(0));
         rows.put("back", run.back());
         rows.put("register_calls", run.register());
         rows.put("register_linear", run.linear());
         rows.put("overlaps_bounded", v.overlaps());
         rows.put("overlaps_unexplained", v.unexplained().size());
         if (run.usage() != null) {
-            Load.ends(run.sent()).forEach((end, n) -> rows.put("requests_" + end.name().toLowerCase(Locale.ROOT), n));
-            List<Double> took = run.sent().stream().filter(r -> r.end() == Load.End.SERVED).map(Load.Sent::tookMs).toList();
+            Load.ends(run.sent())
+                    .forEach((end, n) -> rows.put("requests_" + end.name().toLowerCase(Locale.ROOT), n));
+            List<Double> took = run.sent().stream()
+                    .filter(r -> r.end() == Load.End.SERVED)
+                    .map(Load.Sent::tookMs)
+                    .toList();
             rows.put("served_p50_ms", Math.round(quantile(took, 0.5)));
             rows.put("served_p99_ms", Math.round(quantile(took, 0.99)));
             rows.put("units_exported", run.usage().exported());
@@ -233,7 +272,8 @@
             ObjectMapper mapper = new ObjectMapper();
             ObjectNode line = mapper.valueToTree(rows);
             line.set("gaps_ms", mapper.valueToTree(v.gapsMs()));
-            Files.writeString(json, mapper.writeValueAsString(line) + '\n', StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+            Files.writeString(
+                    json, mapper.writeValueAsString(line) + '\n', StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         }
     }
 
@@ -263,15 +303,27 @@
     /** Who acted as the single holder, by time. */
     private static void chart(Run run, Path to) throws IOException {
         System.setProperty("java.awt.headless", "true");
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title("acts of the single holder")
-                .xAxisTitle("s").yAxisTitle("process").build();
+        XYChart chart = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title("acts of the single holder")
+                .xAxisTitle("s")
+                .yAxisTitle("process")
+                .build();
         chart.getStyler().setDefaultSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter);
         for (boolean taken : new boolean[] {true, false}) {
-            List<Note> acts = run.notes().stream().filter(n -> n.task().equals(Rig.ONE) && n.taken() == taken).toList();
+            List<Note> acts = run.notes().stream()
+                    .filter(n -> n.task().equals(Rig.ONE) && n.taken() == taken)
+                    .toList();
             if (!acts.isEmpty()) {
-                XYSeries s = chart.addSeries(taken ? "taken" : "turned away",
-                        acts.stream().map(n -> (n.begin() - run.zero()) / NANOS_PER_S).toList(),
-                        acts.stream().map(n -> Integer.parseInt(n.holder().substring(1))).toList());
+                XYSeries s = chart.addSeries(
+                        taken ? "taken" : "turned away",
+                        acts.stream()
+                                .map(n -> (n.begin() - run.zero()) / NANOS_PER_S)
+                                .toList(),
+                        acts.stream()
+                                .map(n -> Integer.parseInt(n.holder().substring(1)))
+                                .toList());
                 s.setMarker(SeriesMarkers.CIRCLE).setMarkerColor(taken ? Color.BLUE : Color.RED);
             }
         }
--- a/storm/src/main/java/marlford/storm/Register.java
+++ b/storm/src/main/java/marlford/storm/Register.java
@@ -31,8 +31,17 @@
 
     Register(Map<String, InetSocketAddress> voters, long ttlMs) {
         for (int i = 0; i < MEMBERS; i++) {
-            new One(new Member("register-" + i, ThreadLocalRandom.current().nextLong() >>> 1, ttlMs,
-                    List.copyOf(voters.keySet()), 0, 0, Math.min(STALL_MS, ttlMs / 3.0)), voters).begin();
+            new One(
+                            new Member(
+                                    "register-" + i,
+                                    ThreadLocalRandom.current().nextLong() >>> 1,
+                                    ttlMs,
+                                    List.copyOf(voters.keySet()),
+                                    0,
+                                    0,
+                                    Math.min(STALL_MS, ttlMs / 3.0)),
+                            voters)
+                    .begin();
         }
     }
 
@@ -89,7 +98,9 @@
                 token = member.token(LEASE);
                 grantedAt = now;
                 history.add(new Linear.Op(true, token, wantedAt, now));
-                until = now + TimeUnit.MILLISECONDS.toNanos(ThreadLocalRandom.current().nextInt(HOLDS_MAX_MS));
+                until = now
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                ThreadLocalRandom.current().nextInt(HOLDS_MAX_MS));
                 wantedAt = 0;
                 granted.countDown();
             }
--- a/storm/src/main/java/marlford/storm/Resource.java
+++ b/storm/src/main/java/marlford/storm/Resource.java
@@ -58,8 +58,15 @@
     private void act(HttpExchange x) throws IOException {
         long begin = System.nanoTime();
         Headers h = x.getRequestHeaders();
-        Note n = new Note(h.getFirst("Task"), Integer.parseInt(h.getFirst("Shard")), Long.parseLong(h.getFirst("Tick")),
-                Long.parseLong(h.getFirst("Fencing-Token")), h.getFirst("Holder"), begin, 0, false);
+        Note n = new Note(
+                h.getFirst("Task"),
+                Integer.parseInt(h.getFirst("Shard")),
+                Long.parseLong(h.getFirst("Tick")),
+                Long.parseLong(h.getFirst("Fencing-Token")),
+                h.getFirst("Holder"),
+                begin,
+                0,
+                false);
         greatest.merge(n.piece(), n.token(), Math::max);
         try {
             Thread.sleep(1 + ThreadLocalRandom.current().nextInt(TAKES_MAX_MS));
--- a/storm/src/main/java/marlford/storm/Rig.java
+++ b/storm/src/main/java/marlford/storm/Rig.java
@@ -32,6 +32,7 @@
 final class Rig implements Closeable {
     /** The tasks: one holder, two holders, shards, ticks. */
     static final String ONE = "one";
+
     static final String TWO = "two";
     static final String POOL = "pool";
     static final String TICK = "tick";
@@ -57,7 +58,7 @@
     private static final int HANDS = 8; // faults that are begun or ended at one moment
 
     /** A fault as it was played, by the machine's monotonic clock in nanoseconds. */
-    record Played(Kind kind, String who, long from, long to) { }
+    record Played(Kind kind, String who, long from, long to) {}
 
     private final Path folder;
     private final long ttlMs;
@@ -84,7 +85,8 @@
      * @param classPath of the program
      * @param options for each process's JVM
      */
-    Rig(int count, Gateway.Role role, long ttlMs, double drift, String classPath, List<String> options) throws IOException {
+    Rig(int count, Gateway.Role role, long ttlMs, double drift, String classPath, List<String> options)
+            throws IOException {
         this.folder = scratch();
         this.role = role;
         this.hosts = role == Gateway.Role.AGENT ? null : new Hosts(HOSTS);
@@ -105,8 +107,14 @@
             if (hosts != null) {
                 clientPorts.add(freePort());
                 consoles.put(name, freePort());
-                Files.writeString(own.resolve("node.json"), hosts.settings(name, names.indexOf(name), count,
-                        clientPorts.get(clientPorts.size() - 1), consoles.get(name)));
+                Files.writeString(
+                        own.resolve("node.json"),
+                        hosts.settings(
+                                name,
+                                names.indexOf(name),
+                                count,
+                                clientPorts.get(clientPorts.size() - 1),
+                                consoles.get(name)));
             }
             toResource.put(name, new LinkProxy(resource.address()));
             Map<String, LinkProxy> to = new HashMap<>();
@@ -126,7 +134,8 @@
      */
     private static Path scratch() throws IOException {
         Path memory = Path.of("/dev/shm");
-        return Files.isWritable(memory) ? Files.createTempDirectory(memory, "marlford-storm")
+        return Files.isWritable(memory)
+                ? Files.createTempDirectory(memory, "marlford-storm")
                 : Files.createTempDirectory("marlford-storm");
     }
 
@@ -153,19 +162,26 @@
 
     private void writeSettings(String name) throws IOException {
         ObjectMapper json = new ObjectMapper();
-        ObjectNode root = json.createObjectNode().put("fleet", "storm")
-                .put("folder", gateways.get(name).settings().resolveSibling("state").toString());
+        ObjectNode root = json.createObjectNode()
+                .put("fleet", "storm")
+                .put(
+                        "folder",
+                        gateways.get(name).settings().resolveSibling("state").toString());
         ArrayNode all = root.putArray("voters");
         for (String v : voters) {
             int port = v.equals(name) ? ports.get(v) : links.get(name).get(v).port();
             all.addObject().put("name", v).put("address", "127.0.0.1:" + port);
         }
-        root.putObject("session").put("ttl_ms", ttlMs).put("stall_ms", ttlMs / 3.0)
+        root.putObject("session")
+                .put("ttl_ms", ttlMs)
+                .put("stall_ms", ttlMs / 3.0)
                 .put("drift_ppm", drift * MILLION);
         if (role == Gateway.Role.SERVES) {
             root.putObject("probes").put("every_ms", PROBE_MS);
             root.put("lists", true);
-            root.putObject("export").put("file", folder.resolve("usage").toString()).put("interval_ms", EXPORT_MS);
+            root.putObject("export")
+                    .put("file", folder.resolve("usage").toString())
+                    .put("interval_ms", EXPORT_MS);
         }
         ArrayNode tasks = root.putArray("tasks");
         String url = "http://127.0.0.1:" + toResource.get(name).port() + "/act";
@@ -177,7 +193,11 @@
     }
 
     private ObjectNode task(ArrayNode tasks, String name, String kind, String url, int everyMs) {
-        return tasks.addObject().put("name", name).put("kind", kind).put("url", url).put("every_ms", everyMs)
+        return tasks.addObject()
+                .put("name", name)
+                .put("kind", kind)
+                .put("url", url)
+                .put("every_ms", everyMs)
                 .put("takes_ms", takesMs());
     }
 
@@ -198,7 +218,8 @@
         for (String name : names) {
             while (!gateways.get(name).isUp()) {
                 if (System.nanoTime() > end || !gateways.get(name).isAlive()) {
-                    System.err.println("storm: " + name + " is not up: " + gateways.get(name).lastLine());
+                    System.err.println("storm: " + name + " is not up: "
+                            + gateways.get(name).lastLine());
                     return false;
                 }
                 Thread.sleep(LOOK_MS);
@@ -222,7 +243,9 @@
     /** Heals nothing further, and waits until a task is acted on anew; false where it is not within 20 s. */
     boolean awaitAct(String task) throws IOException, InterruptedException {
         long from = System.nanoTime();
-        return await(() -> resource.notes().stream().anyMatch(n -> n.taken() && n.task().equals(task) && n.begin() > from),
+        return await(
+                () -> resource.notes().stream()
+                        .anyMatch(n -> n.taken() && n.task().equals(task) && n.begin() > from),
                 from + TimeUnit.MILLISECONDS.toNanos(SAID_MS));
     }
 
@@ -289,19 +312,30 @@
     }
 
     private void after(Fault f, Gateway g, Callable<Void> what) {
-        hands.schedule(() -> guarded(() -> {
-            synchronized (g) {
-                return what.call();
-            }
-        }), f.lasts(), TimeUnit.MILLISECONDS); // runs after the end of the play, too
+        hands.schedule(
+                () -> guarded(() -> {
+                    synchronized (g) {
+                        return what.call();
+                    }
+                }),
+                f.lasts(),
+                TimeUnit.MILLISECONDS); // runs after the end of the play, too
     }
 
     /** Another process under the name of one of these; it is not part of the play, and whoever starts it ends it. */
     Gateway twin(String of) throws IOException {
-        Gateway twin = new Gateway(of, role, Files.createDirectories(folder.resolve(of + "-twin")),
-                System.getProperty("java.class.path"), List.of());
-        Files.writeString(twin.settings(), Files.readString(gateways.get(of).settings())
-                .replace(folder.resolve(of).toString(), folder.resolve(of + "-twin").toString()));
+        Gateway twin = new Gateway(
+                of,
+                role,
+                Files.createDirectories(folder.resolve(of + "-twin")),
+                System.getProperty("java.class.path"),
+                List.of());
+        Files.writeString(
+                twin.settings(),
+                Files.readString(gateways.get(of).settings())
+                        .replace(
+                                folder.resolve(of).toString(),
+                                folder.resolve(of + "-twin").toString()));
         return twin;
     }
 
@@ -419,7 +453,8 @@
                     return;
                 }
                 Path order = Files.createDirectories(g.disk()).resolve("fault"); // a new life may not have made it yet
-                Files.writeString(order, f.kind() == Kind.FULL_DISK ? "full" : f.kind() == Kind.FAILING_SYNC ? "fail" : "hang");
+                Files.writeString(
+                        order, f.kind() == Kind.FULL_DISK ? "full" : f.kind() == Kind.FAILING_SYNC ? "fail" : "hang");
                 after(f, g, () -> {
                     Files.deleteIfExists(order);
                     if (f.kind() != Kind.HANGING_SYNC) { // its vote has ended with this life
@@ -566,7 +601,8 @@
         for (Gateway g : gateways.values()) {
             try (Stream<String> lines = Files.lines(g.log())) {
                 lines.filter(l -> l.contains(HANDED_OVER))
-                        .forEach(l -> took.add(Long.parseLong(l.substring(l.indexOf(HANDED_OVER)).replaceAll("\\D", ""))));
+                        .forEach(l -> took.add(Long.parseLong(
+                                l.substring(l.indexOf(HANDED_OVER)).replaceAll("\\D", ""))));
             }
         }
         return took;
@@ -589,7 +625,9 @@
         for (String name : names) {
             Gateway g = gateways.get(name);
             List<String> lines = Files.readAllLines(g.log());
-            all.append(name).append(g.isStopped() ? " is stopped" : g.isAlive() ? " runs" : " has ended").append('\n');
+            all.append(name)
+                    .append(g.isStopped() ? " is stopped" : g.isAlive() ? " runs" : " has ended")
+                    .append('\n');
             lines.subList(Math.max(0, lines.size() - LAST_WORDS), lines.size())
                     .forEach(l -> all.append("  ").append(l).append('\n'));
         }
--- a/storm/src/main/java/marlford/storm/UsageJudge.java
+++ b/storm/src/main/java/marlford/storm/UsageJudge.java
@@ -25,9 +25,9 @@
     private static final long LOOK_MS = 100;
 
     /** Units in all; {@code waiting} are those that could not be exported in time. */
-    record Found(long exported, long waiting, long seen, long asked, int passedOver, List<String> broken) { }
+    record Found(long exported, long waiting, long seen, long asked, int passedOver, List<String> broken) {}
 
-    private UsageJudge() { }
+    private UsageJudge() {}
 
     /** Waits until the tables are empty, or the time is up, and compares. */
     static Found judge(Rig rig, List<Load.Sent> sent, long patienceMs) throws IOException, InterruptedException {
@@ -71,7 +71,9 @@
         Map<Long, Long> waiting = new TreeMap<>();
         for (Gateway g : rig.gateways().values()) {
             if (Files.exists(g.usage())) {
-                LongBuffer kept = ByteBuffer.wrap(Files.readAllBytes(g.usage())).order(ByteOrder.nativeOrder()).asLongBuffer();
+                LongBuffer kept = ByteBuffer.wrap(Files.readAllBytes(g.usage()))
+                        .order(ByteOrder.nativeOrder())
+                        .asLongBuffer();
                 for (Batch b : new UsageTable(new Copy(kept), UsageTable.PAGES, UsageTable.ROWS, 0, 1).all()) {
                     b.milliUnits().forEach((customer, units) -> waiting.merge(customer, units, Long::sum));
                 }
--- a/storm/src/test/java/marlford/storm/Changed.java
+++ b/storm/src/test/java/marlford/storm/Changed.java
@@ -16,7 +16,7 @@
 final class Changed {
     private static final Path SOURCES = Path.of("..", "fleet", "src", "main", "java");
 
-    private Changed() { }
+    private Changed() {}
 
     /**
      * The class path of the changed program.
@@ -30,7 +30,10 @@
         for (Map.Entry<String, List<String>> c : changes.entrySet()) {
             String source = Files.readString(SOURCES.resolve(c.getKey()));
             for (int i = 0; i < c.getValue().size(); i += 2) {
-                assertTrue(source.contains(c.getValue().get(i)), "the place in " + c.getKey() + " has moved: " + c.getValue().get(i));
+                assertTrue(
+                        source.contains(c.getValue().get(i)),
+                        "the place in " + c.getKey() + " has moved: "
+                                + c.getValue().get(i));
                 source = source.replace(c.getValue().get(i), c.getValue().get(i + 1));
             }
             Path changed = dir.resolve("source").resolve(c.getKey());
--- a/storm/src/test/java/marlford/storm/LinearTest.java
+++ b/storm/src/test/java/marlford/storm/LinearTest.java
@@ -30,7 +30,8 @@
     @Test
     void aTokenThatGoesBackIsFound() {
         assertFalse(Linear.holds(List.of(grant(2, 0, 10), back(2, 20), grant(1, 25, 30))));
-        assertTrue(Linear.holds(List.of(grant(2, 0, 10), back(2, 20), grant(1, 25, NEVER)))); // it may not have happened
+        assertTrue(
+                Linear.holds(List.of(grant(2, 0, 10), back(2, 20), grant(1, 25, NEVER)))); // it may not have happened
     }
 
     /** Any history that was made one step after the other has an order, and none with two grants at one moment has. */
--- a/storm/src/test/java/marlford/storm/PlantedTest.java
+++ b/storm/src/test/java/marlford/storm/PlantedTest.java
@@ -23,18 +23,38 @@
     /** A fault, where it is planted, and a schedule that has to show it. */
     enum Planted {
         /** A session is ended after a part of the time that its holder counts on. */
-        ENDED_EARLY("marlford/lease/Silence.java", "now - at > s.ttlMs()", "now - at > s.ttlMs() / 8.0",
-                List.of(new Fault(500, Fault.Kind.MUTE, "holder", 700), new Fault(3000, Fault.Kind.MUTE, "holder", 700),
+        ENDED_EARLY(
+                "marlford/lease/Silence.java",
+                "now - at > s.ttlMs()",
+                "now - at > s.ttlMs() / 8.0",
+                List.of(
+                        new Fault(500, Fault.Kind.MUTE, "holder", 700),
+                        new Fault(3000, Fault.Kind.MUTE, "holder", 700),
                         new Fault(5500, Fault.Kind.MUTE, "holder", 700))),
         /** A holder acts on though it has not been heard for long. */
-        NO_TENURE("marlford/lease/Tenure.java", "return now + lateMs + needMs < until;", "return true;",
-                List.of(new Fault(500, Fault.Kind.ISOLATE, "holder", 6000))), // where it leads, too, the next one comes after 1.7 s
+        NO_TENURE(
+                "marlford/lease/Tenure.java",
+                "return now + lateMs + needMs < until;",
+                "return true;",
+                List.of(new Fault(
+                        500,
+                        Fault.Kind.ISOLATE,
+                        "holder",
+                        6000))), // where it leads, too, the next one comes after 1.7 s
         /** Two grants have one token. */
-        TOKEN_TWICE("marlford/lease/Book.java", "l.holders.put(session, ++minted);", "l.holders.put(session, minted);",
-                List.of(new Fault(500, Fault.Kind.TERM, "holder", 500), new Fault(3000, Fault.Kind.TERM, "holder", 500))),
+        TOKEN_TWICE(
+                "marlford/lease/Book.java",
+                "l.holders.put(session, ++minted);",
+                "l.holders.put(session, minted);",
+                List.of(
+                        new Fault(500, Fault.Kind.TERM, "holder", 500),
+                        new Fault(3000, Fault.Kind.TERM, "holder", 500))),
         /** Whoever asks takes the lease from its holder. */
-        NO_LIMIT("marlford/lease/Book.java", "while (l.holders.size() < l.limit && !l.queue.isEmpty())",
-                "while (!l.queue.isEmpty())", List.of(new Fault(500, Fault.Kind.STOP, "g0", 300)));
+        NO_LIMIT(
+                "marlford/lease/Book.java",
+                "while (l.holders.size() < l.limit && !l.queue.isEmpty())",
+                "while (!l.queue.isEmpty())",
+                List.of(new Fault(500, Fault.Kind.STOP, "g0", 300)));
 
         final String file;
         final String right;
@@ -57,12 +77,18 @@
         String program = Changed.program(dir, Map.of(p.file, List.of(p.right, p.wrong)));
         int seeds = Integer.getInteger("marlford.planted.seeds");
         for (long seed = 1; seed <= seeds; seed++) {
-            Main.Run run = Main.run(Schedule.drawn(seed, GATEWAYS, GATEWAYS, DRAWN_MS),
-                    new Main.Setup(GATEWAYS, Gateway.Role.AGENT, TTL_MS, 0, 0, List.of()), DRAWN_MS, null, program);
+            Main.Run run = Main.run(
+                    Schedule.drawn(seed, GATEWAYS, GATEWAYS, DRAWN_MS),
+                    new Main.Setup(GATEWAYS, Gateway.Role.AGENT, TTL_MS, 0, 0, List.of()),
+                    DRAWN_MS,
+                    null,
+                    program);
             if (run != null && !run.held()) {
                 System.out.println("storm: planted " + p + " is found by drawn seed " + seed + ": "
-                        + Stream.of(run.verdict().broken(), run.verdict().unexplained(), run.defects()).flatMap(List::stream)
-                        .findFirst().orElse("the register is not linear"));
+                        + Stream.of(run.verdict().broken(), run.verdict().unexplained(), run.defects())
+                                .flatMap(List::stream)
+                                .findFirst()
+                                .orElse("the register is not linear"));
                 return;
             }
         }
@@ -73,10 +99,16 @@
     @EnumSource
     void aPlantedFaultIsFound(Planted p, @TempDir Path dir) throws Exception {
         String program = Changed.program(dir, Map.of(p.file, List.of(p.right, p.wrong)));
-        Main.Run run = Main.run(new Schedule(p.faults), new Main.Setup(3, Gateway.Role.AGENT, TTL_MS, 0, 0, List.of()), MS,
-                null, program);
+        Main.Run run = Main.run(
+                new Schedule(p.faults),
+                new Main.Setup(3, Gateway.Role.AGENT, TTL_MS, 0, 0, List.of()),
+                MS,
+                null,
+                program);
         assertNotNull(run);
-        List<String> found = run.verdict().broken().isEmpty() ? run.verdict().unexplained() : run.verdict().broken();
+        List<String> found = run.verdict().broken().isEmpty()
+                ? run.verdict().unexplained()
+                : run.verdict().broken();
         assertTrue(!found.isEmpty(), p + " was not found in " + run.verdict());
         System.out.println("storm: planted " + p + ": " + found.size() + " found, as " + found.get(0));
     }
--- a/storm/src/test/java/marlford/storm/StormTest.java
+++ b/storm/src/test/java/marlford/storm/StormTest.java
@@ -26,7 +26,8 @@
     private static final long TAIL_MS = 1500; // after the last fault has ended
 
     private static Schedule schedule(String name) throws IOException, URISyntaxException {
-        return Schedule.read(Path.of(StormTest.class.getResource("/schedules/" + name + ".jsonl").toURI()));
+        return Schedule.read(Path.of(
+                StormTest.class.getResource("/schedules/" + name + ".jsonl").toURI()));
     }
 
     private static Main.Run play(Schedule s, int gateways, double drift) throws IOException, InterruptedException {
@@ -41,14 +42,24 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"holder-stopped-in-its-act, 3", "holder-cut-from-the-voters, 3", "cut-in-one-direction, 3",
-        "leader-and-holder-killed-together, 5", "all-killed-one-with-an-empty-disk, 3", "two-of-five-lose-their-disks, 5",
-        "leader-flaps, 3", "disks-that-lie, 5", "disks-that-fail, 3"})
+    @CsvSource({
+        "holder-stopped-in-its-act, 3",
+        "holder-cut-from-the-voters, 3",
+        "cut-in-one-direction, 3",
+        "leader-and-holder-killed-together, 5",
+        "all-killed-one-with-an-empty-disk, 3",
+        "two-of-five-lose-their-disks, 5",
+        "leader-flaps, 3",
+        "disks-that-lie, 5",
+        "disks-that-fail, 3"
+    })
     void theFleetHolds(String name, int gateways) throws Exception {
         Main.Run run = play(schedule(name), gateways, 0);
         assertTrue(run.verdict().acts() > 0);
-        System.out.println("storm: " + name + ": " + run.verdict().acts() + " acts, " + run.verdict().turnedAway()
-                + " turned away, " + run.verdict().gapsMs().size() + " hand-overs, " + run.verdict().overlaps()
+        System.out.println("storm: " + name + ": " + run.verdict().acts() + " acts, "
+                + run.verdict().turnedAway()
+                + " turned away, " + run.verdict().gapsMs().size() + " hand-overs, "
+                + run.verdict().overlaps()
                 + " bounded overlaps");
     }
 
@@ -63,7 +74,8 @@
     void aHolderThatEndsInOrderHandsOver() throws Exception {
         Main.Run run = play(schedule("planned-hand-over"), 3, 0);
         assertTrue(run.verdict().gapsMs().size() >= 1 && run.handOvers().size() >= 1);
-        System.out.println("storm: planned hand-overs took " + run.handOvers() + " ms, gaps " + run.verdict().gapsMs());
+        System.out.println("storm: planned hand-overs took " + run.handOvers() + " ms, gaps "
+                + run.verdict().gapsMs());
     }
 
     /** One clock is 2% fast, one 2% slow, and holders are stopped and cut. */
@@ -75,8 +87,12 @@
     /** Who acts is asked of no clock that can be set; a tick that was claimed is claimed by nobody again. */
     @Test
     void aClockThatStepsBackAMinuteChangesNothing() throws Exception {
-        Main.Run run = play(new Schedule(List.of(new Fault(800, Fault.Kind.STEP_BACK, "holder", 3000),
-                new Fault(1200, Fault.Kind.STEP_BACK, "leader", 3000))), 3, 0);
+        Main.Run run = play(
+                new Schedule(List.of(
+                        new Fault(800, Fault.Kind.STEP_BACK, "holder", 3000),
+                        new Fault(1200, Fault.Kind.STEP_BACK, "leader", 3000))),
+                3,
+                0);
         assertEquals(0, run.verdict().gapsMs().size());
     }
 
@@ -89,7 +105,9 @@
             assertTrue(rig.awaitSaid("fleet: host h2 is WELL", () -> rig.hosts().hang("h2", false)));
             int before = rig.hosts().probes("h4");
             long from = System.nanoTime();
-            rig.play(new Schedule(List.of(new Fault(0, Fault.Kind.KILL, "g3", 500))), rig.sinceMs() + 10L * Rig.PROBE_MS);
+            rig.play(
+                    new Schedule(List.of(new Fault(0, Fault.Kind.KILL, "g3", 500))),
+                    rig.sinceMs() + 10L * Rig.PROBE_MS);
             double rounds = (System.nanoTime() - from) / 1e6 / Rig.PROBE_MS;
             int probes = rig.hosts().probes("h4") - before;
             // A killed holder's shards pass on, which begins one more round: far from one prober for each of four.
@@ -106,8 +124,8 @@
             rig.play(new Schedule(List.of(new Fault(0, Fault.Kind.AGENT_AWAY, null, 2500))), rig.sinceMs() + 2600);
             String back = " lists 6 hosts, version " + rig.hosts().version();
             assertTrue(rig.awaitSaid(back));
-            System.out.println("storm: 6 gateways have the list again, whole lists told: " + rig.hosts().wholes() + ", calls: "
-                    + rig.hosts().calls());
+            System.out.println("storm: 6 gateways have the list again, whole lists told: "
+                    + rig.hosts().wholes() + ", calls: " + rig.hosts().calls());
             int taken = 0;
             for (String name : rig.gateways().keySet()) {
                 Matcher m = TAKEN.matcher(rig.page(name, "/admin/fleet"));
@@ -145,11 +163,27 @@
             Path notes = Files.createFile(dir.resolve("notes"));
             List<Process> permits = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
-                permits.add(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "marlford.fleet.Main",
-                        "permit", "--fleet", rig.gateways().get("g0").settings().toString(), "--name", "ops-" + i,
-                        "--at-once", "2", "--", "sh", "-c", "echo begin >> " + notes + "; sleep 0.3; echo end >> " + notes)
-                        .redirectErrorStream(true).redirectOutput(dir.resolve("permit-" + i).toFile()).start());
+                permits.add(new ProcessBuilder(
+                                Path.of(System.getProperty("java.home"), "bin", "java")
+                                        .toString(),
+                                "-XX:TieredStopAtLevel=1",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                "marlford.fleet.Main",
+                                "permit",
+                                "--fleet",
+                                rig.gateways().get("g0").settings().toString(),
+                                "--name",
+                                "ops-" + i,
+                                "--at-once",
+                                "2",
+                                "--",
+                                "sh",
+                                "-c",
+                                "echo begin >> " + notes + "; sleep 0.3; echo end >> " + notes)
+                        .redirectErrorStream(true)
+                        .redirectOutput(dir.resolve("permit-" + i).toFile())
+                        .start());
             }
             for (Process p : permits) {
                 assertEquals(0, p.waitFor());
@@ -167,8 +201,10 @@
     /** Kills at random under load: what was let in is exported, none twice and none missing. */
     @Test
     void whatIsExportedIsWhatWasLetIn() throws Exception {
-        Schedule kills = new Schedule(List.of(new Fault(1500, Fault.Kind.KILL, "g1", 500),
-                new Fault(2500, Fault.Kind.STEP_BACK, "g0", 1500), new Fault(3000, Fault.Kind.STOP, "g2", 1500),
+        Schedule kills = new Schedule(List.of(
+                new Fault(1500, Fault.Kind.KILL, "g1", 500),
+                new Fault(2500, Fault.Kind.STEP_BACK, "g0", 1500),
+                new Fault(3000, Fault.Kind.STOP, "g2", 1500),
                 new Fault(3500, Fault.Kind.KILL, "leader", 500)));
         Main.Run run = Main.run(kills, new Main.Setup(3, Gateway.Role.SERVES, TTL_MS, 0, 60, List.of()), 6000, null);
         assertNotNull(run);
--- a/storm/src/test/java/marlford/storm/VersionsTest.java
+++ b/storm/src/test/java/marlford/storm/VersionsTest.java
@@ -18,7 +18,9 @@
 
     private static Map<String, List<String>> newer() {
         Map<String, List<String>> changes = new LinkedHashMap<>();
-        changes.put("marlford/lease/Command.java", List.of("record Tick(long session, String task, long tick) implements Command { }", """
+        changes.put(
+                "marlford/lease/Command.java",
+                List.of("record Tick(long session, String task, long tick) implements Command {}", """
                 record Tick(long session, String task, long tick, String note) implements Command {
                     public Tick(long session, String task, long tick) {
                         this(session, task, tick, "new");
@@ -57,7 +59,11 @@
             Gateway old = rig.gateways().get("g2");
             long from = System.nanoTime();
             rig.play(new Schedule(List.of()), rig.sinceMs() + 2 * TTL_MS);
-            assertEquals(0, rig.notes().stream().filter(n -> n.task().equals(Rig.TICK) && n.begin() > from).count());
+            assertEquals(
+                    0,
+                    rig.notes().stream()
+                            .filter(n -> n.task().equals(Rig.TICK) && n.begin() > from)
+                            .count());
             assertTrue(rig.awaitAct(Rig.ONE));
             assertFalse(old.said("takes no part"));
             old.kill();
