--- a/fleet/src/main/java/marlford/board/Board.java
+++ b/fleet/src/main/java/marlford/board/Board.java
@@ -11,7 +11,7 @@
 /**
  * The leader's board. A row stands until one of a greater token, or a younger one of the same, replaces it, or it is
  * {@value #KEEP_MS} ms old. Ages only grow on the way: a row is told as old as it may be, never younger, but for the
- * shortest way from its finder to here ({@link Lateness}).
+ * shortest way from its finder to here ({@link DelayEstimator}).
  *
  * <p>Bounds: {@value #ROWS_MAX} rows and {@value #CHARS_MAX} characters, beyond which a new row is not taken and counted;
  * {@value #NOTICE_MAX} characters in one notice, the rest comes with the next. Milliseconds by one monotonic clock. Not
@@ -29,9 +29,9 @@
 
     private record Entry(Row row, double foundAt) {}
 
-    private final Map<Place, Long> places = new HashMap<>();
+    private final Map<RowKey, Long> places = new HashMap<>();
     private final TreeMap<Long, Entry> rows = new TreeMap<>(); // by the number of their change
-    private final Lateness lateness = new Lateness();
+    private final DelayEstimator lateness = new DelayEstimator();
     private long id;
     private long changes;
     private int chars;
@@ -51,7 +51,7 @@
      * @param sender the member's session
      * @param holds whether the member holds a token now; rows of others are not taken
      */
-    public Notice hear(long sender, Telling t, LongPredicate holds, double now) {
+    public BoardChanges hear(long sender, BoardUpdate t, LongPredicate holds, double now) {
         double late = lateness.of(sender, t.at(), now);
         for (Row r : t.rows() == null ? List.<Row>of() : t.rows()) {
             if (!holds.test(r.token()) || !put(r, now - r.ageMs() - late, now)) {
@@ -65,7 +65,7 @@
         if (!fits(r) || !(now - foundAt < KEEP_MS)) {
             return false;
         }
-        Place place = Place.of(r);
+        RowKey place = RowKey.of(r);
         Entry old = at(place);
         if (old != null
                 && (r.token() < old.row().token() || r.token() == old.row().token() && foundAt <= old.foundAt())) {
@@ -86,7 +86,7 @@
         return true;
     }
 
-    private Entry at(Place place) {
+    private Entry at(RowKey place) {
         Long change = places.get(place);
         return change == null ? null : rows.get(change);
     }
@@ -110,13 +110,13 @@
             Entry e = i.next();
             if (now - e.foundAt() > KEEP_MS) {
                 i.remove();
-                places.remove(Place.of(e.row()));
+                places.remove(RowKey.of(e.row()));
                 chars -= size(e.row());
             }
         }
     }
 
-    private Notice since(long heard, double now) {
+    private BoardChanges since(long heard, double now) {
         List<Row> news = new ArrayList<>();
         long upTo = changes;
         int told = 0;
@@ -132,7 +132,7 @@
                 news.add(new Row(r.topic(), r.key(), r.token(), r.value(), age));
             }
         }
-        return new Notice(id, upTo, news);
+        return new BoardChanges(id, upTo, news);
     }
 
     /** How many rows stand, and how many were not taken: for operators. */
--- a/fleet/src/main/java/marlford/board/Notice.java
+++ b/fleet/src/main/java/marlford/board/BoardChanges.java
@@ -8,4 +8,4 @@
  * @param board which one: another leader has another
  * @param upTo where to go on from
  */
-public record Notice(long board, long upTo, List<Row> rows) {}
+public record BoardChanges(long board, long upTo, List<Row> rows) {}
--- a/fleet/src/main/java/marlford/board/Notes.java
+++ b/fleet/src/main/java/marlford/board/BoardClient.java
@@ -12,16 +12,16 @@
  * <p>Bounds: {@value #TELL_MAX} characters told at once, the rest follows; {@value #HEARD_MAX} rows to tell and as many heard,
  * beyond which the oldest are forgotten. Milliseconds by one monotonic clock. Not thread-safe.
  */
-public final class Notes {
+public final class BoardClient {
     static final int TELL_MAX = 128 * 1024;
     static final int HEARD_MAX = Board.ROWS_MAX;
 
     /** A row that was found out or heard at this time by the own clock, at the latest, if it had no age then. */
     private record Dated(Row row, double at) {}
 
-    private final Map<Place, Dated> toTell = new LinkedHashMap<>();
-    private final Map<Place, Dated> heard = new LinkedHashMap<>(); // those heard last stand last
-    private final Map<Place, Dated> news = new LinkedHashMap<>();
+    private final Map<RowKey, Dated> toTell = new LinkedHashMap<>();
+    private final Map<RowKey, Dated> heard = new LinkedHashMap<>(); // those heard last stand last
+    private final Map<RowKey, Dated> news = new LinkedHashMap<>();
     private List<Dated> told = List.of(); // with the telling that is under way
     private long board;
     private long upTo;
@@ -34,7 +34,7 @@
      * @param soon whether it should not wait for the next renewal
      */
     public void tell(String topic, String key, long token, String value, double foundAt, boolean soon) {
-        toTell.put(new Place(topic, key), new Dated(new Row(topic, key, token, value, 0), foundAt));
+        toTell.put(new RowKey(topic, key), new Dated(new Row(topic, key, token, value, 0), foundAt));
         if (toTell.size() > HEARD_MAX) {
             toTell.remove(toTell.keySet().iterator().next());
         }
@@ -52,7 +52,7 @@
     }
 
     /** What goes with a message that leaves now. */
-    public Telling telling(double now) {
+    public BoardUpdate telling(double now) {
         List<Row> rows = new ArrayList<>();
         List<Dated> with = new ArrayList<>();
         int chars = 0;
@@ -66,7 +66,7 @@
         }
         told = with;
         urgent = false;
-        return new Telling(now, board, upTo, rows);
+        return new BoardUpdate(now, board, upTo, rows);
     }
 
     /**
@@ -74,7 +74,7 @@
      *
      * @param n null from a voter that keeps no board, as older ones do
      */
-    public void heard(Notice n, double askedAt) {
+    public void heard(BoardChanges n, double askedAt) {
         toTell.values().removeAll(told);
         told = List.of();
         if (n == null) {
@@ -83,14 +83,14 @@
         board = n.board();
         upTo = n.upTo();
         for (Row r : n.rows()) {
-            Place place = Place.of(r);
+            RowKey place = RowKey.of(r);
             Dated d = new Dated(r, askedAt);
             heard.remove(place);
             heard.put(place, d);
             news.put(place, d);
         }
         while (heard.size() > HEARD_MAX) {
-            Place oldest = heard.keySet().iterator().next();
+            RowKey oldest = heard.keySet().iterator().next();
             heard.remove(oldest);
             news.remove(oldest);
         }
@@ -106,7 +106,7 @@
 
     /** The row of this key that was heard last, with its age of now; null where none was. */
     public Row row(String topic, String key, double now) {
-        Dated d = heard.get(new Place(topic, key));
+        Dated d = heard.get(new RowKey(topic, key));
         return d == null ? null : d.row().aged(now - d.at());
     }
 
--- a/fleet/src/main/java/marlford/board/Telling.java
+++ b/fleet/src/main/java/marlford/board/BoardUpdate.java
@@ -10,4 +10,4 @@
  * @param heard up to where it was heard
  * @param rows what the member found out
  */
-public record Telling(double at, long board, long heard, List<Row> rows) {}
+public record BoardUpdate(double at, long board, long heard, List<Row> rows) {}
--- a/fleet/src/main/java/marlford/board/Lateness.java
+++ b/fleet/src/main/java/marlford/board/DelayEstimator.java
@@ -11,7 +11,7 @@
  * <p>Bound: {@value #SENDERS_MAX} senders, beyond which those that were silent for two minutes are forgotten, and a message
  * of one more counts as later than anything. Milliseconds. Not thread-safe.
  */
-final class Lateness {
+final class DelayEstimator {
     static final int SENDERS_MAX = 4000;
     private static final double SPAN_MS = 30_000; // two of them make the minute
 
--- a/fleet/src/main/java/marlford/agree/Codec.java
+++ b/fleet/src/main/java/marlford/consensus/Codec.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import com.fasterxml.jackson.annotation.JsonAutoDetect;
 import com.fasterxml.jackson.annotation.JsonInclude;
@@ -32,11 +32,11 @@
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
-import marlford.lease.Answer;
-import marlford.lease.Ask;
-import marlford.lease.Book;
 import marlford.lease.Command;
+import marlford.lease.CommandResult;
+import marlford.lease.LeaseStateMachine;
 import marlford.lease.Reply;
+import marlford.lease.Request;
 
 /**
  * Everything that goes over a wire or to a disk, as CBOR. In what is said, fields that a reader does not know are passed over;
@@ -47,12 +47,12 @@
     private static final ObjectMapper MAPPER = new CBORMapper()
             .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
             .addMixIn(Command.class, Commands.class)
-            .addMixIn(Ask.class, Asks.class)
-            .addMixIn(marlford.work.Line.class, Works.class)
-            .addMixIn(Book.Image.class, Sparse.class)
-            .addMixIn(Answer.class, Sparse.class)
+            .addMixIn(Request.class, Requests.class)
+            .addMixIn(marlford.register.RegisterCommand.class, RegisterCommands.class)
+            .addMixIn(LeaseStateMachine.Snapshot.class, Sparse.class)
+            .addMixIn(CommandResult.class, Sparse.class)
             .addMixIn(Reply.class, Sparse.class)
-            .addMixIn(Ask.Renew.class, Sparse.class)
+            .addMixIn(Request.Renew.class, Sparse.class)
             .setVisibility(CBORMapper.builder()
                     .build()
                     .getVisibilityChecker()
@@ -80,32 +80,32 @@
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "ask")
     @JsonSubTypes({
-        @Type(value = Ask.Submit.class, name = "submit"),
-        @Type(value = Ask.Renew.class, name = "renew"),
-        @Type(value = Ask.Watch.class, name = "watch"),
-        @Type(value = Ask.Look.class, name = "look")
+        @Type(value = Request.Submit.class, name = "submit"),
+        @Type(value = Request.Renew.class, name = "renew"),
+        @Type(value = Request.Watch.class, name = "watch"),
+        @Type(value = Request.Lookup.class, name = "look")
     })
-    private interface Asks {}
+    private interface Requests {}
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "work")
     @JsonSubTypes({
-        @Type(value = marlford.work.Line.Enter.class, name = "enter"),
-        @Type(value = marlford.work.Line.Move.class, name = "move"),
-        @Type(value = marlford.work.Line.End.class, name = "end"),
-        @Type(value = marlford.work.Line.Withdraw.class, name = "withdraw"),
-        @Type(value = marlford.work.Line.Take.class, name = "take"),
-        @Type(value = marlford.work.Line.Forget.class, name = "forget")
+        @Type(value = marlford.register.RegisterCommand.Enter.class, name = "enter"),
+        @Type(value = marlford.register.RegisterCommand.Move.class, name = "move"),
+        @Type(value = marlford.register.RegisterCommand.End.class, name = "end"),
+        @Type(value = marlford.register.RegisterCommand.Withdraw.class, name = "withdraw"),
+        @Type(value = marlford.register.RegisterCommand.Take.class, name = "take"),
+        @Type(value = marlford.register.RegisterCommand.Forget.class, name = "forget")
     })
-    private interface Works {}
+    private interface RegisterCommands {}
 
     /** What is not there is left out: it takes no room, and older versions need not know of it. */
     @JsonInclude(JsonInclude.Include.NON_NULL)
     private interface Sparse {}
 
     /** The members of a group as a line of the log has them. */
-    record Group(long index, List<String> all, List<String> voting) {
-        static Group of(RaftGroupMembersView v) {
-            return new Group(v.getLogIndex(), ids(v.getMembers()), ids(v.getVotingMembers()));
+    record MembersRecord(long index, List<String> all, List<String> voting) {
+        static MembersRecord of(RaftGroupMembersView v) {
+            return new MembersRecord(v.getLogIndex(), ids(v.getMembers()), ids(v.getVotingMembers()));
         }
 
         RaftGroupMembersView view() {
@@ -118,24 +118,24 @@
     }
 
     /** A change of the members, as the engine logs it. */
-    record Change(List<String> all, List<String> voting, String point, String mode) {}
+    record MembershipChangeRecord(List<String> all, List<String> voting, String point, String mode) {}
 
     /** One of the three is there, or none, where a term begins. */
-    record Line(long index, int term, Command command, Change change) {
-        static Line of(LogEntry e) {
+    record LogRecord(long index, int term, Command command, MembershipChangeRecord change) {
+        static LogRecord of(LogEntry e) {
             Object op = e.getOperation();
             if (op instanceof UpdateRaftGroupMembersOp u) {
-                return new Line(
+                return new LogRecord(
                         e.getIndex(),
                         e.getTerm(),
                         null,
-                        new Change(
+                        new MembershipChangeRecord(
                                 ids(u.getMembers()),
                                 ids(u.getVotingMembers()),
                                 u.getEndpoint().getId().toString(),
                                 u.getMode().name()));
             }
-            return new Line(e.getIndex(), e.getTerm(), op instanceof Command c ? c : null, null);
+            return new LogRecord(e.getIndex(), e.getTerm(), op instanceof Command c ? c : null, null);
         }
 
         LogEntry entry() {
@@ -144,7 +144,7 @@
                 op = MODELS.createUpdateRaftGroupMembersOpBuilder()
                         .setMembers(points(change.all()))
                         .setVotingMembers(points(change.voting()))
-                        .setEndpoint(new Point(change.point()))
+                        .setEndpoint(new VoterId(change.point()))
                         .setMode(MembershipChangeMode.valueOf(change.mode()))
                         .build();
             } else if (command != null) {
@@ -164,15 +164,15 @@
     }
 
     /** A snapshot: the book, in one piece. */
-    record Piece(long index, int term, Book.Image image, int at, int of, Group group) {
-        static Piece of(SnapshotChunk c) {
-            return new Piece(
+    record SnapshotRecord(long index, int term, LeaseStateMachine.Snapshot image, int at, int of, MembersRecord group) {
+        static SnapshotRecord of(SnapshotChunk c) {
+            return new SnapshotRecord(
                     c.getIndex(),
                     c.getTerm(),
-                    (Book.Image) c.getOperation(),
+                    (LeaseStateMachine.Snapshot) c.getOperation(),
                     c.getSnapshotChunkIndex(),
                     c.getSnapshotChunkCount(),
-                    Group.of(c.getGroupMembersView()));
+                    MembersRecord.of(c.getGroupMembersView()));
         }
 
         SnapshotChunk chunk() {
@@ -188,7 +188,7 @@
     }
 
     /** A message of the engine; what a kind of message does not have is 0, false or null. */
-    record Mail(
+    record EngineMessage(
             String kind,
             String from,
             int term,
@@ -199,10 +199,10 @@
             long flow,
             int pieces,
             boolean flag,
-            List<Line> lines,
-            Piece piece,
+            List<LogRecord> lines,
+            SnapshotRecord piece,
             List<String> points,
-            Group group) {}
+            MembersRecord group) {}
 
     static List<String> ids(Collection<RaftEndpoint> points) {
         return points.stream().map(p -> p.getId().toString()).toList();
@@ -210,7 +210,7 @@
 
     static Collection<RaftEndpoint> points(List<String> ids) {
         Collection<RaftEndpoint> points = new LinkedHashSet<>();
-        ids.forEach(id -> points.add(new Point(id)));
+        ids.forEach(id -> points.add(new VoterId(id)));
         return points;
     }
 
@@ -227,13 +227,13 @@
         return MAPPER.readValue(bytes, kind);
     }
 
-    static Mail mail(RaftMessage m) {
+    static EngineMessage engineMessage(RaftMessage m) {
         String from = m.getSender().getId().toString();
         int term = m.getTerm();
         if (m instanceof AppendEntriesRequest r) {
-            List<Line> lines = new ArrayList<>(r.getLogEntries().size());
-            r.getLogEntries().forEach(e -> lines.add(Line.of(e)));
-            return new Mail(
+            List<LogRecord> lines = new ArrayList<>(r.getLogEntries().size());
+            r.getLogEntries().forEach(e -> lines.add(LogRecord.of(e)));
+            return new EngineMessage(
                     "append",
                     from,
                     term,
@@ -272,7 +272,7 @@
                     false);
         }
         if (m instanceof InstallSnapshotRequest r) {
-            return new Mail(
+            return new EngineMessage(
                     "snapshot",
                     from,
                     term,
@@ -284,12 +284,12 @@
                     r.getTotalSnapshotChunkCount(),
                     r.isSenderLeader(),
                     null,
-                    r.getSnapshotChunk() == null ? null : Piece.of(r.getSnapshotChunk()),
+                    r.getSnapshotChunk() == null ? null : SnapshotRecord.of(r.getSnapshotChunk()),
                     ids(r.getSnapshottedMembers()),
-                    Group.of(r.getGroupMembersView()));
+                    MembersRecord.of(r.getGroupMembersView()));
         }
         if (m instanceof InstallSnapshotResponse r) {
-            return new Mail(
+            return new EngineMessage(
                     "installed",
                     from,
                     term,
@@ -321,14 +321,14 @@
         return plain("lead", from, term, r.getLastLogTerm(), r.getLastLogIndex(), 0, 0, false);
     }
 
-    private static Mail plain(
+    private static EngineMessage plain(
             String kind, String from, int term, int lastTerm, long index, long query, long flow, boolean flag) {
-        return new Mail(kind, from, term, lastTerm, index, 0, query, flow, 0, flag, null, null, null, null);
+        return new EngineMessage(kind, from, term, lastTerm, index, 0, query, flow, 0, flag, null, null, null, null);
     }
 
     /** @param group whose message it is; messages carry none, since a fleet has one group */
-    static RaftMessage message(Mail m, Object group) {
-        Point from = new Point(m.from());
+    static RaftMessage raftMessage(EngineMessage m, Object group) {
+        VoterId from = new VoterId(m.from());
         return switch (m.kind()) {
             case "append" ->
                 MODELS.createAppendEntriesRequestBuilder()
@@ -338,7 +338,7 @@
                         .setPreviousLogTerm(m.lastTerm())
                         .setPreviousLogIndex(m.index())
                         .setCommitIndex(m.commit())
-                        .setLogEntries(m.lines().stream().map(Line::entry).toList())
+                        .setLogEntries(m.lines().stream().map(LogRecord::entry).toList())
                         .setQuerySequenceNumber(m.query())
                         .setFlowControlSequenceNumber(m.flow())
                         .build();
--- a/fleet/src/main/java/marlford/agree/Disk.java
+++ b/fleet/src/main/java/marlford/consensus/Disk.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/fleet/src/main/java/marlford/agree/EngineTime.java
+++ b/fleet/src/main/java/marlford/consensus/EngineExecutor.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import io.microraft.executor.RaftNodeExecutor;
 import java.time.Clock;
@@ -14,14 +14,14 @@
  * so {@value #FACTOR} of its milliseconds are one of ours. Its clock is the machine's monotonic one: a system clock that
  * steps changes nothing.
  */
-final class EngineTime extends Clock implements RaftNodeExecutor {
+final class EngineExecutor extends Clock implements RaftNodeExecutor {
     /** Milliseconds of the engine in one of ours. */
     static final int FACTOR = 5;
 
     private final ScheduledThreadPoolExecutor thread;
-    private final MonotonicTime time;
+    private final MonotonicClock time;
 
-    EngineTime(String name, MonotonicTime time) {
+    EngineExecutor(String name, MonotonicClock time) {
         this.time = time;
         thread = new ScheduledThreadPoolExecutor(1, work -> {
             Thread t = new Thread(work, name);
--- a/fleet/src/main/java/marlford/agree/Wire.java
+++ b/fleet/src/main/java/marlford/consensus/FrameTransport.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -27,9 +27,9 @@
  * <p>Bounds: a frame of {@value #FRAME_MAX} bytes; {@value #QUEUE_MAX} bytes that wait to leave on one connection, beyond
  * which a frame is dropped, as if it were lost on the way; {@value #CONNECT_MS} ms to connect.
  */
-final class Wire {
+final class FrameTransport {
     static final byte HELLO = 1;
-    static final byte MAIL = 2;
+    static final byte ENGINE_MESSAGE = 2;
     static final byte CALL = 3;
     static final byte REPLY = 4;
     private static final int FRAME_MAX = 64 << 20;
@@ -38,10 +38,10 @@
     private static final int CONNECT_MS = 500;
     private static final int SILENCE_S = 30; // a connection on which nothing comes for this long is closed
 
-    private Wire() {}
+    private FrameTransport() {}
 
     /** What comes over a connection; called on its event loop. */
-    interface Ears {
+    interface Listener {
         void frame(Channel from, byte kind, byte[] body);
 
         default void open(Channel channel) {}
@@ -50,37 +50,37 @@
     }
 
     /** Listens; the future's channel has the address. */
-    static Channel listen(EventLoopGroup group, InetSocketAddress at, Ears ears) throws InterruptedException {
+    static Channel listen(EventLoopGroup group, InetSocketAddress at, Listener listener) throws InterruptedException {
         return new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
-                .childHandler(pipeline(ears))
+                .childHandler(pipeline(listener))
                 .bind(at)
                 .sync()
                 .channel();
     }
 
-    /** Connects; {@link Ears#open} or {@link Ears#closed} tells what came of it. */
-    static void connect(EventLoopGroup group, InetSocketAddress to, Ears ears) {
+    /** Connects; {@link Listener#open} or {@link Listener#closed} tells what came of it. */
+    static void connect(EventLoopGroup group, InetSocketAddress to, Listener listener) {
         new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
-                .handler(pipeline(ears))
+                .handler(pipeline(listener))
                 .connect(to)
                 .addListener(f -> {
                     if (!f.isSuccess()) {
-                        ears.closed(null);
+                        listener.closed(null);
                     }
                 });
     }
 
-    private static ChannelInitializer<Channel> pipeline(Ears ears) {
+    private static ChannelInitializer<Channel> pipeline(Listener listener) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
@@ -89,7 +89,7 @@
                         new ReadTimeoutHandler(SILENCE_S, TimeUnit.SECONDS),
                         new LengthFieldBasedFrameDecoder(FRAME_MAX, 0, LENGTH, 0, LENGTH),
                         new LengthFieldPrepender(LENGTH),
-                        new Frames(ears));
+                        new Frames(listener));
             }
         };
     }
@@ -105,26 +105,26 @@
     }
 
     private static final class Frames extends SimpleChannelInboundHandler<ByteBuf> {
-        private final Ears ears;
+        private final Listener listener;
 
-        Frames(Ears ears) {
-            this.ears = ears;
+        Frames(Listener listener) {
+            this.listener = listener;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ears.open(ctx.channel());
+            listener.open(ctx.channel());
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
             byte kind = frame.readByte();
-            ears.frame(ctx.channel(), kind, ByteBufUtil.getBytes(frame));
+            listener.frame(ctx.channel(), kind, ByteBufUtil.getBytes(frame));
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            ears.closed(ctx.channel());
+            listener.closed(ctx.channel());
         }
 
         /** Noise, a frame that is too long, a connection that broke: the connection ends. */
--- a/fleet/src/main/java/marlford/agree/Link.java
+++ b/fleet/src/main/java/marlford/consensus/ReconnectingChannel.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
@@ -6,20 +6,20 @@
 import java.util.concurrent.TimeUnit;
 
 /** A connection that is made again whenever it ends. What is sent while there is none is lost. */
-final class Link {
+final class ReconnectingChannel {
     private static final long AGAIN_MS = 100;
 
     private final EventLoopGroup group;
     private final InetSocketAddress to;
-    private final Wire.Ears ears;
+    private final FrameTransport.Listener listener;
     private volatile Channel channel;
     private volatile boolean over;
 
-    /** @param ears hears what comes, and of each end */
-    Link(EventLoopGroup group, InetSocketAddress to, Wire.Ears ears) {
+    /** @param listener hears what comes, and of each end */
+    ReconnectingChannel(EventLoopGroup group, InetSocketAddress to, FrameTransport.Listener listener) {
         this.group = group;
         this.to = to;
-        this.ears = ears;
+        this.listener = listener;
         connect();
     }
 
@@ -27,7 +27,7 @@
         if (over) {
             return;
         }
-        Wire.connect(group, to, new Wire.Ears() {
+        FrameTransport.connect(group, to, new FrameTransport.Listener() {
             @Override
             public void open(Channel opened) {
                 channel = opened;
@@ -35,15 +35,15 @@
 
             @Override
             public void frame(Channel from, byte kind, byte[] body) {
-                ears.frame(from, kind, body);
+                listener.frame(from, kind, body);
             }
 
             @Override
             public void closed(Channel closed) {
                 channel = null;
-                ears.closed(closed);
+                listener.closed(closed);
                 if (!over && !group.isShuttingDown()) {
-                    group.schedule(Link.this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
+                    group.schedule(ReconnectingChannel.this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
                 }
             }
         });
@@ -56,7 +56,7 @@
 
     /** Whether it is on its way. From any thread. */
     boolean send(byte kind, byte[] body) {
-        return Wire.send(channel, kind, body);
+        return FrameTransport.send(channel, kind, body);
     }
 
     void close() {
--- a/fleet/src/main/java/marlford/agree/CallBack.java
+++ b/fleet/src/main/java/marlford/consensus/ReplyFrame.java
@@ -1,6 +1,6 @@
-package marlford.agree;
+package marlford.consensus;
 
 import marlford.lease.Reply;
 
 /** A voter's reply to the call of this number. */
-record CallBack(long id, Reply reply) {}
+record ReplyFrame(long id, Reply reply) {}
--- a/fleet/src/main/java/marlford/agree/Caller.java
+++ b/fleet/src/main/java/marlford/consensus/RequestSender.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
@@ -11,39 +11,40 @@
 import marlford.lease.Reply;
 
 /** Carries a member's asks to the voters and brings the replies back. */
-public final class Caller {
+public final class RequestSender {
     /** Takes what came of an ask; called on the network's thread. */
-    public interface Ears {
+    public interface Listener {
         void heard(long id, Reply reply);
 
         /** The connection to a voter ended: what was asked there and not answered has failed. */
         void lost(String voter);
     }
 
-    private final Map<String, Link> links = new LinkedHashMap<>();
+    private final Map<String, ReconnectingChannel> links = new LinkedHashMap<>();
     private final LongAdder sent = new LongAdder(); // bytes of asks and replies, without frames
     private final LongAdder received = new LongAdder();
 
-    public Caller(EventLoopGroup network, Map<String, InetSocketAddress> voters, Ears ears) {
-        voters.forEach((name, address) -> links.put(name, new Link(network, address, new Wire.Ears() {
-            @Override
-            public void frame(Channel from, byte kind, byte[] body) {
-                try {
-                    if (kind == Wire.REPLY) {
-                        received.add(body.length);
-                        CallBack c = Codec.read(body, CallBack.class);
-                        ears.heard(c.id(), c.reply());
+    public RequestSender(EventLoopGroup network, Map<String, InetSocketAddress> voters, Listener listener) {
+        voters.forEach((name, address) ->
+                links.put(name, new ReconnectingChannel(network, address, new FrameTransport.Listener() {
+                    @Override
+                    public void frame(Channel from, byte kind, byte[] body) {
+                        try {
+                            if (kind == FrameTransport.REPLY) {
+                                received.add(body.length);
+                                ReplyFrame c = Codec.read(body, ReplyFrame.class);
+                                listener.heard(c.id(), c.reply());
+                            }
+                        } catch (IOException e) {
+                            from.close(); // a version that can't be read, or noise
+                        }
                     }
-                } catch (IOException e) {
-                    from.close(); // a version that can't be read, or noise
-                }
-            }
 
-            @Override
-            public void closed(Channel channel) {
-                ears.lost(name);
-            }
-        })));
+                    @Override
+                    public void closed(Channel channel) {
+                        listener.lost(name);
+                    }
+                })));
     }
 
     /** Sends what a member is to ask now; what can't leave has failed. On the member's thread. */
@@ -57,9 +58,9 @@
 
     private boolean send(Member.Outgoing o) {
         try {
-            byte[] bytes = Codec.bytes(new Call(o.id(), o.ask()));
+            byte[] bytes = Codec.bytes(new RequestFrame(o.id(), o.ask()));
             sent.add(bytes.length);
-            return links.get(o.voter()).send(Wire.CALL, bytes);
+            return links.get(o.voter()).send(FrameTransport.CALL, bytes);
         } catch (IOException e) {
             return false;
         }
@@ -71,6 +72,6 @@
     }
 
     public void close() {
-        links.values().forEach(Link::close);
+        links.values().forEach(ReconnectingChannel::close);
     }
 }
--- a/fleet/src/main/java/marlford/agree/Segment.java
+++ b/fleet/src/main/java/marlford/consensus/Segment.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/fleet/src/main/java/marlford/agree/SegmentStore.java
+++ b/fleet/src/main/java/marlford/consensus/SegmentStore.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
@@ -58,7 +58,7 @@
     private Identity identity;
     private long life;
     private Endpoint endpoint;
-    private Codec.Group initial;
+    private Codec.MembersRecord initial;
     private Vote vote;
     private final TreeMap<Long, byte[]> lines = new TreeMap<>();
     private final TreeMap<Long, TreeMap<Integer, byte[]>> pieces = new TreeMap<>();
@@ -97,14 +97,14 @@
                 case IDENTITY -> identity = Codec.agreed(body, Identity.class);
                 case LIFE -> life = Codec.agreed(body, Number.class).value();
                 case ENDPOINT -> endpoint = Codec.agreed(body, Endpoint.class);
-                case INITIAL -> initial = Codec.agreed(body, Codec.Group.class);
+                case INITIAL -> initial = Codec.agreed(body, Codec.MembersRecord.class);
                 case TERM -> vote = Codec.agreed(body, Vote.class);
                 case LINE -> {
-                    long index = Codec.agreed(body, Codec.Line.class).index();
+                    long index = Codec.agreed(body, Codec.LogRecord.class).index();
                     lines.put(index, body);
                 }
                 case PIECE -> {
-                    Codec.Piece p = Codec.agreed(body, Codec.Piece.class);
+                    Codec.SnapshotRecord p = Codec.agreed(body, Codec.SnapshotRecord.class);
                     pieces.computeIfAbsent(p.index(), i -> new TreeMap<>()).put(p.at(), body);
                 }
                 case CUT_FROM ->
@@ -184,7 +184,7 @@
         for (var entry : pieces.descendingMap().entrySet()) {
             List<SnapshotChunk> chunks = new ArrayList<>();
             for (byte[] p : entry.getValue().values()) {
-                chunks.add(Codec.agreed(p, Codec.Piece.class).chunk());
+                chunks.add(Codec.agreed(p, Codec.SnapshotRecord.class).chunk());
             }
             SnapshotChunk first = chunks.get(0);
             if (chunks.size() == first.getSnapshotChunkCount()) {
@@ -201,13 +201,13 @@
         List<LogEntry> entries = new ArrayList<>();
         for (byte[] l :
                 lines.tailMap(snapshot == null ? 0 : snapshot.getIndex(), false).values()) {
-            entries.add(Codec.agreed(l, Codec.Line.class).entry());
+            entries.add(Codec.agreed(l, Codec.LogRecord.class).entry());
         }
-        Point voted = vote.point() == null ? null : new Point(vote.point());
+        VoterId voted = vote.point() == null ? null : new VoterId(vote.point());
         return new RestoredRaftState(
                 Codec.MODELS
                         .createRaftEndpointPersistentStateBuilder()
-                        .setLocalEndpoint(new Point(endpoint.point()))
+                        .setLocalEndpoint(new VoterId(endpoint.point()))
                         .setVoting(endpoint.voting())
                         .build(),
                 initial.view(),
@@ -233,7 +233,7 @@
 
     @Override
     public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
-        put(INITIAL, Codec.Group.of(members));
+        put(INITIAL, Codec.MembersRecord.of(members));
         flush();
     }
 
@@ -250,7 +250,7 @@
     @Override
     public void persistLogEntries(List<LogEntry> entries) throws IOException {
         for (LogEntry e : entries) {
-            byte[] body = Codec.bytes(Codec.Line.of(e));
+            byte[] body = Codec.bytes(Codec.LogRecord.of(e));
             append(LINE, body);
             lines.put(e.getIndex(), body);
         }
@@ -258,7 +258,7 @@
 
     @Override
     public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
-        put(PIECE, Codec.Piece.of(chunk));
+        put(PIECE, Codec.SnapshotRecord.of(chunk));
     }
 
     @Override
--- a/fleet/src/main/java/marlford/agree/Voter.java
+++ b/fleet/src/main/java/marlford/consensus/Voter.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import com.fasterxml.jackson.databind.exc.InvalidTypeIdException;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
@@ -38,20 +38,20 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import marlford.board.Board;
-import marlford.board.Notice;
-import marlford.lease.Answer;
-import marlford.lease.Ask;
-import marlford.lease.Book;
+import marlford.board.BoardChanges;
 import marlford.lease.Command;
+import marlford.lease.CommandResult;
+import marlford.lease.FailureDetector;
+import marlford.lease.LeaseStateMachine;
 import marlford.lease.Reply;
-import marlford.lease.Silence;
-import marlford.voters.Founding;
-import marlford.voters.Hello;
-import marlford.voters.Levels;
-import marlford.voters.Replacement;
+import marlford.lease.Request;
+import marlford.membership.Bootstrap;
+import marlford.membership.Hello;
+import marlford.membership.ProtocolVersions;
+import marlford.membership.VoterReplacement;
 
 /**
- * One of the processes that the fleet agrees through: the engine, its store, the book on the agreed log, and the answers to
+ * One of the processes that the fleet agrees through: the engine, its store, the state machine on the agreed log, and the answers to
  * what members ask. All of it runs on one thread of its own, so that a disk that hangs stops this vote and nothing else.
  *
  * <p>Bounds: {@value #CALLS_MAX} calls and {@value #WATCHES_MAX} watches at once, beyond which the reply is
@@ -68,7 +68,7 @@
     private static final double GONE_MS = 3000; // a voter that says nothing for this long may be replaced
     private static final double STALL_MS = 400; // a pause of this thread that is longer gives all sessions its time
     private static final double CHANGE_AGAIN_MS = 300;
-    private static final int ELECTION_MS = 1500; // of the engine's milliseconds, EngineTime.FACTOR of ours
+    private static final int ELECTION_MS = 1500; // of the engine's milliseconds, EngineExecutor.FACTOR of ours
     private static final int HEARTBEAT_S = 1; // likewise: 200 ms
     private static final int SILENT_S = 5; // likewise: a leader that is silent for 1 s is no more
     private static final double DEAF_MS = 3000; // three times that: the engine should have noticed long before
@@ -80,26 +80,26 @@
     /** What a voter is told. */
     public record Settings(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder) {}
 
-    private record Watch(Ask.Watch ask, double until, Consumer<Reply> to) {}
+    private record Watch(Request.Watch ask, double until, Consumer<Reply> to) {}
 
     private final Settings settings;
-    private final MonotonicTime time;
-    private final EngineTime engine;
+    private final MonotonicClock time;
+    private final EngineExecutor engine;
     private final EventLoopGroup network;
     private final Consumer<String> log;
-    private final Map<String, Link> links = new LinkedHashMap<>();
-    private final Silence silence = new Silence(STALL_MS);
-    private final Levels levels = new Levels();
-    private final Replacement replacement = new Replacement(GONE_MS);
+    private final Map<String, ReconnectingChannel> links = new LinkedHashMap<>();
+    private final FailureDetector failureDetector = new FailureDetector(STALL_MS);
+    private final ProtocolVersions levels = new ProtocolVersions();
+    private final VoterReplacement replacement = new VoterReplacement(GONE_MS);
     private final Board board = new Board();
     private final List<Watch> watches = new ArrayList<>();
     private final SecureRandom random = new SecureRandom();
     private SegmentStore store;
-    private Point self;
-    private Founding founding;
+    private VoterId self;
+    private Bootstrap bootstrap;
     private RaftNode node;
     private Channel listener;
-    private Book book = new Book(0);
+    private LeaseStateMachine leases = new LeaseStateMachine(0);
     private int ledTerm;
     private int calls;
     private boolean changing;
@@ -111,12 +111,12 @@
     private volatile String out; // why it takes no part
     private volatile boolean closed;
 
-    public Voter(Settings settings, MonotonicTime time, EventLoopGroup network, Consumer<String> log) {
+    public Voter(Settings settings, MonotonicClock time, EventLoopGroup network, Consumer<String> log) {
         this.settings = settings;
         this.time = time;
         this.network = network;
         this.log = log;
-        this.engine = new EngineTime("marlford-voter", time);
+        this.engine = new EngineExecutor("marlford-voter", time);
     }
 
     /** Begins; a store that can't be trusted leaves it without a vote, and says so. */
@@ -126,17 +126,17 @@
         try {
             store = new SegmentStore(settings.folder(), d -> faults ? new FaultyDisk(d, orders) : d, log);
             store.begin(random.nextLong());
-            self = Point.of(settings.name(), store.identity().disk());
-            founding = new Founding(hello(), settings.voters().keySet());
+            self = VoterId.of(settings.name(), store.identity().disk());
+            bootstrap = new Bootstrap(hello(), settings.voters().keySet());
         } catch (IOException e) {
             goOut("its store can't be used: " + e.getMessage());
         }
         settings.voters().forEach((name, address) -> {
             if (!name.equals(settings.name())) {
-                links.put(name, new Link(network, address, this::frame));
+                links.put(name, new ReconnectingChannel(network, address, this::frame));
             }
         });
-        listener = Wire.listen(network, settings.voters().get(settings.name()), this::frame);
+        listener = FrameTransport.listen(network, settings.voters().get(settings.name()), this::frame);
         engine.thread().scheduleWithFixedDelay(guarded(this::tick), 0, TICK_MS, TimeUnit.MILLISECONDS);
         engine.thread().scheduleWithFixedDelay(guarded(this::greet), 0, HELLO_MS, TimeUnit.MILLISECONDS);
     }
@@ -144,7 +144,7 @@
     /** Ends it at once. */
     public void close() {
         closed = true;
-        links.values().forEach(Link::close);
+        links.values().forEach(ReconnectingChannel::close);
         if (listener != null) {
             listener.close();
         }
@@ -180,7 +180,7 @@
         if (out == null) {
             out = why;
             log.accept("fleet: this voter takes no part any more: " + why);
-            silence.rest();
+            failureDetector.rest();
             if (node != null) {
                 node.terminate();
             }
@@ -199,19 +199,19 @@
         }
         try {
             byte[] bytes = Codec.bytes(hello());
-            links.values().forEach(l -> l.send(Wire.HELLO, bytes));
+            links.values().forEach(l -> l.send(FrameTransport.HELLO, bytes));
         } catch (IOException e) {
             log.accept("fleet: defect: " + e);
         }
         if (node == null) {
-            Founding.Decision d = founding.decide();
-            if (store.initial() != null || d.step() != Founding.Step.WAIT) {
+            Bootstrap.Decision d = bootstrap.decide();
+            if (store.initial() != null || d.step() != Bootstrap.Step.WAIT) {
                 begin(d);
             }
         }
     }
 
-    private void begin(Founding.Decision d) {
+    private void begin(Bootstrap.Decision d) {
         try {
             RestoredRaftState restored = store.restored();
             RaftNode.RaftNodeBuilder b = RaftNode.newBuilder()
@@ -251,28 +251,31 @@
         }
         try {
             switch (kind) {
-                case Wire.HELLO -> {
+                case FrameTransport.HELLO -> {
                     Hello h = Codec.read(body, Hello.class);
                     engine.execute(guarded(() -> heard(h)));
                 }
-                case Wire.MAIL -> {
-                    RaftMessage m = Codec.message(Codec.agreed(body, Codec.Mail.class), GROUP);
+                case FrameTransport.ENGINE_MESSAGE -> {
+                    RaftMessage m = Codec.raftMessage(Codec.agreed(body, Codec.EngineMessage.class), GROUP);
                     engine.execute(guarded(() -> {
-                        if (node != null && out == null && !replacement.isOlderCopy(((Point) m.getSender()).id())) {
+                        if (node != null && out == null && !replacement.isOlderCopy(((VoterId) m.getSender()).id())) {
                             followedAt = m.getSender().equals(followed) ? time.ms() : followedAt;
                             node.handle(m);
                         }
                     }));
                 }
-                case Wire.CALL -> {
-                    Call c = Codec.read(body, Call.class);
+                case FrameTransport.CALL -> {
+                    RequestFrame c = Codec.read(body, RequestFrame.class);
                     engine.execute(guarded(() -> answer(c.ask(), r -> reply(from, c.id(), r))));
                 }
                 default -> from.close();
             }
         } catch (UnrecognizedPropertyException | InvalidTypeIdException e) {
             from.close();
-            if (kind == Wire.MAIL) { // passed over, this voter's book would not be the others' any more
+            if (kind
+                    == FrameTransport
+                            .ENGINE_MESSAGE) { // passed over, this voter would have another state, which would not be
+                // the others' any more
                 engine.execute(
                         guarded(() -> goOut("the log has what only a newer version knows: " + e.getOriginalMessage())));
             }
@@ -294,19 +297,19 @@
                     + h.seen().get(self.id()));
             return;
         }
-        founding.heard(h);
+        bootstrap.heard(h);
         replacement.heard(h, time.ms());
         levels.heard(h);
     }
 
     @Override
     public void send(RaftEndpoint to, RaftMessage message) {
-        Link link = links.get(((Point) to).name());
+        ReconnectingChannel link = links.get(((VoterId) to).name());
         if (link == null || out != null) {
             return;
         }
         try {
-            link.send(Wire.MAIL, Codec.bytes(Codec.mail(message)));
+            link.send(FrameTransport.ENGINE_MESSAGE, Codec.bytes(Codec.engineMessage(message)));
         } catch (IOException e) {
             log.accept("fleet: defect: " + e);
         }
@@ -314,41 +317,41 @@
 
     @Override
     public boolean isReachable(RaftEndpoint to) {
-        Link link = links.get(((Point) to).name());
+        ReconnectingChannel link = links.get(((VoterId) to).name());
         return link != null && link.isOpen();
     }
 
-    // ---- the book
+    // ---- the state machine
 
     @Override
     public Object runOperation(long index, Object operation) {
         if (operation instanceof Command c) {
-            Answer a = book.apply(index, c);
+            CommandResult a = leases.apply(index, c);
             tellWatches();
             return a;
         }
-        if (operation instanceof Ask.Renew r) {
-            Book.Session s = book.session(r.session());
+        if (operation instanceof Request.Renew r) {
+            LeaseStateMachine.Session s = leases.session(r.session());
             if (s == null) {
-                return new Answer(Answer.Kind.GONE, 0);
+                return new CommandResult(CommandResult.Kind.GONE, 0);
             }
             follow();
-            return silence.heard(r.session(), time.ms()) ? Answer.goesOn(s) : null;
+            return failureDetector.heard(r.session(), time.ms()) ? CommandResult.renewed(s) : null;
         }
-        if (operation instanceof Ask.Look l) {
-            return book.look(l.key(), l.digest());
+        if (operation instanceof Request.Lookup l) {
+            return leases.look(l.key(), l.digest());
         }
         return null; // a term begins
     }
 
     @Override
     public void takeSnapshot(long index, Consumer<Object> to) {
-        to.accept(book.image());
+        to.accept(leases.snapshot());
     }
 
     @Override
     public void installSnapshot(long index, List<Object> pieces) {
-        book = Book.of((Book.Image) pieces.get(0));
+        leases = LeaseStateMachine.of((LeaseStateMachine.Snapshot) pieces.get(0));
         tellWatches();
     }
 
@@ -364,10 +367,10 @@
                 && !RaftNodeStatus.isTerminal(node.getStatus())
                 && self.equals(node.getTerm().getLeaderEndpoint());
         if (!leads) {
-            silence.rest();
-        } else if (node.getTerm().getTerm() != ledTerm || !silence.leads()) {
+            failureDetector.rest();
+        } else if (node.getTerm().getTerm() != ledTerm || !failureDetector.leads()) {
             ledTerm = node.getTerm().getTerm();
-            silence.lead(time.ms());
+            failureDetector.lead(time.ms());
             board.begin(random.nextLong() >>> 1);
             changing = false;
             flooring = false;
@@ -393,14 +396,14 @@
             return;
         }
         follow();
-        if (!silence.leads()) {
+        if (!failureDetector.leads()) {
             return;
         }
-        if (!book.isBegun()) {
+        if (!leases.isBegun()) {
             floor();
             return;
         }
-        for (long session : silence.due(now, book.sessions())) {
+        for (long session : failureDetector.due(now, leases.sessions())) {
             log.accept("fleet: session " + session + " is silent, its end is proposed");
             node.replicate(new Command.Close(session));
         }
@@ -426,9 +429,9 @@
             log.accept("fleet: the engine does not notice that " + leader.getId() + " is silent, and begins anew");
             node.terminate();
             node = null;
-            book = new Book(0);
+            leases = new LeaseStateMachine(0);
             followed = null;
-            begin(founding.decide());
+            begin(bootstrap.decide());
         }
     }
 
@@ -445,7 +448,7 @@
         if (changing || now < changeAt) {
             return;
         }
-        Replacement.Step step = replacement.next(
+        VoterReplacement.Step step = replacement.next(
                 Codec.ids(members.getVotingMembers()), Codec.ids(members.getMembers()), self.id(), now);
         if (step == null) {
             return;
@@ -457,7 +460,7 @@
             case VOTE -> MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER;
         };
         log.accept("fleet: " + step.kind() + ' ' + step.point());
-        node.changeMembership(new Point(step.point()), mode, members.getLogIndex())
+        node.changeMembership(new VoterId(step.point()), mode, members.getLogIndex())
                 .whenCompleteAsync(
                         (done, e) -> {
                             changing = false;
@@ -473,7 +476,7 @@
 
     private void reply(Channel to, long id, Reply r) {
         try {
-            Wire.send(to, Wire.REPLY, Codec.bytes(new CallBack(id, r)));
+            FrameTransport.send(to, FrameTransport.REPLY, Codec.bytes(new ReplyFrame(id, r)));
         } catch (IOException e) {
             log.accept("fleet: defect: " + e);
         }
@@ -481,37 +484,38 @@
 
     private String leader() {
         RaftEndpoint l = node == null || out != null ? null : node.getTerm().getLeaderEndpoint();
-        return l == null ? "" : ((Point) l).name();
+        return l == null ? "" : ((VoterId) l).name();
     }
 
     /** Answers an ask, now or later, once; on this voter's thread. */
-    private void answer(Ask ask, Consumer<Reply> to) {
+    private void answer(Request ask, Consumer<Reply> to) {
         if (out != null || node == null || calls >= CALLS_MAX || watches.size() >= WATCHES_MAX) {
             to.accept(Reply.no(Reply.Status.BUSY, leader()));
-        } else if (ask instanceof Ask.Watch w) {
+        } else if (ask instanceof Request.Watch w) {
             watches.add(new Watch(w, time.ms() + WATCH_MS, to));
             tellWatches();
-        } else if (ask instanceof Ask.Renew r) {
-            Notice news = r.telling() == null || !silence.leads()
+        } else if (ask instanceof Request.Renew r) {
+            BoardChanges news = r.telling() == null || !failureDetector.leads()
                     ? null
-                    : board.hear(r.session(), r.telling(), token -> book.holds(r.session(), token), time.ms());
+                    : board.hear(r.session(), r.telling(), token -> leases.holds(r.session(), token), time.ms());
             comes(
                     node.query(r, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()),
                     reply -> to.accept(reply.with(news)));
-        } else if (ask instanceof Ask.Look l) {
+        } else if (ask instanceof Request.Lookup l) {
             comes(node.query(l, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), to);
-        } else if (!book.isBegun()) {
+        } else if (!leases.isBegun()) {
             to.accept(Reply.no(Reply.Status.BUSY, leader()));
         } else {
-            submit(((Ask.Submit) ask).line(), to);
+            submit(((Request.Submit) ask).line(), to);
         }
     }
 
     private void submit(Command line, Consumer<Reply> to) {
         boolean known = line.level()
-                <= levels.common(Codec.ids(node.getCommittedMembers().getVotingMembers()), self.id());
-        if (silence.leads() && !known) {
-            to.accept(new Reply(Reply.Status.OK, leader(), new Answer(Answer.Kind.NOT_YET, 0), book.index(), null));
+                <= levels.lowestCommon(Codec.ids(node.getCommittedMembers().getVotingMembers()), self.id());
+        if (failureDetector.leads() && !known) {
+            to.accept(new Reply(
+                    Reply.Status.OK, leader(), new CommandResult(CommandResult.Kind.NOT_YET, 0), leases.index(), null));
         } else {
             comes(node.replicate(line), to);
         }
@@ -522,7 +526,7 @@
         future.whenCompleteAsync(
                 (done, e) -> {
                     calls--;
-                    if (e == null && done.getResult() instanceof Answer a) {
+                    if (e == null && done.getResult() instanceof CommandResult a) {
                         to.accept(new Reply(Reply.Status.OK, leader(), a, done.getCommitIndex(), null));
                         return;
                     }
@@ -538,7 +542,7 @@
     private void tellWatches() {
         for (Iterator<Watch> i = watches.iterator(); i.hasNext(); ) {
             Watch w = i.next();
-            Book.Session s = book.session(w.ask().session());
+            LeaseStateMachine.Session s = leases.session(w.ask().session());
             if (s != null && s.changed() > w.ask().since()) {
                 i.remove();
                 w.to().accept(seen(w.ask()));
@@ -556,9 +560,9 @@
         }
     }
 
-    private Reply seen(Ask.Watch w) {
-        boolean there = out == null && book.session(w.session()) != null;
-        return new Reply(Reply.Status.OK, leader(), null, book.index(), there ? book.holdings(w.session()) : null);
+    private Reply seen(Request.Watch w) {
+        boolean there = out == null && leases.session(w.session()) != null;
+        return new Reply(Reply.Status.OK, leader(), null, leases.index(), there ? leases.holdings(w.session()) : null);
     }
 
     // ---- what operators see
@@ -577,7 +581,7 @@
                     .append(" term=")
                     .append(node.getTerm().getTerm())
                     .append(" index=")
-                    .append(book.index())
+                    .append(leases.index())
                     .append('\n');
             double now = time.ms();
             voting.forEach(p -> s.append("member=")
@@ -589,8 +593,8 @@
                     .filter(p -> !voting.contains(p))
                     .forEach(p -> s.append("listener=").append(p).append('\n'));
         }
-        Book.Image image = book.image();
-        image.sessions()
+        LeaseStateMachine.Snapshot snapshot = leases.snapshot();
+        snapshot.sessions()
                 .forEach(m -> s.append("session=")
                         .append(m.id())
                         .append(" member=")
@@ -598,19 +602,19 @@
                         .append(" ttl_ms=")
                         .append(m.ttlMs())
                         .append('\n'));
-        for (Book.Lease l : image.leases()) {
+        for (LeaseStateMachine.Lease l : snapshot.leases()) {
             l.holders()
                     .forEach((session, token) -> s.append("lease=")
                             .append(l.name())
                             .append(" holder=")
-                            .append(book.session(session).member())
+                            .append(leases.session(session).member())
                             .append(" token=")
                             .append(token)
                             .append(" waiting=")
                             .append(l.queue().size())
                             .append('\n'));
         }
-        for (Book.Pool p : image.pools()) {
+        for (LeaseStateMachine.Pool p : snapshot.pools()) {
             s.append("pool=")
                     .append(p.name())
                     .append(" shards=")
@@ -621,11 +625,11 @@
                     .append(p.next().stream().filter(n -> n != 0).count())
                     .append('\n');
         }
-        if (silence.leads()) {
+        if (failureDetector.leads()) {
             s.append(board.text()).append('\n');
         }
-        s.append(book.workText());
-        image.ticks()
+        s.append(leases.workText());
+        snapshot.ticks()
                 .forEach((task, tick) -> s.append("task=")
                         .append(task)
                         .append(" tick=")
--- a/fleet/src/main/java/marlford/agree/Point.java
+++ b/fleet/src/main/java/marlford/consensus/VoterId.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import io.microraft.RaftEndpoint;
 
@@ -8,9 +8,9 @@
  *
  * @param id name, a colon, and 16 hexadecimal digits that were drawn when the disk was first used
  */
-record Point(String id) implements RaftEndpoint {
-    static Point of(String name, long disk) {
-        return new Point(name + ':' + String.format("%016x", disk));
+record VoterId(String id) implements RaftEndpoint {
+    static VoterId of(String name, long disk) {
+        return new VoterId(name + ':' + String.format("%016x", disk));
     }
 
     String name() {
--- a/fleet/src/main/java/marlford/fleet/Fleet.java
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -16,13 +16,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
-import marlford.agree.Caller;
-import marlford.agree.MonotonicTime;
-import marlford.agree.Voter;
+import marlford.consensus.MonotonicClock;
+import marlford.consensus.RequestSender;
+import marlford.consensus.Voter;
 import marlford.lease.Member;
 import marlford.lease.Reply;
-import marlford.task.Act;
-import marlford.task.Duty;
+import marlford.task.FleetTask;
+import marlford.task.TaskRun;
 
 /**
  * A process's part in the fleet: the member on a thread of its own, the voter where this process is one, and the tasks. It
@@ -35,23 +35,23 @@
 
     private final FleetConfig config;
     private final Consumer<String> log;
-    private final MonotonicTime time = MonotonicTime.ofThisProcess();
-    private final WallTime wall;
+    private final MonotonicClock time = MonotonicClock.ofThisProcess();
+    private final WallClock wallClock;
     private final NioEventLoopGroup network = new NioEventLoopGroup(1);
     private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1, work -> {
         Thread t = new Thread(work, "marlford-member");
         t.setDaemon(true);
         return t;
     });
-    private final Acts acts = new Acts();
-    private final Map<String, FleetConfig.TaskConfig> tasks = new LinkedHashMap<>();
-    private final Map<String, Duty> duties = new LinkedHashMap<>();
+    private final TaskDispatcher dispatcher = new TaskDispatcher();
+    private final Map<String, FleetConfig.TaskConfig> taskConfigs = new LinkedHashMap<>();
+    private final Map<String, FleetTask> tasks = new LinkedHashMap<>();
     private final Member member;
     private final Voter voter; // null where this process is none
-    private final Caller caller;
-    private final Export export; // null where nothing is exported
-    private final Lists lists; // null where each gateway calls for lists when it likes
-    private Eyes eyes; // null until the gateway serves, and where nothing is probed
+    private final RequestSender requestSender;
+    private final UsageExporter usageExporter; // null where nothing is exported
+    private final SharedListPolling listPolling; // null where each gateway calls for lists when it likes
+    private HealthCheckWorker healthChecks; // null until the gateway serves, and where nothing is probed
     private final CompletableFuture<Void> left = new CompletableFuture<>();
     private double dueAt = Double.NaN; // when the next tick should come
     private long session;
@@ -63,7 +63,7 @@
     Fleet(FleetConfig config, Consumer<String> log) throws IOException {
         this.config = config;
         this.log = log;
-        this.wall = new WallTime(config.folder());
+        this.wallClock = new WallClock(config.folder());
         this.member = new Member(
                 config.name(),
                 new SecureRandom().nextLong() >>> 1,
@@ -83,7 +83,7 @@
                         network,
                         log)
                 : null;
-        this.caller = new Caller(network, config.voters(), new Caller.Ears() {
+        this.requestSender = new RequestSender(network, config.voters(), new RequestSender.Listener() {
             @Override
             public void heard(long id, Reply reply) {
                 run(() -> member.heard(id, reply, time.ms()));
@@ -95,34 +95,34 @@
             }
         });
         for (FleetConfig.TaskConfig t : config.tasks()) {
-            tasks.put(t.name(), t);
-            duties.put(t.name(), t.duty());
+            taskConfigs.put(t.name(), t);
+            tasks.put(t.name(), t.task());
         }
-        export = config.export() == null
+        usageExporter = config.export() == null
                 ? null
-                : new Export(
+                : new UsageExporter(
                         config.export(),
                         Files.createDirectories(config.folder()).resolve(config.name() + ".usage"),
-                        wall,
+                        wallClock,
                         log);
-        lists = config.lists() ? new Lists(member, this::run, time::ms) : null;
+        listPolling = config.lists() ? new SharedListPolling(member, this::run, time::ms) : null;
     }
 
     /** Whose turn it is to call for a list. */
     ListTurn lists() {
-        return lists == null ? ListTurn.NONE : lists;
+        return listPolling == null ? ListTurn.NONE : listPolling;
     }
 
     /** The gateway of this process serves. */
     void serving(Inside gateway) {
         if (config.probes() != null && gateway.mayProbe()) {
-            run(() -> eyes = new Eyes(config.probes(), gateway, member, this::run, log));
+            run(() -> healthChecks = new HealthCheckWorker(config.probes(), gateway, member, this::run, log));
         }
     }
 
     /** Where a gateway of this process notes what it lets in. */
     Usage usage() {
-        return export == null ? Usage.NONE : export.usage();
+        return usageExporter == null ? Usage.NONE : usageExporter.usage();
     }
 
     /** Begins; returns at once, whoever else is there. */
@@ -131,7 +131,7 @@
             voter.start();
         }
         thread.execute(() -> {
-            duties.values().forEach(d -> d.begin(member));
+            tasks.values().forEach(d -> d.begin(member));
             begun = true;
         });
         thread.scheduleWithFixedDelay(() -> run(() -> {}), 0, TICK_MS, TimeUnit.MILLISECONDS);
@@ -159,7 +159,7 @@
         double now = time.ms();
         double late = Double.isNaN(dueAt) ? 0 : Math.max(0, now - dueAt);
         dueAt = now + TICK_MS;
-        caller.drive(member, now);
+        requestSender.drive(member, now);
         if (member.session() != session) {
             session = member.session();
             log.accept("fleet: " + (session == 0 ? "the session has ended" : "session " + session));
@@ -169,30 +169,31 @@
             return;
         }
         if (ending) {
-            if (running == 0 && (export == null || !export.isRunning())) {
+            if (running == 0 && (usageExporter == null || !usageExporter.isRunning())) {
                 member.leave(); // what began is over, so the next holder acts alone
             }
             return;
         }
-        if (lists != null) {
-            lists.due(now, late);
+        if (listPolling != null) {
+            listPolling.due(now, late);
         }
-        if (eyes != null) {
-            eyes.due(member, now, late);
+        if (healthChecks != null) {
+            healthChecks.due(member, now, late);
         }
-        if (export != null) {
-            export.due(member, now, late, () -> run(() -> {}));
+        if (usageExporter != null) {
+            usageExporter.due(member, now, late, () -> run(() -> {}));
         }
-        duties.forEach(
-                (name, duty) -> duty.due(member, now, late, wall.ms()).forEach(a -> post(tasks.get(name), duty, a)));
+        tasks.forEach((name, task) ->
+                task.due(member, now, late, wallClock.ms()).forEach(a -> post(taskConfigs.get(name), task, a)));
     }
 
-    private void post(FleetConfig.TaskConfig task, Duty duty, Act act) {
+    private void post(FleetConfig.TaskConfig taskConfig, FleetTask task, TaskRun taskRun) {
         running++;
-        acts.post(task.url(), act, config.name())
+        dispatcher
+                .post(taskConfig.url(), taskRun, config.name())
                 .whenComplete((over, e) -> run(() -> {
                     running--;
-                    duty.ended(member, act);
+                    task.ended(member, taskRun);
                 }));
     }
 
@@ -231,7 +232,8 @@
     String text() {
         CompletableFuture<String> text = new CompletableFuture<>();
         thread.execute(() -> text.complete("member=" + member + " left_ms=" + Math.round(member.leftMs(time.ms()))
-                + '\n' + caller.text() + (lists == null ? "" : lists.text()) + (eyes == null ? "" : eyes.text())));
+                + '\n' + requestSender.text() + (listPolling == null ? "" : listPolling.text())
+                + (healthChecks == null ? "" : healthChecks.text())));
         String voters = voter == null ? "" : voter.text();
         try {
             return text.get(LEAVE_MS, TimeUnit.MILLISECONDS) + voters;
@@ -245,10 +247,10 @@
 
     void close() {
         thread.shutdownNow();
-        if (export != null) {
-            export.close();
+        if (usageExporter != null) {
+            usageExporter.close();
         }
-        caller.close();
+        requestSender.close();
         if (voter != null) {
             voter.close();
         }
--- a/fleet/src/main/java/marlford/fleet/FleetConfig.java
+++ b/fleet/src/main/java/marlford/fleet/FleetConfig.java
@@ -24,8 +24,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import marlford.task.Duties;
-import marlford.task.Duty;
+import marlford.task.FleetTask;
+import marlford.task.FleetTasks;
 
 /**
  * What operators say of a fleet, in JSON that {@code fleet.schema.json} describes; docs/operators/fleet.md has each value
@@ -60,11 +60,11 @@
 
     /** A task: what it does, and where its acts are posted to. */
     record TaskConfig(String name, String kind, URI url, long everyMs, double takesMs, int holders, int shards) {
-        Duty duty() {
+        FleetTask task() {
             return switch (kind) {
-                case "single" -> new Duties.Single(name, holders, everyMs, takesMs);
-                case "sharded" -> new Duties.Sharded(name, shards, everyMs, takesMs);
-                default -> new Duties.Ticking(name, everyMs, takesMs);
+                case "single" -> new FleetTasks.Single(name, holders, everyMs, takesMs);
+                case "sharded" -> new FleetTasks.Sharded(name, shards, everyMs, takesMs);
+                default -> new FleetTasks.Periodic(name, everyMs, takesMs);
             };
         }
     }
--- a/fleet/src/main/java/marlford/fleet/Eyes.java
+++ b/fleet/src/main/java/marlford/fleet/HealthCheckWorker.java
@@ -6,16 +6,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import marlford.health.ProbeResult;
+import marlford.health.ProbeResultFilter;
+import marlford.health.Prober;
 import marlford.lease.Member;
-import marlford.probe.Evidence;
-import marlford.probe.Finding;
-import marlford.probe.Prober;
 
 /**
  * The gateway's part in one prober of each host for all: carries the {@link Prober}'s probes to the gateway, and what any
  * member found to its decision module. On the member's thread.
  */
-final class Eyes {
+final class HealthCheckWorker {
     private static final double LOOK_MS = 500; // how often the list of hosts is asked for
     private static final double BELIEVED_ROUNDS = 2;
 
@@ -23,12 +23,12 @@
     private final Consumer<Runnable> thread;
     private final Consumer<String> log;
     private final Prober prober;
-    private final Evidence evidence;
-    private final Map<String, Finding.Kind> told = new HashMap<>(); // of hosts that are not well
+    private final ProbeResultFilter results;
+    private final Map<String, ProbeResult.Kind> told = new HashMap<>(); // of hosts that are not well
     private double lookedAt = Double.NEGATIVE_INFINITY;
 
     /** @param thread runs work on the member's thread */
-    Eyes(
+    HealthCheckWorker(
             FleetConfig.ProbeConfig config,
             Inside gateway,
             Member member,
@@ -38,7 +38,7 @@
         this.thread = thread;
         this.log = log;
         this.prober = new Prober(config.everyMs(), config.takesMs());
-        this.evidence = new Evidence(config.everyMs() * BELIEVED_ROUNDS);
+        this.results = new ProbeResultFilter(config.everyMs() * BELIEVED_ROUNDS);
         prober.begin(member);
     }
 
@@ -51,10 +51,10 @@
                 .forEach(p -> gateway.probe(
                         p.host(),
                         (outcome, tookMs) -> thread.accept(() -> {
-                            Finding f = new Finding(kind(outcome), tookMs);
+                            ProbeResult f = new ProbeResult(kind(outcome), tookMs);
                             prober.ended(member, p, f, p.sentAt() + tookMs);
                         })));
-        for (Evidence.Report r : evidence.read(member.board(), now)) {
+        for (ProbeResultFilter.Report r : results.read(member.board(), now)) {
             gateway.evidence(r.host(), outcome(r.finding().kind()), r.finding().tookMs(), r.ageMs());
             note(r);
         }
@@ -66,9 +66,9 @@
     }
 
     /** One line for a change, not one a round. */
-    private void note(Evidence.Report r) {
-        boolean well = r.finding().kind() == Finding.Kind.WELL;
-        Finding.Kind before =
+    private void note(ProbeResultFilter.Report r) {
+        boolean well = r.finding().kind() == ProbeResult.Kind.WELL;
+        ProbeResult.Kind before =
                 well ? told.remove(r.host()) : told.put(r.host(), r.finding().kind());
         if (well ? before != null : before != r.finding().kind()) {
             log.accept("fleet: host " + r.host() + " is " + r.finding().kind() + ", found " + Math.round(r.ageMs())
@@ -76,16 +76,16 @@
         }
     }
 
-    private static Finding.Kind kind(Outcome outcome) {
+    private static ProbeResult.Kind kind(Outcome outcome) {
         return switch (outcome) {
-            case OK -> Finding.Kind.WELL;
-            case ERROR, FULL, SPOILT -> Finding.Kind.ILL;
-            case TIMEOUT -> Finding.Kind.LATE;
-            default -> Finding.Kind.UNREACHED;
+            case OK -> ProbeResult.Kind.WELL;
+            case ERROR, FULL, SPOILT -> ProbeResult.Kind.ILL;
+            case TIMEOUT -> ProbeResult.Kind.LATE;
+            default -> ProbeResult.Kind.UNREACHED;
         };
     }
 
-    private static Outcome outcome(Finding.Kind kind) {
+    private static Outcome outcome(ProbeResult.Kind kind) {
         return switch (kind) {
             case WELL -> Outcome.OK;
             case ILL -> Outcome.ERROR;
@@ -96,6 +96,6 @@
 
     /** For operators. */
     String text() {
-        return prober.text() + '\n' + evidence.text() + '\n';
+        return prober.text() + '\n' + results.text() + '\n';
     }
 }
--- a/fleet/src/main/java/marlford/fleet/Lists.java
+++ b/fleet/src/main/java/marlford/fleet/SharedListPolling.java
@@ -4,19 +4,19 @@
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import marlford.lease.Member;
-import marlford.turn.ListTurns;
+import marlford.polling.SingleFlightPoll;
 
 /** The gateway's calls for a list that was away, in turn with the fleet's others. */
-final class Lists implements ListTurn {
+final class SharedListPolling implements ListTurn {
     private final Member member;
     private final Consumer<Runnable> thread;
     private final DoubleSupplier clock;
-    private final ListTurns turns = new ListTurns();
+    private final SingleFlightPoll turns = new SingleFlightPoll();
     private Consumer<Told> next; // who waits; on the member's thread
     private double calledAt;
 
     /** @param thread runs work on the member's thread, or not at all once the process ends */
-    Lists(Member member, Consumer<Runnable> thread, DoubleSupplier clock) {
+    SharedListPolling(Member member, Consumer<Runnable> thread, DoubleSupplier clock) {
         this.member = member;
         this.thread = thread;
         this.clock = clock;
@@ -36,13 +36,13 @@
     }
 
     void due(double now, double lateMs) {
-        ListTurns.Decision d = turns.decide(member, now, lateMs);
-        if (d.step() != ListTurns.Step.WAIT && next != null) {
+        SingleFlightPoll.Decision d = turns.decide(member, now, lateMs);
+        if (d.step() != SingleFlightPoll.Step.WAIT && next != null) {
             Consumer<Told> to = next;
             next = null;
             calledAt = now;
             to.accept(
-                    d.step() == ListTurns.Step.CALL
+                    d.step() == SingleFlightPoll.Step.CALL
                             ? null
                             : new Told(d.list().value(), d.list().ageMs()));
         }
--- a/fleet/src/main/java/marlford/fleet/Acts.java
+++ b/fleet/src/main/java/marlford/fleet/TaskDispatcher.java
@@ -8,31 +8,31 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import marlford.task.Act;
+import marlford.task.TaskRun;
 
 /**
  * Carries acts to the resources of their tasks. Each is over within its time whatever comes of it, also where the HTTP client
  * never says so: a holder whose act does not end would keep its lease, and nobody would act again.
  */
-final class Acts {
+final class TaskDispatcher {
     /** Beyond an act's time, in which the client's own limit is to end it: some turns of its threads. */
     static final long LATE_MS = 100;
 
     private final Function<HttpRequest, CompletableFuture<?>> sender;
 
-    Acts() {
+    TaskDispatcher() {
         HttpClient http =
                 HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
         this.sender = request -> http.sendAsync(request, HttpResponse.BodyHandlers.discarding());
     }
 
     /** With another way to send. */
-    Acts(Function<HttpRequest, CompletableFuture<?>> sender) {
+    TaskDispatcher(Function<HttpRequest, CompletableFuture<?>> sender) {
         this.sender = sender;
     }
 
     /** Begins an act; the result completes, never with a failure, once it is over. From any thread. */
-    CompletableFuture<Void> post(URI at, Act act, String holder) {
+    CompletableFuture<Void> post(URI at, TaskRun act, String holder) {
         long takesMs = (long) Math.max(1, act.takesMs());
         HttpRequest request = HttpRequest.newBuilder(at)
                 .timeout(Duration.ofMillis(takesMs))
--- a/fleet/src/main/java/marlford/fleet/Export.java
+++ b/fleet/src/main/java/marlford/fleet/UsageExporter.java
@@ -27,7 +27,7 @@
  * the file has that it has not read, appends a batch that does not count yet, syncs, reads again, and frees the batch once
  * it counts. It wants the lease only while something waits, so all have their turn.
  */
-final class Export {
+final class UsageExporter {
     private static final String LEASE = "usage-export";
     private static final int BATCHES = 32; // of one turn; then the next member has its turn
     private static final double TAKES_MS = 100; // the least that has to be left of a session for a turn
@@ -36,7 +36,7 @@
     private static final int READ_MAX = 1 << 20; // bytes at a time
 
     private final FleetConfig.ExportConfig config;
-    private final WallTime wall;
+    private final WallClock wallClock;
     private final Consumer<String> log;
     private final UsageTable table;
     private final ExportLog exported = new ExportLog();
@@ -49,9 +49,10 @@
     private volatile boolean running;
 
     /** @param kept where this gateway's table lies; it has to outlive the process */
-    Export(FleetConfig.ExportConfig config, Path kept, WallTime wall, Consumer<String> log) throws IOException {
+    UsageExporter(FleetConfig.ExportConfig config, Path kept, WallClock wallClock, Consumer<String> log)
+            throws IOException {
         this.config = config;
-        this.wall = wall;
+        this.wallClock = wallClock;
         this.log = log;
         int cells = UsageTable.size(UsageTable.PAGES, UsageTable.ROWS);
         try (FileChannel file =
@@ -92,12 +93,12 @@
         return new Usage() {
             @Override
             public void admitted(long customer, double units) {
-                table.admitted(customer, units, wall.ms());
+                table.admitted(customer, units, wallClock.ms());
             }
 
             @Override
             public void look() {
-                table.look(wall.ms());
+                table.look(wallClock.ms());
             }
         };
     }
--- a/fleet/src/main/java/marlford/fleet/WallTime.java
+++ b/fleet/src/main/java/marlford/fleet/WallClock.java
@@ -9,11 +9,11 @@
  * clock moves it; in rehearsals of that ({@code -Dmarlford.faults=true}) a file beside the state says by how many
  * milliseconds it is wrong. From any thread.
  */
-final class WallTime {
+final class WallClock {
     private final Path wrong; // null where the clock is taken as it is
 
     /** @param folder of the process's state */
-    WallTime(Path folder) {
+    WallClock(Path folder) {
         wrong = Boolean.getBoolean("marlford.faults") ? folder.resolve("clock") : null;
     }
 
--- a/fleet/src/main/java/marlford/probe/Finding.java
+++ b/fleet/src/main/java/marlford/health/ProbeResult.java
@@ -1,11 +1,11 @@
-package marlford.probe;
+package marlford.health;
 
 /**
  * What a probe found.
  *
  * @param tookMs how long the answer took, in milliseconds
  */
-public record Finding(Kind kind, double tookMs) {
+public record ProbeResult(Kind kind, double tookMs) {
     /** How it ended. */
     public enum Kind {
         /** The host answered that it is well. */
@@ -23,10 +23,10 @@
     }
 
     /** As a row has it; null where it is none, as a newer version may write. */
-    static Finding of(String text) {
+    static ProbeResult of(String text) {
         try {
             int space = text.indexOf(' ');
-            return new Finding(
+            return new ProbeResult(
                     Kind.valueOf(text.substring(0, Math.max(0, space))), Double.parseDouble(text.substring(space + 1)));
         } catch (IllegalArgumentException e) {
             return null;
--- a/fleet/src/main/java/marlford/probe/Prober.java
+++ b/fleet/src/main/java/marlford/health/Prober.java
@@ -1,4 +1,4 @@
-package marlford.probe;
+package marlford.health;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import marlford.lease.Book;
+import marlford.lease.LeaseStateMachine;
 import marlford.lease.Member;
-import marlford.spread.Spread;
+import marlford.partition.Partitioner;
 
 /**
  * One prober of each host for all: the hosts fall into {@value #SHARDS} shards, each shard has one member, and that member
@@ -76,7 +76,7 @@
     }
 
     static int shard(String host) {
-        return Spread.piece(host, SHARDS);
+        return Partitioner.shardOf(host, SHARDS);
     }
 
     /** Where in a round a host has its turn, so that one member's hosts are not asked in one moment; 0 to 1. */
@@ -86,8 +86,8 @@
 
     /** The probes that begin now; each is {@link #ended} later. */
     public List<Probe> due(Member member, double now, double lateMs) {
-        Map<Integer, Book.Holding> mine = new HashMap<>();
-        for (Book.Holding h : member.holdings()) {
+        Map<Integer, LeaseStateMachine.Holding> mine = new HashMap<>();
+        for (LeaseStateMachine.Holding h : member.holdings()) {
             if (h.name().equals(POOL) && h.shard() >= 0) {
                 mine.put(h.shard(), h);
             }
@@ -95,7 +95,7 @@
         List<Probe> due = new ArrayList<>();
         Set<Integer> busy = new HashSet<>();
         hosts.forEach((host, w) -> {
-            Book.Holding h = mine.get(w.shard);
+            LeaseStateMachine.Holding h = mine.get(w.shard);
             if (h == null) {
                 return;
             }
@@ -124,13 +124,13 @@
     }
 
     /** A probe is over. */
-    public void ended(Member member, Probe p, Finding f, double now) {
+    public void ended(Member member, Probe p, ProbeResult f, double now) {
         Watched w = hosts.get(p.host());
         running--;
         if (w == null) {
             return;
         }
-        boolean reached = f.kind() == Finding.Kind.WELL || f.kind() == Finding.Kind.ILL;
+        boolean reached = f.kind() == ProbeResult.Kind.WELL || f.kind() == ProbeResult.Kind.ILL;
         boolean changed = reached != w.reached;
         w.running = false;
         w.reached = reached;
--- a/fleet/src/main/java/marlford/lease/Command.java
+++ b/fleet/src/main/java/marlford/lease/Command.java
@@ -1,6 +1,6 @@
 package marlford.lease;
 
-import marlford.work.Line;
+import marlford.register.RegisterCommand;
 
 /**
  * A line of the agreed log. Every voter applies the same lines in the same order, and a line that is there twice, since
@@ -24,7 +24,7 @@
      */
     record Open(String member, long nonce, long ttlMs) implements Command {}
 
-    /** A session ends: its process says so itself, or the leader found it silent ({@link Silence}). */
+    /** A session ends: its process says so itself, or the leader found it silent ({@link FailureDetector}). */
     record Close(long session) implements Command {}
 
     /**
@@ -47,14 +47,14 @@
     /** Takes part no longer; its shards pass on at once. */
     record Leave(long session, String pool) implements Command {}
 
-    /** Gives one shard up, as a holder is asked to whose shard is {@link Book.Holding#wanted wanted}. */
+    /** Gives one shard up, as a holder is asked to whose shard is {@link LeaseStateMachine.Holding#wanted wanted}. */
     record GiveUp(long session, String pool, int shard, long token) implements Command {}
 
     /** Claims a tick of a periodic task, which runs at most once; ticks before the last one claimed are over. */
     record Tick(long session, String task, long tick) implements Command {}
 
     /** A line of the register of work. */
-    record Work(long session, Line line) implements Command {
+    record Work(long session, RegisterCommand line) implements Command {
         /** Work came with the second version. */
         private static final int SECOND = 2;
 
--- a/fleet/src/main/java/marlford/lease/Answer.java
+++ b/fleet/src/main/java/marlford/lease/CommandResult.java
@@ -1,6 +1,6 @@
 package marlford.lease;
 
-import marlford.work.Said;
+import marlford.register.RegisterResult;
 
 /**
  * What came of a {@link Command}.
@@ -9,9 +9,9 @@
  *        index at which what the session has last changed
  * @param work what came of a line of work; null for others
  */
-public record Answer(Kind kind, long value, Said work) {
+public record CommandResult(Kind kind, long value, RegisterResult work) {
     /** Of a line that is none of work. */
-    public Answer(Kind kind, long value) {
+    public CommandResult(Kind kind, long value) {
         this(kind, value, null);
     }
 
@@ -39,19 +39,19 @@
         NOT_YET
     }
 
-    static final Answer DONE = new Answer(Kind.DONE, 0);
-    static final Answer GONE = new Answer(Kind.GONE, 0);
+    static final CommandResult DONE = new CommandResult(Kind.DONE, 0);
+    static final CommandResult GONE = new CommandResult(Kind.GONE, 0);
 
     /** A renewed session's answer. */
-    public static Answer goesOn(Book.Session s) {
-        return new Answer(Kind.DONE, s.changed());
+    public static CommandResult renewed(LeaseStateMachine.Session s) {
+        return new CommandResult(Kind.DONE, s.changed());
     }
 
-    static Answer granted(long value) {
-        return new Answer(Kind.GRANTED, value);
+    static CommandResult granted(long value) {
+        return new CommandResult(Kind.GRANTED, value);
     }
 
-    static Answer no(Kind why) {
-        return new Answer(why, 0);
+    static CommandResult rejected(Kind why) {
+        return new CommandResult(why, 0);
     }
 }
--- a/fleet/src/main/java/marlford/lease/Book.java
+++ b/fleet/src/main/java/marlford/lease/LeaseStateMachine.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import marlford.work.Register;
+import marlford.register.RequestRegister;
 
 /**
  * The state machine of sessions and leases on the agreed log. It knows no time: that a session's time is up is a line
@@ -17,11 +17,11 @@
  * <p>Every grant carries a token from one counter, which only grows; so of two grants of anything the later one has the
  * greater token, and whoever keeps the greatest it saw can turn an older holder away.
  *
- * <p>Bounds, beyond which the answer is {@link Answer.Kind#FULL}: {@value #SESSIONS_MAX} sessions, {@value #LEASES_MAX}
+ * <p>Bounds, beyond which the answer is {@link CommandResult.Kind#FULL}: {@value #SESSIONS_MAX} sessions, {@value #LEASES_MAX}
  * leases that are held or waited for, {@value #POOLS_MAX} pools of at most {@value #SHARDS_MAX} shards and
  * {@value #TASKS_MAX} periodic tasks. A queue is bounded by the sessions. Not thread-safe.
  */
-public final class Book {
+public final class LeaseStateMachine {
     static final int SESSIONS_MAX = 2000;
     static final int LEASES_MAX = 20_000;
     static final int POOLS_MAX = 64;
@@ -50,76 +50,77 @@
     public record Pool(String name, List<Long> members, List<Long> owners, List<Long> tokens, List<Long> next) {}
 
     /** The whole book, to be kept and begun from; {@code work} is null where there never was any. */
-    public record Image(
+    public record Snapshot(
             long index,
             long minted,
             List<Session> sessions,
             List<Lease> leases,
             List<Pool> pools,
             Map<String, Long> ticks,
-            Register.Image work) {}
+            RequestRegister.Snapshot work) {}
 
     private final Map<Long, Session> sessions = new TreeMap<>();
-    private final Map<String, Long> byMember = new TreeMap<>();
-    private final Map<String, Line> leases = new TreeMap<>();
-    private final Map<Long, Set<String>> held = new HashMap<>(); // the leases of each session
-    private final Map<String, Shards> pools = new TreeMap<>();
+    private final Map<String, Long> sessionByMember = new TreeMap<>();
+    private final Map<String, LeaseEntry> leases = new TreeMap<>();
+    private final Map<Long, Set<String>> leasesBySession = new HashMap<>(); // the leases of each session
+    private final Map<String, ShardAssignment> pools = new TreeMap<>();
     private final Map<String, Long> ticks = new TreeMap<>();
-    private Register work; // null until there is any
+    private RequestRegister work; // null until there is any
     private long index; // of the last line that was applied
-    private long minted; // the last token, also the last session
+    private long lastToken; // the last token, also the last session
 
     /** @param floor tokens begin above this one: a fleet that is founded anew must not begin below an older one's */
-    public Book(long floor) {
-        minted = floor;
+    public LeaseStateMachine(long floor) {
+        lastToken = floor;
     }
 
     /** Begins where another book was. */
-    public static Book of(Image image) {
-        Book book = new Book(image.minted());
-        book.index = image.index();
-        for (Session s : image.sessions()) {
-            book.sessions.put(s.id(), s);
-            book.byMember.put(s.member(), s.id());
-        }
-        for (Lease l : image.leases()) {
-            Line line = new Line(l.limit());
+    public static LeaseStateMachine of(Snapshot snapshot) {
+        LeaseStateMachine restored = new LeaseStateMachine(snapshot.minted());
+        restored.index = snapshot.index();
+        for (Session s : snapshot.sessions()) {
+            restored.sessions.put(s.id(), s);
+            restored.sessionByMember.put(s.member(), s.id());
+        }
+        for (Lease l : snapshot.leases()) {
+            LeaseEntry line = new LeaseEntry(l.limit());
             line.holders.putAll(new TreeMap<>(l.holders()));
             line.queue.addAll(l.queue());
-            book.leases.put(l.name(), line);
+            restored.leases.put(l.name(), line);
             line.holders
                     .keySet()
-                    .forEach(s ->
-                            book.held.computeIfAbsent(s, id -> new TreeSet<>()).add(l.name()));
+                    .forEach(s -> restored.leasesBySession
+                            .computeIfAbsent(s, id -> new TreeSet<>())
+                            .add(l.name()));
         }
-        for (Pool p : image.pools()) {
-            book.pools.put(p.name(), Shards.of(p));
+        for (Pool p : snapshot.pools()) {
+            restored.pools.put(p.name(), ShardAssignment.of(p));
         }
-        book.ticks.putAll(image.ticks());
-        book.work = image.work() == null ? null : Register.of(image.work());
-        return book;
+        restored.ticks.putAll(snapshot.ticks());
+        restored.work = snapshot.work() == null ? null : RequestRegister.of(snapshot.work());
+        return restored;
     }
 
     /** The whole book; two voters that applied the same lines have equal ones. */
-    public Image image() {
+    public Snapshot snapshot() {
         List<Lease> lines = new ArrayList<>();
         leases.forEach(
                 (name, l) -> lines.add(new Lease(name, l.limit, new LinkedHashMap<>(l.holders), List.copyOf(l.queue))));
         List<Pool> all = new ArrayList<>();
-        pools.forEach((name, p) -> all.add(p.image(name)));
-        return new Image(
+        pools.forEach((name, p) -> all.add(p.toPool(name)));
+        return new Snapshot(
                 index,
-                minted,
+                lastToken,
                 List.copyOf(sessions.values()),
                 lines,
                 all,
                 new TreeMap<>(ticks),
-                work == null ? null : work.image());
+                work == null ? null : work.snapshot());
     }
 
     /** Whether tokens have begun: a fleet's book is of no use before its first line, which says from where. */
     public boolean isBegun() {
-        return minted > 0;
+        return lastToken > 0;
     }
 
     /** The index of the last line applied. */
@@ -140,7 +141,8 @@
     /** All that a session has now. */
     public List<Holding> holdings(long session) {
         List<Holding> has = new ArrayList<>();
-        held.getOrDefault(session, Set.of())
+        leasesBySession
+                .getOrDefault(session, Set.of())
                 .forEach(name ->
                         has.add(new Holding(name, -1, leases.get(name).holders.get(session), false)));
         pools.forEach((name, p) -> p.addHoldings(session, name, has));
@@ -157,7 +159,7 @@
      *
      * @param at its index; it grows
      */
-    public Answer apply(long at, Command c) {
+    public CommandResult apply(long at, Command c) {
         index = at;
         if (c instanceof Command.Open o) {
             return open(o);
@@ -166,34 +168,35 @@
             return close(e.session());
         }
         if (c instanceof Command.Acquire a) {
-            return lives(a.session(), a.lease(), () -> acquire(a));
+            return inSession(a.session(), a.lease(), () -> acquire(a));
         }
         if (c instanceof Command.Release r) {
-            return lives(r.session(), r.lease(), () -> release(r));
+            return inSession(r.session(), r.lease(), () -> release(r));
         }
         if (c instanceof Command.Join j) {
-            return lives(j.session(), j.pool(), () -> join(j));
+            return inSession(j.session(), j.pool(), () -> join(j));
         }
         if (c instanceof Command.Leave l) {
-            return lives(l.session(), l.pool(), () -> leave(l.session(), l.pool()));
+            return inSession(l.session(), l.pool(), () -> leave(l.session(), l.pool()));
         }
         if (c instanceof Command.GiveUp y) {
-            return lives(y.session(), y.pool(), () -> giveUp(y));
+            return inSession(y.session(), y.pool(), () -> giveUp(y));
         }
         if (c instanceof Command.Floor f) {
-            minted = Math.max(minted, f.token());
-            return Answer.DONE;
+            lastToken = Math.max(lastToken, f.token());
+            return CommandResult.DONE;
         }
         if (c instanceof Command.Work w) {
             return work(at, w);
         }
         Command.Tick t = (Command.Tick) c;
-        return lives(t.session(), t.task(), () -> tick(t));
+        return inSession(t.session(), t.task(), () -> tick(t));
     }
 
     /** What there is of an order. */
-    public Answer look(String key, String digest) {
-        return new Answer(Answer.Kind.DONE, 0, (work == null ? new Register() : work).look(key, digest));
+    public CommandResult look(String key, String digest) {
+        return new CommandResult(
+                CommandResult.Kind.DONE, 0, (work == null ? new RequestRegister() : work).look(key, digest));
     }
 
     /** The register of work for operators; empty where there never was any. */
@@ -201,202 +204,210 @@
         return work == null ? "" : work.text() + '\n';
     }
 
-    private Answer work(long at, Command.Work w) {
+    private CommandResult work(long at, Command.Work w) {
         if (!sessions.containsKey(w.session())) {
-            return Answer.GONE;
+            return CommandResult.GONE;
         }
         if (work == null) {
-            work = new Register();
+            work = new RequestRegister();
         }
-        return new Answer(
-                Answer.Kind.DONE,
+        return new CommandResult(
+                CommandResult.Kind.DONE,
                 0,
                 work.apply(
-                        at, w.session(), w.line(), (session, shard, token) -> holds(session, token), () -> ++minted));
+                        at,
+                        w.session(),
+                        w.line(),
+                        (session, shard, token) -> holds(session, token),
+                        () -> ++lastToken));
     }
 
     private interface Step {
-        Answer take();
+        CommandResult take();
     }
 
-    private Answer lives(long session, String name, Step step) {
+    private CommandResult inSession(long session, String name, Step step) {
         if (!sessions.containsKey(session)) {
-            return Answer.GONE;
+            return CommandResult.GONE;
         }
-        return named(name) ? step.take() : Answer.no(Answer.Kind.MALFORMED);
+        return isValidName(name) ? step.take() : CommandResult.rejected(CommandResult.Kind.MALFORMED);
     }
 
-    private static boolean named(String name) {
+    private static boolean isValidName(String name) {
         return name != null && !name.isEmpty() && name.length() <= Command.NAME_MAX;
     }
 
-    private Answer open(Command.Open o) {
-        if (!named(o.member()) || o.ttlMs() < TTL_MIN_MS || o.ttlMs() > TTL_MAX_MS) {
-            return Answer.no(Answer.Kind.MALFORMED);
+    private CommandResult open(Command.Open o) {
+        if (!isValidName(o.member()) || o.ttlMs() < TTL_MIN_MS || o.ttlMs() > TTL_MAX_MS) {
+            return CommandResult.rejected(CommandResult.Kind.MALFORMED);
         }
-        Long living = byMember.get(o.member());
+        Long living = sessionByMember.get(o.member());
         if (living != null) {
-            return sessions.get(living).nonce() == o.nonce() ? Answer.granted(living) : Answer.no(Answer.Kind.TAKEN);
+            return sessions.get(living).nonce() == o.nonce()
+                    ? CommandResult.granted(living)
+                    : CommandResult.rejected(CommandResult.Kind.TAKEN);
         }
         if (sessions.size() >= SESSIONS_MAX) {
-            return Answer.no(Answer.Kind.FULL);
+            return CommandResult.rejected(CommandResult.Kind.FULL);
         }
-        Session s = new Session(++minted, o.member(), o.nonce(), o.ttlMs(), index);
+        Session s = new Session(++lastToken, o.member(), o.nonce(), o.ttlMs(), index);
         sessions.put(s.id(), s);
-        byMember.put(s.member(), s.id());
-        return Answer.granted(s.id());
+        sessionByMember.put(s.member(), s.id());
+        return CommandResult.granted(s.id());
     }
 
-    private Answer close(long id) {
+    private CommandResult close(long id) {
         Session s = sessions.remove(id);
         if (s == null) {
-            return Answer.DONE;
+            return CommandResult.DONE;
         }
-        byMember.remove(s.member());
+        sessionByMember.remove(s.member());
         for (String name : List.copyOf(leases.keySet())) {
-            Line l = leases.get(name);
+            LeaseEntry l = leases.get(name);
             l.queue.remove(id);
             l.holders.remove(id);
-            next(name, l);
+            grantNext(name, l);
         }
-        held.remove(id);
+        leasesBySession.remove(id);
         if (work != null) {
             work.ended(id);
         }
         for (String name : List.copyOf(pools.keySet())) {
             leave(id, name);
         }
-        return Answer.DONE;
+        return CommandResult.DONE;
     }
 
     // ---- leases
 
-    private static final class Line {
+    private static final class LeaseEntry {
         final int limit;
         final Map<Long, Long> holders = new TreeMap<>(); // session to token
         final List<Long> queue = new ArrayList<>();
 
-        Line(int limit) {
+        LeaseEntry(int limit) {
             this.limit = limit;
         }
     }
 
-    private Answer acquire(Command.Acquire a) {
+    private CommandResult acquire(Command.Acquire a) {
         if (a.limit() < 1 || a.limit() > SESSIONS_MAX) {
-            return Answer.no(Answer.Kind.MALFORMED);
+            return CommandResult.rejected(CommandResult.Kind.MALFORMED);
         }
-        Line l = leases.get(a.lease());
+        LeaseEntry l = leases.get(a.lease());
         if (l == null) {
             if (leases.size() >= LEASES_MAX) {
-                return Answer.no(Answer.Kind.FULL);
+                return CommandResult.rejected(CommandResult.Kind.FULL);
             }
-            l = new Line(a.limit());
+            l = new LeaseEntry(a.limit());
             leases.put(a.lease(), l);
         }
         if (l.limit != a.limit()) {
-            return Answer.no(Answer.Kind.DIFFERS);
+            return CommandResult.rejected(CommandResult.Kind.DIFFERS);
         }
         if (!l.holders.containsKey(a.session()) && !l.queue.contains(a.session())) {
             l.queue.add(a.session());
-            next(a.lease(), l);
+            grantNext(a.lease(), l);
         }
         Long token = l.holders.get(a.session());
-        return token != null ? Answer.granted(token) : new Answer(Answer.Kind.WAITING, l.queue.indexOf(a.session()));
+        return token != null
+                ? CommandResult.granted(token)
+                : new CommandResult(CommandResult.Kind.WAITING, l.queue.indexOf(a.session()));
     }
 
-    private Answer release(Command.Release r) {
-        Line l = leases.get(r.lease());
+    private CommandResult release(Command.Release r) {
+        LeaseEntry l = leases.get(r.lease());
         if (l == null) {
-            return Answer.DONE;
+            return CommandResult.DONE;
         }
         if (r.token() == 0) {
             l.queue.remove(r.session());
         } else {
             if (l.holders.remove(r.session(), r.token())) { // a late word on an earlier grant leaves a newer one alone
-                held.get(r.session()).remove(r.lease());
+                leasesBySession.get(r.session()).remove(r.lease());
             }
         }
-        next(r.lease(), l);
-        return Answer.DONE;
+        grantNext(r.lease(), l);
+        return CommandResult.DONE;
     }
 
     /** Whoever has waited longest comes first; a lease that nobody wants is forgotten. */
-    private void next(String name, Line l) {
+    private void grantNext(String name, LeaseEntry l) {
         while (l.holders.size() < l.limit && !l.queue.isEmpty()) {
             long session = l.queue.remove(0);
-            l.holders.put(session, ++minted);
-            held.computeIfAbsent(session, id -> new TreeSet<>()).add(name);
-            touch(session);
+            l.holders.put(session, ++lastToken);
+            leasesBySession.computeIfAbsent(session, id -> new TreeSet<>()).add(name);
+            markChanged(session);
         }
         if (l.holders.isEmpty()) {
             leases.remove(name);
         }
     }
 
-    private void touch(long session) {
+    private void markChanged(long session) {
         sessions.computeIfPresent(session, (id, s) -> new Session(id, s.member(), s.nonce(), s.ttlMs(), index));
     }
 
     // ---- shards
 
-    private Answer join(Command.Join j) {
+    private CommandResult join(Command.Join j) {
         if (j.shards() < 1 || j.shards() > SHARDS_MAX) {
-            return Answer.no(Answer.Kind.MALFORMED);
+            return CommandResult.rejected(CommandResult.Kind.MALFORMED);
         }
-        Shards p = pools.get(j.pool());
+        ShardAssignment p = pools.get(j.pool());
         if (p == null) {
             if (pools.size() >= POOLS_MAX) {
-                return Answer.no(Answer.Kind.FULL);
+                return CommandResult.rejected(CommandResult.Kind.FULL);
             }
-            p = new Shards(j.shards());
+            p = new ShardAssignment(j.shards());
             pools.put(j.pool(), p);
         }
         if (p.count() != j.shards()) {
-            return Answer.no(Answer.Kind.DIFFERS);
+            return CommandResult.rejected(CommandResult.Kind.DIFFERS);
         }
         p.join(j.session());
-        settle(p);
-        return Answer.DONE;
+        rebalance(p);
+        return CommandResult.DONE;
     }
 
-    private Answer leave(long session, String pool) {
-        Shards p = pools.get(pool);
+    private CommandResult leave(long session, String pool) {
+        ShardAssignment p = pools.get(pool);
         if (p != null && p.leave(session)) {
             if (p.isEmpty()) {
                 pools.remove(pool);
             } else {
-                settle(p);
+                rebalance(p);
             }
         }
-        return Answer.DONE;
+        return CommandResult.DONE;
     }
 
-    private Answer giveUp(Command.GiveUp y) {
-        Shards p = pools.get(y.pool());
+    private CommandResult giveUp(Command.GiveUp y) {
+        ShardAssignment p = pools.get(y.pool());
         if (p != null && p.giveUp(y.session(), y.shard(), y.token())) {
-            touch(y.session());
-            settle(p);
+            markChanged(y.session());
+            rebalance(p);
         }
-        return Answer.DONE;
+        return CommandResult.DONE;
     }
 
-    private void settle(Shards p) {
-        for (long session : p.settle(() -> ++minted)) {
-            touch(session);
+    private void rebalance(ShardAssignment p) {
+        for (long session : p.rebalance(() -> ++lastToken)) {
+            markChanged(session);
         }
     }
 
     // ---- periodic tasks
 
-    private Answer tick(Command.Tick t) {
+    private CommandResult tick(Command.Tick t) {
         Long last = ticks.get(t.task());
         if (last != null && t.tick() <= last) {
-            return Answer.no(Answer.Kind.OVER);
+            return CommandResult.rejected(CommandResult.Kind.OVER);
         }
         if (last == null && ticks.size() >= TASKS_MAX) {
-            return Answer.no(Answer.Kind.FULL);
+            return CommandResult.rejected(CommandResult.Kind.FULL);
         }
         ticks.put(t.task(), t.tick());
-        return Answer.granted(++minted);
+        return CommandResult.granted(++lastToken);
     }
 }
--- a/fleet/src/main/java/marlford/lease/Tenure.java
+++ b/fleet/src/main/java/marlford/lease/LeaseValidity.java
@@ -9,7 +9,7 @@
  * ends inside the lease unless its process is stopped between this look and its write. Milliseconds by one monotonic
  * clock. Not thread-safe.
  */
-public final class Tenure {
+public final class LeaseValidity {
     private static final double MILLION = 1e6;
 
     private final double lastsMs;
@@ -25,7 +25,7 @@
      * @param marginMs taken off besides
      * @param stallMs a pause between two looks that is longer than this one is a stall
      */
-    public Tenure(double ttlMs, double driftPpm, double marginMs, double stallMs) {
+    public LeaseValidity(double ttlMs, double driftPpm, double marginMs, double stallMs) {
         this.lastsMs = ttlMs * (1 - 2 * driftPpm / MILLION) - marginMs;
         this.stallMs = stallMs;
     }
--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import marlford.board.Notes;
+import marlford.board.BoardClient;
 
 /**
  * One process's part in the fleet: it opens a session, renews it, asks for the leases it is to have, hears by a watch which
@@ -25,12 +25,12 @@
     private static final double WATCH_MS = 8000; // a watch without a word for this long is asked again
 
     /** An ask that is to be sent now. */
-    public record Outgoing(long id, String voter, Ask ask) {}
+    public record Outgoing(long id, String voter, Request ask) {}
 
     /** A lease that is to be had. */
     private record Wish(int limit, boolean shards) {}
 
-    private record Pending(Ask ask, String voter, double sentAt, double until) {}
+    private record Pending(Request ask, String voter, double sentAt, double until) {}
 
     private final String name;
     private final long nonce;
@@ -44,11 +44,11 @@
     private final Set<String> asked = new HashSet<>(); // wishes that this session's book knows
     private final List<Command> lines = new ArrayList<>(); // to be agreed, in their order
     private final Set<Long> givenUp = new HashSet<>(); // tokens
-    private final Map<Command, Answer> ticks = new HashMap<>();
-    private final Notes notes = new Notes();
+    private final Map<Command, CommandResult> ticks = new HashMap<>();
+    private final BoardClient notes = new BoardClient();
     private boolean reads; // the board
-    private List<Book.Holding> holdings = List.of();
-    private Tenure tenure;
+    private List<LeaseStateMachine.Holding> holdings = List.of();
+    private LeaseValidity validity;
     private String leader;
     private long nextId;
     private long session;
@@ -79,16 +79,16 @@
         this.marginMs = marginMs;
         this.stallMs = stallMs;
         this.leader = this.voters.get((int) Math.floorMod(nonce, (long) voters.size()));
-        this.tenure = fresh();
-        this.tenure.ended();
+        this.validity = fresh();
+        this.validity.ended();
         if (!fresh().isPossible()) {
             throw new IllegalArgumentException("a session of " + ttlMs + " ms leaves no time to act: " + stallMs
                     + " ms of stall, " + marginMs + " ms of margin and " + driftPpm + " ppm are taken off");
         }
     }
 
-    private Tenure fresh() {
-        return new Tenure(ttlMs, driftPpm, marginMs, stallMs);
+    private LeaseValidity fresh() {
+        return new LeaseValidity(ttlMs, driftPpm, marginMs, stallMs);
     }
 
     // ---- what its process wishes
@@ -119,7 +119,7 @@
     }
 
     /** Gives up a shard that is wanted. */
-    public void giveUp(Book.Holding h) {
+    public void giveUp(LeaseStateMachine.Holding h) {
         if (!givenUp.contains(h.token())) {
             drop(h.token());
             lines.add(new Command.GiveUp(session, h.name(), h.shard(), h.token()));
@@ -142,8 +142,8 @@
 
     /** The token of a tick that was claimed; 0 for none, once. */
     public long ticked(String task, long tick) {
-        Answer a = ticks.remove(new Command.Tick(session, task, tick));
-        return a != null && a.kind() == Answer.Kind.GRANTED ? a.value() : 0;
+        CommandResult a = ticks.remove(new Command.Tick(session, task, tick));
+        return a != null && a.kind() == CommandResult.Kind.GRANTED ? a.value() : 0;
     }
 
     /** Gives everything back; {@link #hasLeft} says when that is agreed. */
@@ -155,7 +155,7 @@
                 lines.add(new Command.Close(session));
             }
             holdings = List.of();
-            tenure.ended();
+            validity.ended();
         }
     }
 
@@ -164,7 +164,7 @@
     }
 
     /** Its side of the leader's board, which is read from the first call on: renewals carry it. */
-    public Notes board() {
+    public BoardClient board() {
         reads = true;
         return notes;
     }
@@ -172,13 +172,13 @@
     // ---- what it may do
 
     /** What it has and has not given up, as the last watch said. */
-    public List<Book.Holding> holdings() {
+    public List<LeaseStateMachine.Holding> holdings() {
         return holdings;
     }
 
     /** The token of a lease it has; 0 for none. */
     public long token(String lease) {
-        for (Book.Holding h : holdings) {
+        for (LeaseStateMachine.Holding h : holdings) {
             if (h.name().equals(lease) && h.shard() < 0) {
                 return h.token();
             }
@@ -193,12 +193,14 @@
      * @param needMs the longest that the act may take
      */
     public boolean mayAct(long token, double now, double lateMs, double needMs) {
-        return token != 0 && holdings.stream().anyMatch(h -> h.token() == token) && tenure.mayAct(now, lateMs, needMs);
+        return token != 0
+                && holdings.stream().anyMatch(h -> h.token() == token)
+                && validity.mayAct(now, lateMs, needMs);
     }
 
     /** For how long it may still act, in milliseconds. */
     public double leftMs(double now) {
-        return tenure.leftMs(now);
+        return validity.leftMs(now);
     }
 
     /** Its session's number; 0 while it has none. */
@@ -210,23 +212,28 @@
 
     /** The asks to be sent now. To be called often: a pause between two calls that is too long is a stall. */
     public List<Outgoing> due(double now) {
-        tenure.look(now);
+        validity.look(now);
         expire(now);
         List<Outgoing> out = new ArrayList<>();
-        if (session != 0 && !leaving && (now >= renewAt || notes.isUrgent()) && none(Ask.Renew.class)) {
-            send(out, new Ask.Renew(session, reads ? notes.telling(now) : null), leader, now, ttlMs / RENEWALS);
+        if (session != 0 && !leaving && (now >= renewAt || notes.isUrgent()) && none(Request.Renew.class)) {
+            send(out, new Request.Renew(session, reads ? notes.telling(now) : null), leader, now, ttlMs / RENEWALS);
         }
         if (now < tryAt) {
             return out;
         }
         if (session == 0) {
-            if (!leaving && none(Ask.Submit.class)) {
-                send(out, new Ask.Submit(new Command.Open(name, nonce + opened, ttlMs)), leader, now, ttlMs / RENEWALS);
+            if (!leaving && none(Request.Submit.class)) {
+                send(
+                        out,
+                        new Request.Submit(new Command.Open(name, nonce + opened, ttlMs)),
+                        leader,
+                        now,
+                        ttlMs / RENEWALS);
             }
             return out;
         }
-        if (none(Ask.Watch.class) && !leaving) {
-            send(out, new Ask.Watch(session, seen), leader, now, WATCH_MS);
+        if (none(Request.Watch.class) && !leaving) {
+            send(out, new Request.Watch(session, seen), leader, now, WATCH_MS);
         }
         wishes.forEach((lease, w) -> {
             if (!leaving && asked.add(lease)) {
@@ -236,17 +243,17 @@
                                 : new Command.Acquire(session, lease, w.limit()));
             }
         });
-        if (!lines.isEmpty() && none(Ask.Submit.class)) { // one at a time, so that they are agreed in their order
-            send(out, new Ask.Submit(lines.get(0)), leader, now, ttlMs / RENEWALS);
+        if (!lines.isEmpty() && none(Request.Submit.class)) { // one at a time, so that they are agreed in their order
+            send(out, new Request.Submit(lines.get(0)), leader, now, ttlMs / RENEWALS);
         }
         return out;
     }
 
-    private boolean none(Class<? extends Ask> kind) {
+    private boolean none(Class<? extends Request> kind) {
         return pending.values().stream().noneMatch(p -> kind.isInstance(p.ask()));
     }
 
-    private void send(List<Outgoing> out, Ask ask, String to, double now, double patience) {
+    private void send(List<Outgoing> out, Request ask, String to, double now, double patience) {
         pending.put(++nextId, new Pending(ask, to, now, now + patience));
         out.add(new Outgoing(nextId, to, ask));
     }
@@ -255,7 +262,7 @@
         List<Pending> over =
                 pending.values().stream().filter(p -> now > p.until()).toList();
         pending.values().removeAll(over);
-        over.stream().filter(p -> !(p.ask() instanceof Ask.Watch)).forEach(p -> turnFrom(p.voter()));
+        over.stream().filter(p -> !(p.ask() instanceof Request.Watch)).forEach(p -> turnFrom(p.voter()));
     }
 
     /** The next voter, where this one is still the one that is asked. */
@@ -269,7 +276,7 @@
     private void turnTo(String voter) {
         leader = voter;
         pending.values()
-                .removeIf(p -> p.ask() instanceof Ask.Watch && !p.voter().equals(voter));
+                .removeIf(p -> p.ask() instanceof Request.Watch && !p.voter().equals(voter));
     }
 
     /** An ask can't reach its voter, or its connection ended. */
@@ -308,27 +315,27 @@
                 turnFrom(p.voter());
             }
             pause(now);
-        } else if (p.ask() instanceof Ask.Renew renew) {
+        } else if (p.ask() instanceof Request.Renew renew) {
             renewed(renew, p.sentAt(), r);
-        } else if (p.ask() instanceof Ask.Watch watch) {
+        } else if (p.ask() instanceof Request.Watch watch) {
             watched(watch, r);
-        } else if (p.ask() instanceof Ask.Submit submit) {
+        } else if (p.ask() instanceof Request.Submit submit) {
             agreed(submit.line(), r.answer(), now);
         }
     }
 
-    private void renewed(Ask.Renew renew, double sentAt, Reply r) {
+    private void renewed(Request.Renew renew, double sentAt, Reply r) {
         if (renew.session() != session) {
             return;
         }
-        if (r.answer().kind() == Answer.Kind.GONE) {
+        if (r.answer().kind() == CommandResult.Kind.GONE) {
             ended();
         } else {
-            tenure.confirmed(sentAt);
+            validity.confirmed(sentAt);
             renewAt = sentAt + ttlMs / RENEWALS;
             if (r.answer().value()
                     > seen) { // a watch that was sent before should have told: its reply was lost, or comes
-                pending.values().removeIf(p -> p.ask() instanceof Ask.Watch && p.sentAt() < sentAt);
+                pending.values().removeIf(p -> p.ask() instanceof Request.Watch && p.sentAt() < sentAt);
             }
             if (reads) {
                 notes.heard(r.notice(), sentAt);
@@ -336,7 +343,7 @@
         }
     }
 
-    private void watched(Ask.Watch watch, Reply r) {
+    private void watched(Request.Watch watch, Reply r) {
         if (watch.session() != session || r.index() < seen) {
             return;
         }
@@ -345,8 +352,8 @@
             return; // a voter that has not seen the session yet, or has seen its end: the renewal will tell which
         }
         Set<Long> there = new HashSet<>();
-        List<Book.Holding> now = new ArrayList<>();
-        for (Book.Holding h : r.holdings()) {
+        List<LeaseStateMachine.Holding> now = new ArrayList<>();
+        for (LeaseStateMachine.Holding h : r.holdings()) {
             there.add(h.token());
             if (h.shard() < 0 && !wishes.containsKey(h.name()) && givenUp.add(h.token())) {
                 lines.add(new Command.Release(session, h.name(), h.token()));
@@ -359,40 +366,40 @@
         holdings = List.copyOf(now);
     }
 
-    private void agreed(Command line, Answer a, double now) {
+    private void agreed(Command line, CommandResult a, double now) {
         if (line instanceof Command.Open o) {
             opened(o, a, now);
             return;
         }
         lines.remove(line);
-        if (line instanceof Command.Close || a.kind() == Answer.Kind.GONE) {
+        if (line instanceof Command.Close || a.kind() == CommandResult.Kind.GONE) {
             ended();
         } else if (line instanceof Command.Tick) {
             ticks.put(line, a);
         }
     }
 
-    private void opened(Command.Open o, Answer a, double now) {
-        if (a.kind() != Answer.Kind.GRANTED || o.nonce() != nonce + opened) {
+    private void opened(Command.Open o, CommandResult a, double now) {
+        if (a.kind() != CommandResult.Kind.GRANTED || o.nonce() != nonce + opened) {
             tryAt = now + TAKEN_MS;
             return;
         }
         session = a.value();
         opened++;
         seen = 0;
-        tenure = fresh();
-        tenure.look(now);
+        validity = fresh();
+        validity.look(now);
         // Asked again, it is answered with a session that may be about to be ended: only a renewal gives time to act.
         renewAt = now;
         if (leaving) {
             lines.add(new Command.Close(session));
-            tenure.ended();
+            validity.ended();
         }
     }
 
     private void ended() {
         session = 0;
-        tenure.ended();
+        validity.ended();
         holdings = List.of();
         asked.clear();
         lines.clear();
--- a/fleet/src/main/java/marlford/lease/Reply.java
+++ b/fleet/src/main/java/marlford/lease/Reply.java
@@ -1,10 +1,10 @@
 package marlford.lease;
 
 import java.util.List;
-import marlford.board.Notice;
+import marlford.board.BoardChanges;
 
 /**
- * A voter's reply to an {@link Ask}.
+ * A voter's reply to an {@link Request}.
  *
  * @param leader who leads as far as the voter knows; empty where it knows nobody
  * @param answer what came of a line; of a renewal {@code DONE} or {@code GONE}; null where none is due
@@ -13,14 +13,20 @@
  * @param notice what is new on the leader's board; null where that was not asked for
  */
 public record Reply(
-        Status status, String leader, Answer answer, long index, List<Book.Holding> holdings, Notice notice) {
+        Status status,
+        String leader,
+        CommandResult answer,
+        long index,
+        List<LeaseStateMachine.Holding> holdings,
+        BoardChanges notice) {
     /** One that carries no notice. */
-    public Reply(Status status, String leader, Answer answer, long index, List<Book.Holding> holdings) {
+    public Reply(
+            Status status, String leader, CommandResult answer, long index, List<LeaseStateMachine.Holding> holdings) {
         this(status, leader, answer, index, holdings, null);
     }
 
     /** The same with this notice. */
-    public Reply with(Notice news) {
+    public Reply with(BoardChanges news) {
         return new Reply(status, leader, answer, index, holdings, news);
     }
 
--- a/fleet/src/main/java/marlford/lease/Shards.java
+++ b/fleet/src/main/java/marlford/lease/ShardAssignment.java
@@ -15,7 +15,7 @@
  * than another, a piece of his is <em>wanted</em> and passes on when he gives it up, or at his end. So a member that goes
  * moves his own pieces alone, and one that comes moves no more than his even share.
  */
-final class Shards {
+final class ShardAssignment {
     private static final long NOBODY = 0;
 
     private final List<Long> members = new ArrayList<>(); // as they joined
@@ -23,14 +23,14 @@
     private final long[] tokens;
     private final long[] next; // to whom a piece passes when it is given up
 
-    Shards(int count) {
+    ShardAssignment(int count) {
         owners = new long[count];
         tokens = new long[count];
         next = new long[count];
     }
 
-    static Shards of(Book.Pool p) {
-        Shards s = new Shards(p.owners().size());
+    static ShardAssignment of(LeaseStateMachine.Pool p) {
+        ShardAssignment s = new ShardAssignment(p.owners().size());
         s.members.addAll(p.members());
         for (int i = 0; i < s.owners.length; i++) {
             s.owners[i] = p.owners().get(i);
@@ -40,8 +40,8 @@
         return s;
     }
 
-    Book.Pool image(String name) {
-        return new Book.Pool(name, List.copyOf(members), list(owners), list(tokens), list(next));
+    LeaseStateMachine.Pool toPool(String name) {
+        return new LeaseStateMachine.Pool(name, List.copyOf(members), list(owners), list(tokens), list(next));
     }
 
     private static List<Long> list(long[] values) {
@@ -56,10 +56,10 @@
         return members.isEmpty();
     }
 
-    void addHoldings(long session, String pool, List<Book.Holding> to) {
+    void addHoldings(long session, String pool, List<LeaseStateMachine.Holding> to) {
         for (int i = 0; i < owners.length; i++) {
             if (owners[i] == session) {
-                to.add(new Book.Holding(pool, i, tokens[i], next[i] != NOBODY));
+                to.add(new LeaseStateMachine.Holding(pool, i, tokens[i], next[i] != NOBODY));
             }
         }
     }
@@ -104,7 +104,7 @@
     }
 
     /** Gives out what is free and marks what is to move; returns those whose holdings changed. */
-    Set<Long> settle(LongSupplier token) {
+    Set<Long> rebalance(LongSupplier token) {
         Set<Long> changed = new TreeSet<>();
         Map<Long, Integer> due = due();
         for (int i = 0; i < owners.length; i++) {
--- a/fleet/src/main/java/marlford/voters/Founding.java
+++ b/fleet/src/main/java/marlford/membership/Bootstrap.java
@@ -1,4 +1,4 @@
-package marlford.voters;
+package marlford.membership;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -11,10 +11,10 @@
  * names, each with an empty disk: where one is away there may be a group that only it knows of. Whoever hears of a group
  * that has its disk among the first ones takes its place there; with another disk it is a newcomer, and waits to be taken in.
  */
-public final class Founding {
+public final class Bootstrap {
     /** What a voter is to do. */
     public enum Step {
-        /** Ask again. */
+        /** Request again. */
         WAIT,
         /** Begin as one of these members: it has never voted, and they count on it. */
         BEGIN,
@@ -30,7 +30,7 @@
     private final Map<String, Hello> heard = new HashMap<>();
 
     /** @param names of all voters, this one's too */
-    public Founding(Hello self, Collection<String> names) {
+    public Bootstrap(Hello self, Collection<String> names) {
         this.self = self;
         this.names = List.copyOf(names);
     }
--- a/fleet/src/main/java/marlford/voters/Hello.java
+++ b/fleet/src/main/java/marlford/membership/Hello.java
@@ -1,4 +1,4 @@
-package marlford.voters;
+package marlford.membership;
 
 import java.util.List;
 import java.util.Map;
@@ -11,12 +11,12 @@
  * @param life how often it was started on that disk
  * @param initial the points that its group began with; null while it is in none
  * @param seen the greatest life that it saw of each point, by which a disk that is an older copy finds itself out
- * @param level which kinds of lines it knows ({@link Levels}); 0 from a version that does not say
+ * @param level which kinds of lines it knows ({@link ProtocolVersions}); 0 from a version that does not say
  */
 public record Hello(String fleet, String point, long life, List<String> initial, Map<String, Long> seen, int level) {
     /** Of this version. */
     public Hello(String fleet, String point, long life, List<String> initial, Map<String, Long> seen) {
-        this(fleet, point, life, initial, seen, Levels.OWN);
+        this(fleet, point, life, initial, seen, ProtocolVersions.CURRENT);
     }
 
     /** The name in a point. */
--- a/fleet/src/main/java/marlford/voters/Levels.java
+++ b/fleet/src/main/java/marlford/membership/ProtocolVersions.java
@@ -1,4 +1,4 @@
-package marlford.voters;
+package marlford.membership;
 
 import java.util.Collection;
 import java.util.HashMap;
@@ -9,9 +9,9 @@
  * said that it runs that version, or a voter would meet a line that it can't apply and have to go out. A voter that was not
  * heard since this process's start counts as one of the first version. Not thread-safe.
  */
-public final class Levels {
+public final class ProtocolVersions {
     /** Of this version. */
-    public static final int OWN = 2;
+    public static final int CURRENT = 2;
 
     private static final int POINTS_MAX = 1000;
 
@@ -25,9 +25,9 @@
     }
 
     /** The level that all these voters know. */
-    public int common(Collection<String> voting, String self) {
+    public int lowestCommon(Collection<String> voting, String self) {
         return voting.stream()
-                .mapToInt(p -> p.equals(self) ? OWN : levels.getOrDefault(p, 1))
+                .mapToInt(p -> p.equals(self) ? CURRENT : levels.getOrDefault(p, 1))
                 .min()
                 .orElse(1);
     }
--- a/fleet/src/main/java/marlford/voters/Replacement.java
+++ b/fleet/src/main/java/marlford/membership/VoterReplacement.java
@@ -1,4 +1,4 @@
-package marlford.voters;
+package marlford.membership;
 
 import java.util.Collection;
 import java.util.HashMap;
@@ -15,7 +15,7 @@
  * <p>A point that is still heard is not replaced: two processes with one name are a mistake of whoever started them.
  * Milliseconds by one monotonic clock. Not thread-safe.
  */
-public final class Replacement {
+public final class VoterReplacement {
     /** The next change of members. */
     public enum Kind {
         REMOVE,
@@ -35,7 +35,7 @@
     private final Map<String, String> newcomers = new HashMap<>(); // name to point
 
     /** @param goneMs a point that was not heard for this long is gone, in milliseconds */
-    public Replacement(double goneMs) {
+    public VoterReplacement(double goneMs) {
         this.goneMs = goneMs;
     }
 
--- a/fleet/src/main/java/marlford/spread/package-info.java
+++ b/fleet/src/main/java/marlford/partition/package-info.java
@@ -1,2 +1,2 @@
 /** Which of several pieces a name falls into, the same for all who ask. */
-package marlford.spread;
+package marlford.partition;
--- a/fleet/src/main/java/marlford/turn/ListTurns.java
+++ b/fleet/src/main/java/marlford/polling/SingleFlightPoll.java
@@ -1,4 +1,4 @@
-package marlford.turn;
+package marlford.polling;
 
 import marlford.board.Board;
 import marlford.board.Row;
@@ -18,7 +18,7 @@
  * changed since, so that nothing that came in between is missed. One agent at a time: a gateway has one. Milliseconds by one
  * monotonic clock. Not thread-safe.
  */
-public final class ListTurns {
+public final class SingleFlightPoll {
     static final double PATIENCE_MS = 2000;
     static final double LONGEST_MS = 10_000;
     static final double FRESH_MS = 3000;
--- a/fleet/src/main/java/marlford/turn/package-info.java
+++ b/fleet/src/main/java/marlford/polling/package-info.java
@@ -1,2 +1,2 @@
 /** Whose turn it is to call for a list that all need. No I/O and no clock. */
-package marlford.turn;
+package marlford.polling;
--- a/fleet/src/main/java/marlford/work/Order.java
+++ b/fleet/src/main/java/marlford/register/KeyedRequest.java
@@ -1,4 +1,4 @@
-package marlford.work;
+package marlford.register;
 
 /**
  * An order as its client sent it, once, whoever carries it.
@@ -9,7 +9,7 @@
  * @param units charged for it, once
  * @param message what goes to a host, so that it can be sent again; empty where it was too large to be kept
  */
-public record Order(String key, String digest, String requestClass, double units, String message) {
+public record KeyedRequest(String key, String digest, String requestClass, double units, String message) {
     /** The longest key or digest, in characters. */
     public static final int NAME_MAX = 128;
     /** The longest message that is kept, in characters. */
--- a/fleet/src/main/java/marlford/work/Outcome.java
+++ b/fleet/src/main/java/marlford/register/Outcome.java
@@ -1,4 +1,4 @@
-package marlford.work;
+package marlford.register;
 
 /**
  * How an order ended; the same for whoever asks.
--- a/fleet/src/main/java/marlford/work/Desk.java
+++ b/fleet/src/main/java/marlford/register/ProposalPipeline.java
@@ -1,4 +1,4 @@
-package marlford.work;
+package marlford.register;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,26 +10,26 @@
 
 /**
  * Lines of work on their way to the log, many at a time: each is carried to whoever leads until it is answered, since a line
- * that is there twice changes nothing. Lines of one order go one after the other, as their {@link Hand} has one due at a time.
+ * that is there twice changes nothing. Lines of one order go one after the other, as their {@link RequestLease} has one due at a time.
  *
  * <p>Bounds: {@value #UNDER_WAY_MAX} lines under way, {@value #WAITING_MAX} that wait to go, beyond which a line is not taken. A line
  * is given up with its session. Milliseconds by one monotonic clock. Not thread-safe.
  */
-public final class Desk {
+public final class ProposalPipeline {
     static final int UNDER_WAY_MAX = 512;
     static final int WAITING_MAX = 8192;
     private static final double AGAIN_MS = 40; // after a reply that helps no further
     private static final double PATIENCE_MS = 500; // for a reply, before the line is sent again
 
     /** A line that goes out now, to whoever leads. */
-    public record Outgoing(long id, Line line) {}
+    public record Outgoing(long id, RegisterCommand line) {}
 
     private static final class Carried {
-        final Line line;
-        final Consumer<Said> to;
+        final RegisterCommand line;
+        final Consumer<RegisterResult> to;
         double again; // when it is sent, or sent again
 
-        Carried(Line line, Consumer<Said> to) {
+        Carried(RegisterCommand line, Consumer<RegisterResult> to) {
             this.line = line;
             this.to = to;
         }
@@ -40,7 +40,7 @@
     private long nextId;
 
     /** @param firstId its asks are numbered from here on, so that they are told from others of the same connection */
-    public Desk(long firstId) {
+    public ProposalPipeline(long firstId) {
         nextId = firstId;
     }
 
@@ -50,7 +50,7 @@
      * @param to hears what came of it, once; null where the session ended first and nobody knows
      * @return false where too many wait, and nothing was taken
      */
-    public boolean carry(Line line, Consumer<Said> to) {
+    public boolean carry(RegisterCommand line, Consumer<RegisterResult> to) {
         if (waiting.size() >= WAITING_MAX) {
             return false;
         }
@@ -84,7 +84,7 @@
     }
 
     /** A line was answered. */
-    public void said(long id, Said s) {
+    public void said(long id, RegisterResult s) {
         Carried c = underWay.remove(id);
         if (c != null) {
             c.to.accept(s);
--- a/fleet/src/main/java/marlford/work/Line.java
+++ b/fleet/src/main/java/marlford/register/RegisterCommand.java
@@ -1,27 +1,27 @@
-package marlford.work;
+package marlford.register;
 
 /** What is agreed of work; a line that is there twice, since its answer was lost, is answered as before and changes nothing. */
-public sealed interface Line {
+public sealed interface RegisterCommand {
     /**
      * Before the first byte of an order leaves for a host of this group.
      *
      * @param ask of which this is the line, drawn by its gateway: the same line again is answered as before, while another ask for
      *        the same order, even of the same gateway, waits for the first one's end
      */
-    record Enter(Order order, String group, long ask) implements Line {}
+    record Enter(KeyedRequest order, String group, long ask) implements RegisterCommand {}
 
     /**
      * No host of the former group can have run it, and another group is to have it; before its first byte leaves.
      *
      * @param token of the entry
      */
-    record Move(String key, long token, String group) implements Line {}
+    record Move(String key, long token, String group) implements RegisterCommand {}
 
     /** An order's end; before anybody is told of it. */
-    record End(String key, long token, Outcome outcome) implements Line {}
+    record End(String key, long token, Outcome outcome) implements RegisterCommand {}
 
     /** It never ran and will not: nothing is left of it. */
-    record Withdraw(String key, long token) implements Line {}
+    record Withdraw(String key, long token) implements RegisterCommand {}
 
     /**
      * Takes over an order whose owner has ended.
@@ -29,8 +29,8 @@
      * @param shard the asker's, in the pool of work, by the key
      * @param shardToken under which it has that shard
      */
-    record Take(String key, int shard, long shardToken) implements Line {}
+    record Take(String key, int shard, long shardToken) implements RegisterCommand {}
 
     /** Ends that were agreed up to this index have been kept for long enough. */
-    record Forget(long upTo) implements Line {}
+    record Forget(long upTo) implements RegisterCommand {}
 }
--- a/fleet/src/main/java/marlford/work/Said.java
+++ b/fleet/src/main/java/marlford/register/RegisterResult.java
@@ -1,13 +1,13 @@
-package marlford.work;
+package marlford.register;
 
 /**
- * What came of a {@link Line}.
+ * What came of a {@link RegisterCommand}.
  *
  * @param token under which the asker owns the entry; 0 for not at all
  * @param entry what was taken over; null for other lines
  * @param outcome of an order that has ended; null for others
  */
-public record Said(Kind kind, long token, Entry entry, Outcome outcome) {
+public record RegisterResult(Kind kind, long token, RegisterEntry entry, Outcome outcome) {
     /** What came of it. */
     public enum Kind {
         /** The order is the asker's, to be sent. */
@@ -28,15 +28,15 @@
         MALFORMED
     }
 
-    static Said of(Kind kind) {
-        return new Said(kind, 0, null, null);
+    static RegisterResult of(Kind kind) {
+        return new RegisterResult(kind, 0, null, null);
     }
 
-    static Said over(Outcome outcome) {
-        return new Said(Kind.OVER, 0, null, outcome);
+    static RegisterResult over(Outcome outcome) {
+        return new RegisterResult(Kind.OVER, 0, null, outcome);
     }
 
-    static Said owned(Entry e) {
-        return new Said(Kind.OWNED, e.token(), e, null);
+    static RegisterResult owned(RegisterEntry e) {
+        return new RegisterResult(Kind.OWNED, e.token(), e, null);
     }
 }
--- a/fleet/src/main/java/marlford/work/Hand.java
+++ b/fleet/src/main/java/marlford/register/RequestLease.java
@@ -1,4 +1,4 @@
-package marlford.work;
+package marlford.register;
 
 /**
  * A gateway's part in one order: when it may send it, when it may answer, and with what. Whatever happens around it, its client
@@ -8,7 +8,7 @@
  * <p>Whoever drives it carries {@link #due} to the log until it is answered, and asks the register about the order while it
  * {@link State#WAITING waits}. Not thread-safe.
  */
-public final class Hand {
+public final class RequestLease {
     /** Where it stands. */
     public enum State {
         /** Its entry is proposed; nothing has left. */
@@ -29,7 +29,7 @@
         DIFFERS
     }
 
-    private final Order order;
+    private final KeyedRequest order;
     private final long ask;
     private String group;
     private State state = State.ENTERING;
@@ -42,14 +42,14 @@
      *
      * @param ask drawn for it; no other of this session has the same
      */
-    public Hand(Order order, String group, long ask) {
+    public RequestLease(KeyedRequest order, String group, long ask) {
         this.order = order;
         this.group = group;
         this.ask = ask;
     }
 
     /** An order that was taken over. */
-    public Hand(Entry taken) {
+    public RequestLease(RegisterEntry taken) {
         this(taken.order(), taken.group(), taken.ask());
         state = State.OWNED;
         token = taken.token();
@@ -61,7 +61,7 @@
     }
 
     /** What it is about. */
-    public Order order() {
+    public KeyedRequest order() {
         return order;
     }
 
@@ -71,17 +71,17 @@
     }
 
     /** The line to be proposed now; null for none. */
-    public Line due() {
+    public RegisterCommand due() {
         return switch (state) {
-            case ENTERING -> new Line.Enter(order, group, ask);
-            case MOVING -> new Line.Move(order.key(), token, group);
-            case ENDING -> new Line.End(order.key(), token, outcome);
+            case ENTERING -> new RegisterCommand.Enter(order, group, ask);
+            case MOVING -> new RegisterCommand.Move(order.key(), token, group);
+            case ENDING -> new RegisterCommand.End(order.key(), token, outcome);
             default -> null;
         };
     }
 
     /** A line was answered; one that is no longer due changes nothing. */
-    public void said(Line line, Said s) {
+    public void said(RegisterCommand line, RegisterResult s) {
         if (!line.equals(due())) {
             return;
         }
@@ -103,8 +103,8 @@
         state = State.OVER;
     }
 
-    /** What the register has of a waiting order ({@link Register#look}). */
-    public void looked(Said there) {
+    /** What the register has of a waiting order ({@link RequestRegister#look}). */
+    public void looked(RegisterResult there) {
         if (state != State.WAITING) {
             return;
         }
--- a/fleet/src/main/java/marlford/work/Register.java
+++ b/fleet/src/main/java/marlford/register/RequestRegister.java
@@ -1,4 +1,4 @@
-package marlford.work;
+package marlford.register;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -8,18 +8,18 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
-import marlford.spread.Spread;
+import marlford.partition.Partitioner;
 
 /**
  * The register of work as the log has it. Each order has at most one entry, each entry at most one owner, and one end; what is
  * done under a token that is not the entry's changes nothing. It knows no time: that an owner is gone is the end of its session,
- * and how old an entry is its reader finds out ({@link Ages}).
+ * and how old an entry is its reader finds out ({@link StalenessBound}).
  *
  * <p>Bounds: {@value #OPEN_MAX} open entries, {@value #KEPT_MAX} ends, {@value #CHARS_MAX} characters of messages and answers in
- * all. A new order beyond them is {@link Said.Kind#FULL}; an end is always taken, without its answer's body where there is no
+ * all. A new order beyond them is {@link RegisterResult.Kind#FULL}; an end is always taken, without its answer's body where there is no
  * room, and where there are too many ends the oldest is forgotten: nothing that is open ever is. Not thread-safe.
  */
-public final class Register {
+public final class RequestRegister {
     /** Pieces of the work, each seen to by one member. */
     public static final int SHARDS = 64;
 
@@ -31,14 +31,14 @@
     public record Ended(String key, String digest, Outcome outcome, long at) {}
 
     /** The whole register, to be kept and begun from. */
-    public record Image(List<Entry> open, List<Ended> ended) {}
+    public record Snapshot(List<RegisterEntry> open, List<Ended> ended) {}
 
     /** Whether a session has a shard of the pool of work under a token, where the line stands. */
     public interface Shards {
         boolean has(long session, int shard, long token);
     }
 
-    private final Map<String, Entry> open = new LinkedHashMap<>();
+    private final Map<String, RegisterEntry> open = new LinkedHashMap<>();
     private final Map<String, Ended> ended = new LinkedHashMap<>(); // in the order of their ends
     private final Map<Long, Set<String>> owned = new TreeMap<>(); // keys by session
     private final Map<Integer, Set<String>> orphans = new TreeMap<>(); // keys by shard
@@ -47,8 +47,8 @@
     private long unknown;
 
     /** Begins where another register was. */
-    public static Register of(Image image) {
-        Register r = new Register();
+    public static RequestRegister of(Snapshot image) {
+        RequestRegister r = new RequestRegister();
         image.open().forEach(e -> {
             r.put(e);
             r.chars += e.order().message().length();
@@ -61,17 +61,17 @@
     }
 
     /** The whole register; two voters that applied the same lines have equal ones. */
-    public Image image() {
-        return new Image(List.copyOf(open.values()), List.copyOf(ended.values()));
+    public Snapshot snapshot() {
+        return new Snapshot(List.copyOf(open.values()), List.copyOf(ended.values()));
     }
 
     /** The piece that a key belongs to. */
     public static int shard(String key) {
-        return Spread.piece(key, SHARDS);
+        return Partitioner.shardOf(key, SHARDS);
     }
 
     /** The open entry of a key; null where there is none. */
-    public Entry entry(String key) {
+    public RegisterEntry entry(String key) {
         return open.get(key);
     }
 
@@ -81,20 +81,20 @@
     }
 
     /** What there is of an order, for whoever waits for it. */
-    public Said look(String key, String digest) {
-        Entry there = open.get(key);
+    public RegisterResult look(String key, String digest) {
+        RegisterEntry there = open.get(key);
         Ended over = ended.get(key);
         if (there == null && over == null) {
-            return Said.of(Said.Kind.NOT_YOURS);
+            return RegisterResult.of(RegisterResult.Kind.NOT_YOURS);
         }
         if (!(there != null ? there.order().digest() : over.digest()).equals(digest)) {
-            return Said.of(Said.Kind.DIFFERS);
+            return RegisterResult.of(RegisterResult.Kind.DIFFERS);
         }
-        return there != null ? Said.of(Said.Kind.RUNS) : Said.over(over.outcome());
+        return there != null ? RegisterResult.of(RegisterResult.Kind.RUNS) : RegisterResult.over(over.outcome());
     }
 
     /** The open entries of a shard that nobody owns, at most so many; those that were orphaned first come first. */
-    public List<Entry> orphans(int shard, int most) {
+    public List<RegisterEntry> orphans(int shard, int most) {
         return orphans.getOrDefault(shard, Set.of()).stream()
                 .limit(most)
                 .map(open::get)
@@ -108,23 +108,23 @@
      * @param session of the asker, which lives
      * @param mint gives the next token
      */
-    public Said apply(long at, long session, Line line, Shards shards, LongSupplier mint) {
-        if (line instanceof Line.Enter e) {
+    public RegisterResult apply(long at, long session, RegisterCommand line, Shards shards, LongSupplier mint) {
+        if (line instanceof RegisterCommand.Enter e) {
             return enter(at, session, e, mint);
         }
-        if (line instanceof Line.End e) {
+        if (line instanceof RegisterCommand.End e) {
             return end(at, session, e);
         }
-        if (line instanceof Line.Take t) {
+        if (line instanceof RegisterCommand.Take t) {
             return take(session, t, shards, mint);
         }
-        if (line instanceof Line.Move m) {
+        if (line instanceof RegisterCommand.Move m) {
             return move(at, session, m);
         }
-        if (line instanceof Line.Withdraw w) {
+        if (line instanceof RegisterCommand.Withdraw w) {
             return withdraw(session, w);
         }
-        return forget((Line.Forget) line);
+        return forget((RegisterCommand.Forget) line);
     }
 
     /** A session has ended: what it owned is nobody's, until it is taken over. */
@@ -135,40 +135,40 @@
         }
     }
 
-    private Said enter(long at, long session, Line.Enter e, LongSupplier mint) {
-        Order order = e.order();
+    private RegisterResult enter(long at, long session, RegisterCommand.Enter e, LongSupplier mint) {
+        KeyedRequest order = e.order();
         if (order == null || !order.isWellFormed() || !named(e.group())) {
-            return Said.of(Said.Kind.MALFORMED);
+            return RegisterResult.of(RegisterResult.Kind.MALFORMED);
         }
-        Said found = look(order.key(), order.digest());
-        Entry there = open.get(order.key());
+        RegisterResult found = look(order.key(), order.digest());
+        RegisterEntry there = open.get(order.key());
         // What was taken over is judged by its taker, who alone may send it: no ask gets it by entering.
-        if (found.kind() == Said.Kind.RUNS
+        if (found.kind() == RegisterResult.Kind.RUNS
                 && there.owner() == session
                 && there.ask() == e.ask()
                 && there.taken() == 0) {
-            return Said.owned(there);
+            return RegisterResult.owned(there);
         }
-        if (found.kind() != Said.Kind.NOT_YOURS) {
+        if (found.kind() != RegisterResult.Kind.NOT_YOURS) {
             return found;
         }
         if (open.size() >= OPEN_MAX || chars + order.message().length() > CHARS_MAX) {
-            return Said.of(Said.Kind.FULL);
+            return RegisterResult.of(RegisterResult.Kind.FULL);
         }
-        Entry fresh = new Entry(order, e.group(), session, mint.getAsLong(), at, 0, e.ask());
+        RegisterEntry fresh = new RegisterEntry(order, e.group(), session, mint.getAsLong(), at, 0, e.ask());
         chars += order.message().length();
         put(fresh);
-        return Said.owned(fresh);
+        return RegisterResult.owned(fresh);
     }
 
     private static boolean named(String name) {
-        return name != null && !name.isEmpty() && name.length() <= Order.NAME_MAX;
+        return name != null && !name.isEmpty() && name.length() <= KeyedRequest.NAME_MAX;
     }
 
     /** An entry under its owner, or under its shard where it has none. */
-    private void put(Entry e) {
+    private void put(RegisterEntry e) {
         String key = e.order().key();
-        Entry before = open.put(key, e);
+        RegisterEntry before = open.put(key, e);
         if (before != null) {
             unlist(before);
         }
@@ -179,7 +179,7 @@
         }
     }
 
-    private void unlist(Entry e) {
+    private void unlist(RegisterEntry e) {
         String key = e.order().key();
         Set<String> mine = e.owner() != 0 ? owned.get(e.owner()) : orphans.get(shard(key));
         if (mine != null) {
@@ -192,43 +192,43 @@
         }
     }
 
-    private void remove(Entry e) {
+    private void remove(RegisterEntry e) {
         open.remove(e.order().key());
         unlist(e);
         chars -= e.order().message().length();
     }
 
     /** Its end for who does not own it any more, or never did. */
-    private Said ifOver(String key) {
+    private RegisterResult ifOver(String key) {
         Ended over = ended.get(key);
-        return over == null ? Said.of(Said.Kind.NOT_YOURS) : Said.over(over.outcome());
+        return over == null ? RegisterResult.of(RegisterResult.Kind.NOT_YOURS) : RegisterResult.over(over.outcome());
     }
 
-    private Entry mine(long session, String key, long token) {
-        Entry e = open.get(key);
+    private RegisterEntry mine(long session, String key, long token) {
+        RegisterEntry e = open.get(key);
         return e != null && e.owner() == session && e.token() == token ? e : null;
     }
 
-    private Said move(long at, long session, Line.Move m) {
-        Entry e = mine(session, m.key(), m.token());
+    private RegisterResult move(long at, long session, RegisterCommand.Move m) {
+        RegisterEntry e = mine(session, m.key(), m.token());
         if (!named(m.group())) {
-            return Said.of(Said.Kind.MALFORMED);
+            return RegisterResult.of(RegisterResult.Kind.MALFORMED);
         }
         if (e == null) {
-            return Said.of(Said.Kind.NOT_YOURS);
+            return RegisterResult.of(RegisterResult.Kind.NOT_YOURS);
         }
         if (!e.group()
                 .equals(m.group())) { // asked again it has moved already, and its window counts from the first time
             put(e.movedTo(m.group(), at));
         }
-        return Said.of(Said.Kind.DONE);
+        return RegisterResult.of(RegisterResult.Kind.DONE);
     }
 
-    private Said end(long at, long session, Line.End end) {
+    private RegisterResult end(long at, long session, RegisterCommand.End end) {
         if (end.outcome() == null || !end.outcome().isWellFormed()) {
-            return Said.of(Said.Kind.MALFORMED);
+            return RegisterResult.of(RegisterResult.Kind.MALFORMED);
         }
-        Entry e = mine(session, end.key(), end.token());
+        RegisterEntry e = mine(session, end.key(), end.token());
         if (e == null) {
             return ifOver(end.key());
         }
@@ -244,38 +244,38 @@
         if (ended.size() > KEPT_MAX) {
             drop(ended.keySet().iterator().next());
         }
-        return Said.over(o);
+        return RegisterResult.over(o);
     }
 
-    private Said withdraw(long session, Line.Withdraw w) {
-        Entry e = mine(session, w.key(), w.token());
+    private RegisterResult withdraw(long session, RegisterCommand.Withdraw w) {
+        RegisterEntry e = mine(session, w.key(), w.token());
         if (e == null || e.taken() > 0) { // who took it over can't know that it never ran
-            return Said.of(Said.Kind.NOT_YOURS);
+            return RegisterResult.of(RegisterResult.Kind.NOT_YOURS);
         }
         remove(e);
-        return Said.of(Said.Kind.DONE);
+        return RegisterResult.of(RegisterResult.Kind.DONE);
     }
 
-    private Said take(long session, Line.Take t, Shards shards, LongSupplier mint) {
-        Entry e = open.get(t.key());
+    private RegisterResult take(long session, RegisterCommand.Take t, Shards shards, LongSupplier mint) {
+        RegisterEntry e = open.get(t.key());
         if (e == null) {
             return ifOver(t.key());
         }
         if (e.owner() == session) {
-            return Said.owned(e);
+            return RegisterResult.owned(e);
         }
         if (e.owner() != 0) {
-            return Said.of(Said.Kind.RUNS);
+            return RegisterResult.of(RegisterResult.Kind.RUNS);
         }
         if (t.shard() != shard(t.key()) || !shards.has(session, t.shard(), t.shardToken())) {
-            return Said.of(Said.Kind.NOT_YOURS);
+            return RegisterResult.of(RegisterResult.Kind.NOT_YOURS);
         }
-        Entry taken = e.of(session, mint.getAsLong());
+        RegisterEntry taken = e.of(session, mint.getAsLong());
         put(taken);
-        return Said.owned(taken);
+        return RegisterResult.owned(taken);
     }
 
-    private Said forget(Line.Forget f) {
+    private RegisterResult forget(RegisterCommand.Forget f) {
         List<String> old = new ArrayList<>();
         for (Ended e : ended.values()) {
             if (e.at() > f.upTo()) {
@@ -284,7 +284,7 @@
             old.add(e.key());
         }
         old.forEach(this::drop);
-        return Said.of(Said.Kind.DONE);
+        return RegisterResult.of(RegisterResult.Kind.DONE);
     }
 
     private void drop(String key) {
--- a/fleet/src/main/java/marlford/work/Ages.java
+++ b/fleet/src/main/java/marlford/register/StalenessBound.java
@@ -1,4 +1,4 @@
-package marlford.work;
+package marlford.register;
 
 import java.util.ArrayDeque;
 import java.util.Iterator;
@@ -13,7 +13,7 @@
  * any age. A new process knows no look, so it finds all that was there before it too old. Milliseconds by one monotonic
  * clock. Not thread-safe.
  */
-public final class Ages {
+public final class StalenessBound {
     static final int LOOKS_MAX = 1024;
 
     private record Look(double askedAt, long index) {}
--- a/fleet/src/main/java/marlford/task/Duty.java
+++ b/fleet/src/main/java/marlford/task/FleetTask.java
@@ -7,7 +7,7 @@
  * A fleet-wide task as one member sees it: what it asks of the fleet, and which acts may begin. An act begins only under a
  * token that this member has, while its session is good for the whole of the act.
  */
-public sealed interface Duty permits Duties.Single, Duties.Sharded, Duties.Ticking {
+public sealed interface FleetTask permits FleetTasks.Single, FleetTasks.Sharded, FleetTasks.Periodic {
     /** What is wished of the fleet; once, at the start. */
     void begin(Member member);
 
@@ -17,8 +17,8 @@
      * @param lateMs how late the caller's loop is
      * @param wallMs the time of day, in milliseconds since 1970, by which ticks are numbered
      */
-    List<Act> due(Member member, double now, double lateMs, long wallMs);
+    List<TaskRun> due(Member member, double now, double lateMs, long wallMs);
 
     /** An act is over, well or not. */
-    void ended(Member member, Act act);
+    void ended(Member member, TaskRun act);
 }
--- a/fleet/src/main/java/marlford/task/Duties.java
+++ b/fleet/src/main/java/marlford/task/FleetTasks.java
@@ -6,17 +6,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import marlford.lease.Book;
+import marlford.lease.LeaseStateMachine;
 import marlford.lease.Member;
 
 /** The kinds of duties. */
-public final class Duties {
+public final class FleetTasks {
     private static final int NONE = -1;
 
-    private Duties() {}
+    private FleetTasks() {}
 
     /** One holder, or a few, act again and again. */
-    public static final class Single implements Duty {
+    public static final class Single implements FleetTask {
         private final String name;
         private final int holders;
         private final double everyMs;
@@ -38,24 +38,24 @@
         }
 
         @Override
-        public List<Act> due(Member member, double now, double lateMs, long wallMs) {
+        public List<TaskRun> due(Member member, double now, double lateMs, long wallMs) {
             long token = member.token(name);
             if (running || now < nextAt || !member.mayAct(token, now, lateMs, takesMs)) {
                 return List.of();
             }
             running = true;
             nextAt = now + everyMs;
-            return List.of(new Act(name, NONE, NONE, token, takesMs));
+            return List.of(new TaskRun(name, NONE, NONE, token, takesMs));
         }
 
         @Override
-        public void ended(Member member, Act act) {
+        public void ended(Member member, TaskRun act) {
             running = false;
         }
     }
 
     /** Pieces spread over all that take part, each acted on again and again by whoever has it. */
-    public static final class Sharded implements Duty {
+    public static final class Sharded implements FleetTask {
         private final String name;
         private final int shards;
         private final double everyMs;
@@ -76,9 +76,9 @@
         }
 
         @Override
-        public List<Act> due(Member member, double now, double lateMs, long wallMs) {
-            List<Act> acts = new ArrayList<>();
-            for (Book.Holding h : member.holdings()) {
+        public List<TaskRun> due(Member member, double now, double lateMs, long wallMs) {
+            List<TaskRun> acts = new ArrayList<>();
+            for (LeaseStateMachine.Holding h : member.holdings()) {
                 if (!h.name().equals(name) || h.shard() < 0 || running.contains(h.shard())) {
                     continue;
                 }
@@ -88,27 +88,27 @@
                         && member.mayAct(h.token(), now, lateMs, takesMs)) {
                     running.add(h.shard());
                     nextAt.put(h.shard(), now + everyMs);
-                    acts.add(new Act(name, h.shard(), NONE, h.token(), takesMs));
+                    acts.add(new TaskRun(name, h.shard(), NONE, h.token(), takesMs));
                 }
             }
             return acts;
         }
 
         @Override
-        public void ended(Member member, Act act) {
+        public void ended(Member member, TaskRun act) {
             running.remove(act.shard());
         }
     }
 
     /** Once in each interval of the day, or not at all; whoever claims it first. */
-    public static final class Ticking implements Duty {
+    public static final class Periodic implements FleetTask {
         private final String name;
         private final long everyMs;
         private final double takesMs;
         private long claimed = NONE;
         private boolean running;
 
-        public Ticking(String name, long everyMs, double takesMs) {
+        public Periodic(String name, long everyMs, double takesMs) {
             this.name = name;
             this.everyMs = everyMs;
             this.takesMs = takesMs;
@@ -118,12 +118,12 @@
         public void begin(Member member) {}
 
         @Override
-        public List<Act> due(Member member, double now, double lateMs, long wallMs) {
+        public List<TaskRun> due(Member member, double now, double lateMs, long wallMs) {
             long tick = wallMs / everyMs;
             long token = claimed < 0 ? 0 : member.ticked(name, claimed);
             if (token != 0 && !running) {
                 running = true;
-                return List.of(new Act(name, NONE, claimed, token, takesMs));
+                return List.of(new TaskRun(name, NONE, claimed, token, takesMs));
             }
             if (member.session() != 0 && tick > claimed) {
                 claimed = tick;
@@ -133,7 +133,7 @@
         }
 
         @Override
-        public void ended(Member member, Act act) {
+        public void ended(Member member, TaskRun act) {
             running = false;
         }
     }
--- a/fleet/src/main/java/marlford/task/Act.java
+++ b/fleet/src/main/java/marlford/task/TaskRun.java
@@ -8,4 +8,4 @@
  * @param token to be shown to whatever it acts on
  * @param takesMs the longest that it may take; it is broken off then
  */
-public record Act(String task, int shard, long tick, long token, double takesMs) {}
+public record TaskRun(String task, int shard, long tick, long token, double takesMs) {}
--- a/fleet/src/test/java/marlford/FleetHouseTest.java
+++ b/fleet/src/test/java/marlford/FleetHouseTest.java
@@ -29,20 +29,20 @@
                         "io..",
                         "com..",
                         "deckfall..",
-                        "marlford.agree..",
+                        "marlford.consensus..",
                         "marlford.fleet..");
     }
 
     private static final String[] PURE = {
         "marlford.board",
         "marlford.lease",
-        "marlford.probe",
-        "marlford.spread",
+        "marlford.health",
+        "marlford.partition",
         "marlford.task",
-        "marlford.turn",
+        "marlford.polling",
         "marlford.usage",
-        "marlford.voters",
-        "marlford.work"
+        "marlford.membership",
+        "marlford.register"
     };
 
     @Test
--- a/fleet/src/test/java/marlford/Courses.java
+++ b/fleet/src/test/java/marlford/Interleavings.java
@@ -14,13 +14,13 @@
 import java.util.stream.IntStream;
 
 /**
- * Courses through a small world of a test: every one up to a length, each state once, or many at random.
+ * Interleavings through a small world of a test: every one up to a length, each state once, or many at random.
  *
  * @param choices how many things may happen next
  */
-public record Courses(int choices) {
+public record Interleavings(int choices) {
     /** A world that is driven one choice at a time, the same way each time. */
-    public interface World {
+    public interface Model {
         void step(int choice);
 
         /** What its invariants found; null for nothing. */
@@ -33,7 +33,7 @@
     /** What the first broken course up to this length broke, or null, and how many states there are. */
     public record Found(String broken, int states) {}
 
-    private static <W extends World> W play(Supplier<W> begin, int[] course) {
+    private static <W extends Model> W play(Supplier<W> begin, int[] course) {
         W w = begin.get();
         for (int i = 0; i < course.length && w.broken() == null; i++) {
             w.step(course[i]);
@@ -41,7 +41,7 @@
         return w;
     }
 
-    public Found all(Supplier<? extends World> begin, int length) {
+    public Found all(Supplier<? extends Model> begin, int length) {
         Set<UUID> seen = ConcurrentHashMap.newKeySet();
         List<int[]> edge = List.of(new int[0]);
         AtomicReference<String> broken = new AtomicReference<>();
@@ -50,7 +50,7 @@
                     .flatMap(course -> IntStream.range(0, choices).mapToObj(choice -> {
                         int[] next = Arrays.copyOf(course, course.length + 1);
                         next[course.length] = choice;
-                        World w = play(begin, next);
+                        Model w = play(begin, next);
                         if (w.broken() != null) {
                             broken.compareAndSet(null, w.broken() + " by " + Arrays.toString(next));
                         }
@@ -65,7 +65,7 @@
     }
 
     /** A course at random, as this seed has it; what is in {@code often} comes {@code times} as often besides. */
-    public <W extends World> W random(Supplier<W> begin, long seed, int steps, int[] often, int times) {
+    public <W extends Model> W random(Supplier<W> begin, long seed, int steps, int[] often, int times) {
         Random random = new Random(seed);
         int[] course = new int[steps];
         for (int i = 0; i < steps; i++) {
@@ -76,7 +76,7 @@
     }
 
     /** The first seed whose world is broken, with what broke; null where none of so many is. */
-    public static String firstBroken(IntFunction<? extends World> ofSeed, int seeds) {
+    public static String firstBroken(IntFunction<? extends Model> ofSeed, int seeds) {
         for (int seed = 1; seed <= seeds; seed++) {
             String broken = ofSeed.apply(seed).broken();
             if (broken != null) {
--- a/fleet/src/test/java/marlford/agree/AgreementTest.java
+++ b/fleet/src/test/java/marlford/consensus/AgreementTest.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -33,8 +33,8 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import marlford.lease.Book;
 import marlford.lease.Command;
+import marlford.lease.LeaseStateMachine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -57,9 +57,9 @@
         final boolean forgetsVotes;
         final Path folder;
         final PriorityQueue<Event> events = new PriorityQueue<>();
-        final Map<Long, Book.Image> agreed = new HashMap<>();
+        final Map<Long, LeaseStateMachine.Snapshot> agreed = new HashMap<>();
         final List<Voting> voters = new ArrayList<>();
-        final List<Point> points = new ArrayList<>();
+        final List<VoterId> points = new ArrayList<>();
         long now;
         long order;
         int lines;
@@ -71,7 +71,7 @@
             this.forgetsVotes = forgetsVotes;
             this.folder = Files.createDirectories(dir.resolve(forgetsVotes + "-" + seed));
             for (int i = 0; i < VOTERS; i++) {
-                points.add(Point.of("v" + i, i));
+                points.add(VoterId.of("v" + i, i));
             }
             for (int i = 0; i < VOTERS; i++) {
                 voters.add(new Voting(this, i));
@@ -119,9 +119,9 @@
             });
         }
 
-        void see(long index, Book.Image image, Voting by) {
-            Book.Image before = agreed.putIfAbsent(index, image);
-            if (before != null && !before.equals(image)) {
+        void see(long index, LeaseStateMachine.Snapshot snapshot, Voting by) {
+            LeaseStateMachine.Snapshot before = agreed.putIfAbsent(index, snapshot);
+            if (before != null && !before.equals(snapshot)) {
                 broken = "at line " + index + " " + by.self + " has another book than was agreed";
             }
         }
@@ -138,9 +138,9 @@
     private static final class Voting implements Transport, StateMachine {
         private final Sim sim;
         private final int number;
-        final Point self;
+        final VoterId self;
         RaftNode node;
-        private Book book;
+        private LeaseStateMachine machine;
         private int life;
 
         Voting(Sim sim, int number) {
@@ -159,7 +159,7 @@
             SegmentStore store = new SegmentStore(sim.folder.resolve("v" + number), Unsynced::new, line -> {});
             store.begin(number);
             RestoredRaftState restored = store.restored();
-            book = new Book(1);
+            machine = new LeaseStateMachine(1);
             RaftNodeExecutor executor = new RaftNodeExecutor() {
                 @Override
                 public void execute(Runnable work) {
@@ -246,7 +246,7 @@
         @Override
         public void send(RaftEndpoint to, RaftMessage message) {
             try {
-                byte[] bytes = Codec.bytes(Codec.mail(message));
+                byte[] bytes = Codec.bytes(Codec.engineMessage(message));
                 Voting there = sim.voters.get(sim.points.indexOf(to));
                 for (int copies = sim.random.nextInt(20) == 0 ? 2 : 1; copies > 0; copies--) {
                     if (sim.random.nextInt(10) > 0) {
@@ -263,7 +263,7 @@
         private void hear(byte[] bytes) {
             try {
                 if (node != null) {
-                    node.handle(Codec.message(Codec.read(bytes, Codec.Mail.class), GROUP));
+                    node.handle(Codec.raftMessage(Codec.read(bytes, Codec.EngineMessage.class), GROUP));
                 }
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
@@ -278,21 +278,21 @@
         @Override
         public Object runOperation(long index, Object operation) {
             if (operation instanceof Command c) {
-                book.apply(index, c);
-                sim.see(index, book.image(), this);
+                machine.apply(index, c);
+                sim.see(index, machine.snapshot(), this);
             }
             return null;
         }
 
         @Override
         public void takeSnapshot(long index, Consumer<Object> to) {
-            to.accept(book.image());
+            to.accept(machine.snapshot());
         }
 
         @Override
         public void installSnapshot(long index, List<Object> pieces) {
-            book = Book.of((Book.Image) pieces.get(0));
-            sim.see(book.index(), book.image(), this);
+            machine = LeaseStateMachine.of((LeaseStateMachine.Snapshot) pieces.get(0));
+            sim.see(machine.index(), machine.snapshot(), this);
         }
 
         @Override
--- a/fleet/src/test/java/marlford/agree/CostTest.java
+++ b/fleet/src/test/java/marlford/consensus/CostTest.java
@@ -1,12 +1,12 @@
-package marlford.agree;
+package marlford.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import marlford.lease.Ask;
+import marlford.lease.MemberSimulation;
 import marlford.lease.Reply;
-import marlford.lease.Sim;
+import marlford.lease.Request;
 import org.junit.jupiter.api.Test;
 
 /** What a member costs on the wire, in virtual time. */
@@ -16,7 +16,7 @@
 
     private static int size(Object o) {
         try {
-            return Codec.bytes(o instanceof Ask a ? new Call(1, a) : new CallBack(1, (Reply) o)).length;
+            return Codec.bytes(o instanceof Request a ? new RequestFrame(1, a) : new ReplyFrame(1, (Reply) o)).length;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -25,9 +25,9 @@
     /** 10,000 leases at 500 members that read the board; the bound has a reserve of half. */
     @Test
     void aMemberCostsAKilobyteASecond() {
-        Sim sim = new Sim(7, 0);
+        MemberSimulation sim = new MemberSimulation(7, 0);
         for (int i = 0; i < MEMBERS; i++) {
-            Sim.Peer p = sim.add("member-" + i);
+            MemberSimulation.Peer p = sim.add("member-" + i);
             p.member.board();
             for (int l = 0; l < LEASES_EACH; l++) {
                 p.member.want("lease-" + (i * LEASES_EACH + l), 1);
--- a/fleet/src/test/java/marlford/agree/SegmentStoreTest.java
+++ b/fleet/src/test/java/marlford/consensus/SegmentStoreTest.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -14,14 +14,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import marlford.lease.Book;
 import marlford.lease.Command;
+import marlford.lease.LeaseStateMachine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** What a voter's disk gives back: all that was synced, nothing that was turned, and no vote of an interrupted write. */
 class SegmentStoreTest {
-    private static final Point SELF = Point.of("g0", 7);
+    private static final VoterId SELF = VoterId.of("g0", 7);
 
     @TempDir
     private Path dir;
@@ -47,7 +47,7 @@
                 .setLocalEndpoint(SELF)
                 .setVoting(true)
                 .build());
-        s.persistAndFlushInitialGroupMembers(new Codec.Group(0, List.of(SELF.id()), List.of(SELF.id())).view());
+        s.persistAndFlushInitialGroupMembers(new Codec.MembersRecord(0, List.of(SELF.id()), List.of(SELF.id())).view());
         s.persistAndFlushTerm(Codec.MODELS
                 .createRaftTermPersistentStateBuilder()
                 .setTerm(3)
@@ -85,14 +85,19 @@
     @Test
     void aSnapshotTakesThePlaceOfItsLines() throws IOException {
         SegmentStore s = founded();
-        Book book = new Book(5);
-        book.apply(1, new Command.Open("m", 5, 1000));
+        LeaseStateMachine machine = new LeaseStateMachine(5);
+        machine.apply(1, new Command.Open("m", 5, 1000));
         for (int i = 1; i <= 20; i++) {
             s.persistLogEntries(List.of(line(i, new Command.Open("n".repeat(100_000) + i, i, 1000))));
         }
-        s.persistSnapshotChunk(
-                new Codec.Piece(15, 1, book.image(), 0, 1, new Codec.Group(0, List.of(SELF.id()), List.of(SELF.id())))
-                        .chunk());
+        s.persistSnapshotChunk(new Codec.SnapshotRecord(
+                        15,
+                        1,
+                        machine.snapshot(),
+                        0,
+                        1,
+                        new Codec.MembersRecord(0, List.of(SELF.id()), List.of(SELF.id())))
+                .chunk());
         s.flush();
         s.truncateLogEntriesUntil(15);
         s.close();
@@ -100,9 +105,9 @@
         RestoredRaftState r = open().restored();
         assertEquals(15, r.getSnapshotEntry().getIndex());
         assertEquals(5, r.getLogEntries().size());
-        Codec.Piece piece = Codec.Piece.of((io.microraft.model.log.SnapshotChunk)
+        Codec.SnapshotRecord piece = Codec.SnapshotRecord.of((io.microraft.model.log.SnapshotChunk)
                 ((List<?>) r.getSnapshotEntry().getOperation()).get(0));
-        assertEquals(book.image(), piece.image());
+        assertEquals(machine.snapshot(), piece.image());
     }
 
     /** Cut anywhere, the file gives back a beginning of what was written; it is never taken for damage. */
@@ -189,10 +194,10 @@
                 new Command.GiveUp(1, "p", 2, 3),
                 new Command.Tick(1, "t", 9),
                 new Command.Floor(1L << 60))) {
-            Call call = new Call(3, new marlford.lease.Ask.Submit(c));
-            assertEquals(call, Codec.read(Codec.bytes(call), Call.class));
+            RequestFrame call = new RequestFrame(3, new marlford.lease.Request.Submit(c));
+            assertEquals(call, Codec.read(Codec.bytes(call), RequestFrame.class));
         }
-        marlford.voters.Hello h = new marlford.voters.Hello("f", "g:1", 2, null, Map.of("g:1", 2L));
-        assertEquals(h, Codec.read(Codec.bytes(h), marlford.voters.Hello.class));
+        marlford.membership.Hello h = new marlford.membership.Hello("f", "g:1", 2, null, Map.of("g:1", 2L));
+        assertEquals(h, Codec.read(Codec.bytes(h), marlford.membership.Hello.class));
     }
 }
--- a/fleet/src/test/java/marlford/agree/VoterTest.java
+++ b/fleet/src/test/java/marlford/consensus/VoterTest.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
@@ -17,7 +17,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import marlford.voters.Hello;
+import marlford.membership.Hello;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -32,9 +32,10 @@
     private Path dir;
 
     private final NioEventLoopGroup network = new NioEventLoopGroup(1);
-    private final BlockingQueue<Codec.Mail> mail = new LinkedBlockingQueue<>(); // what it sends to B, in its order
+    private final BlockingQueue<Codec.EngineMessage> mail =
+            new LinkedBlockingQueue<>(); // what it sends to B, in its order
     private Voter voter;
-    private Link toVoter;
+    private ReconnectingChannel toVoter;
 
     @AfterEach
     void end() {
@@ -44,23 +45,24 @@
         network.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    private InetSocketAddress other(Wire.Ears ears) throws InterruptedException {
-        Channel listener = Wire.listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), ears);
+    private InetSocketAddress other(FrameTransport.Listener ears) throws InterruptedException {
+        Channel listener =
+                FrameTransport.listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), ears);
         return (InetSocketAddress) listener.localAddress();
     }
 
     private void frame(Channel from, byte kind, byte[] body) {
         try {
-            if (kind == Wire.MAIL) {
-                mail.add(Codec.agreed(body, Codec.Mail.class));
+            if (kind == FrameTransport.ENGINE_MESSAGE) {
+                mail.add(Codec.agreed(body, Codec.EngineMessage.class));
             }
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
     }
 
-    private Codec.Mail next(String kind) throws InterruptedException {
-        for (Codec.Mail m = mail.poll(PATIENCE_S, TimeUnit.SECONDS);
+    private Codec.EngineMessage next(String kind) throws InterruptedException {
+        for (Codec.EngineMessage m = mail.poll(PATIENCE_S, TimeUnit.SECONDS);
                 m != null;
                 m = mail.poll(PATIENCE_S, TimeUnit.SECONDS)) {
             if (m.kind().equals(kind)) {
@@ -71,12 +73,12 @@
     }
 
     private void say(RaftMessage m) throws IOException {
-        toVoter.send(Wire.MAIL, Codec.bytes(Codec.mail(m)));
+        toVoter.send(FrameTransport.ENGINE_MESSAGE, Codec.bytes(Codec.engineMessage(m)));
     }
 
     /** B leads in the first term, and has nothing to say. */
     private RaftMessage lead() {
-        RaftEndpoint b = new Point("b:2");
+        RaftEndpoint b = new VoterId("b:2");
         return Codec.MODELS
                 .createAppendEntriesRequestBuilder()
                 .setGroupId(GROUP)
@@ -107,16 +109,16 @@
         voters.put("c", other((from, kind, body) -> {})); // or what it says to both would come in any order
         voter = new Voter(
                 new Voter.Settings(FLEET, "a", voters, dir),
-                MonotonicTime.ofThisProcess(),
+                MonotonicClock.ofThisProcess(),
                 network,
                 System.out::println);
         voter.start();
-        toVoter = new Link(network, own, (from, kind, body) -> {});
+        toVoter = new ReconnectingChannel(network, own, (from, kind, body) -> {});
         while (!toVoter.isOpen()) {
             Thread.sleep(5);
         }
         for (String point : List.of("b:2", "c:3")) {
-            toVoter.send(Wire.HELLO, Codec.bytes(new Hello(FLEET, point, 1, null, Map.of())));
+            toVoter.send(FrameTransport.HELLO, Codec.bytes(new Hello(FLEET, point, 1, null, Map.of())));
         }
         assertNotNull(next("preVote"), "it asks for votes of the first term");
         say(lead());
--- a/fleet/src/test/java/marlford/probe/ProberTest.java
+++ b/fleet/src/test/java/marlford/health/ProberTest.java
@@ -1,4 +1,4 @@
-package marlford.probe;
+package marlford.health;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,7 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
-import marlford.lease.Sim;
+import marlford.lease.MemberSimulation;
 import org.junit.jupiter.api.Test;
 
 /** Members that probe hosts in virtual time: stopped, cut off from hosts, with messages lost and the lead that moves. */
@@ -21,14 +21,14 @@
     private static final double TAKES = 100;
 
     private static final class Probing {
-        final Sim.Peer peer;
+        final MemberSimulation.Peer peer;
         final Prober prober = new Prober(EVERY, TAKES);
-        final Evidence evidence = new Evidence(2 * EVERY);
+        final ProbeResultFilter evidence = new ProbeResultFilter(2 * EVERY);
         final Map<Prober.Probe, Double> running = new HashMap<>();
-        final Map<String, Evidence.Report> last = new HashMap<>();
+        final Map<String, ProbeResultFilter.Report> last = new HashMap<>();
         boolean blind; // reaches no host
 
-        Probing(Sim.Peer peer) {
+        Probing(MemberSimulation.Peer peer) {
             this.peer = peer;
             prober.begin(peer.member);
         }
@@ -40,8 +40,8 @@
     private int probes;
     private double foundAfter;
 
-    private Sim fleet(long seed, int count) {
-        Sim sim = new Sim(seed, 0.05);
+    private MemberSimulation fleet(long seed, int count) {
+        MemberSimulation sim = new MemberSimulation(seed, 0.05);
         hosts.clear();
         down.clear();
         members.clear();
@@ -56,7 +56,7 @@
     }
 
     /** A step of all: no two living members probe one host at a time. */
-    private void step(Sim sim, String seed) {
+    private void step(MemberSimulation sim, String seed) {
         sim.step();
         Map<String, Probing> asked = new HashMap<>();
         for (Probing p : members) {
@@ -69,7 +69,7 @@
                     p.prober.ended(
                             p.peer.member,
                             e.getKey(),
-                            new Finding(lost ? Finding.Kind.UNREACHED : Finding.Kind.WELL, TAKES),
+                            new ProbeResult(lost ? ProbeResult.Kind.UNREACHED : ProbeResult.Kind.WELL, TAKES),
                             sim.now);
                 }
                 return e.getValue() <= sim.now;
@@ -79,7 +79,7 @@
                 p.running.put(probe, sim.now + TAKES / 2);
             }
             p.running.keySet().forEach(probe -> assertEquals(null, asked.put(probe.host(), p), seed + " " + probe));
-            for (Evidence.Report r : p.evidence.read(p.peer.member.board(), sim.now)) {
+            for (ProbeResultFilter.Report r : p.evidence.read(p.peer.member.board(), sim.now)) {
                 assertTrue(r.ageMs() <= 2 * EVERY);
                 p.last.put(r.host(), r);
             }
@@ -88,7 +88,7 @@
 
     @Test
     void oneMemberProbesAHostAndAllHearOfIt() {
-        Sim sim = fleet(1, 20);
+        MemberSimulation sim = fleet(1, 20);
         while (members.stream().anyMatch(p -> p.last.size() < 20)) {
             step(sim, "");
         }
@@ -96,7 +96,7 @@
         double from = sim.now;
         down.add("tile-3.example");
         while (members.stream()
-                .anyMatch(p -> p.last.get("tile-3.example").finding().kind() != Finding.Kind.UNREACHED)) {
+                .anyMatch(p -> p.last.get("tile-3.example").finding().kind() != ProbeResult.Kind.UNREACHED)) {
             step(sim, "");
         }
         System.out.println(
@@ -108,14 +108,14 @@
         assertEquals(
                 0,
                 members.stream()
-                        .filter(p -> p.last.get("tile-4.example").finding().kind() != Finding.Kind.WELL)
+                        .filter(p -> p.last.get("tile-4.example").finding().kind() != ProbeResult.Kind.WELL)
                         .count());
     }
 
     /** Who reaches nobody says nothing of the hosts, and the others' hosts are told all the same. */
     @Test
     void aMemberThatReachesNoHostBlamesNone() {
-        Sim sim = fleet(2, 30);
+        MemberSimulation sim = fleet(2, 30);
         while (members.stream().anyMatch(p -> p.last.size() < 30)) {
             step(sim, "");
         }
@@ -125,7 +125,7 @@
         }
         Set<String> blamed = new TreeSet<>();
         members.get(1).last.forEach((h, r) -> {
-            if (r.finding().kind() != Finding.Kind.WELL) {
+            if (r.finding().kind() != ProbeResult.Kind.WELL) {
                 blamed.add(h);
             }
         });
@@ -141,7 +141,7 @@
     void neverTwoOfOneHostWhateverHappens() {
         int before = probes;
         for (long seed = 1; seed <= SEEDS; seed++) {
-            Sim sim = fleet(seed, 12);
+            MemberSimulation sim = fleet(seed, 12);
             Random random = sim.random;
             for (int i = 0; i < 1000; i++) {
                 step(sim, "seed " + seed);
@@ -151,8 +151,8 @@
                         p.peer.standsUntil = sim.now + random.nextInt(2500);
                         p.running
                                 .keySet()
-                                .forEach(x ->
-                                        p.prober.ended(p.peer.member, x, new Finding(Finding.Kind.LATE, 0), sim.now));
+                                .forEach(x -> p.prober.ended(
+                                        p.peer.member, x, new ProbeResult(ProbeResult.Kind.LATE, 0), sim.now));
                         p.running.clear(); // whoever wakes finds its probes long over
                     }
                     case 1 -> sim.elect();
@@ -170,7 +170,7 @@
     /** A finding that lay in a stopped process is told with its age, and is not believed. */
     @Test
     void aFindingThatIsOldIsNotBelieved() {
-        Sim sim = fleet(3, 12);
+        MemberSimulation sim = fleet(3, 12);
         while (members.stream().anyMatch(p -> p.last.size() < 12)) {
             step(sim, "");
         }
@@ -193,8 +193,8 @@
         members.get(1).last.remove(probe.host());
         for (int i = 0; i < 10; i++) {
             step(sim, "");
-            Evidence.Report r = members.get(1).last.get(probe.host());
-            assertTrue(r == null || r.finding().kind() == Finding.Kind.WELL, "" + r);
+            ProbeResultFilter.Report r = members.get(1).last.get(probe.host());
+            assertTrue(r == null || r.finding().kind() == ProbeResult.Kind.WELL, "" + r);
         }
     }
 
@@ -211,8 +211,8 @@
 
     @Test
     void whatANewerVersionWritesIsPassedOver() {
-        assertEquals(null, Finding.of("GLOWING 12"));
-        assertEquals(null, Finding.of("WELL"));
-        assertEquals(new Finding(Finding.Kind.LATE, 250), Finding.of("LATE 250"));
+        assertEquals(null, ProbeResult.of("GLOWING 12"));
+        assertEquals(null, ProbeResult.of("WELL"));
+        assertEquals(new ProbeResult(ProbeResult.Kind.LATE, 250), ProbeResult.of("LATE 250"));
     }
 }
--- a/fleet/src/test/java/marlford/lease/World.java
+++ b/fleet/src/test/java/marlford/lease/LeaseModel.java
@@ -4,13 +4,13 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import marlford.Courses;
+import marlford.Interleavings;
 
 /**
  * Two clients, an agreed log with three voters who may lead, one lease and a resource, on a clock of the test's own.
  * Whoever drives it chooses what happens next: any message is lost, late or doubled, any client stops, the lead moves.
  */
-final class World implements Courses.World {
+final class LeaseModel implements Interleavings.Model {
     /** What may be planted: each is a fault that the invariants have to find. */
     enum Fault {
         NONE,
@@ -32,13 +32,13 @@
     private static final int BAG_MAX = 2; // messages under way
 
     /** A message under way: a renewal to a voter, or its answer. */
-    private record Mail(Client client, Tenure of, long session, double sentAt, int voter, boolean answer) {}
+    private record Mail(Client client, LeaseValidity of, long session, double sentAt, int voter, boolean answer) {}
 
     /** A client's process. */
     private final class Client {
         final String name;
         final double rate;
-        Tenure tenure;
+        LeaseValidity validity;
         long session;
         long token;
         long nonce;
@@ -55,7 +55,7 @@
         }
 
         boolean mayAct() {
-            return token != 0 && tenure != null && tenure.leftMs(now()) > 0;
+            return token != 0 && validity != null && validity.leftMs(now()) > 0;
         }
 
         @Override
@@ -69,17 +69,17 @@
                     + ','
                     + writes
                     + ','
-                    + (tenure == null ? "" : tenure.leftMs(now()));
+                    + (validity == null ? "" : validity.leftMs(now()));
         }
     }
 
     private final Fault fault;
     private final long ttl;
     private final List<Client> clients = List.of(new Client("a", 0.98), new Client("b", 1.02));
-    private final Silence[] voters = new Silence[RATES.length];
+    private final FailureDetector[] voters = new FailureDetector[RATES.length];
     private final Deque<Command> proposed = new ArrayDeque<>(); // by a leader, not yet agreed
     private final List<Mail> bag = new ArrayList<>();
-    private final Book book = new Book(0);
+    private final LeaseStateMachine machine = new LeaseStateMachine(0);
     private long index;
     private int leader;
     private double time;
@@ -88,11 +88,11 @@
     private int acts;
     private int late;
 
-    World(Fault fault, long ttl) {
+    LeaseModel(Fault fault, long ttl) {
         this.fault = fault;
         this.ttl = ttl;
         for (int v = 0; v < voters.length; v++) {
-            voters[v] = new Silence(STALL);
+            voters[v] = new FailureDetector(STALL);
         }
         voters[0].lead(0);
     }
@@ -132,12 +132,12 @@
 
     private void pass() {
         time += STEP;
-        clients.stream().filter(c -> !c.stopped && c.tenure != null).forEach(c -> c.tenure.look(c.now()));
+        clients.stream().filter(c -> !c.stopped && c.validity != null).forEach(c -> c.validity.look(c.now()));
         agreeAll();
-        List<Book.Session> living = book.sessions();
+        List<LeaseStateMachine.Session> living = machine.sessions();
         if (fault == Fault.ENDED_EARLY) {
             living = living.stream()
-                    .map(b -> new Book.Session(b.id(), b.member(), b.nonce(), b.ttlMs() / 4, 0))
+                    .map(b -> new LeaseStateMachine.Session(b.id(), b.member(), b.nonce(), b.ttlMs() / 4, 0))
                     .toList();
         }
         voters[leader].due(time * RATES[leader], living).forEach(id -> proposed.add(new Command.Close(id)));
@@ -159,8 +159,8 @@
         voters[leader].lead(time * RATES[leader]);
     }
 
-    private Answer agree(Command c) {
-        return book.apply(++index, c);
+    private CommandResult agree(Command c) {
+        return machine.apply(++index, c);
     }
 
     private void act(Client c, int what) {
@@ -174,7 +174,7 @@
             take(c);
         } else if (what == 5 && c.session == 0) {
             agree(new Command.Open(c.name, c.nonce, ttl)); // its answer is lost
-        } else if (what == 3 && c.token != 0 && c.writes < 0 && c.tenure.mayAct(c.now(), 0, 0)) {
+        } else if (what == 3 && c.token != 0 && c.writes < 0 && c.validity.mayAct(c.now(), 0, 0)) {
             c.writes = c.token;
         } else if (what == 4 && c.writes >= 0) {
             write(c);
@@ -183,31 +183,31 @@
 
     private void renew(Client c) {
         if (bag.size() < BAG_MAX) {
-            bag.add(new Mail(c, c.tenure, c.session, c.now(), leader, false));
+            bag.add(new Mail(c, c.validity, c.session, c.now(), leader, false));
         }
     }
 
     private void take(Client c) {
         if (c.session == 0) {
-            Answer opened = agree(new Command.Open(c.name, c.nonce, ttl));
-            if (opened.kind() != Answer.Kind.GRANTED) {
+            CommandResult opened = agree(new Command.Open(c.name, c.nonce, ttl));
+            if (opened.kind() != CommandResult.Kind.GRANTED) {
                 return;
             }
             c.session = opened.value();
             boolean careless = fault == Fault.NO_MARGIN;
-            c.tenure = new Tenure(ttl, careless ? 0 : DRIFT_PPM, 0, STALL);
+            c.validity = new LeaseValidity(ttl, careless ? 0 : DRIFT_PPM, 0, STALL);
             renew(c);
             if (fault == Fault.OPENING_CONFIRMS) {
-                c.tenure.confirmed(c.now());
+                c.validity.confirmed(c.now());
             }
         }
-        Answer a = agree(new Command.Acquire(c.session, "the", 1));
-        if (a.kind() == Answer.Kind.GONE) {
-            c.tenure.ended();
+        CommandResult a = agree(new Command.Acquire(c.session, "the", 1));
+        if (a.kind() == CommandResult.Kind.GONE) {
+            c.validity.ended();
             c.session = 0;
             c.token = 0;
             c.nonce++;
-        } else if (a.kind() == Answer.Kind.GRANTED) {
+        } else if (a.kind() == CommandResult.Kind.GRANTED) {
             c.token = a.value();
         }
     }
@@ -233,15 +233,15 @@
             return; // lost
         }
         if (!m.answer()) {
-            boolean there = m.voter() == leader && book.session(m.session()) != null;
+            boolean there = m.voter() == leader && machine.session(m.session()) != null;
             boolean heard = there && voters[leader].heard(m.session(), time * RATES[leader]);
             if (there && (heard || fault == Fault.RENEWED_WHILE_ENDING) && bag.size() < BAG_MAX) {
                 bag.add(new Mail(m.client(), m.of(), m.session(), m.sentAt(), m.voter(), true));
             }
-        } else if (!m.client().stopped && m.of() == m.client().tenure) {
+        } else if (!m.client().stopped && m.of() == m.client().validity) {
             Client c = m.client();
-            double more = fault == Fault.RENEWED_TWICE ? c.tenure.leftMs(c.now()) : 0;
-            c.tenure.confirmed(fault == Fault.COUNTED_FROM_REPLY ? c.now() : m.sentAt() + more);
+            double more = fault == Fault.RENEWED_TWICE ? c.validity.leftMs(c.now()) : 0;
+            c.validity.confirmed(fault == Fault.COUNTED_FROM_REPLY ? c.now() : m.sentAt() + more);
         }
     }
 
@@ -254,7 +254,7 @@
                 .append(voters[leader])
                 .append(time)
                 .append(proposed)
-                .append(book.image())
+                .append(machine.snapshot())
                 .append(seen);
         bag.forEach(m -> s.append(m.client().name)
                 .append(m.session())
