--- a/fleet/src/test/java/marlford/lease/BookTest.java
+++ b/fleet/src/test/java/marlford/lease/LeaseStateMachineTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import marlford.lease.Answer.Kind;
+import marlford.lease.CommandResult.Kind;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -16,18 +16,18 @@
 /** What the book says of sessions, leases, shards and ticks. */
 class BookTest {
     private static final long TTL = 1000;
-    private final Book book = new Book(0);
+    private final LeaseStateMachine machine = new LeaseStateMachine(0);
     private long index;
 
-    private Answer say(Command c) {
-        return book.apply(++index, c);
+    private CommandResult say(Command c) {
+        return machine.apply(++index, c);
     }
 
     private long member(String name) {
         return say(new Command.Open(name, 1, TTL)).value();
     }
 
-    private Answer acquire(long session, String lease) {
+    private CommandResult acquire(long session, String lease) {
         return say(new Command.Acquire(session, lease, 1));
     }
 
@@ -37,13 +37,13 @@
         long b = member("b");
         long c = member("c");
         long first = acquire(a, "x").value();
-        assertEquals(new Answer(Kind.WAITING, 0), acquire(b, "x"));
-        assertEquals(new Answer(Kind.WAITING, 1), acquire(c, "x"));
+        assertEquals(new CommandResult(Kind.WAITING, 0), acquire(b, "x"));
+        assertEquals(new CommandResult(Kind.WAITING, 1), acquire(c, "x"));
         say(new Command.Close(a));
         long second = acquire(b, "x").value();
         assertTrue(second > first);
         say(new Command.Release(b, "x", first)); // a late word on somebody else's grant
-        assertEquals(Answer.granted(second), acquire(b, "x"));
+        assertEquals(CommandResult.granted(second), acquire(b, "x"));
         say(new Command.Release(b, "x", second));
         assertTrue(acquire(c, "x").value() > second);
     }
@@ -51,13 +51,13 @@
     /** A grant whose answer was lost is asked for again: one token and not two. */
     @Test
     void whatIsAskedAgainIsAnsweredAsBefore() {
-        Answer opened = say(new Command.Open("a", 7, TTL));
+        CommandResult opened = say(new Command.Open("a", 7, TTL));
         assertEquals(opened, say(new Command.Open("a", 7, TTL)));
-        Answer got = acquire(opened.value(), "x");
+        CommandResult got = acquire(opened.value(), "x");
         assertEquals(got, acquire(opened.value(), "x"));
         say(new Command.Close(opened.value()));
-        assertEquals(Answer.DONE, say(new Command.Close(opened.value())));
-        assertEquals(Answer.GONE, acquire(opened.value(), "x"));
+        assertEquals(CommandResult.DONE, say(new Command.Close(opened.value())));
+        assertEquals(CommandResult.GONE, acquire(opened.value(), "x"));
     }
 
     @Test
@@ -71,7 +71,7 @@
     @Test
     void atMostAsManyHoldAsTheLimitSaysAndNobodyChangesIt() {
         for (int i = 0; i < 5; i++) {
-            Answer a = say(new Command.Acquire(member("m" + i), "two", 2));
+            CommandResult a = say(new Command.Acquire(member("m" + i), "two", 2));
             assertEquals(i < 2 ? Kind.GRANTED : Kind.WAITING, a.kind());
         }
         assertEquals(
@@ -91,8 +91,8 @@
 
     private Map<Long, List<Integer>> owners(String pool) {
         Map<Long, List<Integer>> owners = new HashMap<>();
-        for (Book.Session s : book.sessions()) {
-            book.holdings(s.id()).stream()
+        for (LeaseStateMachine.Session s : machine.sessions()) {
+            machine.holdings(s.id()).stream()
                     .filter(h -> h.name().equals(pool))
                     .forEach(h -> owners.computeIfAbsent(s.id(), id -> new ArrayList<>())
                             .add(h.shard()));
@@ -102,8 +102,8 @@
 
     private int giveUpWanted() {
         int moved = 0;
-        for (Book.Session s : book.sessions()) {
-            for (Book.Holding h : book.holdings(s.id())) {
+        for (LeaseStateMachine.Session s : machine.sessions()) {
+            for (LeaseStateMachine.Holding h : machine.holdings(s.id())) {
                 if (h.wanted()) {
                     say(new Command.GiveUp(s.id(), h.name(), h.shard(), h.token()));
                     moved++;
@@ -117,9 +117,9 @@
     @Property(tries = 60, seed = "20261201")
     void shardsMoveNoMoreThanTheyMust(@ForAll long seed) {
         Random random = new Random(seed);
-        Book fresh = new Book(0);
+        LeaseStateMachine fresh = new LeaseStateMachine(0);
         BookTest t = new BookTest();
-        assertEquals(fresh.image(), t.book.image());
+        assertEquals(fresh.snapshot(), t.machine.snapshot());
         int shards = 1 + random.nextInt(100);
         List<Long> living = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
@@ -151,7 +151,7 @@
     void theBookHoldsWhateverIsSaid(@ForAll long seed) {
         Random random = new Random(seed);
         BookTest t = new BookTest();
-        Book twin = new Book(0);
+        LeaseStateMachine twin = new LeaseStateMachine(0);
         long greatest = 0;
         for (int i = 0; i < 300; i++) {
             long session = 1 + random.nextInt(40);
@@ -166,38 +166,38 @@
                 default -> random.nextBoolean() ? new Command.Leave(session, name) : new Command.Tick(session, name, i);
             };
             t.say(c);
-            Book.Image image = t.book.image();
-            assertTrue(image.minted() >= greatest);
-            greatest = image.minted();
-            for (Book.Lease l : image.leases()) {
+            LeaseStateMachine.Snapshot snapshot = t.machine.snapshot();
+            assertTrue(snapshot.minted() >= greatest);
+            greatest = snapshot.minted();
+            for (LeaseStateMachine.Lease l : snapshot.leases()) {
                 assertTrue(l.holders().size() <= l.limit());
                 assertTrue(l.queue().isEmpty() || l.holders().size() == l.limit());
                 l.holders()
                         .keySet()
                         .forEach(s -> assertTrue(
-                                t.book.session(s) != null && !l.queue().contains(s)));
+                                t.machine.session(s) != null && !l.queue().contains(s)));
             }
             twin.apply(t.index, c);
-            assertEquals(image, twin.image());
-            twin = Book.of(image);
+            assertEquals(snapshot, twin.snapshot());
+            twin = LeaseStateMachine.of(snapshot);
             if (!(c instanceof Command.Tick)) {
                 twin.apply(t.index, c);
-                assertEquals(image.minted(), twin.image().minted(), () -> "twice " + c);
+                assertEquals(snapshot.minted(), twin.snapshot().minted(), () -> "twice " + c);
             }
-            twin = Book.of(image);
+            twin = LeaseStateMachine.of(snapshot);
         }
     }
 
     @Test
     void whatIsBeyondABoundIsSaidAndChangesNothing() {
-        for (int i = 0; i < Book.SESSIONS_MAX; i++) {
+        for (int i = 0; i < LeaseStateMachine.SESSIONS_MAX; i++) {
             assertEquals(Kind.GRANTED, say(new Command.Open("m" + i, 1, TTL)).kind());
         }
         assertEquals(Kind.FULL, say(new Command.Open("more", 1, TTL)).kind());
         assertEquals(Kind.MALFORMED, say(new Command.Open("", 1, TTL)).kind());
         assertEquals(Kind.MALFORMED, say(new Command.Open("x", 1, 1)).kind());
-        long a = book.sessions().get(0).id();
-        for (int i = 0; i < Book.LEASES_MAX; i++) {
+        long a = machine.sessions().get(0).id();
+        for (int i = 0; i < LeaseStateMachine.LEASES_MAX; i++) {
             acquire(a, "l" + i);
         }
         assertEquals(Kind.FULL, acquire(a, "more").kind());
@@ -205,8 +205,8 @@
                 Kind.MALFORMED, acquire(a, "n".repeat(Command.NAME_MAX + 1)).kind());
         assertEquals(
                 Kind.MALFORMED,
-                say(new Command.Join(a, "p", Book.SHARDS_MAX + 1)).kind());
-        assertEquals(Book.LEASES_MAX, book.holdings(a).size());
+                say(new Command.Join(a, "p", LeaseStateMachine.SHARDS_MAX + 1)).kind());
+        assertEquals(LeaseStateMachine.LEASES_MAX, machine.holdings(a).size());
     }
 
     /** 10,000 leases at 500 members: an end of one passes on what it had, and a large pool settles in no time to speak of. */
@@ -218,19 +218,21 @@
                 acquire(m, "l" + (i * 20 + l));
                 acquire(m, "l" + ((i + 1) % 500 * 20 + l));
             }
-            say(new Command.Join(m, "p", Book.SHARDS_MAX));
+            say(new Command.Join(m, "p", LeaseStateMachine.SHARDS_MAX));
         }
-        assertEquals(10_000, book.image().leases().size());
-        long first = book.sessions().get(0).id();
-        long last = book.sessions().get(499).id();
-        assertEquals(0, book.holdings(last).stream().filter(h -> h.shard() < 0).count());
+        assertEquals(10_000, machine.snapshot().leases().size());
+        long first = machine.sessions().get(0).id();
+        long last = machine.sessions().get(499).id();
+        assertEquals(
+                0, machine.holdings(last).stream().filter(h -> h.shard() < 0).count());
         say(new Command.Close(first));
-        assertEquals(20, book.holdings(last).stream().filter(h -> h.shard() < 0).count());
+        assertEquals(
+                20, machine.holdings(last).stream().filter(h -> h.shard() < 0).count());
     }
 
     @Test
     void aStallTakesTheRightToActUntilARenewalOfAfterItIsConfirmed() {
-        Tenure t = new Tenure(1000, 0, 0, 100);
+        LeaseValidity t = new LeaseValidity(1000, 0, 0, 100);
         t.look(0);
         t.confirmed(0);
         assertTrue(t.mayAct(50, 0, 900));
@@ -248,15 +250,15 @@
     @Test
     void aLeaderThatStoodStillCallsNobodyDead() {
         long a = member("a");
-        Silence s = new Silence(300);
+        FailureDetector s = new FailureDetector(300);
         s.lead(0);
         assertTrue(s.heard(a, 10));
-        assertEquals(List.of(), s.due(100, book.sessions()));
-        assertEquals(List.of(), s.due(5000, book.sessions())); // its own stall
+        assertEquals(List.of(), s.due(100, machine.sessions()));
+        assertEquals(List.of(), s.due(5000, machine.sessions())); // its own stall
         for (double now = 5200; now < 6000; now += 200) {
-            assertEquals(List.of(), s.due(now, book.sessions()));
+            assertEquals(List.of(), s.due(now, machine.sessions()));
         }
-        assertEquals(List.of(a), s.due(6000, book.sessions()));
+        assertEquals(List.of(a), s.due(6000, machine.sessions()));
         assertTrue(!s.heard(a, 6001)); // its end may be agreed at any moment
         s.lead(6100);
         assertTrue(s.heard(a, 6101));
@@ -266,19 +268,19 @@
     @Test
     void anEndThatIsNotAgreedIsProposedAgain() {
         long a = member("a");
-        Silence s = new Silence(300);
+        FailureDetector s = new FailureDetector(300);
         s.lead(0);
         assertTrue(s.heard(a, 10));
         List<Double> proposed = new ArrayList<>();
         for (double now = 100; now < 4000; now += 100) {
-            if (!s.due(now, book.sessions()).isEmpty()) {
+            if (!s.due(now, machine.sessions()).isEmpty()) {
                 proposed.add(now);
             }
             assertTrue(proposed.isEmpty() || !s.heard(a, now));
         }
         assertEquals(3, proposed.size(), proposed.toString());
-        book.apply(100, new Command.Close(a));
-        book.apply(101, new Command.Close(a));
-        assertEquals(List.of(), s.due(9000, book.sessions()));
+        machine.apply(100, new Command.Close(a));
+        machine.apply(101, new Command.Close(a));
+        assertEquals(List.of(), s.due(9000, machine.sessions()));
     }
 }
--- a/fleet/src/test/java/marlford/lease/Sim.java
+++ b/fleet/src/test/java/marlford/lease/MemberSimulation.java
@@ -8,12 +8,12 @@
 import java.util.Random;
 import java.util.function.ToIntFunction;
 import marlford.board.Board;
-import marlford.board.Notice;
-import marlford.task.Act;
-import marlford.task.Duty;
+import marlford.board.BoardChanges;
+import marlford.task.FleetTask;
+import marlford.task.TaskRun;
 
 /** A fleet on a clock of the test's own. */
-public final class Sim {
+public final class MemberSimulation {
     /** Of a step, in milliseconds. */
     public static final double STEP = 10;
     /** Of a session, in milliseconds. */
@@ -23,8 +23,8 @@
 
     public final Random random;
     final double loss;
-    final Book book = new Book(1);
-    final Silence[] silence = new Silence[VOTERS];
+    final LeaseStateMachine machine = new LeaseStateMachine(1);
+    final FailureDetector[] silence = new FailureDetector[VOTERS];
     final Board board = new Board(); // of whoever leads
     final List<Peer> peers = new ArrayList<>();
     final PriorityQueue<Mail> mail = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
@@ -40,13 +40,13 @@
 
     private record Mail(double at, Runnable what) {}
 
-    private record Watching(Peer to, long id, Ask.Watch ask) {}
+    private record Watching(Peer to, long id, Request.Watch ask) {}
 
-    public Sim(long seed, double loss) {
+    public MemberSimulation(long seed, double loss) {
         this.random = new Random(seed);
         this.loss = loss;
         for (int v = 0; v < VOTERS; v++) {
-            silence[v] = new Silence(300);
+            silence[v] = new FailureDetector(300);
         }
         silence[0].lead(0);
         board.begin(1);
@@ -71,8 +71,8 @@
         while (!mail.isEmpty() && mail.peek().at() <= now) {
             mail.poll().what().run();
         }
-        for (long id : silence[leader].due(now, book.sessions())) {
-            book.apply(++index, new Command.Close(id));
+        for (long id : silence[leader].due(now, machine.sessions())) {
+            machine.apply(++index, new Command.Close(id));
         }
         tellWatches();
         for (Peer p : peers) {
@@ -87,42 +87,43 @@
     }
 
     private void ask(Peer p, Member.Outgoing o) {
-        if (o.ask() instanceof Ask.Watch w) {
+        if (o.ask() instanceof Request.Watch w) {
             watches.add(new Watching(p, o.id(), w));
             return;
         }
         Reply r;
         if (!o.voter().equals("v" + leader)) {
             r = Reply.no(Reply.Status.NOT_LEADER, "v" + leader);
-        } else if (o.ask() instanceof Ask.Renew renew) {
-            if (book.session(renew.session()) == null) {
-                r = ok(Answer.GONE);
+        } else if (o.ask() instanceof Request.Renew renew) {
+            if (machine.session(renew.session()) == null) {
+                r = ok(CommandResult.GONE);
             } else {
-                Notice news = renew.telling() == null
+                BoardChanges news = renew.telling() == null
                         ? null
                         : board.hear(
-                                renew.session(), renew.telling(), token -> book.holds(renew.session(), token), now);
+                                renew.session(), renew.telling(), token -> machine.holds(renew.session(), token), now);
                 r = silence[leader].heard(renew.session(), now)
-                        ? ok(Answer.goesOn(book.session(renew.session()))).with(news)
+                        ? ok(CommandResult.renewed(machine.session(renew.session())))
+                                .with(news)
                         : Reply.no(Reply.Status.NOT_LEADER, "");
             }
         } else {
-            r = ok(book.apply(++index, ((Ask.Submit) o.ask()).line()));
+            r = ok(machine.apply(++index, ((Request.Submit) o.ask()).line()));
         }
         bytes += size.applyAsInt(r);
         post(() -> p.hears(o.id(), r));
     }
 
-    private Reply ok(Answer a) {
+    private Reply ok(CommandResult a) {
         return new Reply(Reply.Status.OK, "v" + leader, a, index, null);
     }
 
     private void tellWatches() {
         watches.removeIf(w -> {
-            Book.Session s = book.session(w.ask().session());
+            LeaseStateMachine.Session s = machine.session(w.ask().session());
             boolean tells = s != null && s.changed() > w.ask().since();
             if (tells) {
-                Reply r = new Reply(Reply.Status.OK, "v" + leader, null, index, book.holdings(s.id()));
+                Reply r = new Reply(Reply.Status.OK, "v" + leader, null, index, machine.holdings(s.id()));
                 bytes += size.applyAsInt(r);
                 post(() -> w.to().hears(w.id(), r));
             }
@@ -132,7 +133,7 @@
 
     /** What stands, for a test that failed. */
     public String text() {
-        return board.text() + " " + book.image();
+        return board.text() + " " + machine.snapshot();
     }
 
     public void elect() {
@@ -144,8 +145,8 @@
 
     public final class Peer {
         public final Member member;
-        final List<Duty> duties = new ArrayList<>();
-        final Map<Act, Double> running = new HashMap<>();
+        final List<FleetTask> duties = new ArrayList<>();
+        final Map<TaskRun, Double> running = new HashMap<>();
         public double standsUntil;
 
         Peer(String name, long nonce) {
@@ -160,7 +161,7 @@
             }
         }
 
-        Peer with(Duty d) {
+        Peer with(FleetTask d) {
             duties.add(d);
             d.begin(member);
             return this;
--- a/fleet/src/test/java/marlford/lease/MemberTest.java
+++ b/fleet/src/test/java/marlford/lease/MemberTest.java
@@ -7,16 +7,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import marlford.task.Act;
-import marlford.task.Duties;
-import marlford.task.Duty;
+import marlford.task.FleetTask;
+import marlford.task.FleetTasks;
+import marlford.task.TaskRun;
 import org.junit.jupiter.api.Test;
 
 /** Members and the voters they ask, in virtual time: asks and replies are lost, late and doubled, processes stand still. */
 class MemberTest {
     private static final int SEEDS = 300;
-    private static final double STEP = Sim.STEP;
-    private static final long TTL = Sim.TTL;
+    private static final double STEP = MemberSimulation.STEP;
+    private static final long TTL = MemberSimulation.TTL;
 
     /** No two act at once as the single holder or on one shard, no more than two of two; a tick runs once. */
     @Test
@@ -25,20 +25,20 @@
         int moves = 0;
         int ticks = 0;
         for (long seed = 1; seed <= SEEDS; seed++) {
-            Sim sim = new Sim(seed, 0.1);
+            MemberSimulation sim = new MemberSimulation(seed, 0.1);
             Random random = sim.random;
             for (int i = 0; i < 4; i++) {
                 sim.add("m" + i)
-                        .with(new Duties.Single("one", 1, 50, 40))
-                        .with(new Duties.Single("two", 2, 50, 40))
-                        .with(new Duties.Sharded("pool", 6, 50, 40))
-                        .with(new Duties.Ticking("tick", 500, 40));
+                        .with(new FleetTasks.Single("one", 1, 50, 40))
+                        .with(new FleetTasks.Single("two", 2, 50, 40))
+                        .with(new FleetTasks.Sharded("pool", 6, 50, 40))
+                        .with(new FleetTasks.Periodic("tick", 500, 40));
             }
             Map<String, Long> lastToken = new HashMap<>();
             Map<Long, String> ticked = new HashMap<>();
             for (int step = 0; step < 1500; step++) {
                 sim.step();
-                Sim.Peer p = sim.peers.get(random.nextInt(4));
+                MemberSimulation.Peer p = sim.peers.get(random.nextInt(4));
                 switch (random.nextInt(200)) {
                     case 0 -> p.standsUntil = sim.now + random.nextInt(2500);
                     case 1 -> sim.elect();
@@ -47,7 +47,7 @@
                     default -> {}
                 }
                 Map<String, Integer> running = new HashMap<>();
-                for (Sim.Peer q : sim.peers) {
+                for (MemberSimulation.Peer q : sim.peers) {
                     if (sim.now < q.standsUntil) {
                         // Stopped in its act, as nobody can prevent: what comes of that is the resource's to turn away.
                         q.running.keySet().forEach(a -> q.duties.forEach(d -> d.ended(q.member, a)));
@@ -61,8 +61,8 @@
                         }
                         return over;
                     });
-                    for (Duty d : q.duties) {
-                        for (Act a : d.due(q.member, sim.now, 0, (long) sim.now)) {
+                    for (FleetTask d : q.duties) {
+                        for (TaskRun a : d.due(q.member, sim.now, 0, (long) sim.now)) {
                             acts++;
                             q.running.put(a, sim.now + a.takesMs());
                             if (a.tick() >= 0) {
@@ -94,9 +94,9 @@
     /** What was given up and is asked for again is another grant: the former token is worth nothing from that moment. */
     @Test
     void whatIsGivenUpIsHadNoMore() {
-        Sim sim = new Sim(1, 0);
-        Sim.Peer a = sim.add("a");
-        Sim.Peer b = sim.add("b");
+        MemberSimulation sim = new MemberSimulation(1, 0);
+        MemberSimulation.Peer a = sim.add("a");
+        MemberSimulation.Peer b = sim.add("b");
         a.member.want("x", 1);
         while (a.member.token("x") == 0) {
             sim.step();
@@ -122,11 +122,11 @@
     void aWatchDoesNotStayWithAVoterThatIsNoLongerAsked() {
         Member m = new Member("m", 0, TTL, List.of("v0", "v1", "v2"), 0, 0, 300);
         Member.Outgoing open = m.due(0).get(0);
-        m.heard(open.id(), new Reply(Reply.Status.OK, "v0", Answer.granted(7), 1, null), 1);
+        m.heard(open.id(), new Reply(Reply.Status.OK, "v0", CommandResult.granted(7), 1, null), 1);
         Map<String, Double> watched = new HashMap<>();
         for (double now = 1; now < TTL; now += STEP) {
             for (Member.Outgoing o : m.due(now)) {
-                if (o.ask() instanceof Ask.Watch) {
+                if (o.ask() instanceof Request.Watch) {
                     watched.putIfAbsent(o.voter(), now);
                 }
             }
@@ -139,34 +139,37 @@
     @Test
     void aLostWatchIsAskedAgain() {
         Member m = new Member("m", 0, TTL, List.of("v0", "v1", "v2"), 0, 0, 300);
-        m.heard(m.due(0).get(0).id(), new Reply(Reply.Status.OK, "v0", Answer.granted(7), 1, null), 1);
+        m.heard(m.due(0).get(0).id(), new Reply(Reply.Status.OK, "v0", CommandResult.granted(7), 1, null), 1);
         List<Member.Outgoing> first = m.due(2);
         Member.Outgoing renew = first.stream()
-                .filter(o -> o.ask() instanceof Ask.Renew)
+                .filter(o -> o.ask() instanceof Request.Renew)
                 .findFirst()
                 .get();
-        assertTrue(first.stream().anyMatch(o -> o.ask() instanceof Ask.Watch));
-        m.heard(renew.id(), new Reply(Reply.Status.OK, "v0", new Answer(Answer.Kind.DONE, 0), 5, null), 3);
+        assertTrue(first.stream().anyMatch(o -> o.ask() instanceof Request.Watch));
+        m.heard(
+                renew.id(),
+                new Reply(Reply.Status.OK, "v0", new CommandResult(CommandResult.Kind.DONE, 0), 5, null),
+                3);
         assertTrue(m.due(4).isEmpty());
         List<Member.Outgoing> next = m.due(TTL / 4 + 5);
         m.heard(
                 next.get(0).id(),
-                new Reply(Reply.Status.OK, "v0", new Answer(Answer.Kind.DONE, 6), 6, null),
+                new Reply(Reply.Status.OK, "v0", new CommandResult(CommandResult.Kind.DONE, 6), 6, null),
                 TTL / 4 + 6);
-        assertTrue(m.due(TTL / 4 + 7).stream().anyMatch(o -> o.ask() instanceof Ask.Watch));
+        assertTrue(m.due(TTL / 4 + 7).stream().anyMatch(o -> o.ask() instanceof Request.Watch));
     }
 
     /** 500 members with 20 leases each: what a member costs by itself, and when one of them goes. */
     @Test
     void manyMembersAskFourTimesInTheTimeOfASession() {
-        Sim sim = new Sim(7, 0);
+        MemberSimulation sim = new MemberSimulation(7, 0);
         for (int i = 0; i < 500; i++) {
-            Sim.Peer p = sim.add("m" + i);
+            MemberSimulation.Peer p = sim.add("m" + i);
             for (int l = 0; l < 20; l++) {
                 p.member.want("l" + (i * 20 + l), 1);
             }
         }
-        while (sim.book.image().leases().size() < 10_000) {
+        while (sim.machine.snapshot().leases().size() < 10_000) {
             sim.step();
         }
         for (double end = sim.now + 1000; sim.now < end; ) {
--- a/fleet/src/test/java/marlford/lease/TwoHoldersTest.java
+++ b/fleet/src/test/java/marlford/lease/TwoHoldersTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import marlford.Courses;
+import marlford.Interleavings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -16,22 +16,22 @@
     private static final int STEPS = 80;
     private static final long SHORT_TTL = 200; // so that a short course sees the end of a session
     private static final long TTL = 400;
-    private static final Courses COURSES = new Courses(World.CHOICES);
+    private static final Interleavings COURSES = new Interleavings(LeaseModel.CHOICES);
     private static final int[] OFTEN = {0, 0, 14, 14, 14, 4, 5, 8, 9}; // time passes, mail arrives, clients look
 
     @Test
     void noCourseUpToThisLengthHasTwoHolders() {
-        Courses.Found all = COURSES.all(() -> new World(World.Fault.NONE, SHORT_TTL), DEPTH);
+        Interleavings.Found all = COURSES.all(() -> new LeaseModel(LeaseModel.Fault.NONE, SHORT_TTL), DEPTH);
         assertNull(all.broken());
         System.out.println("two holders: all courses of up to " + DEPTH + " steps, " + all.states() + " states");
-        String found = COURSES.all(() -> new World(World.Fault.ENDED_EARLY, SHORT_TTL), DEPTH)
+        String found = COURSES.all(() -> new LeaseModel(LeaseModel.Fault.ENDED_EARLY, SHORT_TTL), DEPTH)
                 .broken();
         assertNotNull(found, "a session that is ended early must show within this length");
         System.out.println("two holders: ended early, " + found);
     }
 
-    private static World random(World.Fault fault, long seed) {
-        return COURSES.random(() -> new World(fault, TTL), seed, STEPS, OFTEN, 1);
+    private static LeaseModel random(LeaseModel.Fault fault, long seed) {
+        return COURSES.random(() -> new LeaseModel(fault, TTL), seed, STEPS, OFTEN, 1);
     }
 
     @Test
@@ -39,7 +39,7 @@
         long acts = 0;
         long late = 0;
         for (long seed = 1; seed <= SCHEDULES; seed++) {
-            World w = random(World.Fault.NONE, seed);
+            LeaseModel w = random(LeaseModel.Fault.NONE, seed);
             long at = seed;
             assertNull(w.broken(), () -> "seed " + at);
             acts += w.acts();
@@ -52,9 +52,9 @@
 
     /** A test of the tests: what is planted is found. */
     @ParameterizedTest
-    @EnumSource(value = World.Fault.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
-    void aPlantedFaultIsFound(World.Fault fault) {
-        String found = Courses.firstBroken(seed -> random(fault, seed), SCHEDULES);
+    @EnumSource(value = LeaseModel.Fault.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
+    void aPlantedFaultIsFound(LeaseModel.Fault fault) {
+        String found = Interleavings.firstBroken(seed -> random(fault, seed), SCHEDULES);
         assertNotNull(found, fault + " was not found by " + SCHEDULES + " seeds");
         System.out.println("two holders: " + fault + " is found by " + found);
     }
--- a/fleet/src/test/java/marlford/turn/ListTurnsTest.java
+++ b/fleet/src/test/java/marlford/polling/SingleFlightPollTest.java
@@ -1,33 +1,33 @@
-package marlford.turn;
+package marlford.polling;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
-import marlford.lease.Sim;
+import marlford.lease.MemberSimulation;
 import org.junit.jupiter.api.Test;
 
 /** Many gateways whose agent goes away and comes back, in virtual time. */
-class ListTurnsTest {
+class SingleFlightPollTest {
     private static final double AGAIN_MS = 200; // a failed call is made again after so long
     private static final double CALL_MS = 20;
 
     private static final class Gateway {
-        final Sim.Peer peer;
-        final ListTurns turns = new ListTurns();
+        final MemberSimulation.Peer peer;
+        final SingleFlightPoll turns = new SingleFlightPoll();
         double dueAt = Double.NaN;
         double answerAt = Double.NaN;
         boolean has; // the list of after the return
         boolean cut; // does not reach the agent
 
-        Gateway(Sim.Peer peer) {
+        Gateway(MemberSimulation.Peer peer) {
             this.peer = peer;
         }
     }
 
     private final List<Gateway> gateways = new ArrayList<>();
-    private Sim sim;
+    private MemberSimulation sim;
     private boolean away = true;
     private boolean numbersGoOn; // the agent tells what has changed, and no whole list
     private int calls;
@@ -35,7 +35,7 @@
     private int callsWhileAway;
 
     private void fleet(int count, double loss) {
-        sim = new Sim(5, loss);
+        sim = new MemberSimulation(5, loss);
         for (int i = 0; i < count; i++) {
             gateways.add(new Gateway(sim.add("g" + i)));
         }
@@ -63,12 +63,12 @@
                 g.dueAt = Double.NaN;
                 g.turns.due(g.peer.member, "a", sim.now);
             }
-            ListTurns.Decision d = g.turns.decide(g.peer.member, sim.now, 0);
-            if (d.step() == ListTurns.Step.CALL) {
+            SingleFlightPoll.Decision d = g.turns.decide(g.peer.member, sim.now, 0);
+            if (d.step() == SingleFlightPoll.Step.CALL) {
                 calls++;
                 callsWhileAway += away ? 1 : 0;
                 g.answerAt = sim.now + CALL_MS;
-            } else if (d.step() == ListTurns.Step.TAKE) {
+            } else if (d.step() == SingleFlightPoll.Step.TAKE) {
                 assertEquals("the list", d.list().value());
                 g.has = true;
             }
@@ -86,7 +86,7 @@
         while (gateways.stream().anyMatch(g -> !g.has)) {
             step();
             assertTrue(
-                    sim.now < from + 3 * ListTurns.LONGEST_MS,
+                    sim.now < from + 3 * SingleFlightPoll.LONGEST_MS,
                     "somebody is left without a list: "
                             + gateways.stream()
                                     .filter(g -> !g.has)
@@ -140,7 +140,7 @@
         alone.peer.member.leave();
         alone.turns.due(alone.peer.member, "a", sim.now);
         assertEquals(
-                ListTurns.Step.CALL,
+                SingleFlightPoll.Step.CALL,
                 alone.turns.decide(alone.peer.member, sim.now, 0).step());
         Gateway holder = gateways.get(1);
         gateways.forEach(g -> g.dueAt = Double.NaN);
@@ -152,7 +152,7 @@
         gateways.stream().skip(2).forEach(g -> g.dueAt = sim.now);
         holder.has = true;
         alone.has = true;
-        assertTrue(untilAllHave() < ListTurns.PATIENCE_MS + 1000);
+        assertTrue(untilAllHave() < SingleFlightPoll.PATIENCE_MS + 1000);
     }
 
     /** Others that say the agent is away are believed for a while, and not for good. */
@@ -171,6 +171,6 @@
         while (Double.isNaN(able.answerAt)) {
             step();
         }
-        assertTrue(sim.now - from <= ListTurns.LONGEST_MS + Sim.STEP);
+        assertTrue(sim.now - from <= SingleFlightPoll.LONGEST_MS + MemberSimulation.STEP);
     }
 }
--- a/fleet/src/test/java/marlford/work/OnceTest.java
+++ b/fleet/src/test/java/marlford/register/OnceTest.java
@@ -1,30 +1,30 @@
-package marlford.work;
+package marlford.register;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import marlford.Courses;
+import marlford.Interleavings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** An order runs once and has one end: every course of a small tier up to a length, and many long ones at random. */
 class OnceTest {
-    private static final int DEPTH = Integer.getInteger("marlford.work.depth", 7);
-    private static final int SCHEDULES = Integer.getInteger("marlford.work.schedules", 100_000);
+    private static final int DEPTH = Integer.getInteger("marlford.register.depth", 7);
+    private static final int SCHEDULES = Integer.getInteger("marlford.register.schedules", 100_000);
     private static final int STEPS = 100;
     private static final int[] OFTEN = {0, 0, 2, 3, 2, 3, 4, 4, 5, 8, 9, 10, 11, 12, 13
     }; // lines go, arrive, attempts run
-    private static final Courses COURSES = new Courses(Tier.CHOICES);
+    private static final Interleavings COURSES = new Interleavings(TierModel.CHOICES);
 
-    private static Tier random(Tier.Fault fault, long seed) {
-        return COURSES.random(() -> new Tier(fault), seed, STEPS, OFTEN, 2);
+    private static TierModel random(TierModel.Fault fault, long seed) {
+        return COURSES.random(() -> new TierModel(fault), seed, STEPS, OFTEN, 2);
     }
 
     @Test
     void noCourseUpToThisLengthRunsAnOrderTwice() {
-        Courses.Found found = COURSES.all(() -> new Tier(Tier.Fault.NONE), DEPTH);
+        Interleavings.Found found = COURSES.all(() -> new TierModel(TierModel.Fault.NONE), DEPTH);
         assertNull(found.broken());
         System.out.println("work: all courses of up to " + DEPTH + " steps, " + found.states() + " states");
     }
@@ -35,7 +35,7 @@
         long takes = 0;
         long ends = 0;
         for (long seed = 1; seed <= SCHEDULES; seed++) {
-            Tier t = random(Tier.Fault.NONE, seed);
+            TierModel t = random(TierModel.Fault.NONE, seed);
             long at = seed;
             assertNull(t.broken(), () -> "seed " + at);
             runs += t.runs();
@@ -49,9 +49,9 @@
 
     /** A test of the tests: what is planted is found. */
     @ParameterizedTest
-    @EnumSource(value = Tier.Fault.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
-    void aPlantedFaultIsFound(Tier.Fault fault) {
-        String found = Courses.firstBroken(seed -> random(fault, seed), SCHEDULES);
+    @EnumSource(value = TierModel.Fault.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
+    void aPlantedFaultIsFound(TierModel.Fault fault) {
+        String found = Interleavings.firstBroken(seed -> random(fault, seed), SCHEDULES);
         assertNotNull(found, fault + " was not found by " + SCHEDULES + " seeds");
         System.out.println("work: " + fault + " is found by " + found);
     }
--- a/fleet/src/test/java/marlford/work/DeskTest.java
+++ b/fleet/src/test/java/marlford/register/ProposalPipelineTest.java
@@ -1,4 +1,4 @@
-package marlford.work;
+package marlford.register;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,17 +13,17 @@
 import org.junit.jupiter.api.Test;
 
 /** Lines on their way: whatever is lost, late or doubled, each is agreed and answered once. */
-class DeskTest {
-    private static Line enter(int i) {
-        return new Line.Enter(new Order("k" + i, "d", "order", 1, "POST"), "x", i);
+class ProposalPipelineTest {
+    private static RegisterCommand enter(int i) {
+        return new RegisterCommand.Enter(new KeyedRequest("k" + i, "d", "order", 1, "POST"), "x", i);
     }
 
     @Test
     void eachLineIsAnsweredOnceWhateverIsLost() {
         for (long seed = 1; seed <= 50; seed++) {
             Random random = new Random(seed);
-            Register register = new Register();
-            Desk desk = new Desk(1000);
+            RequestRegister register = new RequestRegister();
+            ProposalPipeline desk = new ProposalPipeline(1000);
             Map<Integer, Integer> answered = new HashMap<>();
             List<Runnable> mail = new ArrayList<>();
             long[] index = {0};
@@ -31,7 +31,7 @@
             for (int i = 0; i < 900; i++) { // more than may be under way
                 int n = i;
                 assertTrue(desk.carry(enter(n), s -> {
-                    assertEquals(Said.Kind.OWNED, s.kind());
+                    assertEquals(RegisterResult.Kind.OWNED, s.kind());
                     assertEquals("k" + n, s.entry().order().key());
                     answered.merge(n, 1, Integer::sum);
                 }));
@@ -39,14 +39,15 @@
             while (answered.size() < 900) {
                 now[0] += 10;
                 assertTrue(now[0] < 100_000, "seed " + seed);
-                for (Desk.Outgoing o : desk.due(now[0])) {
+                for (ProposalPipeline.Outgoing o : desk.due(now[0])) {
                     if (random.nextInt(10) == 0) {
                         desk.failed(o.id(), now[0]);
                         continue;
                     }
                     for (int copy = random.nextInt(10) == 0 ? 2 : 1; copy > 0; copy--) {
                         mail.add(() -> {
-                            Said s = register.apply(++index[0], 1, o.line(), (a, b, c) -> false, () -> index[0]);
+                            RegisterResult s =
+                                    register.apply(++index[0], 1, o.line(), (a, b, c) -> false, () -> index[0]);
                             if (random.nextInt(10) > 0) {
                                 mail.add(() -> desk.said(o.id(), s));
                             }
@@ -59,33 +60,33 @@
             }
             long at = seed;
             answered.forEach((n, times) -> assertEquals(1, times, "seed " + at + " line " + n));
-            assertEquals(900, register.image().open().size());
+            assertEquals(900, register.snapshot().open().size());
             assertEquals(0, desk.size());
         }
     }
 
     @Test
     void whatEndsWithItsSessionIsUnknown() {
-        Desk desk = new Desk(0);
-        List<Said> heard = new ArrayList<>();
+        ProposalPipeline desk = new ProposalPipeline(0);
+        List<RegisterResult> heard = new ArrayList<>();
         desk.carry(enter(1), heard::add);
-        Desk.Outgoing o = desk.due(0).get(0);
+        ProposalPipeline.Outgoing o = desk.due(0).get(0);
         desk.carry(enter(2), heard::add);
         desk.sessionEnded();
         assertEquals(2, heard.size());
         assertNull(heard.get(0));
-        desk.said(o.id(), Said.of(Said.Kind.DONE)); // too late
+        desk.said(o.id(), RegisterResult.of(RegisterResult.Kind.DONE)); // too late
         assertEquals(2, heard.size());
     }
 
     @Test
     void whatIsBeyondTheBoundIsNotTaken() {
-        Desk desk = new Desk(0);
-        for (int i = 0; i < Desk.WAITING_MAX; i++) {
+        ProposalPipeline desk = new ProposalPipeline(0);
+        for (int i = 0; i < ProposalPipeline.WAITING_MAX; i++) {
             assertTrue(desk.carry(enter(i), s -> {}));
         }
         assertFalse(desk.carry(enter(1), s -> {}));
-        assertEquals(Desk.UNDER_WAY_MAX, desk.due(0).size());
+        assertEquals(ProposalPipeline.UNDER_WAY_MAX, desk.due(0).size());
         assertEquals(0, desk.due(1).size());
         assertTrue(desk.carry(enter(1), s -> {}));
     }
--- a/fleet/src/test/java/marlford/work/Tier.java
+++ b/fleet/src/test/java/marlford/register/TierModel.java
@@ -1,16 +1,16 @@
-package marlford.work;
+package marlford.register;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
-import marlford.Courses;
+import marlford.Interleavings;
 
 /**
  * Two gateways, one key, two groups of hosts that drop repeats for a while, an agreed log and a client that asks twice, on a
  * clock of the test's own. Whoever drives it chooses what happens next: any message is lost, late or doubled, any gateway stops
  * or dies at any step.
  */
-final class Tier implements Courses.World {
+final class TierModel implements Interleavings.Model {
     /** What may be planted: each is a fault that the invariants have to find. */
     enum Fault {
         NONE,
@@ -28,13 +28,14 @@
     private static final double WINDOW = 800;
     private static final double FLIGHT = 100; // the longest that an attempt is on its way to a host
     private static final int BAG_MAX = 5;
-    private static final Order ORDER = new Order("c:k", "d1", "order", 1, "POST");
-    private static final Order OTHER = new Order("c:k", "d2", "order", 1, "POST");
+    private static final KeyedRequest ORDER = new KeyedRequest("c:k", "d1", "order", 1, "POST");
+    private static final KeyedRequest OTHER = new KeyedRequest("c:k", "d2", "order", 1, "POST");
 
     /** A line on its way, or what was said of it; it belongs to the hand that asked, as a reply does to its call. */
-    private record Mail(int gateway, long session, Hand of, Line line, Said said, double sentAt) {}
+    private record Mail(
+            int gateway, long session, RequestLease of, RegisterCommand line, RegisterResult said, double sentAt) {}
 
-    private record Attempt(int gateway, int life, Hand of, String group, double leftAt, boolean other) {}
+    private record Attempt(int gateway, int life, RequestLease of, String group, double leftAt, boolean other) {}
 
     private final class Gateway {
         final int number;
@@ -42,10 +43,10 @@
         boolean stopped;
         long session;
         double until = Double.NEGATIVE_INFINITY; // its session is good
-        Hand hand; // of its client, or taken over
+        RequestLease hand; // of its client, or taken over
         boolean client;
         boolean other; // its client's order is another one under the same key
-        Ages ages = new Ages();
+        StalenessBound ages = new StalenessBound();
         double firstAt = Double.NaN; // when its own first attempt left
 
         Gateway(int number) {
@@ -60,7 +61,7 @@
     }
 
     private final Fault fault;
-    private final Register register = new Register();
+    private final RequestRegister register = new RequestRegister();
     private final List<Gateway> gateways = List.of(new Gateway(0), new Gateway(1));
     private final TreeMap<Long, Double> sessions = new TreeMap<>(); // when each was heard last
     private final List<Mail> bag = new ArrayList<>();
@@ -78,7 +79,7 @@
     private int takes;
     private int ends;
 
-    Tier(Fault fault) {
+    TierModel(Fault fault) {
         this.fault = fault;
         for (Gateway g : gateways) {
             open(g);
@@ -118,7 +119,7 @@
                         .toList()
                 + "|" + ran.keySet()
                 + ran.values().stream().map(at -> now - at).toList() + "|" + told + toldOther + asked + minted + index
-                + register.image().open() + register.image().ended();
+                + register.snapshot().open() + register.snapshot().ended();
     }
 
     private void open(Gateway g) {
@@ -128,8 +129,8 @@
         g.ages.saw(now, index);
     }
 
-    private void asks(Gateway g, Order order) {
-        g.hand = new Hand(order, g.number == 0 ? "x" : "y", ++asked);
+    private void asks(Gateway g, KeyedRequest order) {
+        g.hand = new RequestLease(order, g.number == 0 ? "x" : "y", ++asked);
         g.client = true;
         g.other = order == OTHER;
     }
@@ -190,7 +191,7 @@
         }
         if (g.hand.due() != null && bag.size() < BAG_MAX) {
             bag.add(new Mail(g.number, g.session, g.hand, g.hand.due(), null, now));
-        } else if (g.hand.state() == Hand.State.WAITING) {
+        } else if (g.hand.state() == RequestLease.State.WAITING) {
             g.hand.looked(register.look(ORDER.key(), g.hand.order().digest()));
         }
     }
@@ -205,7 +206,7 @@
             bag.remove(m);
         }
         if (m.said() == null) {
-            Said s = applied(m);
+            RegisterResult s = applied(m);
             if (bag.size() < BAG_MAX) {
                 bag.add(new Mail(m.gateway(), m.session(), m.of(), m.line(), s, m.sentAt()));
             }
@@ -215,9 +216,9 @@
         if (g.stopped || g.session != m.session()) {
             return;
         }
-        if (m.line() instanceof Line.Take) {
-            if (m.said().kind() == Said.Kind.OWNED && g.hand == null) {
-                g.hand = new Hand(m.said().entry());
+        if (m.line() instanceof RegisterCommand.Take) {
+            if (m.said().kind() == RegisterResult.Kind.OWNED && g.hand == null) {
+                g.hand = new RequestLease(m.said().entry());
                 judged(g, m.said().entry());
             }
         } else if (g.hand == m.of()) {
@@ -225,24 +226,24 @@
         }
     }
 
-    private Said applied(Mail m) {
+    private RegisterResult applied(Mail m) {
         index++;
         if (!sessions.containsKey(m.session())) {
-            return Said.of(Said.Kind.NOT_YOURS);
+            return RegisterResult.of(RegisterResult.Kind.NOT_YOURS);
         }
-        Line line = m.line();
-        Entry e = register.entry(ORDER.key());
-        if (fault == Fault.JOINED_WITHOUT_DIGEST && line instanceof Line.Enter) {
-            line = new Line.Enter(ORDER, "x", e == null ? 0 : e.ask());
+        RegisterCommand line = m.line();
+        RegisterEntry e = register.entry(ORDER.key());
+        if (fault == Fault.JOINED_WITHOUT_DIGEST && line instanceof RegisterCommand.Enter) {
+            line = new RegisterCommand.Enter(ORDER, "x", e == null ? 0 : e.ask());
         }
         if (fault == Fault.ENTERED_WHAT_WAS_TAKEN
-                && line instanceof Line.Enter
+                && line instanceof RegisterCommand.Enter
                 && e != null
                 && e.owner() == m.session()) {
-            return Said.owned(e);
+            return RegisterResult.owned(e);
         }
         boolean first = sessions.firstKey() == m.session(); // the one shard is the eldest's
-        Said s = register.apply(
+        RegisterResult s = register.apply(
                 index,
                 m.session(),
                 line,
@@ -251,13 +252,13 @@
         registerIndex = register.entry(ORDER.key()) == null
                 ? 0
                 : register.entry(ORDER.key()).since();
-        takes += line instanceof Line.Take && s.kind() == Said.Kind.OWNED ? 1 : 0;
-        ends += line instanceof Line.End && s.kind() == Said.Kind.OVER ? 1 : 0;
+        takes += line instanceof RegisterCommand.Take && s.kind() == RegisterResult.Kind.OWNED ? 1 : 0;
+        ends += line instanceof RegisterCommand.End && s.kind() == RegisterResult.Kind.OVER ? 1 : 0;
         return s;
     }
 
-    private void judged(Gateway g, Entry e) {
-        Judgement j = Judgement.of(e, g.ages.most(e.since(), now), WINDOW, FLIGHT + STEP, 0);
+    private void judged(Gateway g, RegisterEntry e) {
+        ResendDecision j = ResendDecision.of(e, g.ages.most(e.since(), now), WINDOW, FLIGHT + STEP, 0);
         if (!j.again() && fault != Fault.RESENT_AFTER_WINDOW) {
             g.hand.ends(Outcome.unknown(j.why()));
         }
@@ -265,7 +266,8 @@
     }
 
     private void sends(Gateway g) {
-        boolean early = fault == Fault.SENT_BEFORE_ENTERED && g.hand != null && g.hand.state() == Hand.State.ENTERING;
+        boolean early =
+                fault == Fault.SENT_BEFORE_ENTERED && g.hand != null && g.hand.state() == RequestLease.State.ENTERING;
         if (g.stopped || g.hand == null || attempts.size() >= BAG_MAX) {
             return;
         }
@@ -311,7 +313,7 @@
     }
 
     private void takes(Gateway g) {
-        Entry e = register.entry(ORDER.key());
+        RegisterEntry e = register.entry(ORDER.key());
         if (!g.stopped
                 && g.session != 0
                 && e != null
@@ -323,7 +325,12 @@
                 register.ended(e.owner()); // taken from an owner that lives
             }
             bag.add(new Mail(
-                    g.number, g.session, null, new Line.Take(ORDER.key(), Register.shard(ORDER.key()), 1), null, now));
+                    g.number,
+                    g.session,
+                    null,
+                    new RegisterCommand.Take(ORDER.key(), RequestRegister.shard(ORDER.key()), 1),
+                    null,
+                    now));
         }
     }
 
@@ -336,7 +343,7 @@
         g.other = false;
         g.stopped = false;
         g.firstAt = Double.NaN;
-        g.ages = new Ages();
+        g.ages = new StalenessBound();
         bag.removeIf(m -> m.gateway() == g.number && m.said() != null);
     }
 
@@ -358,8 +365,8 @@
                 g.firstAt = Double.NaN;
             } else if (g.hand != null
                     && (g.hand.answer() != null
-                            || g.hand.state() == Hand.State.REFUSED
-                            || g.hand.state() == Hand.State.DIFFERS)) {
+                            || g.hand.state() == RequestLease.State.REFUSED
+                            || g.hand.state() == RequestLease.State.DIFFERS)) {
                 g.hand = null;
                 g.client = false;
                 g.other = false;
--- a/storm/src/main/java/marlford/storm/Register.java
+++ b/storm/src/main/java/marlford/storm/Register.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import marlford.agree.Caller;
+import marlford.consensus.RequestSender;
 import marlford.lease.Member;
 import marlford.lease.Reply;
 
@@ -27,7 +27,7 @@
     private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1);
     private final List<Linear.Op> history = new ArrayList<>();
     private final CountDownLatch granted = new CountDownLatch(1);
-    private final List<Caller> callers = new ArrayList<>();
+    private final List<RequestSender> callers = new ArrayList<>();
 
     Register(Map<String, InetSocketAddress> voters, long ttlMs) {
         for (int i = 0; i < MEMBERS; i++) {
@@ -47,7 +47,7 @@
 
     private final class One {
         private final Member member;
-        private final Caller caller;
+        private final RequestSender caller;
         private long token; // held
         private long grantedAt;
         private long until;
@@ -55,7 +55,7 @@
 
         One(Member member, Map<String, InetSocketAddress> voters) {
             this.member = member;
-            this.caller = new Caller(network, voters, new Caller.Ears() {
+            this.caller = new RequestSender(network, voters, new RequestSender.Listener() {
                 @Override
                 public void heard(long id, Reply reply) {
                     thread.execute(() -> member.heard(id, reply, ms()));
@@ -118,7 +118,7 @@
     @Override
     public void close() {
         thread.shutdownNow();
-        callers.forEach(Caller::close);
+        callers.forEach(RequestSender::close);
         network.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- a/storm/src/test/java/marlford/storm/PlantedTest.java
+++ b/storm/src/test/java/marlford/storm/PlantedTest.java
@@ -24,7 +24,7 @@
     enum Planted {
         /** A session is ended after a part of the time that its holder counts on. */
         ENDED_EARLY(
-                "marlford/lease/Silence.java",
+                "marlford/lease/FailureDetector.java",
                 "now - at > s.ttlMs()",
                 "now - at > s.ttlMs() / 8.0",
                 List.of(
@@ -32,8 +32,8 @@
                         new Fault(3000, Fault.Kind.MUTE, "holder", 700),
                         new Fault(5500, Fault.Kind.MUTE, "holder", 700))),
         /** A holder acts on though it has not been heard for long. */
-        NO_TENURE(
-                "marlford/lease/Tenure.java",
+        NO_VALIDITY(
+                "marlford/lease/LeaseValidity.java",
                 "return now + lateMs + needMs < until;",
                 "return true;",
                 List.of(new Fault(
@@ -43,15 +43,15 @@
                         6000))), // where it leads, too, the next one comes after 1.7 s
         /** Two grants have one token. */
         TOKEN_TWICE(
-                "marlford/lease/Book.java",
-                "l.holders.put(session, ++minted);",
-                "l.holders.put(session, minted);",
+                "marlford/lease/LeaseStateMachine.java",
+                "l.holders.put(session, ++lastToken);",
+                "l.holders.put(session, lastToken);",
                 List.of(
                         new Fault(500, Fault.Kind.TERM, "holder", 500),
                         new Fault(3000, Fault.Kind.TERM, "holder", 500))),
         /** Whoever asks takes the lease from its holder. */
         NO_LIMIT(
-                "marlford/lease/Book.java",
+                "marlford/lease/LeaseStateMachine.java",
                 "while (l.holders.size() < l.limit && !l.queue.isEmpty())",
                 "while (!l.queue.isEmpty())",
                 List.of(new Fault(500, Fault.Kind.STOP, "g0", 300)));
--- a/storm/src/test/java/marlford/storm/VersionsTest.java
+++ b/storm/src/test/java/marlford/storm/VersionsTest.java
@@ -32,8 +32,10 @@
                     }
                 }
                 """));
-        changes.put("marlford/voters/Levels.java", List.of("OWN = 2;", "OWN = 3;"));
-        changes.put("marlford/voters/Hello.java", List.of("Levels.OWN", "3")); // a constant is compiled in
+        changes.put("marlford/membership/ProtocolVersions.java", List.of("CURRENT = 2;", "CURRENT = 3;"));
+        changes.put(
+                "marlford/membership/Hello.java",
+                List.of("ProtocolVersions.CURRENT", "3")); // a constant is compiled in
         return changes;
     }
 
@@ -78,7 +80,9 @@
     @Test
     void anOldVoterThatMeetsANewLineTakesNoPart(@TempDir Path dir) throws Exception {
         Map<String, List<String>> changes = newer();
-        changes.put("marlford/voters/Levels.java", List.of("OWN = 2;", "OWN = 3;", "levels.getOrDefault(p, 1)", "OWN"));
+        changes.put(
+                "marlford/membership/ProtocolVersions.java",
+                List.of("CURRENT = 2;", "CURRENT = 3;", "levels.getOrDefault(p, 1)", "CURRENT"));
         try (Rig rig = fleet(Changed.program(dir, changes))) {
             assertTrue(rig.awaitSaid("g2", "takes no part any more: the log has what only a newer version knows"));
             assertTrue(rig.awaitAct(Rig.TICK)); // by the two others' majority
