--- a/fleet/src/main/java/marlford/board/Board.java
+++ b/fleet/src/main/java/marlford/board/Board.java
@@ -9,16 +9,17 @@
 import java.util.function.LongPredicate;
 
 /**
- * The leader's board. A row stands until one of a greater token, or a younger one of the same, replaces it, or it is
- * {@value #KEEP_MS} ms old. Ages only grow on the way: a row is told as old as it may be, never younger, but for the
- * shortest way from its finder to here ({@link DelayEstimator}).
+ * The leader's board: soft state that members report and that is passed on to all. A row is kept until it is replaced
+ * by one with a greater token, or a younger one with the same token, or until it is {@value #KEEP_MS} ms old. The age
+ * of a row is an upper bound and only grows on the way, except for the shortest network delay from its reporter
+ * ({@link DelayEstimator}).
  *
- * <p>Bounds: {@value #ROWS_MAX} rows and {@value #CHARS_MAX} characters, beyond which a new row is not taken and counted;
- * {@value #NOTICE_MAX} characters in one notice, the rest comes with the next. Milliseconds by one monotonic clock. Not
- * thread-safe.
+ * <p>Limits: {@value #ROWS_MAX} rows and {@value #CHARS_MAX} characters, beyond which a new row is rejected and
+ * counted; {@value #NOTICE_MAX} characters in one reply, the rest follows with the next. Times in milliseconds of one
+ * monotonic clock. Not thread-safe.
  */
 public final class Board {
-    /** The longest value, in characters: a list of some six hundred hosts. */
+    /** The maximum length of a value in characters: a list of some 600 hosts. */
     public static final int VALUE_MAX = 96 * 1024;
 
     static final int ROWS_MAX = 4096;
@@ -30,14 +31,14 @@
     private record Entry(Row row, double foundAt) {}
 
     private final Map<RowKey, Long> places = new HashMap<>();
-    private final TreeMap<Long, Entry> rows = new TreeMap<>(); // by the number of their change
+    private final TreeMap<Long, Entry> rows = new TreeMap<>(); // by position
     private final DelayEstimator lateness = new DelayEstimator();
     private long id;
     private long changes;
     private int chars;
     private long turnedAway;
 
-    /** Begins anew, as another one. */
+    /** Starts an empty board with a new id. */
     public void begin(long id) {
         this.id = id;
         places.clear();
@@ -46,10 +47,10 @@
     }
 
     /**
-     * Takes what a member tells and says what is new to it.
+     * Applies a member's update and returns the changes since its position.
      *
      * @param sender the member's session
-     * @param holds whether the member holds a token now; rows of others are not taken
+     * @param holds whether the member holds a token; rows with other tokens are rejected
      */
     public BoardChanges hear(long sender, BoardUpdate t, LongPredicate holds, double now) {
         double late = lateness.of(sender, t.at(), now);
@@ -135,7 +136,7 @@
         return new BoardChanges(id, upTo, news);
     }
 
-    /** How many rows stand, and how many were not taken: for operators. */
+    /** Numbers of rows and of rejected rows, for the operators' page. */
     public String text() {
         return "board=" + id + " rows=" + rows.size() + " chars=" + chars + " turned_away=" + turnedAway;
     }
--- a/fleet/src/main/java/marlford/board/BoardChanges.java
+++ b/fleet/src/main/java/marlford/board/BoardChanges.java
@@ -3,9 +3,9 @@
 import java.util.List;
 
 /**
- * What is new on a board.
+ * The changes of a board since a position.
  *
- * @param board which one: another leader has another
- * @param upTo where to go on from
+ * @param board id of the board; each leader has its own
+ * @param upTo the position to continue from
  */
 public record BoardChanges(long board, long upTo, List<Row> rows) {}
--- a/fleet/src/main/java/marlford/board/BoardClient.java
+++ b/fleet/src/main/java/marlford/board/BoardClient.java
@@ -6,32 +6,33 @@
 import java.util.Map;
 
 /**
- * A member's side of the board: what it found out and has not got rid of yet, and what it heard. What is heard is as old as
- * it was there and the whole time since it was asked for, so a reply that stood in a stopped process or a slow link is old.
+ * A member's side of the board: rows still to be reported, and rows received. The age of a received row includes the
+ * whole time since the request was sent, so a reply that was delayed by a suspended process or a slow link is old,
+ * never too young.
  *
- * <p>Bounds: {@value #TELL_MAX} characters told at once, the rest follows; {@value #HEARD_MAX} rows to tell and as many heard,
- * beyond which the oldest are forgotten. Milliseconds by one monotonic clock. Not thread-safe.
+ * <p>Limits: {@value #TELL_MAX} characters in one update, the rest follows; {@value #HEARD_MAX} rows to report and as
+ * many received, beyond which the oldest are dropped. Times in milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class BoardClient {
     static final int TELL_MAX = 128 * 1024;
     static final int HEARD_MAX = Board.ROWS_MAX;
 
-    /** A row that was found out or heard at this time by the own clock, at the latest, if it had no age then. */
+    /** A row, and the local time from which its age counts. */
     private record Dated(Row row, double at) {}
 
     private final Map<RowKey, Dated> toTell = new LinkedHashMap<>();
-    private final Map<RowKey, Dated> heard = new LinkedHashMap<>(); // those heard last stand last
+    private final Map<RowKey, Dated> heard = new LinkedHashMap<>(); // in order of arrival
     private final Map<RowKey, Dated> news = new LinkedHashMap<>();
-    private List<Dated> told = List.of(); // with the telling that is under way
+    private List<Dated> told = List.of(); // with the update under way
     private long board;
     private long upTo;
     private boolean urgent;
 
     /**
-     * Has something to tell.
+     * Reports a row.
      *
-     * @param foundAt when it began to be found out, by the own clock
-     * @param soon whether it should not wait for the next renewal
+     * @param foundAt local time at which the observation began
+     * @param soon whether it should be sent before the next renewal is due
      */
     public void tell(String topic, String key, long token, String value, double foundAt, boolean soon) {
         toTell.put(new RowKey(topic, key), new Dated(new Row(topic, key, token, value, 0), foundAt));
@@ -41,17 +42,17 @@
         urgent |= soon;
     }
 
-    /** Whether something is not to wait. */
+    /** Whether an update should be sent at once. */
     public boolean isUrgent() {
         return urgent;
     }
 
-    /** Whether all that was found out under this token was told, or can't be any more. */
+    /** Whether no row of this token is still to be reported. */
     public boolean isTold(long token) {
         return toTell.values().stream().noneMatch(d -> d.row().token() == token);
     }
 
-    /** What goes with a message that leaves now. */
+    /** The update to be sent now. */
     public BoardUpdate telling(double now) {
         List<Row> rows = new ArrayList<>();
         List<Dated> with = new ArrayList<>();
@@ -70,9 +71,9 @@
     }
 
     /**
-     * The message was answered: what went with it has arrived.
+     * The update was answered, so its rows have arrived.
      *
-     * @param n null from a voter that keeps no board, as older ones do
+     * @param n null from an older voter without a board
      */
     public void heard(BoardChanges n, double askedAt) {
         toTell.values().removeAll(told);
@@ -96,7 +97,7 @@
         }
     }
 
-    /** What was heard of this topic since this was asked last, with its age of now. */
+    /** The rows of a topic received since the last call, with their present ages. */
     public List<Row> news(String topic, double now) {
         List<Row> rows = new ArrayList<>();
         news.values()
@@ -104,13 +105,13 @@
         return rows;
     }
 
-    /** The row of this key that was heard last, with its age of now; null where none was. */
+    /** The latest row of a key, with its present age; null for none. */
     public Row row(String topic, String key, double now) {
         Dated d = heard.get(new RowKey(topic, key));
         return d == null ? null : d.row().aged(now - d.at());
     }
 
-    /** The session is over: its tokens are worth nothing. */
+    /** The session has ended, and with it its tokens. */
     public void ended() {
         toTell.clear();
         told = List.of();
--- a/fleet/src/main/java/marlford/board/DelayEstimator.java
+++ b/fleet/src/main/java/marlford/board/DelayEstimator.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 
 /**
- * How late a message comes, of senders whose clocks are not this one: by how much more than the least of the last minute
- * it took. That least one's own way is not seen, so a message may be older by as much as the shortest way there. A clock
- * that runs slow makes messages look later than they are, by its error over a minute at most; a fast one does no harm.
+ * Estimates the delay of messages from senders with other clocks: how much longer a message took than the fastest one
+ * of the last minute. The delay of that fastest message is not visible, so a message may be older by as much. A slow
+ * clock of the sender makes messages look later, by its drift over a minute at most; a fast one has no effect.
  *
- * <p>Bound: {@value #SENDERS_MAX} senders, beyond which those that were silent for two minutes are forgotten, and a message
- * of one more counts as later than anything. Milliseconds. Not thread-safe.
+ * <p>Limit: {@value #SENDERS_MAX} senders. Beyond it, senders that were silent for two minutes are dropped, and a
+ * message of a further sender counts as infinitely late. Times in milliseconds. Not thread-safe.
  */
 final class DelayEstimator {
     static final int SENDERS_MAX = 4000;
--- a/fleet/src/main/java/marlford/board/Row.java
+++ b/fleet/src/main/java/marlford/board/Row.java
@@ -1,13 +1,13 @@
 package marlford.board;
 
 /**
- * What the holder of a token found out.
+ * A report of the holder of a token.
  *
- * @param topic what it is of
- * @param key which one of these
- * @param token under which it was found out; a later holder's word replaces an earlier one's
+ * @param topic kind of the report
+ * @param key subject of the report
+ * @param token fencing token under which it was made; a report with a greater token replaces it
  * @param value at most {@link Board#VALUE_MAX} characters
- * @param ageMs at most, since it was found out, in milliseconds
+ * @param ageMs upper bound of its age in milliseconds
  */
 public record Row(String topic, String key, long token, String value, double ageMs) {
     Row aged(double ms) {
--- a/fleet/src/main/java/marlford/board/package-info.java
+++ b/fleet/src/main/java/marlford/board/package-info.java
@@ -1,5 +1,5 @@
 /**
- * What holders of tokens found out, told to all members with an age. Kept by the leader in its memory, agreed by nobody, lost with
- * it: a report, never a grant. No I/O and no clock.
+ * Reports of token holders that the leader passes on to all members, with their ages. Soft state in the leader's
+ * memory: not replicated, lost with the leader, and never the basis of a grant. No I/O and no clock.
  */
 package marlford.board;
--- a/fleet/src/main/java/marlford/consensus/Codec.java
+++ b/fleet/src/main/java/marlford/consensus/Codec.java
@@ -39,8 +39,10 @@
 import marlford.lease.Request;
 
 /**
- * Everything that goes over a wire or to a disk, as CBOR. In what is said, fields that a reader does not know are passed over;
- * in what is agreed and kept they are an error, since whoever passed one over would have another book than the others.
+ * Encodes everything that is sent or stored as CBOR. Unknown fields are ignored in messages. In what is replicated
+ * and stored they are an error: a voter that ignored one would have another state than the others.
+ *
+ * <p>Names of record components are names on the wire and on disk, so they must not be changed.
  */
 final class Codec {
     static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
@@ -98,11 +100,11 @@
     })
     private interface RegisterCommands {}
 
-    /** What is not there is left out: it takes no room, and older versions need not know of it. */
+    /** Null fields are omitted, so older versions need not know them. */
     @JsonInclude(JsonInclude.Include.NON_NULL)
     private interface Sparse {}
 
-    /** The members of a group as a line of the log has them. */
+    /** The members of the group at a log index. */
     record MembersRecord(long index, List<String> all, List<String> voting) {
         static MembersRecord of(RaftGroupMembersView v) {
             return new MembersRecord(v.getLogIndex(), ids(v.getMembers()), ids(v.getVotingMembers()));
@@ -117,10 +119,10 @@
         }
     }
 
-    /** A change of the members, as the engine logs it. */
+    /** A membership change as a log entry. */
     record MembershipChangeRecord(List<String> all, List<String> voting, String point, String mode) {}
 
-    /** One of the three is there, or none, where a term begins. */
+    /** A log entry: a command or a membership change; neither for the first entry of a term. */
     record LogRecord(long index, int term, Command command, MembershipChangeRecord change) {
         static LogRecord of(LogEntry e) {
             Object op = e.getOperation();
@@ -158,12 +160,12 @@
         }
     }
 
-    /** What a new leader writes first, so that all lines of earlier terms are agreed. */
+    /** The first entry of a term, by which entries of earlier terms are committed. */
     enum TermBegins {
         HERE
     }
 
-    /** A snapshot: the book, in one piece. */
+    /** A snapshot of the state machine, in a single chunk. */
     record SnapshotRecord(long index, int term, LeaseStateMachine.Snapshot image, int at, int of, MembersRecord group) {
         static SnapshotRecord of(SnapshotChunk c) {
             return new SnapshotRecord(
@@ -187,7 +189,7 @@
         }
     }
 
-    /** A message of the engine; what a kind of message does not have is 0, false or null. */
+    /** A message of the engine; fields that a kind of message lacks are 0, false or null. */
     record EngineMessage(
             String kind,
             String from,
@@ -218,7 +220,7 @@
         return MAPPER.writeValueAsBytes(value);
     }
 
-    /** Reads what is agreed. */
+    /** Decodes replicated or stored data strictly. */
     static <T> T agreed(byte[] bytes, Class<T> kind) throws IOException {
         return STRICT.readValue(bytes, kind);
     }
@@ -326,7 +328,7 @@
         return new EngineMessage(kind, from, term, lastTerm, index, 0, query, flow, 0, flag, null, null, null, null);
     }
 
-    /** @param group whose message it is; messages carry none, since a fleet has one group */
+    /** @param group id of the group; not sent, as a fleet has one group */
     static RaftMessage raftMessage(EngineMessage m, Object group) {
         VoterId from = new VoterId(m.from());
         return switch (m.kind()) {
--- a/fleet/src/main/java/marlford/consensus/Disk.java
+++ b/fleet/src/main/java/marlford/consensus/Disk.java
@@ -9,15 +9,15 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 
-/** A file that is appended to, and what may fail of it. */
+/** An append-only file, as an interface so that tests can make it fail. */
 interface Disk extends Closeable {
-    /** Writes all of it at the end. */
+    /** Appends all bytes. */
     void append(ByteBuffer bytes) throws IOException;
 
-    /** Returns once all that was appended outlives the machine. */
+    /** Returns once everything appended is durable. */
     void force() throws IOException;
 
-    /** The real file. */
+    /** Opens a file. */
     static Disk open(Path file) throws IOException {
         FileChannel channel =
                 FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
@@ -41,7 +41,7 @@
         };
     }
 
-    /** Puts a finished file in another's place, so that either the one or the other is there after any loss of power. */
+    /** Atomically and durably replaces a file by another. */
     static void replace(Path fresh, Path old) throws IOException {
         Files.move(fresh, old, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         try (FileChannel folder = FileChannel.open(old.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
--- a/fleet/src/main/java/marlford/consensus/EngineExecutor.java
+++ b/fleet/src/main/java/marlford/consensus/EngineExecutor.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The engine's thread and its time. The engine counts heartbeats in whole seconds, too coarse for a fleet on one network;
- * so {@value #FACTOR} of its milliseconds are one of ours. Its clock is the machine's monotonic one: a system clock that
- * steps changes nothing.
+ * Thread and clock of the Raft engine. The engine's heartbeats are configured in whole seconds, too coarse for a
+ * fleet on one network; its clock therefore runs {@value #FACTOR} times as fast as real time. It is derived from the
+ * monotonic clock, so a step of the system clock has no effect.
  */
 final class EngineExecutor extends Clock implements RaftNodeExecutor {
     /** Milliseconds of the engine in one of ours. */
--- a/fleet/src/main/java/marlford/consensus/FaultyDisk.java
+++ b/fleet/src/main/java/marlford/consensus/FaultyDisk.java
@@ -6,8 +6,8 @@
 import java.nio.file.Path;
 
 /**
- * A disk that fails as a file beside it says: {@code full}, {@code fail} (the sync) or {@code hang} (the sync, until the
- * file is gone). For rehearsals of failure ({@code -Dmarlford.faults=true}).
+ * A disk that fails as a control file says: {@code full} (write fails), {@code fail} (sync fails) or {@code hang}
+ * (sync blocks until the file is gone). For fault injection only ({@code -Dmarlford.faults=true}).
  */
 final class FaultyDisk implements Disk {
     private static final long LOOK_MS = 20;
--- a/fleet/src/main/java/marlford/consensus/FrameTransport.java
+++ b/fleet/src/main/java/marlford/consensus/FrameTransport.java
@@ -21,11 +21,11 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Frames over TCP: four bytes of length, one of kind, then CBOR. It authenticates nothing: whoever reaches the port is
- * heard, so it belongs on a network where nobody else is.
+ * Frames over TCP: four bytes of length, one of type, then a CBOR body. There is no authentication, so the port must
+ * only be reachable from a trusted network.
  *
- * <p>Bounds: a frame of {@value #FRAME_MAX} bytes; {@value #QUEUE_MAX} bytes that wait to leave on one connection, beyond
- * which a frame is dropped, as if it were lost on the way; {@value #CONNECT_MS} ms to connect.
+ * <p>Limits: frames of {@value #FRAME_MAX} bytes; {@value #QUEUE_MAX} bytes queued on a connection, beyond which
+ * frames are dropped as if lost on the network; {@value #CONNECT_MS} ms to connect.
  */
 final class FrameTransport {
     static final byte HELLO = 1;
@@ -36,11 +36,11 @@
     private static final int QUEUE_MAX = 8 << 20;
     private static final int LENGTH = 4;
     private static final int CONNECT_MS = 500;
-    private static final int SILENCE_S = 30; // a connection on which nothing comes for this long is closed
+    private static final int SILENCE_S = 30; // a connection without incoming data for this long is closed
 
     private FrameTransport() {}
 
-    /** What comes over a connection; called on its event loop. */
+    /** Receives frames and connection events, on the event loop of the connection. */
     interface Listener {
         void frame(Channel from, byte kind, byte[] body);
 
@@ -49,7 +49,7 @@
         default void closed(Channel channel) {}
     }
 
-    /** Listens; the future's channel has the address. */
+    /** Listens; the returned channel has the local address. */
     static Channel listen(EventLoopGroup group, InetSocketAddress at, Listener listener) throws InterruptedException {
         return new ServerBootstrap()
                 .group(group)
@@ -63,7 +63,7 @@
                 .channel();
     }
 
-    /** Connects; {@link Listener#open} or {@link Listener#closed} tells what came of it. */
+    /** Connects; {@link Listener#open} or {@link Listener#closed} reports the outcome. */
     static void connect(EventLoopGroup group, InetSocketAddress to, Listener listener) {
         new Bootstrap()
                 .group(group)
@@ -94,7 +94,7 @@
         };
     }
 
-    /** Sends a frame, or drops it where too much waits already; whether it was taken. From any thread. */
+    /** Sends a frame, or drops it if the queue is full; returns whether it was queued. From any thread. */
     static boolean send(Channel to, byte kind, byte[] body) {
         if (to == null || !to.isActive() || !to.isWritable()) {
             return false;
@@ -127,7 +127,7 @@
             listener.closed(ctx.channel());
         }
 
-        /** Noise, a frame that is too long, a connection that broke: the connection ends. */
+        /** Closes the connection on malformed or oversized frames and on I/O errors. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/fleet/src/main/java/marlford/consensus/MonotonicClock.java
+++ b/fleet/src/main/java/marlford/consensus/MonotonicClock.java
@@ -1,9 +1,9 @@
 package marlford.consensus;
 
 /**
- * The machine's monotonic clock in milliseconds, from any thread.
+ * The monotonic clock in milliseconds; may be read from any thread.
  *
- * @param rate how fast it runs; 1 but in tests of clocks that run apart ({@code -Dmarlford.clock.rate})
+ * @param rate its speed; other than 1 only in tests of clock drift ({@code -Dmarlford.clock.rate})
  */
 public record MonotonicClock(double rate) {
     private static final double NANOS_PER_MS = 1e6;
--- a/fleet/src/main/java/marlford/consensus/ReconnectingChannel.java
+++ b/fleet/src/main/java/marlford/consensus/ReconnectingChannel.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
-/** A connection that is made again whenever it ends. What is sent while there is none is lost. */
+/** A client connection that is opened again whenever it closes. Frames sent while it is closed are dropped. */
 final class ReconnectingChannel {
     private static final long AGAIN_MS = 100;
 
--- a/fleet/src/main/java/marlford/consensus/ReplyFrame.java
+++ b/fleet/src/main/java/marlford/consensus/ReplyFrame.java
@@ -2,5 +2,5 @@
 
 import marlford.lease.Reply;
 
-/** A voter's reply to the call of this number. */
+/** The reply of a voter to the request with this id. */
 record ReplyFrame(long id, Reply reply) {}
--- a/fleet/src/main/java/marlford/consensus/RequestFrame.java
+++ b/fleet/src/main/java/marlford/consensus/RequestFrame.java
@@ -2,5 +2,5 @@
 
 import marlford.lease.Request;
 
-/** An ask on its way to a voter; its reply carries the same number. */
+/** A request on its way to a voter; the reply carries the same id. */
 record RequestFrame(long id, Request ask) {}
--- a/fleet/src/main/java/marlford/consensus/RequestSender.java
+++ b/fleet/src/main/java/marlford/consensus/RequestSender.java
@@ -10,18 +10,21 @@
 import marlford.lease.Member;
 import marlford.lease.Reply;
 
-/** Carries a member's asks to the voters and brings the replies back. */
+/**
+ * Sends a member's requests to the voters and delivers the replies, over one connection to each voter. {@link #drive}
+ * is called on the member's thread, the listener on the Netty event loop.
+ */
 public final class RequestSender {
-    /** Takes what came of an ask; called on the network's thread. */
+    /** Receives replies and failures, on the Netty event loop. */
     public interface Listener {
         void heard(long id, Reply reply);
 
-        /** The connection to a voter ended: what was asked there and not answered has failed. */
+        /** The connection to a voter was closed: unanswered requests on it have failed. */
         void lost(String voter);
     }
 
     private final Map<String, ReconnectingChannel> links = new LinkedHashMap<>();
-    private final LongAdder sent = new LongAdder(); // bytes of asks and replies, without frames
+    private final LongAdder sent = new LongAdder(); // bytes, without frame headers
     private final LongAdder received = new LongAdder();
 
     public RequestSender(EventLoopGroup network, Map<String, InetSocketAddress> voters, Listener listener) {
@@ -36,7 +39,7 @@
                                 listener.heard(c.id(), c.reply());
                             }
                         } catch (IOException e) {
-                            from.close(); // a version that can't be read, or noise
+                            from.close(); // unreadable
                         }
                     }
 
@@ -47,7 +50,7 @@
                 })));
     }
 
-    /** Sends what a member is to ask now; what can't leave has failed. On the member's thread. */
+    /** Sends the member's due requests; one that cannot be sent has failed. On the member's thread. */
     public void drive(Member member, double now) {
         for (Member.Outgoing o : member.due(now)) {
             if (!send(o)) {
@@ -66,7 +69,7 @@
         }
     }
 
-    /** What it costs, for operators. */
+    /** Bytes sent and received, for the operators' page. */
     public String text() {
         return "asks sent_bytes=" + sent.sum() + " received_bytes=" + received.sum() + '\n';
     }
--- a/fleet/src/main/java/marlford/consensus/Segment.java
+++ b/fleet/src/main/java/marlford/consensus/Segment.java
@@ -6,11 +6,11 @@
 import java.util.zip.CRC32C;
 
 /**
- * Records behind each other: check sum of the head, length, kind, check sum of the body, body. What an interrupted write
- * leaves behind is cut off at its end; anything else that does not add up is damage, and whoever finds it takes no part.
+ * The record format of the store: checksum of the header, length, type, checksum of the body, body.
  *
- * <p>Which is which: a record that is cut short by the end of the file, or is nothing but zeros up to it, was never
- * answered for, as the sync behind it did not return. A whole record whose sums are wrong may have been.
+ * <p>A record that is cut off by the end of the file, or that consists of zeros up to it, is the rest of an
+ * interrupted write: the sync after it never returned, so nobody relied on it, and it is truncated. A complete record
+ * with a wrong checksum may have been relied on: it is reported as {@link Damaged}, and the voter stops.
  */
 final class Segment {
     static final int HEAD = 4 + 4 + 1 + 4; // bytes
@@ -18,7 +18,7 @@
 
     private Segment() {}
 
-    /** What was written can't be trusted. */
+    /** The file is corrupt. */
     static final class Damaged extends IOException {
         private static final long serialVersionUID = 1L;
 
@@ -41,7 +41,7 @@
         return (int) crc.getValue();
     }
 
-    /** Reads all records in their order; returns how many bytes of the file are whole records. */
+    /** Reads all records in order; returns the length of the complete records in bytes. */
     static int read(byte[] file, BiConsumer<Byte, byte[]> to) throws Damaged {
         int at = 0;
         while (at < file.length) {
--- a/fleet/src/main/java/marlford/consensus/SegmentStore.java
+++ b/fleet/src/main/java/marlford/consensus/SegmentStore.java
@@ -22,12 +22,13 @@
 import java.util.function.Function;
 
 /**
- * What a voter must not forget: which disk this is, how often it was started, its term and vote, lines and snapshot. One
- * file of records ({@link Segment}); each change is a record, and once a snapshot makes most of them idle the file is
- * written anew beside and put in its place. Lines are kept in memory as well, no more than lie between two snapshots.
+ * The persistent state of a voter: identity of the disk, number of starts, term and vote, log entries and snapshot.
+ * One file of records ({@link Segment}) to which each change is appended; when a snapshot has made most records
+ * obsolete, a new file is written beside it and replaces it atomically. Log entries since the last snapshot are also
+ * kept in memory.
  *
- * <p>The first failure to write or sync is the last: nothing is written after it, and the voter is told to go out.
- * Not thread-safe, but for {@link #failed}.
+ * <p>After the first failed write or sync nothing more is written, and the voter stops. Not thread-safe except for
+ * {@link #failed}.
  */
 final class SegmentStore implements RaftStore {
     private static final byte IDENTITY = 1;
@@ -40,14 +41,18 @@
     private static final byte CUT_FROM = 8;
     private static final byte CUT_UNTIL = 9;
     private static final byte DROP_PIECES = 10;
-    private static final long REWRITE_FROM = 1 << 20; // bytes; a smaller file is not written anew
+    private static final long REWRITE_FROM = 1 << 20; // bytes; a smaller file is not rewritten
 
+    /** The identity of the disk. */
     record Identity(long disk) {}
 
+    /** A number of starts, or a log index. */
     record Number(long value) {}
 
+    /** The term and the vote in it; no point for none. */
     record Vote(int term, String point) {}
 
+    /** This voter, and whether it votes. */
     record Endpoint(String point, boolean voting) {}
 
     private final Path file;
@@ -65,8 +70,8 @@
     private volatile String failed;
 
     /**
-     * @param wrap what lies over the file, for faults
-     * @param log one line for what operators should know
+     * @param wrap wraps the file, to inject faults
+     * @param log takes one line for operators
      */
     SegmentStore(Path folder, Function<Disk, Disk> wrap, Consumer<String> log) throws IOException {
         this.file = folder.resolve("agreed");
@@ -153,12 +158,12 @@
         return e;
     }
 
-    /** Why nothing is kept any more; null while all is well. From any thread. */
+    /** Why the store failed; null while it works. From any thread. */
     String failed() {
         return failed;
     }
 
-    /** Begins another life on this disk, and makes the disk a new one if it was empty. */
+    /** Records another start on this disk, and gives an empty disk its identity. */
     void begin(long freshDisk) throws IOException {
         if (identity == null) {
             put(IDENTITY, new Identity(freshDisk));
@@ -175,7 +180,7 @@
         return life;
     }
 
-    /** What an earlier life left of the engine's state; null for nothing, so that no vote was ever given here. */
+    /** The engine's state as left by an earlier process; null if none was stored, so no vote was ever cast. */
     RestoredRaftState restored() throws IOException {
         if (endpoint == null || initial == null || vote == null) {
             return null;
@@ -220,7 +225,7 @@
                 entries);
     }
 
-    /** The members that the group began with; null where this disk was never part of one. */
+    /** The initial members of the group; null if this disk was never part of one. */
     List<String> initial() {
         return initial == null ? null : initial.all();
     }
@@ -289,7 +294,7 @@
         }
     }
 
-    /** The same state in as few records as it takes. */
+    /** Rewrites the file with only the current state. */
     private void rewrite() throws IOException {
         Path fresh = file.resolveSibling("agreed.new");
         try {
--- a/fleet/src/main/java/marlford/consensus/VoterId.java
+++ b/fleet/src/main/java/marlford/consensus/VoterId.java
@@ -3,10 +3,10 @@
 import io.microraft.RaftEndpoint;
 
 /**
- * A voter as the agreed log knows it: its name and the disk it has. An emptied disk makes another point of the same name, so
- * that nobody takes it for the one that gave its vote.
+ * Identity of a voter in the replicated log: its name and its disk. A voter whose disk was emptied gets another
+ * identity under the same name, so that it is not mistaken for the one that has voted.
  *
- * @param id name, a colon, and 16 hexadecimal digits that were drawn when the disk was first used
+ * @param id name, a colon, and 16 hexadecimal digits drawn when the disk was first used
  */
 record VoterId(String id) implements RaftEndpoint {
     static VoterId of(String name, long disk) {
--- a/fleet/src/main/java/marlford/consensus/package-info.java
+++ b/fleet/src/main/java/marlford/consensus/package-info.java
@@ -1,2 +1,5 @@
-/** The agreed log: MicroRaft on a store of segments, netty and a clock of its own. docs/design/fleet-agreement.md. */
+/**
+ * The replicated log: MicroRaft with a segment store, a Netty transport and its own clock. See
+ * docs/design/fleet-agreement.md.
+ */
 package marlford.consensus;
--- a/fleet/src/main/java/marlford/fleet/Fleet.java
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -25,8 +25,8 @@
 import marlford.task.TaskRun;
 
 /**
- * A process's part in the fleet: the member on a thread of its own, the voter where this process is one, and the tasks. It
- * shares nothing with the loop that serves clients, and nothing there waits for it.
+ * A process's part in the fleet: the member on a thread of its own, the voter if this process is one, and the tasks.
+ * It shares no thread with the event loop that serves clients, and nothing there waits for it.
  */
 final class Fleet {
     private static final long TICK_MS = 10;
--- a/fleet/src/main/java/marlford/fleet/FleetConfig.java
+++ b/fleet/src/main/java/marlford/fleet/FleetConfig.java
@@ -28,8 +28,8 @@
 import marlford.task.FleetTasks;
 
 /**
- * What operators say of a fleet, in JSON that {@code fleet.schema.json} describes; docs/operators/fleet.md has each value
- * with unit and default.
+ * The settings of a fleet, read from JSON and validated by {@code fleet.schema.json}; docs/operators/fleet.md
+ * describes each with unit and default.
  */
 record FleetConfig(
         String fleet,
--- a/fleet/src/main/java/marlford/fleet/HealthCheckWorker.java
+++ b/fleet/src/main/java/marlford/fleet/HealthCheckWorker.java
@@ -12,8 +12,8 @@
 import marlford.lease.Member;
 
 /**
- * The gateway's part in one prober of each host for all: carries the {@link Prober}'s probes to the gateway, and what any
- * member found to its decision module. On the member's thread.
+ * Connects the {@link Prober} to the gateway: passes its probes on, and the results of all members to the decision
+ * engine. Runs on the member's thread.
  */
 final class HealthCheckWorker {
     private static final double LOOK_MS = 500; // how often the list of hosts is asked for
--- a/fleet/src/main/java/marlford/fleet/Main.java
+++ b/fleet/src/main/java/marlford/fleet/Main.java
@@ -18,7 +18,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-/** The command line of a fleet's member. */
+/** The command line of a member of the fleet. */
 @Command(
         name = "marlford",
         mixinStandardHelpOptions = true,
--- a/fleet/src/main/java/marlford/fleet/SharedListPolling.java
+++ b/fleet/src/main/java/marlford/fleet/SharedListPolling.java
@@ -6,7 +6,10 @@
 import marlford.lease.Member;
 import marlford.polling.SingleFlightPoll;
 
-/** The gateway's calls for a list that was away, in turn with the fleet's others. */
+/**
+ * Connects {@link SingleFlightPoll} to the gateway's discovery. Calls from the gateway are passed to the member's
+ * thread.
+ */
 final class SharedListPolling implements ListTurn {
     private final Member member;
     private final Consumer<Runnable> thread;
--- a/fleet/src/main/java/marlford/fleet/TaskDispatcher.java
+++ b/fleet/src/main/java/marlford/fleet/TaskDispatcher.java
@@ -11,8 +11,9 @@
 import marlford.task.TaskRun;
 
 /**
- * Carries acts to the resources of their tasks. Each is over within its time whatever comes of it, also where the HTTP client
- * never says so: a holder whose act does not end would keep its lease, and nobody would act again.
+ * Sends task runs to their resources by HTTP. Every run completes within its timeout plus {@link #LATE_MS}, even if
+ * the HTTP client never completes it: otherwise the holder would keep its lease without ever acting again. May be
+ * used from any thread.
  */
 final class TaskDispatcher {
     /** Beyond an act's time, in which the client's own limit is to end it: some turns of its threads. */
--- a/fleet/src/main/java/marlford/fleet/UsageExporter.java
+++ b/fleet/src/main/java/marlford/fleet/UsageExporter.java
@@ -22,10 +22,11 @@
 import marlford.usage.UsageTable;
 
 /**
- * Usage, from the gateway's loop to the fleet's file. Counting is a store in mapped memory, which outlives the process, and
- * never a call to the system. Exporting runs on a thread of its own, under the fleet's lease {@value #LEASE}: it reads what
- * the file has that it has not read, appends a batch that does not count yet, syncs, reads again, and frees the batch once
- * it counts. It wants the lease only while something waits, so all have their turn.
+ * Exports usage from the gateway's event loop to the fleet's file. Counting writes to mapped memory, which survives
+ * the process, without a system call. Exporting runs on a thread of its own under the fleet's lease {@value #LEASE}:
+ * it reads what others have appended, appends a batch, syncs, reads again, and frees the batch once it counts. The
+ * lease is requested only while something is waiting, so all members get their turn. A failed export is logged and
+ * tried again.
  */
 final class UsageExporter {
     private static final String LEASE = "usage-export";
--- a/fleet/src/main/java/marlford/fleet/WallClock.java
+++ b/fleet/src/main/java/marlford/fleet/WallClock.java
@@ -5,9 +5,8 @@
 import java.nio.file.Path;
 
 /**
- * The time of day, by which ticks and intervals of usage are numbered and nothing else is decided. Whoever sets the system's
- * clock moves it; in rehearsals of that ({@code -Dmarlford.faults=true}) a file beside the state says by how many
- * milliseconds it is wrong. From any thread.
+ * The time of day, used only to number ticks and usage intervals. In fault injection ({@code -Dmarlford.faults=true})
+ * a file beside the state holds an offset in milliseconds. May be read from any thread.
  */
 final class WallClock {
     private final Path wrong; // null where the clock is taken as it is
--- a/fleet/src/main/java/marlford/fleet/package-info.java
+++ b/fleet/src/main/java/marlford/fleet/package-info.java
@@ -1,2 +1,2 @@
-/** The program of a fleet's member: its settings, its threads, its command line. */
+/** The program of a member: settings, threads and command line. */
 package marlford.fleet;
--- a/fleet/src/main/java/marlford/health/ProbeResult.java
+++ b/fleet/src/main/java/marlford/health/ProbeResult.java
@@ -1,20 +1,20 @@
 package marlford.health;
 
 /**
- * What a probe found.
+ * The result of a health check.
  *
- * @param tookMs how long the answer took, in milliseconds
+ * @param tookMs the response time in milliseconds
  */
 public record ProbeResult(Kind kind, double tookMs) {
-    /** How it ended. */
+    /** The kinds of results. */
     public enum Kind {
-        /** The host answered that it is well. */
+        /** The host reported that it is healthy. */
         WELL,
-        /** It answered that it is not. */
+        /** The host reported that it is not. */
         ILL,
-        /** It did not answer in time. */
+        /** The probe timed out. */
         LATE,
-        /** It can't be reached. */
+        /** The host could not be reached. */
         UNREACHED
     }
 
@@ -22,7 +22,7 @@
         return kind + " " + Math.round(tookMs);
     }
 
-    /** As a row has it; null where it is none, as a newer version may write. */
+    /** Parses the value of a row; null if it is none, as a newer version may write. */
     static ProbeResult of(String text) {
         try {
             int space = text.indexOf(' ');
--- a/fleet/src/main/java/marlford/health/ProbeResultFilter.java
+++ b/fleet/src/main/java/marlford/health/ProbeResultFilter.java
@@ -6,23 +6,23 @@
 import marlford.board.Row;
 
 /**
- * Which findings of others are believed: each once, and only while it is young. What the decision module makes of one beside
- * what it knows itself is its own business. Not thread-safe.
+ * Which results of other members' probes are used: each once, and only while it is fresh. How the decision engine
+ * weighs them against its own observations is its own business. Not thread-safe.
  */
 public final class ProbeResultFilter {
-    /** A finding with its age, which is the greatest that it can have, in milliseconds. */
+    /** A result with the upper bound of its age, in milliseconds. */
     public record Report(String host, ProbeResult finding, double ageMs) {}
 
     private final double ageMaxMs;
     private long believed;
     private long tooOld;
 
-    /** @param ageMaxMs a finding that is older is not believed */
+    /** @param ageMaxMs older results are ignored */
     public ProbeResultFilter(double ageMaxMs) {
         this.ageMaxMs = ageMaxMs;
     }
 
-    /** What is new and believed. */
+    /** The new results that are used. */
     public List<Report> read(BoardClient notes, double now) {
         List<Report> reports = new ArrayList<>();
         for (Row r : notes.news(Prober.TOPIC, now)) {
@@ -37,7 +37,7 @@
         return reports;
     }
 
-    /** For operators. */
+    /** One line for the operators' page. */
     public String text() {
         return "findings believed=" + believed + " too_old=" + tooOld;
     }
--- a/fleet/src/main/java/marlford/health/Prober.java
+++ b/fleet/src/main/java/marlford/health/Prober.java
@@ -12,19 +12,18 @@
 import marlford.partition.Partitioner;
 
 /**
- * One prober of each host for all: the hosts fall into {@value #SHARDS} shards, each shard has one member, and that member
- * asks the shard's hosts in turn and tells all what it found. A probe is a <em>bounded</em> act: a host knows no tokens. Two
- * probes of one host at once need a stop between look and write, and do no harm.
+ * Health checks with one prober for each host. Hosts are partitioned into {@value #SHARDS} shards; the member that
+ * holds a shard probes its hosts in turn and reports the results on the board. Hosts do not check fencing tokens: two
+ * members may probe one host at the same time if a process is suspended, which does no harm.
  *
- * <p><b>Whose fault is it?</b> A member that fails to reach more than half of the hosts it asked lately, and of at least
- * {@value #FEWEST}, may itself be cut off: what it failed at it keeps to itself, and others find out on their own, as without a
- * prober. What it reached is told all the same.
+ * <p>A member that cannot reach more than half of the hosts it probed lately, and of at least {@value #FEWEST}, may
+ * itself be cut off. It keeps its failures to itself, and reports successes only.
  *
- * <p>Bounds: {@value #HOSTS_MAX} hosts, the first by their names; {@value #UNDER_WAY_MAX} probes under way. Milliseconds by
- * one monotonic clock. Not thread-safe.
+ * <p>Limits: {@value #HOSTS_MAX} hosts, the first by name; {@value #UNDER_WAY_MAX} concurrent probes. Times in
+ * milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class Prober {
-    /** The board's topic of findings. */
+    /** The board's topic for probe results. */
     public static final String TOPIC = "probe";
 
     static final String POOL = "host-probe";
@@ -34,12 +33,12 @@
     static final int FEWEST = 3;
     private static final double LATELY = 3; // rounds
 
-    /** A probe that begins now. */
+    /** A probe to be sent now. */
     public record Probe(String host, int shard, long token, double sentAt) {}
 
     private static final class Watched {
         final int shard;
-        long token; // under which it is asked
+        long token; // fencing token of its shard
         double nextAt;
         boolean running;
         boolean reached = true;
@@ -56,18 +55,18 @@
     private int running;
     private long kept;
 
-    /** @param takesMs the longest that a probe takes */
+    /** @param takesMs the timeout of a probe */
     public Prober(double everyMs, double takesMs) {
         this.everyMs = everyMs;
         this.takesMs = takesMs;
     }
 
-    /** Takes part. */
+    /** Joins the pool of probers. */
     public void begin(Member member) {
         member.join(POOL, SHARDS);
     }
 
-    /** The hosts there are. */
+    /** Sets the hosts to be probed. */
     public void listed(Collection<String> names) {
         Set<String> there =
                 new HashSet<>(names.stream().sorted().limit(HOSTS_MAX).toList());
@@ -79,12 +78,12 @@
         return Partitioner.shardOf(host, SHARDS);
     }
 
-    /** Where in a round a host has its turn, so that one member's hosts are not asked in one moment; 0 to 1. */
+    /** The phase of a host in a round, from 0 to 1, so that probes are spread over the round. */
     private static double phase(String host) {
         return Math.floorMod(host.hashCode() * 0x85EBCA6B >>> Byte.SIZE, Short.MAX_VALUE) / (double) Short.MAX_VALUE;
     }
 
-    /** The probes that begin now; each is {@link #ended} later. */
+    /** The probes to be sent now; {@link #ended} is called for each. */
     public List<Probe> due(Member member, double now, double lateMs) {
         Map<Integer, LeaseStateMachine.Holding> mine = new HashMap<>();
         for (LeaseStateMachine.Holding h : member.holdings()) {
@@ -123,7 +122,7 @@
         return due;
     }
 
-    /** A probe is over. */
+    /** Records the result of a probe. */
     public void ended(Member member, Probe p, ProbeResult f, double now) {
         Watched w = hosts.get(p.host());
         running--;
@@ -150,7 +149,7 @@
         return asked.size() >= FEWEST && missed * 2 > asked.size();
     }
 
-    /** For operators. */
+    /** One line for the operators' page. */
     public String text() {
         return "probes hosts=" + hosts.size() + " under_way=" + running + " kept_to_itself=" + kept;
     }
--- a/fleet/src/main/java/marlford/health/package-info.java
+++ b/fleet/src/main/java/marlford/health/package-info.java
@@ -1,2 +1,2 @@
-/** Which hosts this member asks how they are, for all; and which of the others' findings it believes. No I/O and no clock. */
+/** Shared health checks: which hosts this member probes, and which results of others it uses. No I/O and no clock. */
 package marlford.health;
--- a/fleet/src/main/java/marlford/lease/Command.java
+++ b/fleet/src/main/java/marlford/lease/Command.java
@@ -3,11 +3,11 @@
 import marlford.register.RegisterCommand;
 
 /**
- * A line of the agreed log. Every voter applies the same lines in the same order, and a line that is there twice, since
- * its answer was lost and it was asked again, changes nothing the second time.
+ * A command of the replicated log. Every voter applies the same commands in the same order. Commands are idempotent:
+ * one that is in the log twice, because its reply was lost and it was sent again, has no effect the second time.
  */
 public sealed interface Command {
-    /** The version that this kind of line came with; it is agreed only where all voters know it. */
+    /** The protocol version that introduced this command; it is proposed only if all voters support it. */
     default int level() {
         return 1;
     }
@@ -16,46 +16,46 @@
     int NAME_MAX = 128;
 
     /**
-     * A process begins to take part.
+     * Opens a session for a process.
      *
-     * @param member its name, which one living session has at a time
-     * @param nonce drawn at random at the process's start; the same line again finds the same session
-     * @param ttlMs for how long it may be silent, in milliseconds
+     * @param member the name of the process; one open session has it at a time
+     * @param nonce random number of the process; the same command again returns the same session
+     * @param ttlMs time to live without a renewal, in milliseconds
      */
     record Open(String member, long nonce, long ttlMs) implements Command {}
 
-    /** A session ends: its process says so itself, or the leader found it silent ({@link FailureDetector}). */
+    /** Closes a session, on behalf of its process or because it has expired ({@link FailureDetector}). */
     record Close(long session) implements Command {}
 
     /**
-     * Asks for a lease, or for a place in its queue.
+     * Acquires a lease, or joins its queue.
      *
-     * @param limit how many may hold it at once; 1 for an exclusive one
+     * @param limit the number of concurrent holders; 1 for an exclusive lease
      */
     record Acquire(long session, String lease, int limit) implements Command {}
 
-    /** Gives a lease back, or leaves its queue where the token is 0. */
+    /** Releases a lease, or leaves its queue if the token is 0. */
     record Release(long session, String lease, long token) implements Command {}
 
     /**
-     * Takes part in the shards of a pool.
+     * Joins a pool of shards.
      *
-     * @param shards how many pieces there are; all members name the same number
+     * @param shards the number of shards; the same for all members
      */
     record Join(long session, String pool, int shards) implements Command {}
 
-    /** Takes part no longer; its shards pass on at once. */
+    /** Leaves a pool; its shards are reassigned at once. */
     record Leave(long session, String pool) implements Command {}
 
-    /** Gives one shard up, as a holder is asked to whose shard is {@link LeaseStateMachine.Holding#wanted wanted}. */
+    /** Gives up a shard that is {@link LeaseStateMachine.Holding#wanted wanted}. */
     record GiveUp(long session, String pool, int shard, long token) implements Command {}
 
-    /** Claims a tick of a periodic task, which runs at most once; ticks before the last one claimed are over. */
+    /** Claims a tick of a periodic task. A tick runs at most once; earlier ticks than the last one claimed are over. */
     record Tick(long session, String task, long tick) implements Command {}
 
-    /** A line of the register of work. */
+    /** A command of the request register. */
     record Work(long session, RegisterCommand line) implements Command {
-        /** Work came with the second version. */
+        /** The request register came with protocol version 2. */
         private static final int SECOND = 2;
 
         @Override
@@ -64,6 +64,6 @@
         }
     }
 
-    /** The first line of a fleet: tokens begin above this one. */
+    /** The first command of a fleet: tokens start above this one. */
     record Floor(long token) implements Command {}
 }
--- a/fleet/src/main/java/marlford/lease/CommandResult.java
+++ b/fleet/src/main/java/marlford/lease/CommandResult.java
@@ -3,46 +3,46 @@
 import marlford.register.RegisterResult;
 
 /**
- * What came of a {@link Command}.
+ * The result of a {@link Command}.
  *
- * @param value for {@code GRANTED} the token or the session, for {@code WAITING} how many stand before, of a renewal the
- *        index at which what the session has last changed
- * @param work what came of a line of work; null for others
+ * @param value for {@code GRANTED} the fencing token or the session id, for {@code WAITING} the number of sessions
+ *     ahead in the queue, for a renewal the log index at which the holdings of the session last changed
+ * @param work the result of a command of the request register; null for all others
  */
 public record CommandResult(Kind kind, long value, RegisterResult work) {
-    /** Of a line that is none of work. */
+    /** The result of a command that does not concern the request register. */
     public CommandResult(Kind kind, long value) {
         this(kind, value, null);
     }
 
-    /** What came of it. */
+    /** The kind of result. */
     public enum Kind {
-        /** It is the asker's; the value is the token, or of {@link Command.Open} the session. */
+        /** Granted; the value is the fencing token, or for {@link Command.Open} the session id. */
         GRANTED,
-        /** It will be, in its turn; the session's watch tells. */
+        /** Queued; the session's watch reports the grant. */
         WAITING,
-        /** It is done, or was before. */
+        /** Done, now or by an earlier copy of the command. */
         DONE,
-        /** The session has ended: nothing of it is left, and it has to begin anew. */
+        /** The session has ended and holds nothing; the member must open a new one. */
         GONE,
-        /** Another living session has this name. */
+        /** Another open session has this member name. */
         TAKEN,
-        /** Somebody holds it under another limit or number of shards. */
+        /** It exists with another limit or number of shards. */
         DIFFERS,
-        /** A tick that was claimed before, or lies before one that was. */
+        /** The tick, or a later one, was claimed before. */
         OVER,
-        /** A bound of the book is reached; nothing was changed. */
+        /** A limit of the state machine is reached; nothing was changed. */
         FULL,
-        /** A name or number that can't be. */
+        /** An invalid name or number. */
         MALFORMED,
-        /** Some voter runs a version that does not know this kind of line yet. */
+        /** Some voter runs a version that does not support this command yet. */
         NOT_YET
     }
 
     static final CommandResult DONE = new CommandResult(Kind.DONE, 0);
     static final CommandResult GONE = new CommandResult(Kind.GONE, 0);
 
-    /** A renewed session's answer. */
+    /** The result of a successful renewal. */
     public static CommandResult renewed(LeaseStateMachine.Session s) {
         return new CommandResult(Kind.DONE, s.changed());
     }
--- a/fleet/src/main/java/marlford/lease/FailureDetector.java
+++ b/fleet/src/main/java/marlford/lease/FailureDetector.java
@@ -8,25 +8,26 @@
 import java.util.Set;
 
 /**
- * When the leader of the agreed log may end a session. It counts from when it last heard the session by its own clock,
- * which is after the renewal was sent; a new leader counts from the beginning of its term for all. Whoever holds counts
- * from the sending ({@link LeaseValidity}), so his time is over first.
+ * Decides at the leader when a silent session has expired. The leader counts from the moment it <em>received</em> the
+ * last renewal; a new leader counts from the start of its term. The holder counts from the moment it <em>sent</em>
+ * the renewal ({@link LeaseValidity}), so the holder's time is always over first.
  *
- * <p>A renewal is no line of the log: the leader answers it after a majority has confirmed that it still leads. Two things
- * make that safe. Once a session's end was proposed no renewal of it is answered, as the end may be agreed at any later
- * moment. And a later leader applies all lines of earlier terms before it confirms anything, so it finds the end there.
+ * <p>A renewal is not a log entry: the leader answers it once a majority has confirmed its leadership. This is safe
+ * for two reasons. Once the end of a session has been proposed, no renewal of it is answered any more, because the
+ * proposal may be committed at any later time. And a later leader applies all entries of earlier terms before its
+ * leadership is confirmed, so it finds that end in its log.
  *
- * <p>After a stall of its own the leader gives everyone the time of the stall: the renewals of the living stand unread in
- * its sockets. All times in milliseconds by one monotonic clock. Not thread-safe.
+ * <p>After a pause of its own thread the leader extends all sessions by the length of the pause, since renewals may
+ * be waiting unread in its sockets. Times in milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class FailureDetector {
     private final double stallMs;
     private final Map<Long, Double> heard = new HashMap<>();
-    private final Map<Long, Double> ending = new HashMap<>(); // since when its end is proposed
+    private final Map<Long, Double> ending = new HashMap<>(); // when its end was last proposed
     private boolean leads;
     private double looked;
 
-    /** @param stallMs a pause between two looks that is longer than this one is a stall of our own */
+    /** @param stallMs a longer pause between two calls is a pause of the own thread */
     public FailureDetector(double stallMs) {
         this.stallMs = stallMs;
     }
@@ -39,17 +40,17 @@
         ending.clear();
     }
 
-    /** It leads no longer. */
+    /** Leadership was lost. */
     public void rest() {
         leads = false;
     }
 
-    /** Whether it leads. */
+    /** Whether this process leads. */
     public boolean leads() {
         return leads;
     }
 
-    /** A session was heard; whether it may be told that it goes on. */
+    /** A renewal was received; returns whether it may be confirmed. */
     public boolean heard(long session, double now) {
         if (!leads || ending.containsKey(session)) {
             return false;
@@ -68,8 +69,8 @@
     }
 
     /**
-     * The sessions whose time is up: the caller proposes their end, and from now on they are not renewed. One that lives on for
-     * another such time is told again, as a proposal may come to nothing; an end that is agreed twice changes nothing.
+     * The expired sessions: the caller proposes their end, and from now on they are not renewed. A session that is still open
+     * after another time to live is returned again, as the proposal may have been lost; ending it twice has no effect.
      */
     public List<Long> due(double now, List<LeaseStateMachine.Session> living) {
         List<Long> due = new ArrayList<>();
@@ -80,7 +81,7 @@
         Set<Long> there = new HashSet<>();
         for (LeaseStateMachine.Session s : living) {
             there.add(s.id());
-            double at = heard.computeIfAbsent(s.id(), id -> now); // opened since, or in an earlier term
+            double at = heard.computeIfAbsent(s.id(), id -> now); // opened since the last call, or in an earlier term
             double proposed = ending.getOrDefault(s.id(), Double.NEGATIVE_INFINITY);
             if (now - at > s.ttlMs() && now - proposed > s.ttlMs()) {
                 ending.put(s.id(), now);
--- a/fleet/src/main/java/marlford/lease/LeaseStateMachine.java
+++ b/fleet/src/main/java/marlford/lease/LeaseStateMachine.java
@@ -11,15 +11,17 @@
 import marlford.register.RequestRegister;
 
 /**
- * The state machine of sessions and leases on the agreed log. It knows no time: that a session's time is up is a line
- * of the log like any other, so that every voter sees the same end at the same place.
+ * The replicated state machine of sessions, leases, shard pools and periodic tasks. Every voter applies the same
+ * commands of the log in the same order and so has the same state. It has no notion of time: a session that expires
+ * is closed by a command in the log, so all voters see it end at the same index.
  *
- * <p>Every grant carries a token from one counter, which only grows; so of two grants of anything the later one has the
- * greater token, and whoever keeps the greatest it saw can turn an older holder away.
+ * <p>Invariant: every grant carries a fencing token from one counter that only grows. Of two grants of the same lease
+ * the later has the greater token, so a resource that remembers the greatest token it saw can reject an older holder.
  *
- * <p>Bounds, beyond which the answer is {@link CommandResult.Kind#FULL}: {@value #SESSIONS_MAX} sessions, {@value #LEASES_MAX}
- * leases that are held or waited for, {@value #POOLS_MAX} pools of at most {@value #SHARDS_MAX} shards and
- * {@value #TASKS_MAX} periodic tasks. A queue is bounded by the sessions. Not thread-safe.
+ * <p>Limits, beyond which a command is rejected with {@link CommandResult.Kind#FULL}: {@value #SESSIONS_MAX}
+ * sessions, {@value #LEASES_MAX} leases with a holder or a waiter, {@value #POOLS_MAX} pools of at most {@value
+ * #SHARDS_MAX} shards, and {@value #TASKS_MAX} periodic tasks. The queue of a lease is limited by the number of
+ * sessions. Not thread-safe.
  */
 public final class LeaseStateMachine {
     static final int SESSIONS_MAX = 2000;
@@ -27,29 +29,29 @@
     static final int POOLS_MAX = 64;
     static final int SHARDS_MAX = 4096;
     static final int TASKS_MAX = 1024;
-    /** The shortest and the longest silence that a session may ask for, in milliseconds. */
+    /** The limits of a session's time to live, in milliseconds. */
     static final long TTL_MIN_MS = 200;
 
     static final long TTL_MAX_MS = 600_000;
 
     /**
-     * What a session has.
+     * A lease or shard held by a session.
      *
-     * @param shard its number in its pool; -1 for a lease that is none
-     * @param wanted whether it is to be given up soon, since another is to have it
+     * @param shard the shard of the pool; -1 for a lease
+     * @param wanted whether it should be given up soon, because it is to move to another session
      */
     public record Holding(String name, int shard, long token, boolean wanted) {}
 
-    /** A session as the book has it; {@code changed} is the log's index at which its holdings last did. */
+    /** An open session; {@code changed} is the log index at which its holdings last changed. */
     public record Session(long id, String member, long nonce, long ttlMs, long changed) {}
 
-    /** A lease, its holders with their tokens and those who wait, in their order. */
+    /** A lease with its holders and their tokens, and the sessions waiting, in order. */
     public record Lease(String name, int limit, Map<Long, Long> holders, List<Long> queue) {}
 
-    /** A pool: the sessions that take part, and of each shard owner, token and the one it is to pass to (0: nobody). */
+    /** A pool: its sessions, and for each shard the owner, the token and the next owner (0 for none). */
     public record Pool(String name, List<Long> members, List<Long> owners, List<Long> tokens, List<Long> next) {}
 
-    /** The whole book, to be kept and begun from; {@code work} is null where there never was any. */
+    /** The complete state, to be stored and restored; {@code work} is null if the request register was never used. */
     public record Snapshot(
             long index,
             long minted,
@@ -62,19 +64,19 @@
     private final Map<Long, Session> sessions = new TreeMap<>();
     private final Map<String, Long> sessionByMember = new TreeMap<>();
     private final Map<String, LeaseEntry> leases = new TreeMap<>();
-    private final Map<Long, Set<String>> leasesBySession = new HashMap<>(); // the leases of each session
+    private final Map<Long, Set<String>> leasesBySession = new HashMap<>(); // names of leases
     private final Map<String, ShardAssignment> pools = new TreeMap<>();
     private final Map<String, Long> ticks = new TreeMap<>();
-    private RequestRegister work; // null until there is any
-    private long index; // of the last line that was applied
-    private long lastToken; // the last token, also the last session
+    private RequestRegister work; // null until it is first used
+    private long index; // of the last command applied
+    private long lastToken; // also the last session id
 
-    /** @param floor tokens begin above this one: a fleet that is founded anew must not begin below an older one's */
+    /** @param floor tokens start above this one */
     public LeaseStateMachine(long floor) {
         lastToken = floor;
     }
 
-    /** Begins where another book was. */
+    /** Restores a snapshot. */
     public static LeaseStateMachine of(Snapshot snapshot) {
         LeaseStateMachine restored = new LeaseStateMachine(snapshot.minted());
         restored.index = snapshot.index();
@@ -101,7 +103,7 @@
         return restored;
     }
 
-    /** The whole book; two voters that applied the same lines have equal ones. */
+    /** The complete state; equal for any two voters that have applied the same commands. */
     public Snapshot snapshot() {
         List<Lease> lines = new ArrayList<>();
         leases.forEach(
@@ -118,27 +120,27 @@
                 work == null ? null : work.snapshot());
     }
 
-    /** Whether tokens have begun: a fleet's book is of no use before its first line, which says from where. */
+    /** Whether the first command, which sets the token floor, was applied; none may precede it. */
     public boolean isBegun() {
         return lastToken > 0;
     }
 
-    /** The index of the last line applied. */
+    /** The index of the last command applied. */
     public long index() {
         return index;
     }
 
-    /** The sessions that live, by their numbers. */
+    /** The open sessions, by id. */
     public List<Session> sessions() {
         return List.copyOf(sessions.values());
     }
 
-    /** A living session; null where there is none of this number. */
+    /** An open session; null if there is none with this id. */
     public Session session(long id) {
         return sessions.get(id);
     }
 
-    /** All that a session has now. */
+    /** Everything that a session holds. */
     public List<Holding> holdings(long session) {
         List<Holding> has = new ArrayList<>();
         leasesBySession
@@ -149,15 +151,15 @@
         return has;
     }
 
-    /** Whether a session has this token now. */
+    /** Whether a session holds this token. */
     public boolean holds(long session, long token) {
         return holdings(session).stream().anyMatch(h -> h.token() == token);
     }
 
     /**
-     * Applies a line.
+     * Applies a command.
      *
-     * @param at its index; it grows
+     * @param at its log index; grows with each call
      */
     public CommandResult apply(long at, Command c) {
         index = at;
@@ -193,13 +195,13 @@
         return inSession(t.session(), t.task(), () -> tick(t));
     }
 
-    /** What there is of an order. */
+    /** Looks up a keyed request. */
     public CommandResult look(String key, String digest) {
         return new CommandResult(
                 CommandResult.Kind.DONE, 0, (work == null ? new RequestRegister() : work).look(key, digest));
     }
 
-    /** The register of work for operators; empty where there never was any. */
+    /** The request register for the operators' page; empty if it was never used. */
     public String workText() {
         return work == null ? "" : work.text() + '\n';
     }
@@ -323,7 +325,8 @@
         if (r.token() == 0) {
             l.queue.remove(r.session());
         } else {
-            if (l.holders.remove(r.session(), r.token())) { // a late word on an earlier grant leaves a newer one alone
+            if (l.holders.remove(
+                    r.session(), r.token())) { // a late release of an earlier grant does not affect a newer one
                 leasesBySession.get(r.session()).remove(r.lease());
             }
         }
@@ -331,7 +334,7 @@
         return CommandResult.DONE;
     }
 
-    /** Whoever has waited longest comes first; a lease that nobody wants is forgotten. */
+    /** Grants the lease to the longest waiting sessions; a lease without holders is removed. */
     private void grantNext(String name, LeaseEntry l) {
         while (l.holders.size() < l.limit && !l.queue.isEmpty()) {
             long session = l.queue.remove(0);
--- a/fleet/src/main/java/marlford/lease/LeaseValidity.java
+++ b/fleet/src/main/java/marlford/lease/LeaseValidity.java
@@ -1,13 +1,13 @@
 package marlford.lease;
 
 /**
- * For how long a session lets its holder act. Time counts from the <em>sending</em> of a renewal that was confirmed, less
- * what the two clocks may run apart, less a margin; a confirmation that comes late or twice adds nothing. After a stall
- * nothing may be done until a renewal that was sent after it is confirmed.
+ * For how long the holder of a session may act. Validity is counted from the <em>sending</em> of a confirmed renewal,
+ * minus the clock drift, minus a margin; a late or duplicate confirmation does not extend it. After a pause of the
+ * process nothing is valid until a renewal that was sent after the pause is confirmed.
  *
- * <p>What stands under a lease is asked here before each act, together with how long the act may take, so that an act
- * ends inside the lease unless its process is stopped between this look and its write. Milliseconds by one monotonic
- * clock. Not thread-safe.
+ * <p>The holder checks here before each action, with the longest time the action may take, so an action ends within
+ * the lease unless the process is suspended between the check and the write. That case is what fencing tokens are
+ * for. Times in milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class LeaseValidity {
     private static final double MILLION = 1e6;
@@ -16,26 +16,25 @@
     private final double stallMs;
     private double until = Double.NEGATIVE_INFINITY;
     private double looked = Double.NEGATIVE_INFINITY;
-    private double stalled =
-            Double.NEGATIVE_INFINITY; // the end of the last stall; a renewal sent before it does not count
+    private double stalled = Double.NEGATIVE_INFINITY; // end of the last pause; a renewal sent before it does not count
 
     /**
-     * @param ttlMs the session's silence, as the fleet knows it
-     * @param driftPpm by how much a clock may run wrong, in parts per million; the holder's and the leader's both may
-     * @param marginMs taken off besides
-     * @param stallMs a pause between two looks that is longer than this one is a stall
+     * @param ttlMs the session's time to live
+     * @param driftPpm the maximum clock drift of holder and leader each, in parts per million
+     * @param marginMs safety margin
+     * @param stallMs a longer pause between two calls is a pause of the process
      */
     public LeaseValidity(double ttlMs, double driftPpm, double marginMs, double stallMs) {
         this.lastsMs = ttlMs * (1 - 2 * driftPpm / MILLION) - marginMs;
         this.stallMs = stallMs;
     }
 
-    /** Whether there is any time to act in at all under these settings. */
+    /** Whether these settings leave any time to act. */
     public boolean isPossible() {
         return lastsMs > stallMs;
     }
 
-    /** A renewal that was sent at this time is confirmed. */
+    /** A renewal that was sent at this time was confirmed. */
     public void confirmed(double sentAt) {
         if (sentAt >= stalled) {
             until = Math.max(until, sentAt + lastsMs);
@@ -48,7 +47,7 @@
         stalled = Double.POSITIVE_INFINITY;
     }
 
-    /** To be called often, so that a stall is noticed; returns whether there was one. */
+    /** To be called often, to detect pauses; returns whether there was one. */
     public boolean look(double now) {
         boolean stall = now - looked > stallMs && looked != Double.NEGATIVE_INFINITY;
         looked = now;
@@ -60,17 +59,17 @@
     }
 
     /**
-     * Whether an act may begin now.
+     * Whether an action may begin now.
      *
-     * @param lateMs how late the loop is that acts
-     * @param needMs the longest that the act may take
+     * @param lateMs the delay of the calling event loop
+     * @param needMs the maximum duration of the action
      */
     public boolean mayAct(double now, double lateMs, double needMs) {
         look(now);
         return now + lateMs + needMs < until;
     }
 
-    /** How long it may still act, in milliseconds; 0 for not at all. */
+    /** The remaining time to act, in milliseconds; 0 for none. */
     public double leftMs(double now) {
         return Math.max(0, until - now);
     }
--- a/fleet/src/main/java/marlford/lease/Member.java
+++ b/fleet/src/main/java/marlford/lease/Member.java
@@ -10,24 +10,26 @@
 import marlford.board.BoardClient;
 
 /**
- * One process's part in the fleet: it opens a session, renews it, asks for the leases it is to have, hears by a watch which
- * of them it has, and begins anew when its session has ended. Whoever drives it sends what {@link #due} returns and brings
- * back replies and failures; each ask may be lost, late or doubled.
+ * The client of the fleet in one process: it opens a session, renews it, requests leases, learns by long-polling
+ * ("watch") which of them it holds, and opens a new session when the old one has ended. It does no I/O: its driver
+ * sends what {@link #due} returns and reports replies and failures. Every request may be lost, delayed or duplicated.
  *
- * <p>What it has is told by watches alone, of which an older one than the last is passed over. What it gives up it has no
- * more from that call on, whatever a late watch says. A watch whose reply is lost, or that waits at a voter which is cut off,
- * is asked again: renewals tell where what it has last changed. Milliseconds by one monotonic clock. Not thread-safe.
+ * <p>Invariants: holdings are learned from watches only, and a watch older than the last one is ignored. A lease that
+ * was given up is not held from that call on, whatever a late watch says. When the reply to a watch is lost, or its
+ * voter is cut off, the watch is sent again, because the reply to a renewal tells that the holdings have changed
+ * since. Times in milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class Member {
-    private static final double RENEWALS = 4; // in the time of a session
-    private static final double RETRY_MS = 40; // after a reply that helps no further, and between looks for a leader
-    private static final double TAKEN_MS = 250; // until a name is asked for again that another life still has
-    private static final double WATCH_MS = 8000; // a watch without a word for this long is asked again
+    private static final double RENEWALS = 4; // in a session's time to live
+    private static final double RETRY_MS = 40; // after a failed request, and between attempts to find the leader
+    private static final double TAKEN_MS =
+            250; // until a session is requested again while an earlier process still has the name
+    private static final double WATCH_MS = 8000; // a watch without a reply for this long is sent again
 
-    /** An ask that is to be sent now. */
+    /** A request to be sent now. */
     public record Outgoing(long id, String voter, Request ask) {}
 
-    /** A lease that is to be had. */
+    /** A lease or pool that this process wants. */
     private record Wish(int limit, boolean shards) {}
 
     private record Pending(Request ask, String voter, double sentAt, double until) {}
@@ -41,8 +43,8 @@
     private final double stallMs;
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
     private final Map<String, Wish> wishes = new LinkedHashMap<>();
-    private final Set<String> asked = new HashSet<>(); // wishes that this session's book knows
-    private final List<Command> lines = new ArrayList<>(); // to be agreed, in their order
+    private final Set<String> asked = new HashSet<>(); // wishes already requested in this session
+    private final List<Command> lines = new ArrayList<>(); // commands to be proposed, in order
     private final Set<Long> givenUp = new HashSet<>(); // tokens
     private final Map<Command, CommandResult> ticks = new HashMap<>();
     private final BoardClient notes = new BoardClient();
@@ -52,16 +54,16 @@
     private String leader;
     private long nextId;
     private long session;
-    private long seen; // the index of the last watch
+    private long seen; // log index of the last watch
     private double renewAt;
-    private double tryAt; // nothing but renewals of the living goes out before
+    private double tryAt; // until then only renewals are sent
     private boolean leaving;
     private int opened;
 
     /**
-     * @param nonce drawn at random by this process's start
-     * @param ttlMs for how long the session may be silent
-     * @param voters their names; asked in turn where no leader is known
+     * @param nonce random number of this process
+     * @param ttlMs the session's time to live
+     * @param voters their names, tried in turn while no leader is known
      */
     public Member(
             String name,
@@ -93,17 +95,17 @@
 
     // ---- what its process wishes
 
-    /** Is to have this lease, now and in each later session. */
+    /** Requests a lease, in this and each later session. */
     public void want(String lease, int limit) {
         wishes.put(lease, new Wish(limit, false));
     }
 
-    /** Is to take part in a pool. */
+    /** Joins a pool, in this and each later session. */
     public void join(String pool, int shards) {
         wishes.put(pool, new Wish(shards, true));
     }
 
-    /** Wants this lease no more, and may not act under it from now on. */
+    /** Releases a lease; no action may begin under it from now on. */
     public void release(String lease) {
         wishes.remove(lease);
         if (session == 0 || !asked.remove(lease)) {
@@ -118,7 +120,7 @@
         lines.add(new Command.Release(session, lease, token));
     }
 
-    /** Gives up a shard that is wanted. */
+    /** Gives up a shard that is to move. */
     public void giveUp(LeaseStateMachine.Holding h) {
         if (!givenUp.contains(h.token())) {
             drop(h.token());
@@ -126,13 +128,13 @@
         }
     }
 
-    /** Has this no more, at once: the next holder may have it before the next watch comes. */
+    /** Drops it at once: the next holder may have it before the next watch is answered. */
     private void drop(long token) {
         givenUp.add(token);
         holdings = holdings.stream().filter(h -> h.token() != token).toList();
     }
 
-    /** Claims a tick of a periodic task, once it is asked; {@link #ticked} has the answer. */
+    /** Claims a tick of a periodic task; {@link #ticked} returns the result. */
     public void claim(String task, long tick) {
         Command line = new Command.Tick(session, task, tick);
         if (session != 0 && !lines.contains(line)) {
@@ -140,13 +142,13 @@
         }
     }
 
-    /** The token of a tick that was claimed; 0 for none, once. */
+    /** The token of a claimed tick, returned once; 0 for none. */
     public long ticked(String task, long tick) {
         CommandResult a = ticks.remove(new Command.Tick(session, task, tick));
         return a != null && a.kind() == CommandResult.Kind.GRANTED ? a.value() : 0;
     }
 
-    /** Gives everything back; {@link #hasLeft} says when that is agreed. */
+    /** Closes the session; {@link #hasLeft} returns whether that is committed. */
     public void leave() {
         if (!leaving) {
             leaving = true;
@@ -163,7 +165,7 @@
         return leaving && session == 0;
     }
 
-    /** Its side of the leader's board, which is read from the first call on: renewals carry it. */
+    /** This member's side of the leader's board; from the first call on renewals carry it. */
     public BoardClient board() {
         reads = true;
         return notes;
@@ -171,12 +173,12 @@
 
     // ---- what it may do
 
-    /** What it has and has not given up, as the last watch said. */
+    /** What it holds and has not given up, by the last watch. */
     public List<LeaseStateMachine.Holding> holdings() {
         return holdings;
     }
 
-    /** The token of a lease it has; 0 for none. */
+    /** The token of a lease; 0 if it is not held. */
     public long token(String lease) {
         for (LeaseStateMachine.Holding h : holdings) {
             if (h.name().equals(lease) && h.shard() < 0) {
@@ -187,10 +189,10 @@
     }
 
     /**
-     * Whether an act under this token may begin now.
+     * Whether an action under this token may begin now.
      *
-     * @param lateMs how late the loop is that acts
-     * @param needMs the longest that the act may take
+     * @param lateMs the delay of the calling event loop
+     * @param needMs the maximum duration of the action
      */
     public boolean mayAct(long token, double now, double lateMs, double needMs) {
         return token != 0
@@ -198,19 +200,19 @@
                 && validity.mayAct(now, lateMs, needMs);
     }
 
-    /** For how long it may still act, in milliseconds. */
+    /** The remaining time to act, in milliseconds. */
     public double leftMs(double now) {
         return validity.leftMs(now);
     }
 
-    /** Its session's number; 0 while it has none. */
+    /** The session id; 0 while there is no session. */
     public long session() {
         return session;
     }
 
     // ---- what goes out and comes in
 
-    /** The asks to be sent now. To be called often: a pause between two calls that is too long is a stall. */
+    /** The requests to be sent now. To be called often: a long pause between two calls counts as a pause of the process. */
     public List<Outgoing> due(double now) {
         validity.look(now);
         expire(now);
@@ -243,7 +245,7 @@
                                 : new Command.Acquire(session, lease, w.limit()));
             }
         });
-        if (!lines.isEmpty() && none(Request.Submit.class)) { // one at a time, so that they are agreed in their order
+        if (!lines.isEmpty() && none(Request.Submit.class)) { // one at a time, so that they are committed in order
             send(out, new Request.Submit(lines.get(0)), leader, now, ttlMs / RENEWALS);
         }
         return out;
@@ -265,21 +267,21 @@
         over.stream().filter(p -> !(p.ask() instanceof Request.Watch)).forEach(p -> turnFrom(p.voter()));
     }
 
-    /** The next voter, where this one is still the one that is asked. */
+    /** Turns to the next voter, if this one is still the presumed leader. */
     private void turnFrom(String voter) {
         if (leader.equals(voter)) {
             turnTo(voters.get((voters.indexOf(voter) + 1) % voters.size()));
         }
     }
 
-    /** A watch at the one that was asked before is worth nothing more: it may be cut off, and is silent then for long. */
+    /** Abandons watches at the former voter, which may be cut off and not answer for long. */
     private void turnTo(String voter) {
         leader = voter;
         pending.values()
                 .removeIf(p -> p.ask() instanceof Request.Watch && !p.voter().equals(voter));
     }
 
-    /** An ask can't reach its voter, or its connection ended. */
+    /** A request could not be sent, or its connection was closed. */
     public void failed(long id, double now) {
         Pending p = pending.remove(id);
         if (p != null) {
@@ -293,7 +295,7 @@
         renewAt = Math.max(renewAt, now + RETRY_MS);
     }
 
-    /** The connection to a voter ended: all that was asked there has failed. */
+    /** The connection to a voter was closed: all requests on it have failed. */
     public void lost(String voter, double now) {
         pending.entrySet().stream()
                 .filter(e -> e.getValue().voter().equals(voter))
@@ -302,11 +304,11 @@
                 .forEach(id -> failed(id, now));
     }
 
-    /** A reply came. */
+    /** A reply was received. */
     public void heard(long id, Reply r, double now) {
         Pending p = pending.remove(id);
         if (p == null) {
-            return; // given up before
+            return; // abandoned before
         }
         if (r.status() != Reply.Status.OK) {
             if (voters.contains(r.leader()) && !r.leader().equals(p.voter())) {
@@ -333,8 +335,7 @@
         } else {
             validity.confirmed(sentAt);
             renewAt = sentAt + ttlMs / RENEWALS;
-            if (r.answer().value()
-                    > seen) { // a watch that was sent before should have told: its reply was lost, or comes
+            if (r.answer().value() > seen) { // an earlier watch should have reported it: its reply was lost or is late
                 pending.values().removeIf(p -> p.ask() instanceof Request.Watch && p.sentAt() < sentAt);
             }
             if (reads) {
@@ -349,7 +350,8 @@
         }
         seen = r.index();
         if (r.holdings() == null) {
-            return; // a voter that has not seen the session yet, or has seen its end: the renewal will tell which
+            return; // the voter has not applied the session's opening yet, or has applied its end: the renewal will
+            // tell
         }
         Set<Long> there = new HashSet<>();
         List<LeaseStateMachine.Holding> now = new ArrayList<>();
@@ -389,7 +391,7 @@
         seen = 0;
         validity = fresh();
         validity.look(now);
-        // Asked again, it is answered with a session that may be about to be ended: only a renewal gives time to act.
+        // A repeated command may return a session that is about to expire: only a renewal gives time to act.
         renewAt = now;
         if (leaving) {
             lines.add(new Command.Close(session));
--- a/fleet/src/main/java/marlford/lease/Reply.java
+++ b/fleet/src/main/java/marlford/lease/Reply.java
@@ -4,13 +4,14 @@
 import marlford.board.BoardChanges;
 
 /**
- * A voter's reply to an {@link Request}.
+ * The reply of a voter to a {@link Request}.
  *
- * @param leader who leads as far as the voter knows; empty where it knows nobody
- * @param answer what came of a line; of a renewal {@code DONE} or {@code GONE}; null where none is due
- * @param index the line that the voter had applied last
- * @param holdings of a watched session; null for other asks, and where the session has ended
- * @param notice what is new on the leader's board; null where that was not asked for
+ * @param leader the current leader as far as the voter knows; empty if it knows none
+ * @param answer the result of a command; for a renewal {@code DONE} or {@code GONE}; null if the request has no
+ *     result
+ * @param index the log index that the voter has applied last
+ * @param holdings of a watched session; null for other requests, and if the session has ended
+ * @param notice what has changed on the leader's board; null if the request did not ask for it
  */
 public record Reply(
         Status status,
@@ -19,30 +20,30 @@
         long index,
         List<LeaseStateMachine.Holding> holdings,
         BoardChanges notice) {
-    /** One that carries no notice. */
+    /** A reply without changes of the board. */
     public Reply(
             Status status, String leader, CommandResult answer, long index, List<LeaseStateMachine.Holding> holdings) {
         this(status, leader, answer, index, holdings, null);
     }
 
-    /** The same with this notice. */
+    /** This reply with changes of the board. */
     public Reply with(BoardChanges news) {
         return new Reply(status, leader, answer, index, holdings, news);
     }
 
-    /** How far an ask came. */
+    /** The outcome of a request. */
     public enum Status {
         /** It was answered. */
         OK,
-        /** Somebody else leads, or nobody. Nothing was changed. */
+        /** This voter is not the leader. Nothing was changed. */
         NOT_LEADER,
-        /** The voter has too much to do, or takes no part for now. Nothing was changed. */
+        /** The voter is overloaded or not ready. Nothing was changed. */
         BUSY,
-        /** It may be agreed or not: to be asked again, which changes nothing if it was. */
+        /** The outcome is unknown: the request may be sent again, as commands are idempotent. */
         UNSURE
     }
 
-    /** One that carries no answer. */
+    /** A reply without a result. */
     public static Reply no(Status why, String leader) {
         return new Reply(why, leader, null, 0, null);
     }
--- a/fleet/src/main/java/marlford/lease/Request.java
+++ b/fleet/src/main/java/marlford/lease/Request.java
@@ -2,15 +2,15 @@
 
 import marlford.board.BoardUpdate;
 
-/** What a member asks of a voter. */
+/** A request of a member to a voter. Every request may be lost, delayed or duplicated without harm. */
 public sealed interface Request {
-    /** A line for the agreed log; only the leader takes it. */
+    /** Proposes a command; only the leader accepts it. */
     record Submit(Command line) implements Request {}
 
     /**
-     * That a session goes on; only the leader answers, once a majority has confirmed that it leads.
+     * Renews a session; only the leader answers, once a majority has confirmed its leadership.
      *
-     * @param telling what goes to the leader's board with it; null from a member that does not read it
+     * @param telling an update of the leader's board; null from a member that does not use it
      */
     record Renew(long session, BoardUpdate telling) implements Request {
         Renew(long session) {
@@ -18,9 +18,9 @@
         }
     }
 
-    /** What the register of work has of an order, as it stands; only the leader answers. */
+    /** Looks up a keyed request; only the leader answers. */
     record Lookup(String key, String digest) implements Request {}
 
-    /** What a session has, once that is of a later index than this one; any voter answers. */
+    /** Long poll for a session's holdings, answered once they have changed after this index; any voter answers. */
     record Watch(long session, long since) implements Request {}
 }
--- a/fleet/src/main/java/marlford/lease/ShardAssignment.java
+++ b/fleet/src/main/java/marlford/lease/ShardAssignment.java
@@ -11,17 +11,18 @@
 import java.util.function.LongSupplier;
 
 /**
- * The pieces of a pool and whose they are. A free piece goes to the member with the fewest; where one member has two more
- * than another, a piece of his is <em>wanted</em> and passes on when he gives it up, or at his end. So a member that goes
- * moves his own pieces alone, and one that comes moves no more than his even share.
+ * Assigns the shards of a pool to its members. A free shard goes to the member with the fewest. When one member has
+ * two more than another, one of its shards is marked as <em>wanted</em> and moves once it is given up, or when its
+ * session ends. So a member that leaves moves only its own shards, and one that joins moves no more than its fair
+ * share. Deterministic: all voters compute the same assignment. Not thread-safe.
  */
 final class ShardAssignment {
     private static final long NOBODY = 0;
 
-    private final List<Long> members = new ArrayList<>(); // as they joined
+    private final List<Long> members = new ArrayList<>(); // in the order in which they joined
     private final long[] owners;
     private final long[] tokens;
-    private final long[] next; // to whom a piece passes when it is given up
+    private final long[] next; // the owner once the present one gives it up
 
     ShardAssignment(int count) {
         owners = new long[count];
@@ -85,7 +86,7 @@
         return true;
     }
 
-    /** Whether that changed anything: an old token does not, nor giving up what nobody wants. */
+    /** Returns whether it had an effect; it has none with an old token or if the shard is not wanted. */
     boolean giveUp(long session, int shard, long token) {
         boolean his = shard >= 0 && shard < owners.length && owners[shard] == session && tokens[shard] == token;
         if (!his || next[shard] == NOBODY) {
@@ -103,7 +104,7 @@
         next[shard] = NOBODY;
     }
 
-    /** Gives out what is free and marks what is to move; returns those whose holdings changed. */
+    /** Assigns free shards and marks those that are to move; returns the sessions whose holdings changed. */
     Set<Long> rebalance(LongSupplier token) {
         Set<Long> changed = new TreeSet<>();
         Map<Long, Integer> due = due();
@@ -123,7 +124,7 @@
                 due.get(from) - due.get(to) > 1;
                 from = most(due), to = fewest(due)) {
             int shard = movable(from);
-            next[shard] = owners[shard] != to ? to : NOBODY; // or it need not move after all
+            next[shard] = owners[shard] != to ? to : NOBODY; // or it stays after all
             due.merge(from, -1, Integer::sum);
             due.merge(to, 1, Integer::sum);
             changed.add(owners[shard]);
@@ -131,7 +132,7 @@
         return changed;
     }
 
-    /** The piece of a member that moves next: rather one that was only to come to him, else the last of his own. */
+    /** The shard to move away from a member: preferably one that is still to arrive, else the last of its own. */
     private int movable(long from) {
         int best = -1;
         for (int i = 0; i < owners.length; i++) {
@@ -145,7 +146,7 @@
         return best;
     }
 
-    /** How many pieces each member will have when all that is to move has. */
+    /** The number of shards of each member after all pending moves. */
     private Map<Long, Integer> due() {
         Map<Long, Integer> due = new HashMap<>();
         members.forEach(m -> due.put(m, 0));
@@ -155,7 +156,7 @@
         return due;
     }
 
-    /** Of equals the one that joined first. */
+    /** The member with the fewest shards; of equals the one that joined first. */
     private long fewest(Map<Long, Integer> due) {
         return members.stream().min(Comparator.comparing(due::get)).orElseThrow();
     }
--- a/fleet/src/main/java/marlford/lease/package-info.java
+++ b/fleet/src/main/java/marlford/lease/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Leases of a fleet: what the agreed log says of them, when a silent session may be ended, and for how long a holder
- * may act. No I/O and no clock; docs/design/fleet-leases.md derives why two holders never act at once.
+ * Sessions and leases of a fleet: the replicated state machine, the leader's failure detector and the holder's lease
+ * validity. No I/O and no clock; docs/design/fleet-leases.md proves that two holders never act at once.
  */
 package marlford.lease;
--- a/fleet/src/main/java/marlford/membership/Bootstrap.java
+++ b/fleet/src/main/java/marlford/membership/Bootstrap.java
@@ -7,35 +7,36 @@
 import java.util.Map;
 
 /**
- * How a voter whose disk knows of no group comes to one. A group is founded by <em>all</em> voters that the configuration
- * names, each with an empty disk: where one is away there may be a group that only it knows of. Whoever hears of a group
- * that has its disk among the first ones takes its place there; with another disk it is a newcomer, and waits to be taken in.
+ * How a voter with an empty disk joins or forms the group. A group is formed only when <em>all</em> configured voters
+ * are present, each with an empty disk: if one is missing, it may know of an existing group. A voter that learns of a
+ * group whose initial members include its disk starts as that member; with another disk it is new, and waits as a
+ * learner to be added. Not thread-safe.
  */
 public final class Bootstrap {
-    /** What a voter is to do. */
+    /** What a voter is to do next. */
     public enum Step {
-        /** Request again. */
+        /** Ask again later. */
         WAIT,
-        /** Begin as one of these members: it has never voted, and they count on it. */
+        /** Start as one of these members; it has never voted. */
         BEGIN,
-        /** Listen, and begin with no vote: these members may take it in. */
+        /** Start as a learner; these members may add it. */
         LISTEN
     }
 
-    /** The step and the first members of the group. */
+    /** The step and the initial members of the group. */
     public record Decision(Step step, List<String> members) {}
 
     private final Hello self;
     private final Collection<String> names;
     private final Map<String, Hello> heard = new HashMap<>();
 
-    /** @param names of all voters, this one's too */
+    /** @param names of all voters, including this one */
     public Bootstrap(Hello self, Collection<String> names) {
         this.self = self;
         this.names = List.copyOf(names);
     }
 
-    /** What another voter said last. */
+    /** Records the latest announcement of another voter. */
     public void heard(Hello h) {
         if (h.fleet().equals(self.fleet())
                 && names.contains(h.name())
@@ -44,7 +45,7 @@
         }
     }
 
-    /** What follows from all that was heard. */
+    /** The decision by all announcements so far. */
     public Decision decide() {
         for (Hello h : heard.values()) {
             if (h.initial() != null) {
--- a/fleet/src/main/java/marlford/membership/Hello.java
+++ b/fleet/src/main/java/marlford/membership/Hello.java
@@ -4,22 +4,23 @@
 import java.util.Map;
 
 /**
- * What a voter tells the others of itself, again and again.
+ * What a voter periodically tells the others about itself.
  *
- * @param fleet the fleet's name; a stranger's word is not heard
- * @param point its name and disk
- * @param life how often it was started on that disk
- * @param initial the points that its group began with; null while it is in none
- * @param seen the greatest life that it saw of each point, by which a disk that is an older copy finds itself out
- * @param level which kinds of lines it knows ({@link ProtocolVersions}); 0 from a version that does not say
+ * @param fleet the name of the fleet; messages of other fleets are ignored
+ * @param point the voter's identity: name and disk
+ * @param life how often the process was started on that disk
+ * @param initial identities of the group's initial members; null while the voter is in no group
+ * @param seen the greatest {@code life} seen of each identity, by which a voter on an outdated copy of its disk
+ *     detects that
+ * @param level the protocol version of the voter ({@link ProtocolVersions}); 0 from a version that does not send it
  */
 public record Hello(String fleet, String point, long life, List<String> initial, Map<String, Long> seen, int level) {
-    /** Of this version. */
+    /** A message of this version. */
     public Hello(String fleet, String point, long life, List<String> initial, Map<String, Long> seen) {
         this(fleet, point, life, initial, seen, ProtocolVersions.CURRENT);
     }
 
-    /** The name in a point. */
+    /** The name in a voter's identity. */
     public static String name(String point) {
         return point.substring(0, Math.max(0, point.lastIndexOf(':')));
     }
--- a/fleet/src/main/java/marlford/membership/ProtocolVersions.java
+++ b/fleet/src/main/java/marlford/membership/ProtocolVersions.java
@@ -5,26 +5,26 @@
 import java.util.Map;
 
 /**
- * Which kinds of lines all voters of the group know. A kind that is new with a version is proposed only once each voter has
- * said that it runs that version, or a voter would meet a line that it can't apply and have to go out. A voter that was not
- * heard since this process's start counts as one of the first version. Not thread-safe.
+ * The protocol version that all voters of the group support. A command that is new in a version is proposed only once
+ * every voter has announced that version; otherwise a voter would meet a command it cannot apply and would have to
+ * stop. A voter that was not heard since this process started counts as version 1. Not thread-safe.
  */
 public final class ProtocolVersions {
-    /** Of this version. */
+    /** The version of this program. */
     public static final int CURRENT = 2;
 
     private static final int POINTS_MAX = 1000;
 
     private final Map<String, Integer> levels = new HashMap<>();
 
-    /** A voter spoke; it may have been started with another version since it did so last. */
+    /** Records an announcement; a voter may have been restarted with another version. */
     public void heard(Hello h) {
         if (levels.containsKey(h.point()) || levels.size() < POINTS_MAX) {
             levels.put(h.point(), Math.max(1, h.level()));
         }
     }
 
-    /** The level that all these voters know. */
+    /** The highest version that all these voters support. */
     public int lowestCommon(Collection<String> voting, String self) {
         return voting.stream()
                 .mapToInt(p -> p.equals(self) ? CURRENT : levels.getOrDefault(p, 1))
--- a/fleet/src/main/java/marlford/membership/VoterReplacement.java
+++ b/fleet/src/main/java/marlford/membership/VoterReplacement.java
@@ -8,38 +8,38 @@
 import java.util.Set;
 
 /**
- * How the leader takes in a voter that came back with another disk: the old point goes out, the new one listens until it has
- * caught up, then it votes. One step at a time, each agreed before the next is chosen; and none that leaves fewer at hand
- * than a majority of the voters before it and of those after it.
+ * How the leader replaces a voter that came back with another disk: the old identity is removed, the new one is added
+ * as a learner until it has caught up, then promoted to voter. One change at a time, each committed before the next
+ * is chosen, and none that would leave fewer reachable voters than a majority of the group before or after it.
  *
- * <p>A point that is still heard is not replaced: two processes with one name are a mistake of whoever started them.
- * Milliseconds by one monotonic clock. Not thread-safe.
+ * <p>An identity that is still heard from is never replaced: two processes with one name are an operator's mistake.
+ * Times in milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class VoterReplacement {
-    /** The next change of members. */
+    /** Kinds of membership changes. */
     public enum Kind {
         REMOVE,
         LISTEN,
         VOTE
     }
 
-    /** A change and whom it concerns. */
+    /** A membership change and the voter it concerns. */
     public record Step(Kind kind, String point) {}
 
-    private static final int POINTS_MAX = 1000; // beyond which a point that was never seen is passed over
+    private static final int POINTS_MAX = 1000; // further identities are ignored
 
     private final double goneMs;
-    private final Map<String, Double> heard = new HashMap<>(); // points
+    private final Map<String, Double> heard = new HashMap<>(); // identities
     private final Map<String, Long> lives = new HashMap<>();
-    private final Set<String> olderCopies = new HashSet<>(); // points
-    private final Map<String, String> newcomers = new HashMap<>(); // name to point
+    private final Set<String> olderCopies = new HashSet<>(); // identities
+    private final Map<String, String> newcomers = new HashMap<>(); // identity by name
 
-    /** @param goneMs a point that was not heard for this long is gone, in milliseconds */
+    /** @param goneMs silence after which a voter counts as gone, in milliseconds */
     public VoterReplacement(double goneMs) {
         this.goneMs = goneMs;
     }
 
-    /** A voter spoke. A disk that knows of fewer lives than were seen of it is an older copy, which has forgotten votes. */
+    /** Records an announcement. A disk with fewer starts than were seen of it is an outdated copy that lacks votes. */
     public void heard(Hello h, double now) {
         h.seen().forEach((point, life) -> {
             if (lives.containsKey(point) || lives.size() < POINTS_MAX) {
@@ -58,27 +58,27 @@
         }
     }
 
-    /** Whether what this point says is to be passed over. */
+    /** Whether messages of this voter are to be ignored. */
     public boolean isOlderCopy(String point) {
         return olderCopies.contains(point);
     }
 
-    /** The greatest life that is known of each point. */
+    /** The greatest number of starts known of each identity. */
     public Map<String, Long> lives() {
         return Map.copyOf(lives);
     }
 
-    /** Whether a point was heard lately. */
+    /** Whether a voter was heard recently. */
     public boolean isThere(String point, double now) {
         return now - heard.getOrDefault(point, Double.NEGATIVE_INFINITY) < goneMs;
     }
 
     /**
-     * The next change; null for none.
+     * The next membership change; null for none.
      *
-     * @param voting the points that vote
-     * @param all those and the ones that listen
-     * @param self the leader's own point
+     * @param voting identities of the voters
+     * @param identities of voters and learners
+     * @param self the leader's identity
      */
     public Step next(Collection<String> voting, Collection<String> all, String self, double now) {
         for (Map.Entry<String, String> e : newcomers.entrySet()) {
--- a/fleet/src/main/java/marlford/membership/package-info.java
+++ b/fleet/src/main/java/marlford/membership/package-info.java
@@ -1,2 +1,5 @@
-/** Who votes: how a group is founded, and how a voter that lost its disk is replaced. No I/O and no clock. */
+/**
+ * The group of voters: its bootstrap, its protocol version, and the replacement of a voter that lost its disk. No I/O
+ * and no clock.
+ */
 package marlford.membership;
--- a/fleet/src/main/java/marlford/partition/Partitioner.java
+++ b/fleet/src/main/java/marlford/partition/Partitioner.java
@@ -1,6 +1,9 @@
 package marlford.partition;
 
-/** Names over shards, evenly whatever the names look like. All members and voters have to agree on it: it never changes. */
+/**
+ * Hash partitioning that spreads similar names evenly. All members and voters, of every version, must agree on it: it
+ * must never change.
+ */
 public final class Partitioner {
     private static final int GOLDEN = 0x9E3779B9; // the golden ratio: names in a row end far from each other
 
--- a/fleet/src/main/java/marlford/partition/package-info.java
+++ b/fleet/src/main/java/marlford/partition/package-info.java
@@ -1,2 +1,2 @@
-/** Which of several pieces a name falls into, the same for all who ask. */
+/** Hash partitioning of names, the same for every process. */
 package marlford.partition;
--- a/fleet/src/main/java/marlford/polling/SingleFlightPoll.java
+++ b/fleet/src/main/java/marlford/polling/SingleFlightPoll.java
@@ -5,37 +5,36 @@
 import marlford.lease.Member;
 
 /**
- * One caller for a whole list of an agent that was away. Whoever has the agent's lease calls; what comes of it stands on the
- * board, and the others take it from there. A call that fails passes the turn on, so an agent that is away is asked by one
- * gateway after another, and whoever reaches it first tells all.
+ * Lets one gateway poll a discovery agent that was away on behalf of all. The holder of the agent's lease polls and
+ * publishes the list on the board; the others take it from there. A failed poll passes the lease on, so gateways try
+ * one after another, and the first that reaches the agent publishes for all.
  *
- * <p><b>Nobody waits long.</b> A gateway calls without a turn at once where it has no session that is good; after
- * {@value #PATIENCE_MS} ms in which nobody said anything of the agent; and {@value #LONGEST_MS} ms after its call was due,
- * whatever others say: they may be cut off from the agent, and it may not. A second caller does no harm: the turn saves an
- * agent work, and nothing depends on it.
+ * <p>Waiting is bounded. A gateway polls on its own at once if it has no valid session, after {@value #PATIENCE_MS}
+ * ms without any report about the agent, and {@value #LONGEST_MS} ms after its poll was due in any case, since the
+ * others may be cut off from the agent while it is not. Duplicate polls are harmless: the lease saves load and
+ * nothing depends on it.
  *
- * <p>A list is taken if it was told at most {@value #FRESH_MS} ms ago. Whoever takes it goes on with a call for what has
- * changed since, so that nothing that came in between is missed. One agent at a time: a gateway has one. Milliseconds by one
- * monotonic clock. Not thread-safe.
+ * <p>A published list is used if it is at most {@value #FRESH_MS} ms old; the gateway then polls for later changes,
+ * so nothing is missed. One agent at a time. Times in milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class SingleFlightPoll {
     static final double PATIENCE_MS = 2000;
     static final double LONGEST_MS = 10_000;
     static final double FRESH_MS = 3000;
-    private static final double CALL_MS = 200; // that have to be left of a session for a call
+    private static final double CALL_MS = 200; // of validity required for a poll
     private static final String TOPIC = "list";
     private static final String AWAY =
-            "away"; // another topic: who is cut off must not write over what another was told
-    private static final String BACK = "back"; // it told what had changed: each one's own call costs it little
+            "away"; // a topic of its own, so that a gateway that is cut off does not overwrite a published list
+    private static final String BACK = "back"; // the agent knows what has changed: everybody's own poll is cheap
 
-    /** What is to be done. */
+    /** The next steps. */
     public enum Step {
         WAIT,
         CALL,
         TAKE
     }
 
-    /** The step, and the list to be taken. */
+    /** The step, and the published list if it is to be used. */
     public record Decision(Step step, Row list) {
         static final Decision WAIT = new Decision(Step.WAIT, null);
         static final Decision CALL = new Decision(Step.CALL, null);
@@ -44,16 +43,16 @@
     private String agent;
     private boolean due;
     private double dueAt;
-    private double awayAt; // when it was last said to be away
-    private long token; // of the call that is under way or being told; 0 for none
+    private double awayAt; // when it was last reported to be away
+    private long token; // of the poll under way or being published; 0 for none
     private boolean telling;
-    private String found; // by a call without a turn, that others may wait for; told in turn
+    private String found; // by a poll without the lease; published once the lease is held
     private double foundAt;
     private long calls;
     private long inTurn;
     private long taken;
 
-    /** A call to this agent is due. */
+    /** A poll of this agent is due. */
     public void due(Member member, String of, double now) {
         if (agent != null && !agent.equals(of)) {
             member.release(lease());
@@ -71,7 +70,7 @@
         return "list-of " + agent;
     }
 
-    /** What is to be done now; {@link Step#WAIT} also where nothing is due. */
+    /** The next step; {@link Step#WAIT} also if no poll is due. */
     public Decision decide(Member member, double now, double lateMs) {
         if (telling && (member.board().isTold(token) || !member.mayAct(token, now, 0, 0))) {
             telling = false;
@@ -112,13 +111,13 @@
                 : Decision.WAIT;
     }
 
-    /** What the agent told somebody lately; null for nothing. */
+    /** A recently published list; null for none. */
     private Row told(Member member, double now) {
         Row said = member.board().row(TOPIC, agent, now);
         return said != null && said.ageMs() <= FRESH_MS ? said : null;
     }
 
-    /** What was found without a turn is told once this gateway has it, unless somebody was faster or it is old by then. */
+    /** Publishes the result of a poll without the lease once the lease is held, unless another is published or it is too old. */
     private void tellInTurn(Member member, double now) {
         if (now - foundAt > FRESH_MS || told(member, now) != null) {
             found = null;
@@ -149,10 +148,10 @@
     }
 
     /**
-     * What came of the call.
+     * Records the result of a poll.
      *
-     * @param whole the list; null where the agent told what had changed
-     * @param calledAt when it was made, at the latest
+     * @param whole the complete list; null if the agent returned changes only
+     * @param calledAt when the poll was sent
      */
     public void called(Member member, boolean answered, String whole, double calledAt) {
         String value = whole != null && whole.length() <= Board.VALUE_MAX ? whole : BACK;
@@ -164,7 +163,7 @@
         }
     }
 
-    /** For operators. */
+    /** One line for the operators' page. */
     public String text() {
         return "lists calls=" + calls + " in_turn=" + inTurn + " taken=" + taken;
     }
--- a/fleet/src/main/java/marlford/polling/package-info.java
+++ b/fleet/src/main/java/marlford/polling/package-info.java
@@ -1,2 +1,2 @@
-/** Whose turn it is to call for a list that all need. No I/O and no clock. */
+/** Single-flight polling of a list that all members need. No I/O and no clock. */
 package marlford.polling;
--- a/fleet/src/main/java/marlford/register/KeyedRequest.java
+++ b/fleet/src/main/java/marlford/register/KeyedRequest.java
@@ -1,21 +1,21 @@
 package marlford.register;
 
 /**
- * An order as its client sent it, once, whoever carries it.
+ * A client request with an idempotency key.
  *
- * @param key the customer's own name for it, with the customer: two customers may choose the same
- * @param digest of method, path and body; another one under the same key is another order, and a mistake
- * @param requestClass by which it is decided on
- * @param units charged for it, once
- * @param message what goes to a host, so that it can be sent again; empty where it was too large to be kept
+ * @param key the customer's key, prefixed with the customer
+ * @param digest of method, path and body; the same key with another digest is a client error
+ * @param requestClass the class by which admission decides
+ * @param units charged, once
+ * @param message what is sent to a host, kept for sending it again; empty if it was too large
  */
 public record KeyedRequest(String key, String digest, String requestClass, double units, String message) {
-    /** The longest key or digest, in characters. */
+    /** The maximum length of a key or digest, in characters. */
     public static final int NAME_MAX = 128;
-    /** The longest message that is kept, in characters. */
+    /** The maximum length of a stored message, in characters. */
     public static final int MESSAGE_MAX = 64 * 1024;
 
-    /** Whether it can be sent again by another gateway than the one that its client came to. */
+    /** Whether its message is stored, so that another gateway can send it. */
     public boolean isKept() {
         return !message.isEmpty();
     }
--- a/fleet/src/main/java/marlford/register/Outcome.java
+++ b/fleet/src/main/java/marlford/register/Outcome.java
@@ -1,16 +1,16 @@
 package marlford.register;
 
 /**
- * How an order ended; the same for whoever asks.
+ * The outcome of a request; the same for everyone who asks.
  *
- * @param status of the answer; 0 where it is not known whether it ran
- * @param said the answer's body, or why it is not known; empty where that was too long to be kept
+ * @param status the HTTP status; 0 if it is unknown whether the request was executed
+ * @param said the response body, or why the outcome is unknown; empty if it was too large to keep
  */
 public record Outcome(int status, String said) {
-    /** The longest body that is kept, in characters. */
+    /** The maximum length of a stored body, in characters. */
     public static final int SAID_MAX = 16 * 1024;
 
-    /** It may have run, and nobody will find out. */
+    /** The request may have been executed, and nobody can find out. */
     public static Outcome unknown(String why) {
         return new Outcome(0, why);
     }
--- a/fleet/src/main/java/marlford/register/ProposalPipeline.java
+++ b/fleet/src/main/java/marlford/register/ProposalPipeline.java
@@ -9,25 +9,27 @@
 import java.util.function.Consumer;
 
 /**
- * Lines of work on their way to the log, many at a time: each is carried to whoever leads until it is answered, since a line
- * that is there twice changes nothing. Lines of one order go one after the other, as their {@link RequestLease} has one due at a time.
+ * Proposals of register commands under way, many at a time. Each is sent to the current leader again until it is
+ * answered; commands are idempotent. Commands of one request are never concurrent, because its {@link RequestLease}
+ * has one due at a time.
  *
- * <p>Bounds: {@value #UNDER_WAY_MAX} lines under way, {@value #WAITING_MAX} that wait to go, beyond which a line is not taken. A line
- * is given up with its session. Milliseconds by one monotonic clock. Not thread-safe.
+ * <p>Limits: {@value #UNDER_WAY_MAX} proposals under way and {@value #WAITING_MAX} queued, beyond which a command is
+ * not accepted. All are abandoned when the session ends. Times in milliseconds of one monotonic clock. Not
+ * thread-safe.
  */
 public final class ProposalPipeline {
     static final int UNDER_WAY_MAX = 512;
     static final int WAITING_MAX = 8192;
-    private static final double AGAIN_MS = 40; // after a reply that helps no further
-    private static final double PATIENCE_MS = 500; // for a reply, before the line is sent again
+    private static final double AGAIN_MS = 40; // until a failed proposal is sent again
+    private static final double PATIENCE_MS = 500; // until a proposal without a reply is sent again
 
-    /** A line that goes out now, to whoever leads. */
+    /** A proposal to be sent to the leader now. */
     public record Outgoing(long id, RegisterCommand line) {}
 
     private static final class Carried {
         final RegisterCommand line;
         final Consumer<RegisterResult> to;
-        double again; // when it is sent, or sent again
+        double again; // when it is sent again
 
         Carried(RegisterCommand line, Consumer<RegisterResult> to) {
             this.line = line;
@@ -39,16 +41,16 @@
     private final ArrayDeque<Carried> waiting = new ArrayDeque<>();
     private long nextId;
 
-    /** @param firstId its asks are numbered from here on, so that they are told from others of the same connection */
+    /** @param firstId first request id, distinct from others of the same connection */
     public ProposalPipeline(long firstId) {
         nextId = firstId;
     }
 
     /**
-     * Takes a line to be agreed.
+     * Queues a command.
      *
-     * @param to hears what came of it, once; null where the session ended first and nobody knows
-     * @return false where too many wait, and nothing was taken
+     * @param to gets the result, once; null if the session ended before it was known
+     * @return false if the queue is full
      */
     public boolean carry(RegisterCommand line, Consumer<RegisterResult> to) {
         if (waiting.size() >= WAITING_MAX) {
@@ -58,7 +60,7 @@
         return true;
     }
 
-    /** The lines that go out now; to be called often. */
+    /** The proposals to be sent now; to be called often. */
     public List<Outgoing> due(double now) {
         List<Outgoing> out = new ArrayList<>();
         List<Carried> late = new ArrayList<>();
@@ -69,8 +71,7 @@
                 late.add(c);
             }
         }
-        late.forEach(c ->
-                send(out, c, now)); // under a new number: a late reply to the former one is as good, and passed over
+        late.forEach(c -> send(out, c, now)); // with a new id; a late reply to the former one is ignored
         while (!waiting.isEmpty() && underWay.size() < UNDER_WAY_MAX) {
             send(out, waiting.poll(), now);
         }
@@ -83,7 +84,7 @@
         out.add(new Outgoing(nextId, c.line));
     }
 
-    /** A line was answered. */
+    /** A proposal was answered. */
     public void said(long id, RegisterResult s) {
         Carried c = underWay.remove(id);
         if (c != null) {
@@ -91,7 +92,7 @@
         }
     }
 
-    /** It reached nobody who could have it agreed. */
+    /** A proposal did not reach the leader. */
     public void failed(long id, double now) {
         Carried c = underWay.get(id);
         if (c != null) {
@@ -99,7 +100,7 @@
         }
     }
 
-    /** The session has ended: what is under way may be agreed or not. */
+    /** The session has ended: proposals under way may or may not be committed. */
     public void sessionEnded() {
         List<Carried> all = new ArrayList<>(underWay.values());
         all.addAll(waiting);
@@ -108,7 +109,7 @@
         all.forEach(c -> c.to.accept(null));
     }
 
-    /** How many are under way or wait. */
+    /** The number of proposals under way or queued. */
     public int size() {
         return underWay.size() + waiting.size();
     }
--- a/fleet/src/main/java/marlford/register/RegisterCommand.java
+++ b/fleet/src/main/java/marlford/register/RegisterCommand.java
@@ -1,36 +1,39 @@
 package marlford.register;
 
-/** What is agreed of work; a line that is there twice, since its answer was lost, is answered as before and changes nothing. */
+/**
+ * A replicated command of the request register. Idempotent: a command that is repeated because its reply was lost
+ * gets the same result and has no effect.
+ */
 public sealed interface RegisterCommand {
     /**
-     * Before the first byte of an order leaves for a host of this group.
+     * Creates the entry of a request, before its first byte is sent to a host of this group.
      *
-     * @param ask of which this is the line, drawn by its gateway: the same line again is answered as before, while another ask for
-     *        the same order, even of the same gateway, waits for the first one's end
+     * @param ask id of the client request, drawn by its gateway: the same command again gets the same result, while another client
+     *        request with the same key, even of the same gateway, waits for the first one's outcome
      */
     record Enter(KeyedRequest order, String group, long ask) implements RegisterCommand {}
 
     /**
-     * No host of the former group can have run it, and another group is to have it; before its first byte leaves.
+     * Moves a request that no host of the former group can have executed to another group, before its first byte is sent.
      *
-     * @param token of the entry
+     * @param token fencing token of the entry
      */
     record Move(String key, long token, String group) implements RegisterCommand {}
 
-    /** An order's end; before anybody is told of it. */
+    /** Records the outcome of a request, before it is told to anybody. */
     record End(String key, long token, Outcome outcome) implements RegisterCommand {}
 
-    /** It never ran and will not: nothing is left of it. */
+    /** Removes a request that was not and will not be executed. */
     record Withdraw(String key, long token) implements RegisterCommand {}
 
     /**
-     * Takes over an order whose owner has ended.
+     * Takes over a request without an owner.
      *
-     * @param shard the asker's, in the pool of work, by the key
-     * @param shardToken under which it has that shard
+     * @param shard the shard of the key, held by the proposer
+     * @param shardToken fencing token of that shard
      */
     record Take(String key, int shard, long shardToken) implements RegisterCommand {}
 
-    /** Ends that were agreed up to this index have been kept for long enough. */
+    /** Drops the outcomes that were committed up to this index. */
     record Forget(long upTo) implements RegisterCommand {}
 }
--- a/fleet/src/main/java/marlford/register/RegisterEntry.java
+++ b/fleet/src/main/java/marlford/register/RegisterEntry.java
@@ -1,14 +1,14 @@
 package marlford.register;
 
 /**
- * An order that may be running.
+ * A request that may be executing.
  *
- * @param group of hosts, the only ones that may get it again: they drop its repeats for a while
- * @param owner the session that sees it to its end; 0 for nobody
- * @param token under which the owner does so; each taking over has a greater one
- * @param since the log's index of the line that made it: nothing of it went to a host before that line was agreed
- * @param taken how often it was taken over
- * @param ask whose line made it
+ * @param group the only hosts that may get it again; they deduplicate for a limited time
+ * @param owner the session responsible for it; 0 for none
+ * @param token the owner's fencing token; each takeover gets a greater one
+ * @param since log index of the command that created it: nothing was sent to a host before that was committed
+ * @param taken number of takeovers
+ * @param ask id of the client request that created it
  */
 public record RegisterEntry(KeyedRequest order, String group, long owner, long token, long since, int taken, long ask) {
     RegisterEntry of(long session, long under) {
--- a/fleet/src/main/java/marlford/register/RegisterResult.java
+++ b/fleet/src/main/java/marlford/register/RegisterResult.java
@@ -1,30 +1,30 @@
 package marlford.register;
 
 /**
- * What came of a {@link RegisterCommand}.
+ * The result of a {@link RegisterCommand}.
  *
- * @param token under which the asker owns the entry; 0 for not at all
- * @param entry what was taken over; null for other lines
- * @param outcome of an order that has ended; null for others
+ * @param token the fencing token of the entry's owner; 0 if the asker does not own it
+ * @param entry the entry that was taken over; null for other commands
+ * @param outcome of a completed request; null otherwise
  */
 public record RegisterResult(Kind kind, long token, RegisterEntry entry, Outcome outcome) {
-    /** What came of it. */
+    /** The kind of result. */
     public enum Kind {
-        /** The order is the asker's, to be sent. */
+        /** The request is owned by the asker, who may send it. */
         OWNED,
-        /** Somebody has it, or will: its end is to be waited for. */
+        /** Another session owns it, or will: its outcome is to be waited for. */
         RUNS,
-        /** It has ended. */
+        /** It is completed. */
         OVER,
-        /** Under this key there is another order. */
+        /** The key belongs to another request. */
         DIFFERS,
-        /** It is done, or was before. */
+        /** Done, now or by an earlier copy of the command. */
         DONE,
-        /** The entry is not the asker's, or no more; or there is none. */
+        /** The asker does not own the entry, or there is none. */
         NOT_YOURS,
-        /** A bound is reached; nothing was changed. */
+        /** A limit is reached; nothing was changed. */
         FULL,
-        /** What can't be. */
+        /** An invalid command. */
         MALFORMED
     }
 
--- a/fleet/src/main/java/marlford/register/RequestLease.java
+++ b/fleet/src/main/java/marlford/register/RequestLease.java
@@ -1,31 +1,31 @@
 package marlford.register;
 
 /**
- * A gateway's part in one order: when it may send it, when it may answer, and with what. Whatever happens around it, its client
- * is told an end only after that end was agreed, and nothing leaves for a host before the order's entry was, or after the
- * owner's time is up.
+ * A gateway's ownership of one keyed request: when it may be sent, when it may be answered, and with what.
+ * Invariants: a client learns an outcome only after that outcome is committed, and nothing is sent to a host before
+ * the register entry is committed or after the owner's lease has expired.
  *
- * <p>Whoever drives it carries {@link #due} to the log until it is answered, and asks the register about the order while it
- * {@link State#WAITING waits}. Not thread-safe.
+ * <p>The driver proposes {@link #due} until it is answered, and reads the register while the state is {@link
+ * State#WAITING}. Not thread-safe.
  */
 public final class RequestLease {
-    /** Where it stands. */
+    /** The states of a request. */
     public enum State {
-        /** Its entry is proposed; nothing has left. */
+        /** Its entry is proposed; nothing was sent. */
         ENTERING,
-        /** It is this gateway's to send. */
+        /** This gateway owns it and may send it. */
         OWNED,
-        /** Hosts of another group are to have it, which is proposed; nothing leaves meanwhile. */
+        /** A move to another group is proposed; nothing is sent meanwhile. */
         MOVING,
-        /** Its end is proposed; nobody has been told. */
+        /** Its outcome is proposed; nobody has been told. */
         ENDING,
-        /** Somebody else sees to it: its end is to be waited for. */
+        /** Another owner is responsible; its outcome is waited for. */
         WAITING,
-        /** It ended, and this is what whoever asks is told. */
+        /** It is completed; the outcome may be told. */
         OVER,
-        /** It never ran, and trying again does no harm. */
+        /** It was never executed; the client may try again. */
         REFUSED,
-        /** Under its key there is another order. */
+        /** Its key belongs to another request. */
         DIFFERS
     }
 
@@ -38,9 +38,9 @@
     private Outcome outcome;
 
     /**
-     * A client's order, to be sent to a host of this group first.
+     * A client's request, to be sent to a host of this group first.
      *
-     * @param ask drawn for it; no other of this session has the same
+     * @param ask id of the client request, unique in this session
      */
     public RequestLease(KeyedRequest order, String group, long ask) {
         this.order = order;
@@ -48,7 +48,7 @@
         this.ask = ask;
     }
 
-    /** An order that was taken over. */
+    /** A request that was taken over. */
     public RequestLease(RegisterEntry taken) {
         this(taken.order(), taken.group(), taken.ask());
         state = State.OWNED;
@@ -60,17 +60,17 @@
         return state;
     }
 
-    /** What it is about. */
+    /** The request. */
     public KeyedRequest order() {
         return order;
     }
 
-    /** The hosts that may have it. */
+    /** The group of hosts that may get it. */
     public String group() {
         return group;
     }
 
-    /** The line to be proposed now; null for none. */
+    /** The command to be proposed now; null for none. */
     public RegisterCommand due() {
         return switch (state) {
             case ENTERING -> new RegisterCommand.Enter(order, group, ask);
@@ -80,7 +80,7 @@
         };
     }
 
-    /** A line was answered; one that is no longer due changes nothing. */
+    /** Records the result of a command; a command that is no longer due has no effect. */
     public void said(RegisterCommand line, RegisterResult s) {
         if (!line.equals(due())) {
             return;
@@ -103,7 +103,7 @@
         state = State.OVER;
     }
 
-    /** What the register has of a waiting order ({@link RequestRegister#look}). */
+    /** Records a lookup of a waiting request ({@link RequestRegister#look}). */
     public void looked(RegisterResult there) {
         if (state != State.WAITING) {
             return;
@@ -119,9 +119,9 @@
     }
 
     /**
-     * An attempt begins, if it may.
+     * Begins an attempt, if that is allowed.
      *
-     * @param good whether the session lasts for as long as it takes until its bytes have left, which its caller has looked at just now
+     * @param good whether the lease is valid until all bytes are sent, as checked just now
      */
     public boolean sends(boolean good) {
         boolean may = state == State.OWNED && good;
@@ -129,7 +129,7 @@
         return may;
     }
 
-    /** All attempts so far are known not to have run, and a host of this group is to have it. */
+    /** Moves the request to another group, after all attempts so far are known not to have been executed. */
     public void moves(String other) {
         if (state == State.OWNED && !other.equals(group)) {
             group = other;
@@ -137,7 +137,7 @@
         }
     }
 
-    /** A host answered, or it is given up as unknown. */
+    /** Proposes the outcome: a host answered, or it is given up as unknown. */
     public void ends(Outcome how) {
         if (state == State.OWNED) {
             outcome = how;
@@ -145,7 +145,7 @@
         }
     }
 
-    /** This gateway's session has ended: somebody may have taken over since. */
+    /** This gateway's session has ended: another may have taken the request over. */
     public void sessionEnded() {
         if (state == State.OWNED || state == State.ENDING || state == State.MOVING || state == State.ENTERING) {
             state = State.WAITING;
@@ -153,7 +153,7 @@
         }
     }
 
-    /** What its client is told; null for not yet. */
+    /** The outcome for the client; null while there is none. */
     public Outcome answer() {
         return state == State.OVER ? outcome : null;
     }
--- a/fleet/src/main/java/marlford/register/RequestRegister.java
+++ b/fleet/src/main/java/marlford/register/RequestRegister.java
@@ -11,42 +11,43 @@
 import marlford.partition.Partitioner;
 
 /**
- * The register of work as the log has it. Each order has at most one entry, each entry at most one owner, and one end; what is
- * done under a token that is not the entry's changes nothing. It knows no time: that an owner is gone is the end of its session,
- * and how old an entry is its reader finds out ({@link StalenessBound}).
+ * The replicated register of keyed requests. Each request has at most one entry, each entry at most one owner, and
+ * one outcome; a command with a token other than the entry's has no effect. It has no notion of time: an owner is
+ * gone when its session ends, and the age of an entry is estimated by its reader ({@link StalenessBound}).
  *
- * <p>Bounds: {@value #OPEN_MAX} open entries, {@value #KEPT_MAX} ends, {@value #CHARS_MAX} characters of messages and answers in
- * all. A new order beyond them is {@link RegisterResult.Kind#FULL}; an end is always taken, without its answer's body where there is no
- * room, and where there are too many ends the oldest is forgotten: nothing that is open ever is. Not thread-safe.
+ * <p>Limits: {@value #OPEN_MAX} open entries, {@value #KEPT_MAX} outcomes, and {@value #CHARS_MAX} characters of
+ * messages and responses in total. A new request beyond them is {@link RegisterResult.Kind#FULL}. An outcome is
+ * always accepted, without its body if there is no room; beyond the limit the oldest outcome is dropped, never an
+ * open entry. Not thread-safe.
  */
 public final class RequestRegister {
-    /** Pieces of the work, each seen to by one member. */
+    /** The number of shards of orphaned requests, each handled by one member. */
     public static final int SHARDS = 64;
 
     static final int OPEN_MAX = 100_000;
     static final int KEPT_MAX = 100_000;
     static final long CHARS_MAX = 256L << 20;
 
-    /** An order's end, and where in the log it was agreed. */
+    /** The outcome of a request, and the log index at which it was committed. */
     public record Ended(String key, String digest, Outcome outcome, long at) {}
 
-    /** The whole register, to be kept and begun from. */
+    /** The complete state, to be stored and restored. */
     public record Snapshot(List<RegisterEntry> open, List<Ended> ended) {}
 
-    /** Whether a session has a shard of the pool of work under a token, where the line stands. */
+    /** Tells whether a session holds a shard of the register's pool under a token, at the command's log index. */
     public interface Shards {
         boolean has(long session, int shard, long token);
     }
 
     private final Map<String, RegisterEntry> open = new LinkedHashMap<>();
-    private final Map<String, Ended> ended = new LinkedHashMap<>(); // in the order of their ends
+    private final Map<String, Ended> ended = new LinkedHashMap<>(); // in order of completion
     private final Map<Long, Set<String>> owned = new TreeMap<>(); // keys by session
     private final Map<Integer, Set<String>> orphans = new TreeMap<>(); // keys by shard
     private long chars;
     private long takenOver;
     private long unknown;
 
-    /** Begins where another register was. */
+    /** Restores a snapshot. */
     public static RequestRegister of(Snapshot image) {
         RequestRegister r = new RequestRegister();
         image.open().forEach(e -> {
@@ -60,27 +61,27 @@
         return r;
     }
 
-    /** The whole register; two voters that applied the same lines have equal ones. */
+    /** The complete state; equal for any two voters that have applied the same commands. */
     public Snapshot snapshot() {
         return new Snapshot(List.copyOf(open.values()), List.copyOf(ended.values()));
     }
 
-    /** The piece that a key belongs to. */
+    /** The shard of a key. */
     public static int shard(String key) {
         return Partitioner.shardOf(key, SHARDS);
     }
 
-    /** The open entry of a key; null where there is none. */
+    /** The open entry of a key; null if there is none. */
     public RegisterEntry entry(String key) {
         return open.get(key);
     }
 
-    /** How the order of this key ended; null where it has not, or that is no longer known. */
+    /** The outcome of a key's request; null if it is not completed or no longer known. */
     public Ended end(String key) {
         return ended.get(key);
     }
 
-    /** What there is of an order, for whoever waits for it. */
+    /** Looks up a request, for a client that waits for its outcome. */
     public RegisterResult look(String key, String digest) {
         RegisterEntry there = open.get(key);
         Ended over = ended.get(key);
@@ -93,7 +94,7 @@
         return there != null ? RegisterResult.of(RegisterResult.Kind.RUNS) : RegisterResult.over(over.outcome());
     }
 
-    /** The open entries of a shard that nobody owns, at most so many; those that were orphaned first come first. */
+    /** The first open entries of a shard without an owner, in the order in which they lost it. */
     public List<RegisterEntry> orphans(int shard, int most) {
         return orphans.getOrDefault(shard, Set.of()).stream()
                 .limit(most)
@@ -102,11 +103,11 @@
     }
 
     /**
-     * Applies a line.
+     * Applies a command.
      *
-     * @param at its index in the log
-     * @param session of the asker, which lives
-     * @param mint gives the next token
+     * @param at its log index
+     * @param session the open session that proposed it
+     * @param mint returns the next fencing token
      */
     public RegisterResult apply(long at, long session, RegisterCommand line, Shards shards, LongSupplier mint) {
         if (line instanceof RegisterCommand.Enter e) {
@@ -127,7 +128,7 @@
         return forget((RegisterCommand.Forget) line);
     }
 
-    /** A session has ended: what it owned is nobody's, until it is taken over. */
+    /** A session has ended: its entries have no owner until they are taken over. */
     public void ended(long session) {
         Set<String> keys = owned.remove(session);
         if (keys != null) {
@@ -142,7 +143,7 @@
         }
         RegisterResult found = look(order.key(), order.digest());
         RegisterEntry there = open.get(order.key());
-        // What was taken over is judged by its taker, who alone may send it: no ask gets it by entering.
+        // Only the session that took an entry over may decide about it: entering does not return it.
         if (found.kind() == RegisterResult.Kind.RUNS
                 && there.owner() == session
                 && there.ask() == e.ask()
@@ -165,7 +166,7 @@
         return name != null && !name.isEmpty() && name.length() <= KeyedRequest.NAME_MAX;
     }
 
-    /** An entry under its owner, or under its shard where it has none. */
+    /** Stores an entry, indexed by its owner, or by its shard if it has none. */
     private void put(RegisterEntry e) {
         String key = e.order().key();
         RegisterEntry before = open.put(key, e);
@@ -198,7 +199,7 @@
         chars -= e.order().message().length();
     }
 
-    /** Its end for who does not own it any more, or never did. */
+    /** The result for a session that does not own the entry. */
     private RegisterResult ifOver(String key) {
         Ended over = ended.get(key);
         return over == null ? RegisterResult.of(RegisterResult.Kind.NOT_YOURS) : RegisterResult.over(over.outcome());
@@ -217,8 +218,7 @@
         if (e == null) {
             return RegisterResult.of(RegisterResult.Kind.NOT_YOURS);
         }
-        if (!e.group()
-                .equals(m.group())) { // asked again it has moved already, and its window counts from the first time
+        if (!e.group().equals(m.group())) { // a repeated command must not restart the deduplication window
             put(e.movedTo(m.group(), at));
         }
         return RegisterResult.of(RegisterResult.Kind.DONE);
@@ -249,7 +249,7 @@
 
     private RegisterResult withdraw(long session, RegisterCommand.Withdraw w) {
         RegisterEntry e = mine(session, w.key(), w.token());
-        if (e == null || e.taken() > 0) { // who took it over can't know that it never ran
+        if (e == null || e.taken() > 0) { // after a takeover nobody knows that it was never executed
             return RegisterResult.of(RegisterResult.Kind.NOT_YOURS);
         }
         remove(e);
@@ -291,7 +291,7 @@
         chars -= ended.remove(key).outcome().said().length();
     }
 
-    /** For operators. */
+    /** One line for the operators' page. */
     public String text() {
         return "work open=" + open.size() + " orphans="
                 + orphans.values().stream().mapToInt(Set::size).sum() + " ended=" + ended.size() + " taken_over="
--- a/fleet/src/main/java/marlford/register/ResendDecision.java
+++ b/fleet/src/main/java/marlford/register/ResendDecision.java
@@ -1,16 +1,16 @@
 package marlford.register;
 
 /**
- * What is to become of an order that was taken over.
+ * Whether a request that was taken over may be sent again.
  *
- * @param why it is not sent again; empty where it is
+ * @param why the reason if not; empty otherwise
  */
 public record ResendDecision(boolean again, String why) {
-    /** It may have run and can't be sent again: the group might have forgotten it. */
+    /** It may have been executed, and the hosts' deduplication window may end before it arrives. */
     public static final String WINDOW = "the window in which its hosts drop repeats may end before it arrives";
-    /** Its message was too large to be kept. */
+    /** Its message was too large to keep. */
     public static final String NOT_KEPT = "its body was too large to be kept";
-    /** It was taken over as often as it may be. */
+    /** It was taken over too often. */
     public static final String TOO_OFTEN = "it was taken over too often";
 
     static final ResendDecision AGAIN = new ResendDecision(true, "");
@@ -22,13 +22,13 @@
     }
 
     /**
-     * Whether the last byte of another attempt reaches its hosts while they still drop repeats. The window counts from the
-     * first byte of the first attempt, which left after the entry was agreed, so the entry's greatest age is the window's.
+     * Whether another attempt arrives completely while its hosts still deduplicate. The window starts with the
+     * first byte of the first attempt, sent after the entry was committed, so the entry's maximum age bounds the window's.
      *
-     * @param ageMs the entry's, at most ({@link StalenessBound})
-     * @param windowMs for how long the class's hosts drop repeats
-     * @param attemptMs the longest from this look to the last byte's arrival
-     * @param driftPpm by how much this clock and the host's may run apart each
+     * @param ageMs maximum age of the entry ({@link StalenessBound})
+     * @param windowMs deduplication window of the hosts
+     * @param attemptMs maximum time from now to the arrival of the last byte
+     * @param driftPpm maximum drift of this clock and the host's, each
      */
     public static ResendDecision of(RegisterEntry e, double ageMs, double windowMs, double attemptMs, double driftPpm) {
         if (!e.order().isKept()) {
--- a/fleet/src/main/java/marlford/register/StalenessBound.java
+++ b/fleet/src/main/java/marlford/register/StalenessBound.java
@@ -4,30 +4,30 @@
 import java.util.Iterator;
 
 /**
- * How old a line of the log is at most, by one's own clock alone. A confirmed look at the log that was <em>asked for</em> at a
- * time t and saw it up to index i proves that any later line was agreed after t: what went out after that line did so after t,
- * too. Every renewal is such a look. No clock of another process is read, and no message's time is guessed; a look that was
- * long on its way makes lines older, never younger.
+ * An upper bound of the age of a log entry, by the local clock alone. A confirmed read that was <em>requested</em> at
+ * time t and saw the log up to index i proves that every later entry was committed after t, and so was everything
+ * that followed from it. Every renewal of a session is such a read. No other clock is involved; a delayed read makes
+ * entries look older, never younger.
  *
- * <p>Bound: {@value #LOOKS_MAX} looks; the oldest are forgotten, and what they proved with them: a line before all of them has
- * any age. A new process knows no look, so it finds all that was there before it too old. Milliseconds by one monotonic
- * clock. Not thread-safe.
+ * <p>Limit: {@value #LOOKS_MAX} reads. The oldest are dropped, after which entries before all remaining reads have an
+ * unknown (infinite) age; so have all entries from before the start of the process. Times in milliseconds of one
+ * monotonic clock. Not thread-safe.
  */
 public final class StalenessBound {
     static final int LOOKS_MAX = 1024;
 
     private record Look(double askedAt, long index) {}
 
-    private final ArrayDeque<Look> looks = new ArrayDeque<>(); // oldest first; both figures grow
+    private final ArrayDeque<Look> looks = new ArrayDeque<>(); // oldest first; both components grow
 
-    /** A confirmed look that was asked for then saw the log up to this index. */
+    /** Records a confirmed read, requested at this time, that saw the log up to this index. */
     public void saw(double askedAt, long index) {
         Look last = looks.peekLast();
         if (last != null && (askedAt < last.askedAt() || index < last.index())) {
-            return; // its reply was overtaken: a later look has proved as much
+            return; // out of order: a later read has proved as much
         }
         if (last != null && last.index() == index) {
-            looks.pollLast(); // asked for later, with nothing new: that proves more of what follows
+            looks.pollLast(); // a later read of the same index is a tighter bound
         }
         looks.addLast(new Look(askedAt, index));
         if (looks.size() > LOOKS_MAX) {
@@ -35,7 +35,7 @@
         }
     }
 
-    /** For how long, at most, a line of this index may have been agreed; infinite where that is not known. */
+    /** The maximum time since an entry of this index was committed; infinite if unknown. */
     public double most(long index, double now) {
         for (Iterator<Look> i = looks.descendingIterator(); i.hasNext(); ) {
             Look l = i.next();
--- a/fleet/src/main/java/marlford/register/package-info.java
+++ b/fleet/src/main/java/marlford/register/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Work in hand: what the fleet has agreed of each order that may be running at a host, who is to see it to its end, and what
- * its end was. No I/O and no clock.
+ * The register of requests with an idempotency key: who owns each, under which token, and its outcome. No I/O and no
+ * clock; docs/design/work-in-hand.md. No gateway uses it yet.
  */
 package marlford.register;
--- a/fleet/src/main/java/marlford/task/FleetTask.java
+++ b/fleet/src/main/java/marlford/task/FleetTask.java
@@ -4,21 +4,21 @@
 import marlford.lease.Member;
 
 /**
- * A fleet-wide task as one member sees it: what it asks of the fleet, and which acts may begin. An act begins only under a
- * token that this member has, while its session is good for the whole of the act.
+ * A fleet-wide task as one member sees it: which leases it requests and which runs may begin. A run begins only under
+ * a fencing token of this member, while its session stays valid for the whole run.
  */
 public sealed interface FleetTask permits FleetTasks.Single, FleetTasks.Sharded, FleetTasks.Periodic {
-    /** What is wished of the fleet; once, at the start. */
+    /** Requests its leases; called once. */
     void begin(Member member);
 
     /**
-     * The acts that begin now; each is {@link #ended} later.
+     * The runs that begin now; {@link #ended} is called for each.
      *
-     * @param lateMs how late the caller's loop is
-     * @param wallMs the time of day, in milliseconds since 1970, by which ticks are numbered
+     * @param lateMs the delay of the calling thread
+     * @param wallMs the time of day in milliseconds since 1970, which numbers ticks
      */
     List<TaskRun> due(Member member, double now, double lateMs, long wallMs);
 
-    /** An act is over, well or not. */
+    /** A run is over, successful or not. */
     void ended(Member member, TaskRun act);
 }
--- a/fleet/src/main/java/marlford/task/FleetTasks.java
+++ b/fleet/src/main/java/marlford/task/FleetTasks.java
@@ -9,13 +9,13 @@
 import marlford.lease.LeaseStateMachine;
 import marlford.lease.Member;
 
-/** The kinds of duties. */
+/** The kinds of fleet tasks. Not thread-safe; times in milliseconds of one monotonic clock. */
 public final class FleetTasks {
     private static final int NONE = -1;
 
     private FleetTasks() {}
 
-    /** One holder, or a few, act again and again. */
+    /** Run repeatedly by one or a few holders of a lease. */
     public static final class Single implements FleetTask {
         private final String name;
         private final int holders;
@@ -24,7 +24,7 @@
         private double nextAt;
         private boolean running;
 
-        /** @param holders how many act at once */
+        /** @param holders the number of concurrent holders */
         public Single(String name, int holders, double everyMs, double takesMs) {
             this.name = name;
             this.holders = holders;
@@ -54,7 +54,7 @@
         }
     }
 
-    /** Pieces spread over all that take part, each acted on again and again by whoever has it. */
+    /** Run repeatedly for each shard of a pool, by the shard's owner. */
     public static final class Sharded implements FleetTask {
         private final String name;
         private final int shards;
@@ -83,7 +83,7 @@
                     continue;
                 }
                 if (h.wanted()) {
-                    member.giveUp(h); // nothing of it runs
+                    member.giveUp(h); // no run of it is under way
                 } else if (now >= nextAt.getOrDefault(h.shard(), 0.0)
                         && member.mayAct(h.token(), now, lateMs, takesMs)) {
                     running.add(h.shard());
@@ -100,7 +100,7 @@
         }
     }
 
-    /** Once in each interval of the day, or not at all; whoever claims it first. */
+    /** Run at most once in each interval of the day, by the member that claims the tick first. */
     public static final class Periodic implements FleetTask {
         private final String name;
         private final long everyMs;
--- a/fleet/src/main/java/marlford/task/TaskRun.java
+++ b/fleet/src/main/java/marlford/task/TaskRun.java
@@ -1,11 +1,11 @@
 package marlford.task;
 
 /**
- * One act that may begin now.
+ * One run of a fleet task that may begin now.
  *
- * @param shard its piece; -1 for none
- * @param tick its tick; -1 for none
- * @param token to be shown to whatever it acts on
- * @param takesMs the longest that it may take; it is broken off then
+ * @param shard the shard; -1 if the task has none
+ * @param tick the tick; -1 if the task has none
+ * @param token the fencing token, to be sent to the resource
+ * @param takesMs the timeout of the run
  */
 public record TaskRun(String task, int shard, long tick, long token, double takesMs) {}
--- a/fleet/src/main/java/marlford/task/package-info.java
+++ b/fleet/src/main/java/marlford/task/package-info.java
@@ -1,2 +1,2 @@
-/** What a holder does and when, by its leases. No I/O and no clock. */
+/** Which runs of fleet-wide tasks may begin, by the leases of the member. No I/O and no clock. */
 package marlford.task;
--- a/fleet/src/main/java/marlford/usage/Cells.java
+++ b/fleet/src/main/java/marlford/usage/Cells.java
@@ -1,6 +1,9 @@
 package marlford.usage;
 
-/** Numbers that outlive the process, each written as a whole. A write is seen by other threads after those before it. */
+/**
+ * An array of 64-bit numbers that survives the process. Writes are atomic, and visible to other threads in program
+ * order.
+ */
 public interface Cells {
     long get(int at);
 
--- a/fleet/src/main/java/marlford/usage/ExportLog.java
+++ b/fleet/src/main/java/marlford/usage/ExportLog.java
@@ -7,11 +7,11 @@
 import java.util.zip.CRC32C;
 
 /**
- * The file of exported batches, as whoever reads it has to: records one behind the other, each with the token of the one
- * who wrote it. In the order of the file a record <em>counts</em> unless its token is smaller than one before it, or its
- * source has a record that counts with the same sequence or a later one. Whatever is no record is passed over.
+ * Reader and writer of the export file: a sequence of records, each with the fencing token of its writer. In file
+ * order a record <em>counts</em> unless its token is smaller than that of an earlier record, or a record of the same
+ * source with the same or a later sequence number counts already. Bytes that are not a record are skipped.
  *
- * <p>So whether a record counts depends on what lies before it alone, and never changes. Not thread-safe.
+ * <p>Whether a record counts depends only on what precedes it, so it never changes. Not thread-safe.
  */
 public final class ExportLog {
     private static final long MAGIC = 0x4d41524c45585031L;
--- a/fleet/src/main/java/marlford/usage/UsageTable.java
+++ b/fleet/src/main/java/marlford/usage/UsageTable.java
@@ -5,15 +5,15 @@
 import java.util.TreeMap;
 
 /**
- * Units by customer and interval, in cells that outlive the process: a request counts from the moment of {@link #admitted},
- * whenever the process is killed. Pages of the table take an interval each, and are free again once it is exported.
+ * Units by customer and interval, in cells that survive the process: a request is counted as soon as {@link
+ * #admitted} returns, even if the process is then killed. Each interval takes one page, which is freed once it was
+ * exported.
  *
- * <p>Bounds: as many customers in an interval as a page has rows; what comes beyond counts under {@link #BEYOND}. Where no
- * page is free, since nothing could be exported for long, the last interval goes on: nothing is lost, its batch says when
- * it began.
+ * <p>Limits: customers beyond the rows of a page are counted under {@link #BEYOND}. If no page is free, because
+ * exports have failed for long, the current interval is extended: nothing is lost, and its batch states its start.
  *
- * <p>Two threads: the one that counts calls {@link #admitted} and {@link #look}, the one that exports {@link #closed} and
- * {@link #free}. A page belongs to the first until it is closed, and to the second from then on.
+ * <p>Two threads: the counting thread calls {@link #admitted} and {@link #look}, the exporting thread {@link #next}
+ * and {@link #free}. A page belongs to the counting thread until it is closed, then to the exporting thread.
  */
 public final class UsageTable {
     /** The customer under whom units stand for which a page had no row; no customer has this number. */
--- a/fleet/src/main/java/marlford/usage/package-info.java
+++ b/fleet/src/main/java/marlford/usage/package-info.java
@@ -1,5 +1,5 @@
 /**
- * What customers used, by interval: counted where it is let in, in memory that outlives the process, and exported once. No
- * I/O and no clock; docs/design/usage-export.md derives why exported is admitted.
+ * Usage by customer and interval: counted on admission, in memory that survives the process, and exported exactly
+ * once. No I/O and no clock; docs/design/usage-export.md shows why the exported sum equals the admitted one.
  */
 package marlford.usage;
