--- a/fleet/src/main/java/marlford/board/Board.java
+++ b/fleet/src/main/java/marlford/board/Board.java
@@ -9,34 +9,36 @@
 import java.util.function.LongPredicate;
 
 /**
- * The leader's board. A row stands until one of a greater token, or a younger one of the same, replaces it, or it is
- * {@value #KEEP_MS} ms old. Ages only grow on the way: a row is told as old as it may be, never younger, but for the
- * shortest way from its finder to here ({@link Lateness}).
+ * The leader's board: soft state that members report and that is passed on to all. A row is kept until it is replaced
+ * by one with a greater token, or a younger one with the same token, or until it is {@value #KEEP_MS} ms old. The age
+ * of a row is an upper bound and only grows on the way, except for the shortest network delay from its reporter
+ * ({@link DelayEstimator}).
  *
- * <p>Bounds: {@value #ROWS_MAX} rows and {@value #CHARS_MAX} characters, beyond which a new row is not taken and counted;
- * {@value #NOTICE_MAX} characters in one notice, the rest comes with the next. Milliseconds by one monotonic clock. Not
- * thread-safe.
+ * <p>Limits: {@value #ROWS_MAX} rows and {@value #CHARS_MAX} characters, beyond which a new row is rejected and
+ * counted; {@value #NOTICE_MAX} characters in one reply, the rest follows with the next. Times in milliseconds of one
+ * monotonic clock. Not thread-safe.
  */
 public final class Board {
-    /** The longest value, in characters: a list of some six hundred hosts. */
+    /** The maximum length of a value in characters: a list of some 600 hosts. */
     public static final int VALUE_MAX = 96 * 1024;
+
     static final int ROWS_MAX = 4096;
     static final int CHARS_MAX = 1 << 20;
     static final int NOTICE_MAX = 128 * 1024;
     static final double KEEP_MS = 30_000;
     private static final int NAME_MAX = 256;
 
-    private record Entry(Row row, double foundAt) { }
+    private record Entry(Row row, double foundAt) {}
 
-    private final Map<Place, Long> places = new HashMap<>();
-    private final TreeMap<Long, Entry> rows = new TreeMap<>(); // by the number of their change
-    private final Lateness lateness = new Lateness();
+    private final Map<RowKey, Long> places = new HashMap<>();
+    private final TreeMap<Long, Entry> rows = new TreeMap<>(); // by position
+    private final DelayEstimator lateness = new DelayEstimator();
     private long id;
     private long changes;
     private int chars;
     private long turnedAway;
 
-    /** Begins anew, as another one. */
+    /** Starts an empty board with a new id. */
     public void begin(long id) {
         this.id = id;
         places.clear();
@@ -45,12 +47,12 @@
     }
 
     /**
-     * Takes what a member tells and says what is new to it.
+     * Applies a member's update and returns the changes since its position.
      *
      * @param sender the member's session
-     * @param holds whether the member holds a token now; rows of others are not taken
+     * @param holds whether the member holds a token; rows with other tokens are rejected
      */
-    public Notice hear(long sender, Telling t, LongPredicate holds, double now) {
+    public BoardChanges hear(long sender, BoardUpdate t, LongPredicate holds, double now) {
         double late = lateness.of(sender, t.at(), now);
         for (Row r : t.rows() == null ? List.<Row>of() : t.rows()) {
             if (!holds.test(r.token()) || !put(r, now - r.ageMs() - late, now)) {
@@ -64,9 +66,10 @@
         if (!fits(r) || !(now - foundAt < KEEP_MS)) {
             return false;
         }
-        Place place = Place.of(r);
+        RowKey place = RowKey.of(r);
         Entry old = at(place);
-        if (old != null && (r.token() < old.row().token() || r.token() == old.row().token() && foundAt <= old.foundAt())) {
+        if (old != null
+                && (r.token() < old.row().token() || r.token() == old.row().token() && foundAt <= old.foundAt())) {
             return false;
         }
         expire(now);
@@ -84,14 +87,19 @@
         return true;
     }
 
-    private Entry at(Place place) {
+    private Entry at(RowKey place) {
         Long change = places.get(place);
         return change == null ? null : rows.get(change);
     }
 
     private static boolean fits(Row r) {
-        return r.topic() != null && r.key() != null && r.value() != null && r.ageMs() >= 0 && r.value().length() <= VALUE_MAX
-                && r.topic().length() <= NAME_MAX && r.key().length() <= NAME_MAX;
+        return r.topic() != null
+                && r.key() != null
+                && r.value() != null
+                && r.ageMs() >= 0
+                && r.value().length() <= VALUE_MAX
+                && r.topic().length() <= NAME_MAX
+                && r.key().length() <= NAME_MAX;
     }
 
     private static int size(Row r) {
@@ -99,17 +107,17 @@
     }
 
     private void expire(double now) {
-        for (Iterator<Entry> i = rows.values().iterator(); i.hasNext();) {
+        for (Iterator<Entry> i = rows.values().iterator(); i.hasNext(); ) {
             Entry e = i.next();
             if (now - e.foundAt() > KEEP_MS) {
                 i.remove();
-                places.remove(Place.of(e.row()));
+                places.remove(RowKey.of(e.row()));
                 chars -= size(e.row());
             }
         }
     }
 
-    private Notice since(long heard, double now) {
+    private BoardChanges since(long heard, double now) {
         List<Row> news = new ArrayList<>();
         long upTo = changes;
         int told = 0;
@@ -125,10 +133,10 @@
                 news.add(new Row(r.topic(), r.key(), r.token(), r.value(), age));
             }
         }
-        return new Notice(id, upTo, news);
+        return new BoardChanges(id, upTo, news);
     }
 
-    /** How many rows stand, and how many were not taken: for operators. */
+    /** Numbers of rows and of rejected rows, for the operators' page. */
     public String text() {
         return "board=" + id + " rows=" + rows.size() + " chars=" + chars + " turned_away=" + turnedAway;
     }
--- a/fleet/src/main/java/marlford/agree/Wire.java
+++ b/fleet/src/main/java/marlford/consensus/FrameTransport.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -21,68 +21,80 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Frames over TCP: four bytes of length, one of kind, then CBOR. It authenticates nothing: whoever reaches the port is
- * heard, so it belongs on a network where nobody else is.
+ * Frames over TCP: four bytes of length, one of type, then a CBOR body. There is no authentication, so the port must
+ * only be reachable from a trusted network.
  *
- * <p>Bounds: a frame of {@value #FRAME_MAX} bytes; {@value #QUEUE_MAX} bytes that wait to leave on one connection, beyond
- * which a frame is dropped, as if it were lost on the way; {@value #CONNECT_MS} ms to connect.
+ * <p>Limits: frames of {@value #FRAME_MAX} bytes; {@value #QUEUE_MAX} bytes queued on a connection, beyond which
+ * frames are dropped as if lost on the network; {@value #CONNECT_MS} ms to connect.
  */
-final class Wire {
+final class FrameTransport {
     static final byte HELLO = 1;
-    static final byte MAIL = 2;
+    static final byte ENGINE_MESSAGE = 2;
     static final byte CALL = 3;
     static final byte REPLY = 4;
     private static final int FRAME_MAX = 64 << 20;
     private static final int QUEUE_MAX = 8 << 20;
     private static final int LENGTH = 4;
     private static final int CONNECT_MS = 500;
-    private static final int SILENCE_S = 30; // a connection on which nothing comes for this long is closed
+    private static final int SILENCE_S = 30; // a connection without incoming data for this long is closed
 
-    private Wire() { }
+    private FrameTransport() {}
 
-    /** What comes over a connection; called on its event loop. */
-    interface Ears {
+    /** Receives frames and connection events, on the event loop of the connection. */
+    interface Listener {
         void frame(Channel from, byte kind, byte[] body);
 
-        default void open(Channel channel) { }
+        default void open(Channel channel) {}
 
-        default void closed(Channel channel) { }
+        default void closed(Channel channel) {}
     }
 
-    /** Listens; the future's channel has the address. */
-    static Channel listen(EventLoopGroup group, InetSocketAddress at, Ears ears) throws InterruptedException {
-        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+    /** Listens; the returned channel has the local address. */
+    static Channel listen(EventLoopGroup group, InetSocketAddress at, Listener listener) throws InterruptedException {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
-                .childHandler(pipeline(ears)).bind(at).sync().channel();
+                .childHandler(pipeline(listener))
+                .bind(at)
+                .sync()
+                .channel();
     }
 
-    /** Connects; {@link Ears#open} or {@link Ears#closed} tells what came of it. */
-    static void connect(EventLoopGroup group, InetSocketAddress to, Ears ears) {
-        new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+    /** Connects; {@link Listener#open} or {@link Listener#closed} reports the outcome. */
+    static void connect(EventLoopGroup group, InetSocketAddress to, Listener listener) {
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
-                .handler(pipeline(ears)).connect(to).addListener(f -> {
+                .handler(pipeline(listener))
+                .connect(to)
+                .addListener(f -> {
                     if (!f.isSuccess()) {
-                        ears.closed(null);
+                        listener.closed(null);
                     }
                 });
     }
 
-    private static ChannelInitializer<Channel> pipeline(Ears ears) {
+    private static ChannelInitializer<Channel> pipeline(Listener listener) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
                 ChannelPipeline p = ch.pipeline();
-                p.addLast(new ReadTimeoutHandler(SILENCE_S, TimeUnit.SECONDS),
+                p.addLast(
+                        new ReadTimeoutHandler(SILENCE_S, TimeUnit.SECONDS),
                         new LengthFieldBasedFrameDecoder(FRAME_MAX, 0, LENGTH, 0, LENGTH),
-                        new LengthFieldPrepender(LENGTH), new Frames(ears));
+                        new LengthFieldPrepender(LENGTH),
+                        new Frames(listener));
             }
         };
     }
 
-    /** Sends a frame, or drops it where too much waits already; whether it was taken. From any thread. */
+    /** Sends a frame, or drops it if the queue is full; returns whether it was queued. From any thread. */
     static boolean send(Channel to, byte kind, byte[] body) {
         if (to == null || !to.isActive() || !to.isWritable()) {
             return false;
@@ -93,29 +105,29 @@
     }
 
     private static final class Frames extends SimpleChannelInboundHandler<ByteBuf> {
-        private final Ears ears;
+        private final Listener listener;
 
-        Frames(Ears ears) {
-            this.ears = ears;
+        Frames(Listener listener) {
+            this.listener = listener;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ears.open(ctx.channel());
+            listener.open(ctx.channel());
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
             byte kind = frame.readByte();
-            ears.frame(ctx.channel(), kind, ByteBufUtil.getBytes(frame));
+            listener.frame(ctx.channel(), kind, ByteBufUtil.getBytes(frame));
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            ears.closed(ctx.channel());
+            listener.closed(ctx.channel());
         }
 
-        /** Noise, a frame that is too long, a connection that broke: the connection ends. */
+        /** Closes the connection on malformed or oversized frames and on I/O errors. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/fleet/src/main/java/marlford/agree/SegmentStore.java
+++ b/fleet/src/main/java/marlford/consensus/SegmentStore.java
@@ -1,4 +1,4 @@
-package marlford.agree;
+package marlford.consensus;
 
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
@@ -22,12 +22,13 @@
 import java.util.function.Function;
 
 /**
- * What a voter must not forget: which disk this is, how often it was started, its term and vote, lines and snapshot. One
- * file of records ({@link Segment}); each change is a record, and once a snapshot makes most of them idle the file is
- * written anew beside and put in its place. Lines are kept in memory as well, no more than lie between two snapshots.
+ * The persistent state of a voter: identity of the disk, number of starts, term and vote, log entries and snapshot.
+ * One file of records ({@link Segment}) to which each change is appended; when a snapshot has made most records
+ * obsolete, a new file is written beside it and replaces it atomically. Log entries since the last snapshot are also
+ * kept in memory.
  *
- * <p>The first failure to write or sync is the last: nothing is written after it, and the voter is told to go out.
- * Not thread-safe, but for {@link #failed}.
+ * <p>After the first failed write or sync nothing more is written, and the voter stops. Not thread-safe except for
+ * {@link #failed}.
  */
 final class SegmentStore implements RaftStore {
     private static final byte IDENTITY = 1;
@@ -40,15 +41,19 @@
     private static final byte CUT_FROM = 8;
     private static final byte CUT_UNTIL = 9;
     private static final byte DROP_PIECES = 10;
-    private static final long REWRITE_FROM = 1 << 20; // bytes; a smaller file is not written anew
+    private static final long REWRITE_FROM = 1 << 20; // bytes; a smaller file is not rewritten
 
-    record Identity(long disk) { }
+    /** The identity of the disk. */
+    record Identity(long disk) {}
 
-    record Number(long value) { }
+    /** A number of starts, or a log index. */
+    record Number(long value) {}
 
-    record Vote(int term, String point) { }
+    /** The term and the vote in it; no point for none. */
+    record Vote(int term, String point) {}
 
-    record Endpoint(String point, boolean voting) { }
+    /** This voter, and whether it votes. */
+    record Endpoint(String point, boolean voting) {}
 
     private final Path file;
     private final Function<Disk, Disk> wrap;
@@ -58,15 +63,15 @@
     private Identity identity;
     private long life;
     private Endpoint endpoint;
-    private Codec.Group initial;
+    private Codec.MembersRecord initial;
     private Vote vote;
     private final TreeMap<Long, byte[]> lines = new TreeMap<>();
     private final TreeMap<Long, TreeMap<Integer, byte[]>> pieces = new TreeMap<>();
     private volatile String failed;
 
     /**
-     * @param wrap what lies over the file, for faults
-     * @param log one line for what operators should know
+     * @param wrap wraps the file, to inject faults
+     * @param log takes one line for operators
      */
     SegmentStore(Path folder, Function<Disk, Disk> wrap, Consumer<String> log) throws IOException {
         this.file = folder.resolve("agreed");
@@ -97,19 +102,24 @@
                 case IDENTITY -> identity = Codec.agreed(body, Identity.class);
                 case LIFE -> life = Codec.agreed(body, Number.class).value();
                 case ENDPOINT -> endpoint = Codec.agreed(body, Endpoint.class);
-                case INITIAL -> initial = Codec.agreed(body, Codec.Group.class);
+                case INITIAL -> initial = Codec.agreed(body, Codec.MembersRecord.class);
                 case TERM -> vote = Codec.agreed(body, Vote.class);
                 case LINE -> {
-                    long index = Codec.agreed(body, Codec.Line.class).index();
+                    long index = Codec.agreed(body, Codec.LogRecord.class).index();
                     lines.put(index, body);
                 }
                 case PIECE -> {
-                    Codec.Piece p = Codec.agreed(body, Codec.Piece.class);
+                    Codec.SnapshotRecord p = Codec.agreed(body, Codec.SnapshotRecord.class);
                     pieces.computeIfAbsent(p.index(), i -> new TreeMap<>()).put(p.at(), body);
                 }
-                case CUT_FROM -> lines.tailMap(Codec.agreed(body, Number.class).value(), true).clear();
-                case CUT_UNTIL -> lines.headMap(Codec.agreed(body, Number.class).value(), true).clear();
-                case DROP_PIECES -> pieces.remove(Codec.agreed(body, Number.class).value());
+                case CUT_FROM ->
+                    lines.tailMap(Codec.agreed(body, Number.class).value(), true)
+                            .clear();
+                case CUT_UNTIL ->
+                    lines.headMap(Codec.agreed(body, Number.class).value(), true)
+                            .clear();
+                case DROP_PIECES ->
+                    pieces.remove(Codec.agreed(body, Number.class).value());
                 default -> throw new IllegalArgumentException("a record of kind " + kind);
             }
         } catch (IOException e) {
@@ -148,12 +158,12 @@
         return e;
     }
 
-    /** Why nothing is kept any more; null while all is well. From any thread. */
+    /** Why the store failed; null while it works. From any thread. */
     String failed() {
         return failed;
     }
 
-    /** Begins another life on this disk, and makes the disk a new one if it was empty. */
+    /** Records another start on this disk, and gives an empty disk its identity. */
     void begin(long freshDisk) throws IOException {
         if (identity == null) {
             put(IDENTITY, new Identity(freshDisk));
@@ -170,7 +180,7 @@
         return life;
     }
 
-    /** What an earlier life left of the engine's state; null for nothing, so that no vote was ever given here. */
+    /** The engine's state as left by an earlier process; null if none was stored, so no vote was ever cast. */
     RestoredRaftState restored() throws IOException {
         if (endpoint == null || initial == null || vote == null) {
             return null;
@@ -179,29 +189,43 @@
         for (var entry : pieces.descendingMap().entrySet()) {
             List<SnapshotChunk> chunks = new ArrayList<>();
             for (byte[] p : entry.getValue().values()) {
-                chunks.add(Codec.agreed(p, Codec.Piece.class).chunk());
+                chunks.add(Codec.agreed(p, Codec.SnapshotRecord.class).chunk());
             }
             SnapshotChunk first = chunks.get(0);
             if (chunks.size() == first.getSnapshotChunkCount()) {
-                snapshot = Codec.MODELS.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
-                        .setSnapshotChunks(chunks).setGroupMembersView(first.getGroupMembersView()).build();
+                snapshot = Codec.MODELS
+                        .createSnapshotEntryBuilder()
+                        .setIndex(first.getIndex())
+                        .setTerm(first.getTerm())
+                        .setSnapshotChunks(chunks)
+                        .setGroupMembersView(first.getGroupMembersView())
+                        .build();
                 break;
             }
         }
         List<LogEntry> entries = new ArrayList<>();
-        for (byte[] l : lines.tailMap(snapshot == null ? 0 : snapshot.getIndex(), false).values()) {
-            entries.add(Codec.agreed(l, Codec.Line.class).entry());
+        for (byte[] l :
+                lines.tailMap(snapshot == null ? 0 : snapshot.getIndex(), false).values()) {
+            entries.add(Codec.agreed(l, Codec.LogRecord.class).entry());
         }
-        Point voted = vote.point() == null ? null : new Point(vote.point());
+        VoterId voted = vote.point() == null ? null : new VoterId(vote.point());
         return new RestoredRaftState(
-                Codec.MODELS.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(new Point(endpoint.point()))
-                        .setVoting(endpoint.voting()).build(),
+                Codec.MODELS
+                        .createRaftEndpointPersistentStateBuilder()
+                        .setLocalEndpoint(new VoterId(endpoint.point()))
+                        .setVoting(endpoint.voting())
+                        .build(),
                 initial.view(),
-                Codec.MODELS.createRaftTermPersistentStateBuilder().setTerm(vote.term()).setVotedFor(voted).build(),
-                snapshot, entries);
+                Codec.MODELS
+                        .createRaftTermPersistentStateBuilder()
+                        .setTerm(vote.term())
+                        .setVotedFor(voted)
+                        .build(),
+                snapshot,
+                entries);
     }
 
-    /** The members that the group began with; null where this disk was never part of one. */
+    /** The initial members of the group; null if this disk was never part of one. */
     List<String> initial() {
         return initial == null ? null : initial.all();
     }
@@ -214,20 +238,24 @@
 
     @Override
     public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
-        put(INITIAL, Codec.Group.of(members));
+        put(INITIAL, Codec.MembersRecord.of(members));
         flush();
     }
 
     @Override
     public void persistAndFlushTerm(RaftTermPersistentState s) throws IOException {
-        put(TERM, new Vote(s.getTerm(), s.getVotedFor() == null ? null : s.getVotedFor().getId().toString()));
+        put(
+                TERM,
+                new Vote(
+                        s.getTerm(),
+                        s.getVotedFor() == null ? null : s.getVotedFor().getId().toString()));
         flush();
     }
 
     @Override
     public void persistLogEntries(List<LogEntry> entries) throws IOException {
         for (LogEntry e : entries) {
-            byte[] body = Codec.bytes(Codec.Line.of(e));
+            byte[] body = Codec.bytes(Codec.LogRecord.of(e));
             append(LINE, body);
             lines.put(e.getIndex(), body);
         }
@@ -235,7 +263,7 @@
 
     @Override
     public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
-        put(PIECE, Codec.Piece.of(chunk));
+        put(PIECE, Codec.SnapshotRecord.of(chunk));
     }
 
     @Override
@@ -266,7 +294,7 @@
         }
     }
 
-    /** The same state in as few records as it takes. */
+    /** Rewrites the file with only the current state. */
     private void rewrite() throws IOException {
         Path fresh = file.resolveSibling("agreed.new");
         try {
--- /dev/null
+++ b/fleet/src/main/java/marlford/partition/package-info.java
@@ -0,0 +1,2 @@
+/** Hash partitioning of names, the same for every process. */
+package marlford.partition;
--- /dev/null
+++ b/fleet/src/main/java/marlford/polling/package-info.java
@@ -0,0 +1,2 @@
+/** Single-flight polling of a list that all members need. No I/O and no clock. */
+package marlford.polling;
--- a/fleet/src/main/java/marlford/spread/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Which of several pieces a name falls into, the same for all who ask. */
-package marlford.spread;
--- a/fleet/src/main/java/marlford/turn/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Whose turn it is to call for a list that all need. No I/O and no clock. */
-package marlford.turn;
--- a/fleet/src/main/java/marlford/usage/UsageTable.java
+++ b/fleet/src/main/java/marlford/usage/UsageTable.java
@@ -5,21 +5,22 @@
 import java.util.TreeMap;
 
 /**
- * Units by customer and interval, in cells that outlive the process: a request counts from the moment of {@link #admitted},
- * whenever the process is killed. Pages of the table take an interval each, and are free again once it is exported.
+ * Units by customer and interval, in cells that survive the process: a request is counted as soon as {@link
+ * #admitted} returns, even if the process is then killed. Each interval takes one page, which is freed once it was
+ * exported.
  *
- * <p>Bounds: as many customers in an interval as a page has rows; what comes beyond counts under {@link #BEYOND}. Where no
- * page is free, since nothing could be exported for long, the last interval goes on: nothing is lost, its batch says when
- * it began.
+ * <p>Limits: customers beyond the rows of a page are counted under {@link #BEYOND}. If no page is free, because
+ * exports have failed for long, the current interval is extended: nothing is lost, and its batch states its start.
  *
- * <p>Two threads: the one that counts calls {@link #admitted} and {@link #look}, the one that exports {@link #closed} and
- * {@link #free}. A page belongs to the first until it is closed, and to the second from then on.
+ * <p>Two threads: the counting thread calls {@link #admitted} and {@link #look}, the exporting thread {@link #next}
+ * and {@link #free}. A page belongs to the counting thread until it is closed, then to the exporting thread.
  */
 public final class UsageTable {
     /** The customer under whom units stand for which a page had no row; no customer has this number. */
     public static final long BEYOND = (1L << 33) - 1;
     /** The pages and rows of a gateway's table. */
     public static final int PAGES = 16;
+
     public static final int ROWS = 4096;
     private static final long MILLI = 1000;
     private static final long MAGIC = 0x4d41524c55534531L;
@@ -132,7 +133,8 @@
 
     private void open(long wallMs) {
         int p = free();
-        while (p == NONE) { // an earlier process left no page free: its last one is taken up again, if it is not leaving
+        while (p
+                == NONE) { // an earlier process left no page free: its last one is taken up again, if it is not leaving
             int last = lastClosed();
             if (last != NONE && cells.swap(page(last), CLOSED, OPEN)) {
                 current = last;
--- a/storm/src/test/java/marlford/storm/VersionsTest.java
+++ b/storm/src/test/java/marlford/storm/VersionsTest.java
@@ -18,7 +18,9 @@
 
     private static Map<String, List<String>> newer() {
         Map<String, List<String>> changes = new LinkedHashMap<>();
-        changes.put("marlford/lease/Command.java", List.of("record Tick(long session, String task, long tick) implements Command { }", """
+        changes.put(
+                "marlford/lease/Command.java",
+                List.of("record Tick(long session, String task, long tick) implements Command {}", """
                 record Tick(long session, String task, long tick, String note) implements Command {
                     public Tick(long session, String task, long tick) {
                         this(session, task, tick, "new");
@@ -30,8 +32,10 @@
                     }
                 }
                 """));
-        changes.put("marlford/voters/Levels.java", List.of("OWN = 2;", "OWN = 3;"));
-        changes.put("marlford/voters/Hello.java", List.of("Levels.OWN", "3")); // a constant is compiled in
+        changes.put("marlford/membership/ProtocolVersions.java", List.of("CURRENT = 2;", "CURRENT = 3;"));
+        changes.put(
+                "marlford/membership/Hello.java",
+                List.of("ProtocolVersions.CURRENT", "3")); // a constant is compiled in
         return changes;
     }
 
@@ -57,7 +61,11 @@
             Gateway old = rig.gateways().get("g2");
             long from = System.nanoTime();
             rig.play(new Schedule(List.of()), rig.sinceMs() + 2 * TTL_MS);
-            assertEquals(0, rig.notes().stream().filter(n -> n.task().equals(Rig.TICK) && n.begin() > from).count());
+            assertEquals(
+                    0,
+                    rig.notes().stream()
+                            .filter(n -> n.task().equals(Rig.TICK) && n.begin() > from)
+                            .count());
             assertTrue(rig.awaitAct(Rig.ONE));
             assertFalse(old.said("takes no part"));
             old.kill();
@@ -72,7 +80,9 @@
     @Test
     void anOldVoterThatMeetsANewLineTakesNoPart(@TempDir Path dir) throws Exception {
         Map<String, List<String>> changes = newer();
-        changes.put("marlford/voters/Levels.java", List.of("OWN = 2;", "OWN = 3;", "levels.getOrDefault(p, 1)", "OWN"));
+        changes.put(
+                "marlford/membership/ProtocolVersions.java",
+                List.of("CURRENT = 2;", "CURRENT = 3;", "levels.getOrDefault(p, 1)", "CURRENT"));
         try (Rig rig = fleet(Changed.program(dir, changes))) {
             assertTrue(rig.awaitSaid("g2", "takes no part any more: the log has what only a newer version knows"));
             assertTrue(rig.awaitAct(Rig.TICK)); // by the two others' majority
