--- a/fleet/src/test/java/marlford/fleet/TaskDispatcherTest.java
+++ b/fleet/src/test/java/marlford/fleet/TaskDispatcherTest.java
@@ -9,6 +9,7 @@
 import marlford.task.TaskRun;
 import org.junit.jupiter.api.Test;
 
+/** Every run of a task ends, whatever its HTTP client does. */
 class TaskDispatcherTest {
     private static final long PATIENCE_S = 30;
     private static final TaskRun ACT = new TaskRun("one", -1, -1, 7, 20);
--- a/fleet/src/test/java/marlford/lease/LeaseStateMachineTest.java
+++ b/fleet/src/test/java/marlford/lease/LeaseStateMachineTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 /** What the book says of sessions, leases, shards and ticks. */
-class BookTest {
+class LeaseStateMachineTest {
     private static final long TTL = 1000;
     private final LeaseStateMachine machine = new LeaseStateMachine(0);
     private long index;
@@ -118,7 +118,7 @@
     void shardsMoveNoMoreThanTheyMust(@ForAll long seed) {
         Random random = new Random(seed);
         LeaseStateMachine fresh = new LeaseStateMachine(0);
-        BookTest t = new BookTest();
+        LeaseStateMachineTest t = new LeaseStateMachineTest();
         assertEquals(fresh.snapshot(), t.machine.snapshot());
         int shards = 1 + random.nextInt(100);
         List<Long> living = new ArrayList<>();
@@ -150,7 +150,7 @@
     @Property(tries = 200, seed = "20261201")
     void theBookHoldsWhateverIsSaid(@ForAll long seed) {
         Random random = new Random(seed);
-        BookTest t = new BookTest();
+        LeaseStateMachineTest t = new LeaseStateMachineTest();
         LeaseStateMachine twin = new LeaseStateMachine(0);
         long greatest = 0;
         for (int i = 0; i < 300; i++) {
--- a/fleet/src/test/java/marlford/lease/MemberSimulation.java
+++ b/fleet/src/test/java/marlford/lease/MemberSimulation.java
@@ -143,6 +143,7 @@
         board.begin(random.nextLong() >>> 1);
     }
 
+    /** A member of the simulation with its tasks. */
     public final class Peer {
         public final Member member;
         final List<FleetTask> duties = new ArrayList<>();
