Take Voter apart by job

One class of 636 formatted lines held the engine's life cycle, connections, the state machine, long polls, requests, membership changes, the watch on a silent leader and the operators' page. Change: Voter (354 lines) keeps the life cycle; VoterConnections, EngineConfig, ReplicatedState, RequestHandler, Watches, MembershipChanges, LeaderWatchdog and VoterStatus have the rest. Behaviour, log lines and the page are as before.

--- a/fleet/src/main/java/marlford/consensus/Voter.java
+++ b/fleet/src/main/java/marlford/consensus/Voter.java
@@ -2,124 +2,89 @@
 
 import com.fasterxml.jackson.databind.exc.InvalidTypeIdException;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
-import io.microraft.MembershipChangeMode;
-import io.microraft.Ordered;
-import io.microraft.QueryPolicy;
-import io.microraft.RaftConfig;
-import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
 import io.microraft.RaftNodeStatus;
-import io.microraft.exception.CannotReplicateException;
-import io.microraft.exception.NotLeaderException;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
-import io.microraft.report.RaftGroupMembers;
-import io.microraft.statemachine.StateMachine;
-import io.microraft.transport.Transport;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import marlford.board.Board;
-import marlford.board.BoardChanges;
 import marlford.lease.Command;
-import marlford.lease.CommandResult;
 import marlford.lease.FailureDetector;
 import marlford.lease.LeaseStateMachine;
-import marlford.lease.Reply;
-import marlford.lease.Request;
 import marlford.membership.Bootstrap;
 import marlford.membership.Hello;
 import marlford.membership.ProtocolVersions;
 import marlford.membership.VoterReplacement;
 
 /**
- * One of the processes that the fleet agrees through: the engine, its store, the state machine on the agreed log, and the answers to
- * what members ask. All of it runs on one thread of its own, so that a disk that hangs stops this vote and nothing else.
+ * A voter of the fleet: the Raft engine, its store, the replicated state machine, and the replies to members'
+ * requests. All of it runs on one thread of its own, so a disk that hangs stops this voter and nothing else.
  *
- * <p>Bounds: {@value #CALLS_MAX} calls and {@value #WATCHES_MAX} watches at once, beyond which the reply is
- * {@link Reply.Status#BUSY}; a watch is answered after {@value #WATCH_MS} ms whether something changed or not.
+ * <p>A voter whose store fails, or whose log holds a command of a newer version, stops for good and logs the reason.
  */
-public final class Voter implements Transport, StateMachine {
+public final class Voter {
     private static final String GROUP = "marlford";
-    private static final int CALLS_MAX = 4096;
-    private static final int WATCHES_MAX = 4096;
-    private static final double WATCH_MS = 5000;
-    private static final long TICK_MS = 25; // sessions are looked at
-    private static final long LOOK_MS = 300; // for operators, whom a disk that hangs keeps no longer
+    private static final long TICK_MS = 25; // between checks of sessions
+    private static final long STATUS_TIMEOUT_MS = 300; // for the operators' page
     private static final long HELLO_MS = 200;
     private static final double GONE_MS = 3000; // a voter that says nothing for this long may be replaced
     private static final double STALL_MS = 400; // a pause of this thread that is longer gives all sessions its time
-    private static final double CHANGE_AGAIN_MS = 300;
-    private static final int ELECTION_MS = 1500; // of the engine's milliseconds, EngineExecutor.FACTOR of ours
-    private static final int HEARTBEAT_S = 1; // likewise: 200 ms
-    private static final int SILENT_S = 5; // likewise: a leader that is silent for 1 s is no more
-    private static final double DEAF_MS = 3000; // three times that: the engine should have noticed long before
-    private static final int SNAPSHOT_LINES = 5000;
-    private static final int PENDING_MAX = 5000;
-    private static final int REPORT_S = 3600;
-    private static final int FLOOR_SHIFT = 18; // tokens a millisecond of the fleet's founding
+    private static final double LEADER_SILENCE_MS =
+            3000; // three times EngineConfig's: the engine should long have noticed
+    private static final int FLOOR_SHIFT = 18; // 2^18 tokens for each millisecond since the epoch
 
-    /** What a voter is told. */
+    /** The settings of a voter; its store lies in the folder. */
     public record Settings(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder) {}
 
-    private record Watch(Request.Watch ask, double until, Consumer<Reply> to) {}
-
     private final Settings settings;
     private final MonotonicClock time;
     private final EngineExecutor engine;
-    private final EventLoopGroup network;
     private final Consumer<String> log;
-    private final Map<String, ReconnectingChannel> links = new LinkedHashMap<>();
+    private final VoterConnections connections;
     private final FailureDetector failureDetector = new FailureDetector(STALL_MS);
-    private final ProtocolVersions levels = new ProtocolVersions();
+    private final ProtocolVersions versions = new ProtocolVersions();
     private final VoterReplacement replacement = new VoterReplacement(GONE_MS);
     private final Board board = new Board();
-    private final List<Watch> watches = new ArrayList<>();
+    private final LeaderWatchdog watchdog = new LeaderWatchdog(LEADER_SILENCE_MS, STALL_MS);
+    private final ReplicatedState state;
+    private final RequestHandler requests;
+    private final MembershipChanges membershipChanges;
     private final SecureRandom random = new SecureRandom();
     private SegmentStore store;
     private VoterId self;
     private Bootstrap bootstrap;
     private RaftNode node;
-    private Channel listener;
-    private LeaseStateMachine leases = new LeaseStateMachine(0);
-    private int ledTerm;
-    private int calls;
-    private boolean changing;
-    private double changeAt; // no change of members is tried before
-    private boolean flooring;
-    private RaftEndpoint followed; // the leader that the engine goes by
-    private double followedAt; // when it was last heard, but for stalls of this thread
-    private double tickedAt;
-    private volatile String out; // why it takes no part
+    private int leadingTerm;
+    private boolean floorProposed; // the command that sets the token floor is proposed
+    private volatile String stopped; // why this voter takes no part; null while it does
     private volatile boolean closed;
 
     public Voter(Settings settings, MonotonicClock time, EventLoopGroup network, Consumer<String> log) {
         this.settings = settings;
         this.time = time;
-        this.network = network;
         this.log = log;
         this.engine = new EngineExecutor("marlford-voter", time);
+        this.connections = new VoterConnections(network, this::frame, () -> stopped == null, log);
+        this.state = new ReplicatedState(this::stateChanged, this::heartbeat);
+        this.requests = new RequestHandler(
+                this::activeNode, state::machine, failureDetector, versions, board, time::ms, engine.thread());
+        this.membershipChanges = new MembershipChanges(replacement, time::ms, engine.thread(), log);
     }
 
-    /** Begins; a store that can't be trusted leaves it without a vote, and says so. */
+    /** Starts. With a store that can't be trusted the voter takes no part, and logs the reason. */
     public void start() throws IOException, InterruptedException {
         Path orders = settings.folder().resolve("fault");
         boolean faults = Boolean.getBoolean("marlford.faults");
@@ -129,34 +94,26 @@
             self = VoterId.of(settings.name(), store.identity().disk());
             bootstrap = new Bootstrap(hello(), settings.voters().keySet());
         } catch (IOException e) {
-            goOut("its store can't be used: " + e.getMessage());
+            stop("its store can't be used: " + e.getMessage());
         }
-        settings.voters().forEach((name, address) -> {
-            if (!name.equals(settings.name())) {
-                links.put(name, new ReconnectingChannel(network, address, this::frame));
-            }
-        });
-        listener = FrameTransport.listen(network, settings.voters().get(settings.name()), this::frame);
-        engine.thread().scheduleWithFixedDelay(guarded(this::tick), 0, TICK_MS, TimeUnit.MILLISECONDS);
-        engine.thread().scheduleWithFixedDelay(guarded(this::greet), 0, HELLO_MS, TimeUnit.MILLISECONDS);
+        connections.open(settings.name(), settings.voters());
+        engine.thread().scheduleWithFixedDelay(logFailures(this::tick), 0, TICK_MS, TimeUnit.MILLISECONDS);
+        engine.thread().scheduleWithFixedDelay(logFailures(this::announce), 0, HELLO_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Ends it at once. */
+    /** Stops at once. */
     public void close() {
         closed = true;
-        links.values().forEach(ReconnectingChannel::close);
-        if (listener != null) {
-            listener.close();
-        }
+        connections.close();
         engine.thread().shutdownNow();
     }
 
-    /** What operators see of the fleet from here; from any thread. A thread that hangs says that it does. */
+    /** The operators' page of this voter; from any thread. Reports a hanging thread instead of waiting for it. */
     public String text() {
         CompletableFuture<String> text = new CompletableFuture<>();
-        engine.execute(guarded(() -> text.complete(look())));
+        engine.execute(logFailures(() -> text.complete(status())));
         try {
-            return text.get(LOOK_MS, TimeUnit.MILLISECONDS);
+            return text.get(STATUS_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return "";
@@ -165,7 +122,7 @@
         }
     }
 
-    private Runnable guarded(Runnable work) {
+    private Runnable logFailures(Runnable work) {
         return () -> {
             try {
                 work.run();
@@ -176,9 +133,9 @@
         };
     }
 
-    private void goOut(String why) {
-        if (out == null) {
-            out = why;
+    private void stop(String why) {
+        if (stopped == null) {
+            stopped = why;
             log.accept("fleet: this voter takes no part any more: " + why);
             failureDetector.rest();
             if (node != null) {
@@ -187,22 +144,15 @@
         }
     }
 
-    // ---- the other voters
-
     private Hello hello() {
         return new Hello(settings.fleet(), self.id(), store.life(), store.initial(), replacement.lives());
     }
 
-    private void greet() {
-        if (out != null) {
+    private void announce() {
+        if (stopped != null) {
             return;
         }
-        try {
-            byte[] bytes = Codec.bytes(hello());
-            links.values().forEach(l -> l.send(FrameTransport.HELLO, bytes));
-        } catch (IOException e) {
-            log.accept("fleet: defect: " + e);
-        }
+        connections.broadcast(hello());
         if (node == null) {
             Bootstrap.Decision d = bootstrap.decide();
             if (store.initial() != null || d.step() != Bootstrap.Step.WAIT) {
@@ -216,17 +166,10 @@
             RestoredRaftState restored = store.restored();
             RaftNode.RaftNodeBuilder b = RaftNode.newBuilder()
                     .setGroupId(GROUP)
-                    .setConfig(RaftConfig.newBuilder()
-                            .setLeaderElectionTimeoutMillis(ELECTION_MS)
-                            .setLeaderHeartbeatPeriodSecs(HEARTBEAT_S)
-                            .setLeaderHeartbeatTimeoutSecs(SILENT_S)
-                            .setCommitCountToTakeSnapshot(SNAPSHOT_LINES)
-                            .setMaxPendingLogEntryCount(PENDING_MAX)
-                            .setRaftNodeReportPublishPeriodSecs(REPORT_S)
-                            .build())
+                    .setConfig(EngineConfig.create())
                     .setExecutor(engine)
-                    .setTransport(this)
-                    .setStateMachine(this)
+                    .setTransport(connections)
+                    .setStateMachine(state)
                     .setStore(store)
                     .setClock(engine)
                     .setRandom(new Random(random.nextLong()));
@@ -241,7 +184,7 @@
             node = b.build();
             node.start();
         } catch (IOException | RuntimeException e) {
-            goOut("it can't begin: " + e);
+            stop("it can't begin: " + e);
         }
     }
 
@@ -253,20 +196,23 @@
             switch (kind) {
                 case FrameTransport.HELLO -> {
                     Hello h = Codec.read(body, Hello.class);
-                    engine.execute(guarded(() -> heard(h)));
+                    engine.execute(logFailures(() -> heard(h)));
                 }
                 case FrameTransport.ENGINE_MESSAGE -> {
                     RaftMessage m = Codec.raftMessage(Codec.agreed(body, Codec.EngineMessage.class), GROUP);
-                    engine.execute(guarded(() -> {
-                        if (node != null && out == null && !replacement.isOlderCopy(((VoterId) m.getSender()).id())) {
-                            followedAt = m.getSender().equals(followed) ? time.ms() : followedAt;
+                    engine.execute(logFailures(() -> {
+                        if (node != null
+                                && stopped == null
+                                && !replacement.isOlderCopy(((VoterId) m.getSender()).id())) {
+                            watchdog.heard(m.getSender(), time.ms());
                             node.handle(m);
                         }
                     }));
                 }
                 case FrameTransport.CALL -> {
                     RequestFrame c = Codec.read(body, RequestFrame.class);
-                    engine.execute(guarded(() -> answer(c.ask(), r -> reply(from, c.id(), r))));
+                    engine.execute(logFailures(() ->
+                            requests.handle(c.ask(), r -> connections.reply(from, new ReplyFrame(c.id(), r)))));
                 }
                 default -> from.close();
             }
@@ -274,10 +220,9 @@
             from.close();
             if (kind
                     == FrameTransport
-                            .ENGINE_MESSAGE) { // passed over, this voter would have another state, which would not be
-                // the others' any more
-                engine.execute(
-                        guarded(() -> goOut("the log has what only a newer version knows: " + e.getOriginalMessage())));
+                            .ENGINE_MESSAGE) { // ignored, it would leave this voter with another state than the others
+                engine.execute(logFailures(
+                        () -> stop("the log has what only a newer version knows: " + e.getOriginalMessage())));
             }
         } catch (IOException | RuntimeException e) {
             from.close(); // noise
@@ -285,356 +230,125 @@
     }
 
     private void heard(Hello h) {
-        if (out != null || !h.fleet().equals(settings.fleet())) {
+        if (stopped != null || !h.fleet().equals(settings.fleet())) {
             return;
         }
         if (h.point().equals(self.id())) {
-            goOut("another process runs on a copy of its disk");
+            stop("another process runs on a copy of its disk");
             return;
         }
         if (h.seen().getOrDefault(self.id(), 0L) > store.life()) {
-            goOut("its disk is an older copy: life " + store.life() + ", while " + h.point() + " has seen life "
+            stop("its disk is an older copy: life " + store.life() + ", while " + h.point() + " has seen life "
                     + h.seen().get(self.id()));
             return;
         }
         bootstrap.heard(h);
         replacement.heard(h, time.ms());
-        levels.heard(h);
-    }
-
-    @Override
-    public void send(RaftEndpoint to, RaftMessage message) {
-        ReconnectingChannel link = links.get(((VoterId) to).name());
-        if (link == null || out != null) {
-            return;
-        }
-        try {
-            link.send(FrameTransport.ENGINE_MESSAGE, Codec.bytes(Codec.engineMessage(message)));
-        } catch (IOException e) {
-            log.accept("fleet: defect: " + e);
-        }
-    }
-
-    @Override
-    public boolean isReachable(RaftEndpoint to) {
-        ReconnectingChannel link = links.get(((VoterId) to).name());
-        return link != null && link.isOpen();
+        versions.heard(h);
     }
 
-    // ---- the state machine
-
-    @Override
-    public Object runOperation(long index, Object operation) {
-        if (operation instanceof Command c) {
-            CommandResult a = leases.apply(index, c);
-            tellWatches();
-            return a;
-        }
-        if (operation instanceof Request.Renew r) {
-            LeaseStateMachine.Session s = leases.session(r.session());
-            if (s == null) {
-                return new CommandResult(CommandResult.Kind.GONE, 0);
-            }
-            follow();
-            return failureDetector.heard(r.session(), time.ms()) ? CommandResult.renewed(s) : null;
-        }
-        if (operation instanceof Request.Lookup l) {
-            return leases.look(l.key(), l.digest());
-        }
-        return null; // a term begins
-    }
-
-    @Override
-    public void takeSnapshot(long index, Consumer<Object> to) {
-        to.accept(leases.snapshot());
+    /** The engine while this voter takes part; null before and after. */
+    private RaftNode activeNode() {
+        return stopped == null ? node : null;
     }
 
-    @Override
-    public void installSnapshot(long index, List<Object> pieces) {
-        leases = LeaseStateMachine.of((LeaseStateMachine.Snapshot) pieces.get(0));
-        tellWatches();
+    private void stateChanged() {
+        requests.stateChanged();
     }
 
-    @Override
-    public Object getNewTermOperation() {
-        return Codec.TermBegins.HERE;
+    /** A session was renewed; whether it goes on. */
+    private boolean heartbeat(long session) {
+        updateLeadership();
+        return failureDetector.heard(session, time.ms());
     }
 
-    /** The lead as the engine has it now. */
-    private void follow() {
-        boolean leads = out == null
+    /** Takes over whether this voter leads from the engine. */
+    private void updateLeadership() {
+        boolean leads = stopped == null
                 && node != null
                 && !RaftNodeStatus.isTerminal(node.getStatus())
                 && self.equals(node.getTerm().getLeaderEndpoint());
         if (!leads) {
             failureDetector.rest();
-        } else if (node.getTerm().getTerm() != ledTerm || !failureDetector.leads()) {
-            ledTerm = node.getTerm().getTerm();
+        } else if (node.getTerm().getTerm() != leadingTerm || !failureDetector.leads()) {
+            leadingTerm = node.getTerm().getTerm();
             failureDetector.lead(time.ms());
             board.begin(random.nextLong() >>> 1);
-            changing = false;
-            flooring = false;
-            log.accept("fleet: " + self.id() + " leads, term " + ledTerm);
+            membershipChanges.beginTerm();
+            floorProposed = false;
+            log.accept("fleet: " + self.id() + " leads, term " + leadingTerm);
         }
     }
 
     private void tick() {
-        if (out == null && store.failed() != null) {
-            goOut(store.failed());
+        if (stopped == null && store.failed() != null) {
+            stop(store.failed());
         }
         double now = time.ms();
-        expireWatches(now);
-        if (node == null || out != null) {
+        requests.tick(now, stopped != null);
+        if (node == null || stopped != null) {
             return;
         }
         if (RaftNodeStatus.isTerminal(node.getStatus())) {
-            goOut("the engine ended");
+            stop("the engine ended");
             return;
         }
-        wake(now);
-        if (node == null || out != null) {
+        if (watchdog.isStuck(node.getTerm().getLeaderEndpoint(), self, now)) {
+            restartEngine();
+        }
+        if (activeNode() == null) {
             return;
         }
-        follow();
+        updateLeadership();
         if (!failureDetector.leads()) {
             return;
         }
-        if (!leases.isBegun()) {
-            floor();
+        if (!state.machine().isBegun()) {
+            proposeTokenFloor();
             return;
         }
-        for (long session : failureDetector.due(now, leases.sessions())) {
+        for (long session : failureDetector.due(now, state.machine().sessions())) {
             log.accept("fleet: session " + session + " is silent, its end is proposed");
             node.replicate(new Command.Close(session));
         }
-        replace(now);
+        membershipChanges.propose(node, self, now);
     }
 
-    /**
-     * Begins the engine anew, from its store as at a start, where it goes by a leader that has long been silent. An engine that asked
-     * for votes of its own just before a leader of the same term was first heard keeps that question open for good, and asks
-     * no other; where a majority needs this voter's log, nobody is elected from then on.
-     */
-    private void wake(double now) {
-        double gap = now - tickedAt;
-        tickedAt = now;
-        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
-        if (!Objects.equals(leader, followed)) {
-            followed = leader;
-            followedAt = now;
-        } else if (gap > STALL_MS) {
-            followedAt += gap; // what it said meanwhile stands unread
-        }
-        if (leader != null && !self.equals(leader) && now - followedAt > DEAF_MS) {
-            log.accept("fleet: the engine does not notice that " + leader.getId() + " is silent, and begins anew");
-            node.terminate();
-            node = null;
-            leases = new LeaseStateMachine(0);
-            followed = null;
-            begin(bootstrap.decide());
-        }
+    /** Restarts the engine from its store, as a restart of the process would ({@link LeaderWatchdog}). */
+    private void restartEngine() {
+        log.accept("fleet: the engine does not notice that "
+                + node.getTerm().getLeaderEndpoint().getId() + " is silent, and begins anew");
+        node.terminate();
+        node = null;
+        state.reset();
+        watchdog.reset();
+        begin(bootstrap.decide());
     }
 
-    /** A fleet that is founded anew after all disks were lost must not give out tokens that an older one did. */
-    private void floor() {
-        if (!flooring) {
-            flooring = true;
+    /** A fleet that is bootstrapped again after all disks were lost must not reuse tokens of the former one. */
+    private void proposeTokenFloor() {
+        if (!floorProposed) {
+            floorProposed = true;
             node.replicate(new Command.Floor(System.currentTimeMillis() << FLOOR_SHIFT));
         }
     }
 
-    private void replace(double now) {
-        RaftGroupMembers members = node.getCommittedMembers();
-        if (changing || now < changeAt) {
-            return;
-        }
-        VoterReplacement.Step step = replacement.next(
-                Codec.ids(members.getVotingMembers()), Codec.ids(members.getMembers()), self.id(), now);
-        if (step == null) {
-            return;
-        }
-        changing = true;
-        MembershipChangeMode mode = switch (step.kind()) {
-            case REMOVE -> MembershipChangeMode.REMOVE_MEMBER;
-            case LISTEN -> MembershipChangeMode.ADD_LEARNER;
-            case VOTE -> MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER;
-        };
-        log.accept("fleet: " + step.kind() + ' ' + step.point());
-        node.changeMembership(new VoterId(step.point()), mode, members.getLogIndex())
-                .whenCompleteAsync(
-                        (done, e) -> {
-                            changing = false;
-                            if (e != null) { // as before a line of this term is agreed
-                                changeAt = time.ms() + CHANGE_AGAIN_MS;
-                                log.accept("fleet: " + step.kind() + ' ' + step.point() + " did not come about: " + e);
-                            }
-                        },
-                        engine.thread());
-    }
-
-    // ---- the members' calls
-
-    private void reply(Channel to, long id, Reply r) {
-        try {
-            FrameTransport.send(to, FrameTransport.REPLY, Codec.bytes(new ReplyFrame(id, r)));
-        } catch (IOException e) {
-            log.accept("fleet: defect: " + e);
-        }
-    }
-
-    private String leader() {
-        RaftEndpoint l = node == null || out != null ? null : node.getTerm().getLeaderEndpoint();
-        return l == null ? "" : ((VoterId) l).name();
-    }
-
-    /** Answers an ask, now or later, once; on this voter's thread. */
-    private void answer(Request ask, Consumer<Reply> to) {
-        if (out != null || node == null || calls >= CALLS_MAX || watches.size() >= WATCHES_MAX) {
-            to.accept(Reply.no(Reply.Status.BUSY, leader()));
-        } else if (ask instanceof Request.Watch w) {
-            watches.add(new Watch(w, time.ms() + WATCH_MS, to));
-            tellWatches();
-        } else if (ask instanceof Request.Renew r) {
-            BoardChanges news = r.telling() == null || !failureDetector.leads()
-                    ? null
-                    : board.hear(r.session(), r.telling(), token -> leases.holds(r.session(), token), time.ms());
-            comes(
-                    node.query(r, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()),
-                    reply -> to.accept(reply.with(news)));
-        } else if (ask instanceof Request.Lookup l) {
-            comes(node.query(l, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), to);
-        } else if (!leases.isBegun()) {
-            to.accept(Reply.no(Reply.Status.BUSY, leader()));
-        } else {
-            submit(((Request.Submit) ask).line(), to);
-        }
-    }
-
-    private void submit(Command line, Consumer<Reply> to) {
-        boolean known = line.level()
-                <= levels.lowestCommon(Codec.ids(node.getCommittedMembers().getVotingMembers()), self.id());
-        if (failureDetector.leads() && !known) {
-            to.accept(new Reply(
-                    Reply.Status.OK, leader(), new CommandResult(CommandResult.Kind.NOT_YET, 0), leases.index(), null));
-        } else {
-            comes(node.replicate(line), to);
-        }
-    }
-
-    private <T> void comes(CompletableFuture<Ordered<T>> future, Consumer<Reply> to) {
-        calls++;
-        future.whenCompleteAsync(
-                (done, e) -> {
-                    calls--;
-                    if (e == null && done.getResult() instanceof CommandResult a) {
-                        to.accept(new Reply(Reply.Status.OK, leader(), a, done.getCommitIndex(), null));
-                        return;
-                    }
-                    Throwable cause = e instanceof CompletionException ? e.getCause() : e;
-                    Reply.Status why = cause == null || cause instanceof NotLeaderException
-                            ? Reply.Status.NOT_LEADER
-                            : cause instanceof CannotReplicateException ? Reply.Status.BUSY : Reply.Status.UNSURE;
-                    to.accept(Reply.no(why, leader()));
-                },
-                engine.thread());
-    }
-
-    private void tellWatches() {
-        for (Iterator<Watch> i = watches.iterator(); i.hasNext(); ) {
-            Watch w = i.next();
-            LeaseStateMachine.Session s = leases.session(w.ask().session());
-            if (s != null && s.changed() > w.ask().since()) {
-                i.remove();
-                w.to().accept(seen(w.ask()));
-            }
-        }
-    }
-
-    private void expireWatches(double now) {
-        for (Iterator<Watch> i = watches.iterator(); i.hasNext(); ) {
-            Watch w = i.next();
-            if (now > w.until() || out != null) {
-                i.remove();
-                w.to().accept(seen(w.ask()));
-            }
-        }
-    }
-
-    private Reply seen(Request.Watch w) {
-        boolean there = out == null && leases.session(w.session()) != null;
-        return new Reply(Reply.Status.OK, leader(), null, leases.index(), there ? leases.holdings(w.session()) : null);
-    }
-
-    // ---- what operators see
-
-    private String look() {
-        StringBuilder s = new StringBuilder();
-        s.append("voter=")
-                .append(self == null ? settings.name() : self.id())
-                .append(" state=")
-                .append(out != null ? "out (" + out + ')' : node == null ? "waiting for the other voters" : "votes")
-                .append('\n');
-        if (node != null && out == null) {
-            Collection<String> voting = Codec.ids(node.getCommittedMembers().getVotingMembers());
-            s.append("leader=")
-                    .append(leader())
-                    .append(" term=")
-                    .append(node.getTerm().getTerm())
-                    .append(" index=")
-                    .append(leases.index())
-                    .append('\n');
-            double now = time.ms();
-            voting.forEach(p -> s.append("member=")
-                    .append(p)
-                    .append(" heard=")
-                    .append(p.equals(self.id()) || replacement.isThere(p, now))
-                    .append('\n'));
-            Codec.ids(node.getCommittedMembers().getMembers()).stream()
-                    .filter(p -> !voting.contains(p))
-                    .forEach(p -> s.append("listener=").append(p).append('\n'));
-        }
-        LeaseStateMachine.Snapshot snapshot = leases.snapshot();
-        snapshot.sessions()
-                .forEach(m -> s.append("session=")
-                        .append(m.id())
-                        .append(" member=")
-                        .append(m.member())
-                        .append(" ttl_ms=")
-                        .append(m.ttlMs())
-                        .append('\n'));
-        for (LeaseStateMachine.Lease l : snapshot.leases()) {
-            l.holders()
-                    .forEach((session, token) -> s.append("lease=")
-                            .append(l.name())
-                            .append(" holder=")
-                            .append(leases.session(session).member())
-                            .append(" token=")
-                            .append(token)
-                            .append(" waiting=")
-                            .append(l.queue().size())
-                            .append('\n'));
-        }
-        for (LeaseStateMachine.Pool p : snapshot.pools()) {
-            s.append("pool=")
-                    .append(p.name())
-                    .append(" shards=")
-                    .append(p.owners().size())
-                    .append(" members=")
-                    .append(p.members().size())
-                    .append(" moving=")
-                    .append(p.next().stream().filter(n -> n != 0).count())
-                    .append('\n');
-        }
+    /** The operators' page; on the voter's thread. */
+    private String status() {
+        VoterStatus page = new VoterStatus();
+        page.addVoter(
+                self == null ? settings.name() : self.id(),
+                stopped != null ? "out (" + stopped + ')' : node == null ? "waiting for the other voters" : "votes");
+        LeaseStateMachine machine = state.machine();
+        if (activeNode() != null) {
+            page.addGroup(node, requests.leader(), machine.index(), self.id(), replacement, time.ms());
+        }
+        LeaseStateMachine.Snapshot snapshot = machine.snapshot();
+        page.addLeases(snapshot, machine);
         if (failureDetector.leads()) {
-            s.append(board.text()).append('\n');
+            page.addBoard(board);
         }
-        s.append(leases.workText());
-        snapshot.ticks()
-                .forEach((task, tick) -> s.append("task=")
-                        .append(task)
-                        .append(" tick=")
-                        .append(tick)
-                        .append('\n'));
-        return s.toString();
+        page.addWork(snapshot, machine);
+        return page.toString();
     }
 }
