Take the storm's Rig apart by job

Measured: compiles. Two methods of StormTest at a load of 16 to 20 on 8 cores: aHolderThatEndsInOrderHandsOver passed, aHolderThatIsCutFromTheResourceKeepsItsLease failed (one change of hands, none expected), cause not known; no other storm test was run.

--- a/storm/src/main/java/marlford/storm/Judge.java
+++ b/storm/src/main/java/marlford/storm/Judge.java
@@ -43,13 +43,13 @@
 
     private final long takesNs;
     private final List<Note> notes;
-    private final List<Rig.Played> played;
+    private final List<FaultInjector.Played> played;
     private final List<String> broken = new ArrayList<>();
     private final List<String> unexplained = new ArrayList<>();
     private int overlaps;
 
     /** @param takesMs the longest that a holder waits for an act */
-    Judge(List<Note> notes, List<Rig.Played> played, double takesMs) {
+    Judge(List<Note> notes, List<FaultInjector.Played> played, double takesMs) {
         this.takesNs = (long) (takesMs * NANOS_PER_MS);
         this.notes = notes;
         this.played = played;
--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -108,7 +108,7 @@
             Judge.Verdict verdict,
             List<Long> handOvers,
             List<String> defects,
-            List<Rig.Played> played,
+            List<FaultInjector.Played> played,
             List<Note> notes,
             long zero,
             String stuck,
