--- a/gateway/src/main/java/deckfall/quota/Book.java
+++ b/gateway/src/main/java/deckfall/quota/Book.java
@@ -5,11 +5,19 @@
  * keeper says so; a grant never takes it there.
  */
 final class Book {
+    /** Part of the burst that may be leased at a time. */
+    static final double LEASED_MOST = 0.7;
+    /**
+     * Part of the burst that may be granted beyond what is here while as much is leased and not spent: a holder's idle units
+     * then refuse nobody. It is the most by which leases overrun a quota.
+     */
+    static final double OVERCOMMIT = 0.25;
     private static final double DEMAND_MS = 2000; // averaging of demand: longer than gaps between requests
 
     final Talk.Named named;
     final Keepers keepers;
     final Terms terms;
+    private final LeaseLedger leases = new LeaseLedger();
     private final CeilingShare ceiling; // null where the plan has none, or none of it is here
     /** Whether it is known what was used before this gateway had the book, or it was there from the first. */
     boolean informed;
@@ -36,7 +44,7 @@
             return;
         }
         if (fill.on()) {
-            level = Math.min(terms.burst(), level + ms / 1000 * terms.rate());
+            level = Math.min(terms.burst() - leases.outstanding(now), level + ms / 1000 * terms.rate());
         }
         demand *= Math.exp(-ms / DEMAND_MS);
         at = now;
@@ -53,7 +61,7 @@
         usedAt = now;
         if (of != Talk.Of.CEILING) {
             demand += (units + more) / DEMAND_MS * 1000;
-            if (terms.rate() > 0 && level - spent < units) {
+            if (terms.rate() > 0 && level + unspentLeases(now) - spent < units) {
                 return Talk.Verdict.STORE;
             }
             level -= terms.rate() > 0 ? units : 0;
@@ -68,6 +76,45 @@
         return Talk.Verdict.GRANTED;
     }
 
+    /**
+     * Settles a request for a lease and grants what there is room for. What is leased leaves the store at once, and the store
+     * fills up to its burst less what is leased.
+     *
+     * @param life of the holder
+     * @param inCharge whether this gateway may lease the quota's units
+     * @return units granted beside those held
+     */
+    double lease(double now, int peer, int life, Talk.LeaseRequest request, boolean inCharge, CeilingShare.Fill fill) {
+        touch(now, fill);
+        usedAt = now;
+        if (request.of() == Talk.Of.CEILING) {
+            return ceiling == null ? 0 : ceiling.lease(now, peer, life, request, fill);
+        }
+        LeaseLedger.Settled settled = leases.settle(now, peer, life, request);
+        if (settled.repeat()) {
+            return settled.granted();
+        }
+        demand += settled.spent() / DEMAND_MS * 1000;
+        level += settled.returned();
+        double fair = Math.min(level * LeaseLedger.FAIR, LEASED_MOST * terms.burst() - leases.outstanding(now));
+        double units = LeaseLedger.whole(Math.min(Math.min(request.units(), fair), leases.room(peer, life)));
+        boolean may = inCharge && fill.on() && terms.rate() > 0 && units > 0;
+        if (!may || !leases.grant(now, peer, life, request.serial(), units)) {
+            return 0;
+        }
+        level -= units;
+        return units;
+    }
+
+    private double unspentLeases(double now) {
+        return Math.min(leases.outstanding(now), OVERCOMMIT * terms.burst());
+    }
+
+    /** As {@link #fullness}, with what a question may be granted beyond the store. */
+    double grantable(double now) {
+        return terms.burst() > 0 ? (level + unspentLeases(now)) / terms.burst() : 1;
+    }
+
     /** Units of the ceiling that can be given here and now. */
     double ceiling(double now, CeilingShare.Fill fill) {
         return ceiling == null ? 0 : ceiling.at(now, fill);
@@ -78,10 +125,15 @@
         level = Math.min(terms.burst(), level + (terms.rate() > 0 ? units : 0));
     }
 
-    /** Units that were let in without being asked for; what went beyond the quota took nothing from the store. */
-    void used(double now, double units, CeilingShare.Fill fill) {
+    /**
+     * Units that were let in without being asked for; what went beyond the quota took nothing from the store.
+     *
+     * @param tried units let in or refused
+     */
+    void used(double now, double units, double tried, CeilingShare.Fill fill) {
         touch(now, fill);
         usedAt = now;
+        demand += tried / DEMAND_MS * 1000;
         level = Math.max(Math.min(level, 0), level - (terms.rate() > 0 ? units : 0));
     }
 
--- a/gateway/src/main/java/deckfall/quota/CeilingShare.java
+++ b/gateway/src/main/java/deckfall/quota/CeilingShare.java
@@ -12,6 +12,12 @@
  * part of the burst <em>less</em> what it has lent. What was given must be sent on within {@link #USE_MS} of its asking and
  * counts here for {@link #LENT_MS} from the giving, which is later; what is not used is lost, never returned.
  *
+ * <p><b>Leases</b> ({@link LeaseLedger}) are given from the same share and count in L. At most {@link #LEASED_MOST} of a share
+ * is leased. A later life of this gateway does not know what the former leased: it begins with nothing, and until the last
+ * of those leases has ended it keeps its store to what the former could not have leased and leases nothing itself, so that
+ * never more than one former life's leases are out. While another process has what fills, nothing is leased, so that no lease
+ * outlasts that time.
+ *
  * <p>Bound: {@value #LOANS_MAX} loans are told apart; beyond it they are counted together, until the last of them ends.
  */
 final class CeilingShare {
@@ -19,6 +25,8 @@
     static final double USE_MS = 400;
     /** So long it counts as lent, from its giving: what is sent late may take its time to connect, in milliseconds. */
     static final double LENT_MS = 750;
+    /** Part of a share that may be leased at a time. */
+    static final double LEASED_MOST = 0.5;
     private static final int LOANS_MAX = 64;
 
     private record Loan(double till, double units) { }
@@ -26,6 +34,8 @@
     private final double rate;
     private final double hold;
     private final ArrayDeque<Loan> loans = new ArrayDeque<>();
+    private final LeaseLedger leases = new LeaseLedger();
+    private final double formerTill; // leases of an earlier life
     private double lent;
     private double store;
     private double filledAt;
@@ -34,10 +44,11 @@
      * @param share of the ceiling, 0 to 1
      * @param since no earlier life of this gateway gave anything out since then
      */
-    CeilingShare(Terms terms, double share, double now, double since) {
+    CeilingShare(Terms terms, double share, double since) {
         rate = terms.ceilingRate() * share;
         hold = terms.ceilingBurst() * share;
-        filledAt = Math.min(now, since + LENT_MS); // what the earlier life gave may be on its way until then
+        filledAt = since + LENT_MS; // what the earlier life gave may be on its way until then
+        formerTill = since + LeaseLedger.LENT_MS;
     }
 
     /**
@@ -60,7 +71,8 @@
         filledAt = Math.max(filledAt, now);
         // What another process fills its store by leaves this one, or both would have what one may hold.
         double left = fill.on() ? store + filled : Math.min(store, Math.max(0, store - filled));
-        store = Math.min(left, hold * fill.part() - lent);
+        double most = now < formerTill ? (1 - LEASED_MOST) * hold : hold;
+        store = Math.min(left, most * fill.part() - lent - leases.outstanding(now));
         return store;
     }
 
@@ -74,4 +86,26 @@
         }
         loans.addLast(new Loan(now + LENT_MS, sum));
     }
+
+    /**
+     * Settles a request for a lease and grants what there is room for.
+     *
+     * @param life of the holder
+     * @return units granted beside those held
+     */
+    double lease(double now, int peer, int life, Talk.LeaseRequest request, Fill fill) {
+        LeaseLedger.Settled settled = leases.settle(now, peer, life, request);
+        if (settled.repeat()) {
+            return settled.granted();
+        }
+        store += settled.returned();
+        double fair = Math.min(at(now, fill) * LeaseLedger.FAIR,
+                LEASED_MOST * hold * fill.part() - leases.outstanding(now));
+        double units = LeaseLedger.whole(Math.min(Math.min(request.units(), fair), leases.room(peer, life)));
+        if (!fill.on() || now < formerTill || units <= 0 || !leases.grant(now, peer, life, request.serial(), units)) {
+            return 0;
+        }
+        store -= units;
+        return units;
+    }
 }
--- a/gateway/src/main/java/deckfall/quota/Exchange.java
+++ b/gateway/src/main/java/deckfall/quota/Exchange.java
@@ -52,12 +52,16 @@
     private static final double PRESSED_MS = 1000; // so long a word that there is little left thins out questions
     private static final double PRESSED = 0.25; // share of the burst that is little
     private static final double ASKED_MORE = 1.25; // times what the store fills by, that is asked for when pressed
+    private static final int LEASED = -1; // in place of a keeper: the units are of this gateway's own lease
     private static final int OPEN_MAX = 512;
     private static final int ENDED_MAX = 256; // questions given up whose answer may yet come
     private static final double SHARE_USED = 0.8; // of the intake: bursts fit in the rest
     private static final double BROADCAST_MS = 1000; // between broadcasts, from which on they tell too little too late
     private static final double CREDIT_MS = 250; // time's worth of questions that may leave at once
-    private static final double MEAN = 0.5; // of the time in which a store fills: how long its units are missing
+    private static final double CREDIT_LOW = 0.5; // of that: below it what need not be asked, or can wait, is not asked at once
+    private static final double PLENTY = 0.5; // share of the burst that is plenty
+    private static final double PLENTY_RATE = 0.9; // share of the rate up to which demand leaves plenty
+    private static final double PLENTY_MS = 15_000; // so long a word of it holds
     private static final double SWEEP_MS = 5000;
     private static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
     private static final double FILLED = 2; // times the time in which its slower store fills
@@ -99,6 +103,7 @@
         int guessed;
         int stoodIn;
         int unable;
+        int leased;
     }
 
     /** What is done with messages and decisions. */
@@ -111,6 +116,7 @@
     private static final class Peer {
         final Verdicts verdicts = new Verdicts();
         boolean met;
+        boolean leases; // its version understands requests for leases
         int life;
         int syncCount;
         boolean synced;
@@ -122,84 +128,20 @@
         double knockedAt = Double.NEGATIVE_INFINITY;
     }
 
-    /** A customer as one that asks sees it. */
-    private static final class Known {
-        final Talk.Named named;
-        final Terms terms;
-        final Keepers keepers;
-        double level;
-        double demand;
-        double toldAt = Double.NEGATIVE_INFINITY;
-        double usedAt;
-        double more; // units refused here without a question
-        double guessed; // units let in here without a keeper's word, and not told yet; fading as the store fills
-        double guessedAt;
-
-        Known(Talk.Named named, Terms terms, Keepers keepers) {
-            this.named = named;
-            this.terms = terms;
-            this.keepers = keepers;
-            level = terms.burst();
-        }
-
-        double ageMs(double now) {
-            return toldAt == Double.NEGATIVE_INFINITY ? 0 : now - toldAt;
-        }
-
-        /** Lets in without a keeper's word; none is needed where there is no quota. */
-        void guess(double now, double units) {
-            if (terms.rate() > 0) {
-                guessed = guessed(now) + units;
-                guessedAt = now;
-            }
-        }
-
-        double guessed(double now) {
-            double fillMs = 1000 * terms.burst() / terms.rate();
-            return guessed * Math.exp((guessedAt - now) / (MEAN * fillMs));
-        }
-
-        void told(double now, double toldLevel, double toldDemand) {
-            level = toldLevel;
-            demand = toldDemand;
-            toldAt = now;
-        }
-    }
-
     private record Heard(double at, Talk.Hint hint) { }
 
-    private static final class Question {
-        final String id;
-        final Known known;
-        final double units;
-        final double lastMs;
-        int place = -1; // of the keeper that was asked last
-        int serial;
-        int sends;
-        double askedAt;
-        double answerBy;
-        Talk.Of of = Talk.Of.BOTH;
-        Grant quota; // the store's units, while the ceiling's are looked for
-        int peer; // that was asked last
-        final Set<Integer> lenders = new HashSet<>(); // that had none
-
-        Question(String id, Known known, double units, double lastMs) {
-            this.id = id;
-            this.known = known;
-            this.units = units;
-            this.lastMs = lastMs;
-        }
-    }
-
     private final Config config;
     private final Link link;
     private final Random random;
     private final Peer[] peers;
-    private final Map<Long, Known> customers = new HashMap<>();
+    private final Map<Long, CustomerView> customers = new HashMap<>();
     private final Map<Long, Book> books = new LinkedHashMap<>();
     private final Map<Integer, Question> open = new LinkedHashMap<>();
     private final LinkedHashSet<Integer> ended = new LinkedHashSet<>(); // serials that nobody waits for
     private final LinkedHashMap<Long, Heard> hints = new LinkedHashMap<>();
+    private final LeaseRenewals renewals;
+    private final UsageReports reports = new UsageReports();
+    private final LenderQueue queue = new LenderQueue();
     private final List<Book> pressed = new ArrayList<>(); // of those kept here, as of the last word to stand-ins
     private int hinted;
     private final Map<Integer, List<Talk.Item>> due = new TreeMap<>();
@@ -221,6 +163,45 @@
     private int hellos;
     private Counts counts = new Counts();
 
+    private final LeaseRenewals.Side renewing = new LeaseRenewals.Side() {
+        @Override
+        public int owner(double now, CustomerView k, Talk.Of of) {
+            return leaseOwner(now, k, of);
+        }
+
+        @Override
+        public int serial() {
+            return nextSerial();
+        }
+
+        @Override
+        public boolean mayAsk(double now) {
+            return takeCredit(now);
+        }
+
+        @Override
+        public void say(int peer, Talk.LeaseRequest request) {
+            Exchange.this.say(peer, request);
+        }
+    };
+
+    private final UsageReports.Side reporting = new UsageReports.Side() {
+        @Override
+        public int keeper(double now, CustomerView k) {
+            return keeperInCharge(now, k);
+        }
+
+        @Override
+        public boolean mayTell(double now) {
+            return takeCredit(now);
+        }
+
+        @Override
+        public void report(double now, int keeper, CustomerView k) {
+            reportUsage(now, keeper, k);
+        }
+    };
+
     /** Whether a tier is so large that even a broadcast of each to all would come a second apart. */
     public static boolean isFor(int gateways, double mailPerSecond) {
         return gateways - 1 >= SHARE_USED * Math.max(1, mailPerSecond) * BROADCAST_MS / 1000;
@@ -238,6 +219,7 @@
         }
         perMs = Math.max(1, config.mailPerSecond()) * SHARE_USED / 1000;
         credit = perMs * CREDIT_MS;
+        renewals = new LeaseRenewals(config.mailPerSecond());
         creditAt = knocksAt = syncedAt = sweptAt = fillsSince = now;
     }
 
@@ -261,6 +243,8 @@
         hellos = 0;
         books.clear();
         pressed.clear();
+        renewals.clear();
+        customers.values().forEach(CustomerView::dropLeases); // they are the former life's
     }
 
     /** This loop stood still for so long: what came meanwhile is read only now. */
@@ -268,6 +252,12 @@
         open.values().forEach(q -> q.answerBy += ms);
     }
 
+    /** Whether units of that customer's quota are leased here. */
+    boolean holdsLease(double now, long customer) {
+        CustomerView k = customers.get(customer);
+        return k != null && k.quotaLease.held(now);
+    }
+
     // ---- asking
 
     /**
@@ -276,16 +266,42 @@
      * @param lastMs when it must be decided at the latest
      */
     public void want(double now, String id, Talk.Named named, double units, double lastMs) {
-        Known k = known(now, named);
+        CustomerView k = known(now, named);
         if (k == null) {
             link.decided(now, id, new Decision(false, Why.GUESSED, 0, 0, null));
             return;
         }
-        next(now, new Question(id, k, units, lastMs));
+        Question q = new Question(id, k, units, lastMs);
+        if (k.terms.rate() <= 0) {
+            if (k.capped()) {
+                lender(now, q);
+            } else {
+                next(now, q);
+            }
+            return;
+        }
+        k.quotaLease.tried(now, units);
+        renewals.add(k);
+        if (!k.quotaLease.take(now, units)) {
+            next(now, q);
+            return;
+        }
+        counts.leased++;
+        q.quota = new Grant(LEASED, 0, named.customer(), units);
+        if (k.capped()) {
+            lender(now, q);
+        } else {
+            link.decided(now, id, new Decision(true, Why.GRANTED, Double.POSITIVE_INFINITY, 0, q.quota));
+        }
     }
 
     /** Nobody waits for the answer any more. */
     public void gone(String id) {
+        Question waiting = queue.remove(id);
+        if (waiting != null) {
+            back(waiting.quota);
+            return;
+        }
         for (Iterator<Question> it = open.values().iterator(); it.hasNext();) {
             Question q = it.next();
             if (q.id.equals(id)) {
@@ -302,6 +318,13 @@
         if (grant == null) {
             return;
         }
+        if (grant.keeper() == LEASED) {
+            CustomerView k = customers.get(grant.customer());
+            if (k != null) {
+                k.quotaLease.back(grant.units());
+            }
+            return;
+        }
         if (grant.keeper() != config.me()) {
             say(grant.keeper(), new Talk.Back(grant.serial()));
             return;
@@ -312,10 +335,10 @@
         }
     }
 
-    private Known known(double now, Talk.Named named) {
-        Known k = customers.get(named.customer());
+    private CustomerView known(double now, Talk.Named named) {
+        CustomerView k = customers.get(named.customer());
         if (k == null && customers.size() < config.most() && named.plan() < config.plans().size()) {
-            k = new Known(named, config.plans().get(named.plan()), keepers(named));
+            k = new CustomerView(named, config.plans().get(named.plan()), keepers(named));
             customers.put(named.customer(), k);
             Heard h = hints.remove(named.customer());
             if (h != null && h.hint().plan() == named.plan()) {
@@ -363,6 +386,7 @@
             for (Peer other : peers) {
                 other.silent &= other.silentAt < heardAt;
             }
+            customers.values().forEach(k -> k.unreported = 0); // of the time of a cut: too old to tell demand by
         }
         heardAt = now;
         p.heardAt = now;
@@ -370,7 +394,7 @@
 
     /** Turns to the next keeper of the book that is there, this gateway perhaps. */
     private void next(double now, Question q) {
-        Known k = q.known;
+        CustomerView k = q.customer;
         int[] books = k.keepers.books();
         while (++q.place < books.length) {
             q.peer = books[q.place];
@@ -386,38 +410,98 @@
                 refuse(now, q, Why.STORE);
                 return;
             }
+            if (!creditRich(now) && plenty(now, k)) {
+                guess(now, q, true);
+                return;
+            }
             q.of = ownCeiling(now, k) >= q.units ? Talk.Of.STORE : Talk.Of.BOTH;
             if (!ask(now, q)) {
-                break;
+                guess(now, q, true);
             }
             return;
         }
-        guess(now, q);
+        guess(now, q, false);
     }
 
-    /** Turns to one that may have units of the ceiling: this gateway, or any other with a share, in an order of chance. */
+    /** Turns to who may have units of the ceiling: this gateway, its lease, or any other with a share, in an order of chance. */
     private void lender(double now, Question q) {
-        Known k = q.known;
+        CustomerView k = q.customer;
+        boolean first = q.of != Talk.Of.CEILING;
         q.of = Talk.Of.CEILING;
         if (q.lenders.add(config.me()) && ownCeiling(now, k) >= q.units) {
             judgeHere(now, q);
             return;
         }
-        int[] shares = k.keepers.shares();
+        if (first) {
+            k.ceilingLease.tried(now, q.units);
+            renewals.add(k);
+        }
+        if (k.ceilingLease.take(now, q.units)) {
+            double leaveBy = Math.min(now + CeilingShare.USE_MS, k.ceilingLease.leaveBy());
+            accept(now, q, leaveBy);
+            return;
+        }
+        if (q.lenders.size() <= LENDERS && now + ANSWER_MS < q.lastMs) {
+            if (!queue.isEmpty() || !creditRich(now)) {
+                if (anyLender(now, q) && queue.add(q)) {
+                    return;
+                }
+            } else if (askLender(now, q)) {
+                return;
+            }
+        }
+        back(q.quota);
+        refuse(now, q, Why.CEILING);
+    }
+
+    private boolean anyLender(double now, Question q) {
+        return IntStream.of(q.customer.keepers.shares()).anyMatch(peer -> mayLend(now, q, peer));
+    }
+
+    private boolean askLender(double now, Question q) {
+        int[] shares = q.customer.keepers.shares();
         int from = shares.length == 0 ? 0 : random.nextInt(shares.length);
         for (int i = 0; i < shares.length && q.lenders.size() <= LENDERS; i++) {
             q.peer = shares[(from + i) % shares.length];
-            boolean silent = peers[q.peer].silent; // one that leaves has units while it is there
-            if (!q.lenders.contains(q.peer) && !silent && q.lenders.add(q.peer) && ask(now, q)) {
+            if (mayLend(now, q, q.peer) && q.lenders.add(q.peer) && ask(now, q)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Questions that waited leave, as many in a message as one gateway can be asked. */
+    private void askQueued(double now) {
+        for (Question q : queue.dueBefore(now + ANSWER_MS)) {
+            back(q.quota);
+            refuse(now, q, Why.CEILING);
+        }
+        while (!queue.isEmpty() && open.size() < OPEN_MAX && takeCredit(now)) {
+            LenderQueue.Batch batch = queue.next((q, peer) -> mayLend(now, q, peer));
+            if (batch == null) {
                 return;
             }
+            for (Question q : batch.questions()) {
+                q.peer = batch.peer();
+                q.lenders.add(q.peer);
+                begin(now, q);
+                put(now, q);
+            }
+            flush();
         }
-        back(q.quota);
-        refuse(now, q, Why.CEILING);
+    }
+
+    /** Whether that peer is worth asking; one that leaves has units while it is there. */
+    private boolean mayLend(double now, Question q, int peer) {
+        boolean silent = peers[peer].silent;
+        if (silent) {
+            knock(now, peer, KNOCK_MS);
+        }
+        return !silent && !q.lenders.contains(peer);
     }
 
     /** What this gateway may give itself of a ceiling. */
-    private double ownCeiling(double now, Known k) {
+    private double ownCeiling(double now, CustomerView k) {
         Book own = k.keepers.shares(config.me()) ? book(now, k.named) : null;
         return own == null ? 0 : own.ceiling(now, fill(now, own));
     }
@@ -427,17 +511,21 @@
         if (open.size() >= OPEN_MAX || now + ANSWER_MS >= q.lastMs || !takeCredit(now)) {
             return false;
         }
-        q.serial = serial = serial + 1 & Talk.WORD;
+        begin(now, q);
+        send(now, q);
+        return true;
+    }
+
+    private void begin(double now, Question q) {
+        q.serial = nextSerial();
         q.sends = 0;
         q.askedAt = now;
         open.put(q.serial, q);
         counts.asked++;
-        send(now, q);
-        return true;
     }
 
     /** Known from a recent word: the store can't have the units, or so little that most would ask in vain. */
-    private boolean emptyFor(double now, Known k, double units) {
+    private boolean emptyFor(double now, CustomerView k, double units) {
         double age = now - k.toldAt;
         if (k.terms.rate() <= 0 || age >= PRESSED_MS) {
             return false;
@@ -450,47 +538,72 @@
         return pressed && random.nextDouble() * k.demand > ASKED_MORE * k.terms.rate();
     }
 
-    private boolean takeCredit(double now) {
+    /** By a keeper's word the store has much, and fills faster than it is used. */
+    private boolean plenty(double now, CustomerView k) {
+        boolean known = k.toldAt != Double.NEGATIVE_INFINITY && now - k.toldAt < PLENTY_MS;
+        return known && k.level >= PLENTY * k.terms.burst() && k.demand <= PLENTY_RATE * k.terms.rate();
+    }
+
+    private double credit(double now) {
         credit = Math.min(Math.max(1, perMs * CREDIT_MS), credit + (now - creditAt) * perMs);
         creditAt = now;
+        return credit;
+    }
+
+    private boolean creditRich(double now) {
+        return credit(now) >= Math.max(1, CREDIT_LOW * perMs * CREDIT_MS);
+    }
+
+    private boolean takeCredit(double now) {
+        credit(now);
         boolean has = credit >= 1;
         credit -= has ? 1 : 0;
         return has;
     }
 
     private void send(double now, Question q) {
+        put(now, q);
+        flush();
+    }
+
+    private void put(double now, Question q) {
         q.sends++;
         q.answerBy = now + ANSWER_MS;
-        say(q.peer, new Talk.Ask(q.serial, q.known.named, q.units, q.known.more, q.of));
-        q.known.more = 0;
-        flush();
+        say(q.peer, new Talk.Ask(q.serial, q.customer.named, q.units, q.customer.more, q.of));
+        q.customer.more = 0;
+        if (!peers[q.peer].leases) {
+            say(q.peer, new Talk.LeaseCapable());
+        }
     }
 
     private void judgeHere(double now, Question q) {
-        Book b = book(now, q.known.named);
+        Book b = book(now, q.customer.named);
         if (b == null) {
-            guess(now, q);
+            guess(now, q, false);
             return;
         }
         q.askedAt = now;
         q.peer = config.me();
         Talk.Verdict v = b.judge(now, q.units, 0, q.of, 0, fill(now, b));
         if (q.of != Talk.Of.CEILING) {
-            q.known.told(now, b.level(), b.demand());
+            q.customer.told(now, b.grantable(now) * b.terms.burst(), b.demand());
         }
-        verdict(now, q, v, new Grant(config.me(), 0, q.known.named.customer(), q.units));
+        verdict(now, q, v, new Grant(config.me(), 0, q.customer.named.customer(), q.units));
     }
 
     /** @param grant of the store's units, where these were asked for */
     private void verdict(double now, Question q, Talk.Verdict v, Grant grant) {
-        boolean capped = q.known.terms.ceilingRate() > 0;
+        boolean capped = q.customer.terms.ceilingRate() > 0;
         if (q.of != Talk.Of.CEILING && (v == Talk.Verdict.GRANTED || v == Talk.Verdict.CEILING)) {
             q.quota = grant;
         }
+        if (v == Talk.Verdict.GRANTED && q.of != Talk.Of.STORE && q.peer != config.me()) {
+            q.customer.lender = q.peer;
+        }
         if (v == Talk.Verdict.GRANTED && !(capped && q.of == Talk.Of.STORE)) {
             double leaveBy = capped ? q.askedAt + CeilingShare.USE_MS : Double.POSITIVE_INFINITY;
             if (now < leaveBy) {
-                link.decided(now, q.id, new Decision(true, Why.GRANTED, leaveBy, 0, q.quota));
+                accept(now, q, leaveBy);
             } else { // the units came too late to be used
                 back(q.quota);
                 refuse(now, q, Why.CEILING);
@@ -507,35 +620,134 @@
     }
 
     private void refuse(double now, Question q, Why why) {
-        Known k = q.known;
+        CustomerView k = q.customer;
         double lacks = q.units - (k.level + k.terms.rate() * k.ageMs(now) / 1000);
         double retryMs = why == Why.STORE && k.terms.rate() > 0 ? 1000 * Math.max(0, lacks) / k.terms.rate() : 0;
         link.decided(now, q.id, new Decision(false, why, 0, retryMs, null));
     }
 
-    /** Nobody can be asked: the store by what was last known of it, the ceiling by what is here. */
-    private void guess(double now, Question q) {
-        Known k = q.known;
+    /**
+     * Nobody can be asked, or need be: the store by what was last known of it, the ceiling by who has a share.
+     *
+     * @param keeperThere whether the demand is of use to a keeper: of the time of a cut it is old when it can be told
+     */
+    private void guess(double now, Question q, boolean keeperThere) {
+        CustomerView k = q.customer;
         double chance = Guess.chance(k.terms, k.level, k.demand, k.ageMs(now), q.units);
-        boolean in = random.nextDouble() < chance;
-        boolean capped = k.terms.ceilingRate() > 0;
-        if (in && capped && ownCeiling(now, k) < q.units) {
-            refuse(now, q, Why.CEILING);
-            return;
-        }
-        if (!in) {
+        if (random.nextDouble() >= chance) {
+            if (keeperThere) {
+                k.unreported += q.units;
+                reports.add(now, k);
+            }
             refuse(now, q, Why.GUESSED);
             return;
         }
-        if (capped) {
-            Book own = books.get(k.named.customer());
-            own.judge(now, q.units, 0, Talk.Of.CEILING, 0, fill(now, own));
+        q.guessed = true;
+        k.unreported += keeperThere ? q.units : 0;
+        if (k.capped()) {
+            lender(now, q);
+        } else {
+            accept(now, q, Double.POSITIVE_INFINITY);
+        }
+    }
+
+    private void accept(double now, Question q, double leaveBy) {
+        if (q.guessed) {
+            CustomerView k = q.customer;
+            counts.guessed++;
+            k.level -= q.units;
+            k.guess(now, q.units);
+            if (k.unreported > 0) {
+                reports.add(now, k);
+            }
+        }
+        link.decided(now, q.id, new Decision(true, q.guessed ? Why.GUESSED : Why.GRANTED, leaveBy, 0, q.quota));
+    }
+
+    // ---- leases
+
+    /** Who is to be asked for a lease; -1 where nobody is, or this gateway has the units itself. */
+    private int leaseOwner(double now, CustomerView k, Talk.Of of) {
+        if (of == Talk.Of.CEILING) {
+            boolean usable = k.lender >= 0 && k.lender != config.me() && !peers[k.lender].silent;
+            return usable && peers[k.lender].leases ? k.lender : -1;
+        }
+        for (int keeper : k.keepers.books()) {
+            if (keeper == config.me()) {
+                return -1;
+            }
+            if (there(now, keeper)) {
+                return peers[keeper].leases ? keeper : -1;
+            }
+        }
+        return -1;
+    }
+
+    /** What was let in while no keeper was there is told once one is: it is much at once, and old soon. */
+    private void tellGuessed(double now, CustomerView k) {
+        int keeper = k.guessed > 0 && k.unreported <= 0 ? keeperInCharge(now, k) : -1;
+        if (keeper >= 0) {
+            reportUsage(now, keeper, k);
+        }
+    }
+
+    private int keeperInCharge(double now, CustomerView k) {
+        for (int keeper : k.keepers.books()) {
+            if (there(now, keeper)) {
+                return keeper;
+            }
+        }
+        return -1;
+    }
+
+    private void reportUsage(double now, int keeper, CustomerView k) {
+        double units = k.guessed(now);
+        if (keeper == config.me()) {
+            Book own = book(now, k.named);
+            if (own != null) {
+                own.used(now, units, k.unreported, fill(now, own));
+                k.told(now, own.level(), own.demand());
+            }
+        } else if (k.unreported > 0 && peers[keeper].leases) {
+            say(keeper, new Talk.UsageReport(nextSerial(), k.named, units, k.unreported));
+        } else {
+            say(keeper, new Talk.Used(nextSerial(), k.named, units));
+        }
+        k.guessed = 0;
+        k.unreported = 0;
+    }
+
+    private void hearUsageReport(double now, int from, Peer p, Talk.UsageReport u) {
+        Book b = p.verdicts.of(now, u.serial()) == null ? bookOf(now, u.named(), from) : null;
+        if (b != null) {
+            p.verdicts.keep(now, u.serial(), Talk.Verdict.GRANTED, b, 0);
+            b.used(now, u.units(), u.tried(), fill(now, b));
+            say(from, new Talk.Hint(u.named().customer(), u.named().plan(), b.grantable(now), b.demand()));
+        }
+    }
+
+    private int nextSerial() {
+        serial = serial + 1 & Talk.WORD;
+        return serial;
+    }
+
+    private void hearLeaseRequest(double now, int from, Peer p, Talk.LeaseRequest request) {
+        Book b = bookOf(now, request.named(), from);
+        double units = 0;
+        if (b != null) {
+            units = b.lease(now, from, p.life, request, before(now, b) < 0, fill(now, b));
+        }
+        if (request.units() > 0) {
+            double fullness = b == null ? 0 : b.grantable(now);
+            say(from, new Talk.LeaseGrant(request.serial(), units, fullness, b == null ? 0 : b.demand()));
+        }
+    }
+
+    private void hearLeaseGrant(double now, int from, Peer p, Talk.LeaseGrant grant) {
+        CustomerView k = renewals.granted(now, from, p.life, grant);
+        if (k != null) {
+            k.told(now, grant.fullness() * k.terms.burst(), grant.demand());
         }
-        counts.guessed++;
-        k.level -= q.units;
-        k.guess(now, q.units);
-        double leaveBy = capped ? now + CeilingShare.USE_MS : Double.POSITIVE_INFINITY;
-        link.decided(now, q.id, new Decision(true, Why.GUESSED, leaveBy, 0, null));
     }
 
     private void end(Question q) {
@@ -565,6 +777,9 @@
             books.values().stream().filter(b -> asksTooMuch(now, b)).forEach(pressed::add);
             customers.values().forEach(k -> tellGuessed(now, k));
         }
+        renewals.beat(now, renewing);
+        reports.beat(now, reporting);
+        askQueued(now);
         if (now - sweptAt >= SWEEP_MS) {
             sweptAt = now;
             customers.values().removeIf(k -> now - k.usedAt > forgetMs(k.terms));
@@ -602,7 +817,7 @@
         if (h.plan() >= config.plans().size()) {
             return;
         }
-        Known k = customers.get(h.customer());
+        CustomerView k = customers.get(h.customer());
         if (k == null) {
             hints.remove(h.customer());
             hints.put(h.customer(), new Heard(now, h));
@@ -614,29 +829,6 @@
         }
     }
 
-    /** The keeper is told what was let in without it, once it is there. */
-    private void tellGuessed(double now, Known k) {
-        if (k.guessed == 0) {
-            return;
-        }
-        for (int keeper : k.keepers.books()) {
-            if (!there(now, keeper)) {
-                continue;
-            }
-            if (keeper != config.me()) {
-                serial = serial + 1 & Talk.WORD;
-                say(keeper, new Talk.Used(serial, k.named, k.guessed(now)));
-            } else {
-                Book own = book(now, k.named);
-                if (own != null) {
-                    own.used(now, k.guessed(now), fill(now, own));
-                }
-            }
-            k.guessed = 0;
-            return;
-        }
-    }
-
     private static double forgetMs(Terms terms) {
         return Math.max(FORGET_MS, FILLED * terms.fillMs());
     }
@@ -647,7 +839,7 @@
             p.answers -= ANSWERS_GAIN * p.answers;
         }
         // One that can't take in all that it is asked is not to be asked three times as much.
-        boolean again = q.sends < SENDS && p.answers >= ANSWERS_FEW;
+        boolean again = q.sends < SENDS && p.answers >= ANSWERS_FEW && queue.isEmpty();
         if (again && now + ANSWER_MS < q.lastMs && takeCredit(now)) {
             counts.again++;
             send(now, q);
@@ -723,6 +915,7 @@
             p.life = talk.life();
             p.synced = false;
             p.leaves = false;
+            p.leases = false;
             p.verdicts.clear();
         }
         hears(now, p);
@@ -730,7 +923,20 @@
         boolean answersMe = talk.toLife() == (life & Talk.WORD);
         boolean fresh = !p.synced || (short) (talk.count() - p.syncCount) > 0;
         for (Talk.Item item : talk.items()) {
-            if (item instanceof Talk.Ask a) {
+            if (item instanceof Talk.LeaseCapable) {
+                p.leases = true;
+                if (talk.items().stream().anyMatch(i -> i instanceof Talk.Ask)) { // said until it is answered
+                    say(from, item);
+                }
+            } else if (item instanceof Talk.LeaseRequest r) {
+                p.leases = true;
+                hearLeaseRequest(now, from, p, r);
+            } else if (item instanceof Talk.UsageReport u) {
+                p.leases = true;
+                hearUsageReport(now, from, p, u);
+            } else if (item instanceof Talk.LeaseGrant g && answersMe) {
+                hearLeaseGrant(now, from, p, g);
+            } else if (item instanceof Talk.Ask a) {
                 hearAsk(now, from, p, a);
             } else if (item instanceof Talk.Answer a && answersMe) {
                 hearAnswer(now, from, a);
@@ -748,6 +954,10 @@
                 hearPresence(now, from, p, s.state());
             }
         }
+        if (talk.items().stream().noneMatch(i -> i instanceof Talk.Answer || i instanceof Talk.LeaseGrant
+                || i instanceof Talk.Hint)) { // what answers a message of ours was counted with it
+            credit = Math.max(Math.min(credit, 0), credit(now) - 1);
+        }
         flush();
     }
 
@@ -775,7 +985,7 @@
             return null;
         }
         Terms terms = config.plans().get(named.plan());
-        CeilingShare ceiling = holds ? new CeilingShare(terms, 1.0 / keepers.shares().length, now, fillsSince) : null;
+        CeilingShare ceiling = holds ? new CeilingShare(terms, 1.0 / keepers.shares().length, fillsSince) : null;
         b = new Book(named, keepers, terms, ceiling, now);
         books.put(named.customer(), b);
         return b;
@@ -802,10 +1012,9 @@
             counts.stoodIn += before >= 0 ? 1 : 0;
         }
         if (news && before >= 0 && kept.units() > 0) { // two are asked for one book just now
-            serial = serial + 1 & Talk.WORD;
-            say(before, new Talk.Used(serial, a.named(), kept.units()));
+            say(before, new Talk.Used(nextSerial(), a.named(), kept.units()));
         }
-        say(from, new Talk.Answer(a.serial(), kept.verdict(), b == null ? 0 : b.fullness(), b == null ? 0 : b.demand(),
+        say(from, new Talk.Answer(a.serial(), kept.verdict(), b == null ? 0 : b.grantable(now), b == null ? 0 : b.demand(),
                 before >= 0));
         hint(now, from);
     }
@@ -825,7 +1034,7 @@
         Book b = p.verdicts.of(now, u.serial()) == null ? bookOf(now, u.named(), from) : null;
         if (b != null) {
             p.verdicts.keep(now, u.serial(), Talk.Verdict.GRANTED, b, 0);
-            b.used(now, u.units(), fill(now, b));
+            b.used(now, u.units(), 0, fill(now, b));
         }
     }
 
@@ -843,12 +1052,12 @@
             peers[from].answers += ANSWERS_GAIN * (1 - peers[from].answers);
         }
         if (a.standsIn()) { // asked of all that were passed over on the way
-            IntStream.range(0, q.place).forEach(i -> knock(now, q.known.keepers.books()[i], HINTED_MS));
+            IntStream.range(0, q.place).forEach(i -> knock(now, q.customer.keepers.books()[i], HINTED_MS));
         }
         if (a.verdict() != Talk.Verdict.UNABLE && q.of != Talk.Of.CEILING) {
-            q.known.told(now, a.fullness() * q.known.terms.burst(), a.demand());
+            q.customer.told(now, a.fullness() * q.customer.terms.burst(), a.demand());
         }
-        verdict(now, q, a.verdict(), new Grant(from, a.serial(), q.known.named.customer(), q.units));
+        verdict(now, q, a.verdict(), new Grant(from, a.serial(), q.customer.named.customer(), q.units));
     }
 
     private void hearSync(double now, int from, Talk.Sync s) {
@@ -887,7 +1096,7 @@
         Counts c = counts;
         counts = new Counts();
         return " asked=" + c.asked + " again=" + c.again + " missed=" + c.missed + " guessed=" + c.guessed
-                + " stood_in=" + c.stoodIn + " unable=" + c.unable;
+                + " stood_in=" + c.stoodIn + " unable=" + c.unable + " leased=" + c.leased;
     }
 
     // ---- messages
--- /dev/null
+++ b/gateway/src/main/java/deckfall/quota/Question.java
@@ -0,0 +1,30 @@
+package deckfall.quota;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** One request that waits for units: of its customer's quota, then of the ceiling, each of one gateway at a time. */
+final class Question {
+    final String id;
+    final CustomerView customer;
+    final double units;
+    final double lastMs;
+    int place = -1; // of the keeper that was asked last
+    int serial;
+    int sends;
+    double askedAt;
+    double answerBy;
+    Talk.Of of = Talk.Of.BOTH;
+    Exchange.Grant quota; // the store's units, while the ceiling's are looked for
+    boolean guessed; // in place of them: let in without a keeper's word
+    int peer; // that was asked last
+    final Set<Integer> lenders = new HashSet<>(); // that had none
+
+    /** @param lastMs when it must be decided at the latest */
+    Question(String id, CustomerView customer, double units, double lastMs) {
+        this.id = id;
+        this.customer = customer;
+        this.units = units;
+        this.lastMs = lastMs;
+    }
+}
--- a/gateway/src/main/java/deckfall/quota/Talk.java
+++ b/gateway/src/main/java/deckfall/quota/Talk.java
@@ -39,7 +39,9 @@
     }
 
     /** One thing said. */
-    public sealed interface Item permits Ask, Answer, Back, Used, Sync, Hint, Presence { }
+    public sealed interface Item
+            permits Ask, Answer, Back, Used, Sync, Hint, Presence, LeaseCapable, LeaseRequest, LeaseGrant,
+            UsageReport { }
 
     /** A customer as messages name it: a number below 2 to the 33rd, its plan below 128, its set. */
     public record Named(long customer, int plan, int first, int spread) {
@@ -108,6 +110,45 @@
         HERE
     }
 
+    /**
+     * The sender understands {@link LeaseRequest} and {@link LeaseGrant}, which earlier versions can't read. On the wire it is
+     * {@link State#HERE} twice: earlier versions ignore that, and never say it twice in one message themselves.
+     */
+    public record LeaseCapable() implements Item { }
+
+    /**
+     * Asks a customer's keeper (or, for ceiling units, the holder of a share) for a lease, or renews one. A repeat carries the
+     * same serial and the same figures.
+     *
+     * @param serial from the same counter as the serials of questions; a later request ends all earlier ones
+     * @param of {@link Of#STORE} or {@link Of#CEILING}
+     * @param units wanted beside those held, 0 to 63.75; 0 ends the lease
+     * @param held units of earlier grants that may still be spent or are on their way to a host, rounded up
+     * @param returned units of earlier grants that were not spent and never will be, rounded down; not among those held
+     */
+    public record LeaseRequest(int serial, Named named, Of of, double units, double held, double returned)
+            implements Item { }
+
+    /**
+     * The answer to a {@link LeaseRequest}.
+     *
+     * @param units granted beside those held, 0 to 63.75
+     */
+    public record LeaseGrant(int serial, double units, double fullness, double demand) implements Item { }
+
+    /**
+     * What was tried and let in without a keeper's word; as {@link LeaseRequest} only for those that are capable of it. It is
+     * answered by a {@link Hint}.
+     *
+     * @param units let in, 0 to 63.75
+     * @param tried units let in or refused, 0 to 63.75
+     */
+    public record UsageReport(int serial, Named named, double units, double tried) implements Item { }
+
+    private static final int LEASE = 0; // this and the next three are flags of that kind
+    private static final int USAGE = 0;
+    private static final int LEASE_REQUEST = 0; // and the ordinal of the units wanted, 1 or 2
+    private static final int LEASE_GRANT = 3;
     private static final int ASK = 1;
     private static final int ANSWER = 2;
     private static final int BACK = 3;
@@ -116,7 +157,7 @@
     private static final int USED = 6;
     private static final int STANDS_IN = 4; // a flag of answers, above the verdict
     private static final int HINT = 7;
-    private static final int KIND = 7;
+    private static final int KIND = 7; // its bits
     private static final int FLAGS_FROM = 3; // bits of the kind's byte from here on are flags
 
     static int bytes(Item item) {
@@ -126,6 +167,18 @@
         if (item instanceof Hint) {
             return 8;
         }
+        if (item instanceof LeaseRequest) {
+            return 15;
+        }
+        if (item instanceof UsageReport) {
+            return 14;
+        }
+        if (item instanceof LeaseGrant) {
+            return 6;
+        }
+        if (item instanceof LeaseCapable) {
+            return 2;
+        }
         return item instanceof Sync ? 12 : item instanceof Used ? 13 : item instanceof Answer ? 5 : item instanceof Back ? 3 : 1;
     }
 
@@ -164,11 +217,30 @@
             b.put((byte) HINT);
             put(b, h.customer, h.plan);
             put(b, h.fullness, h.demand);
+        } else if (item instanceof LeaseRequest r) {
+            b.put((byte) (LEASE | LEASE_REQUEST + r.of.ordinal() << FLAGS_FROM)).putShort((short) r.serial);
+            put(b, r.named);
+            b.put(fixed(r.units * PER_UNIT)).put(fixed(Math.ceil(r.held * PER_UNIT)));
+            b.put(fixed(Math.floor(r.returned * PER_UNIT)));
+        } else if (item instanceof LeaseGrant g) {
+            b.put((byte) (LEASE | LEASE_GRANT << FLAGS_FROM)).putShort((short) g.serial);
+            b.put(fixed(g.units * PER_UNIT));
+            put(b, g.fullness, g.demand);
+        } else if (item instanceof UsageReport u) {
+            b.put((byte) (LEASE | USAGE << FLAGS_FROM)).putShort((short) u.serial);
+            put(b, u.named);
+            b.put(fixed(u.units * PER_UNIT)).put(fixed(u.tried * PER_UNIT));
+        } else if (item instanceof LeaseCapable) {
+            b.put(here()).put(here());
         } else if (item instanceof Presence p) {
             b.put((byte) (PRESENCE | p.state.ordinal() << FLAGS_FROM));
         }
     }
 
+    private static byte here() {
+        return (byte) (PRESENCE | State.HERE.ordinal() << FLAGS_FROM);
+    }
+
     private static void put(ByteBuffer b, long customer, int plan) {
         b.put((byte) (plan << 1 | (int) (customer >>> 32) & 1)).putInt((int) customer);
     }
@@ -218,8 +290,8 @@
             case USED -> 12;
             case SYNC -> 11;
             case HINT -> 7;
-            case PRESENCE -> 0;
-            default -> Integer.MAX_VALUE;
+            case LEASE -> flags == LEASE_GRANT ? 5 : flags == USAGE ? 13 : 14;
+            default -> 0;
         };
         if (b.remaining() < rest) {
             return null;
@@ -233,10 +305,33 @@
             case USED -> new Used(b.getShort() & WORD, named(b), amount(b));
             case SYNC -> new Sync(named(b), fullness(b), demand(b));
             case HINT -> hint(b);
-            default -> flags < State.values().length ? new Presence(State.values()[flags]) : null;
+            case LEASE -> lease(flags, b);
+            default -> presence(flags, b);
         };
     }
 
+    private static Item presence(int flags, ByteBuffer b) {
+        if (flags >= State.values().length) {
+            return null;
+        }
+        if (flags == State.HERE.ordinal() && b.hasRemaining() && b.get(b.position()) == here()) {
+            b.get();
+            return new LeaseCapable();
+        }
+        return new Presence(State.values()[flags]);
+    }
+
+    private static Item lease(int flags, ByteBuffer b) {
+        if (flags == LEASE_GRANT) {
+            return new LeaseGrant(b.getShort() & WORD, amount(b), fullness(b), demand(b));
+        }
+        if (flags == USAGE) {
+            return new UsageReport(b.getShort() & WORD, named(b), amount(b), amount(b));
+        }
+        return flags > LEASE_GRANT ? null
+                : new LeaseRequest(b.getShort() & WORD, named(b), Of.values()[flags], amount(b), amount(b), amount(b));
+    }
+
     private static long customer(int head, ByteBuffer b) {
         return (head & 1L) << 32 | b.getInt() & 0xffff_ffffL;
     }
--- a/gateway/src/test/java/deckfall/quota/PartsOfQuotaTest.java
+++ b/gateway/src/test/java/deckfall/quota/PartsOfQuotaTest.java
@@ -21,7 +21,9 @@
     private static Talk all() {
         return new Talk(123_456, 0xfedc, 65_535, List.of(new Talk.Ask(65_535, NAMED, 3.25, 7, Talk.Of.STORE),
                 new Talk.Answer(1, Talk.Verdict.CEILING, -0.25, 16, true), new Talk.Back(0), new Talk.Used(7, NAMED, 63.75),
-                new Talk.Sync(NAMED, 0.5, 4), new Talk.Hint(0x1_ffff_fffdL, 1, 0, 25), new Talk.Presence(Talk.State.LEAVES)));
+                new Talk.Sync(NAMED, 0.5, 4), new Talk.Hint(0x1_ffff_fffdL, 1, 0, 25), new Talk.LeaseCapable(),
+                new Talk.LeaseRequest(9, NAMED, Talk.Of.CEILING, 12.25, 63.75, 0.5), new Talk.LeaseGrant(65_535, 7.75, 0.5, 4),
+                new Talk.Presence(Talk.State.LEAVES)));
     }
 
     @Test
@@ -44,6 +46,27 @@
         }
     }
 
+    /** Earlier versions read what says that a gateway understands leases as something that they ignore. */
+    @Test
+    void beingCapableOfLeasesIsNothingNewOnTheWire() {
+        Talk.Item here = new Talk.Presence(Talk.State.HERE);
+        byte[] capable = new Talk(1, 2, 3, List.of(new Talk.LeaseCapable())).bytes();
+        assertArrayEquals(new Talk(1, 2, 3, List.of(here, here)).bytes(), capable);
+        assertEquals(List.of(here), Talk.read(new Talk(1, 2, 3, List.of(here)).bytes()).items());
+    }
+
+    /** The units held are never told as fewer than they are, those returned never as more. */
+    @Test
+    void aLeaseIsToldOnTheSafeSide() {
+        for (int i = 0; i < 600; i++) {
+            double units = i / 10.0;
+            Talk.LeaseRequest said = new Talk.LeaseRequest(1, NAMED, Talk.Of.STORE, 1, units, units);
+            Talk.LeaseRequest read =
+                    (Talk.LeaseRequest) Talk.read(new Talk(1, 2, 3, List.of(said)).bytes()).items().get(0);
+            assertTrue(read.held() >= units && read.returned() <= units, units + " read as " + read);
+        }
+    }
+
     /** What is told of a store is never more than there is, nor less by more than its fixed point. */
     @Test
     void aStoreIsToldRoundedDown() {
@@ -92,7 +115,7 @@
         Random random = new Random(11);
         for (int course = 0; course < 300; course++) {
             double now = 1000;
-            CeilingShare share = new CeilingShare(Tier.CAPPED, 1, now, now);
+            CeilingShare share = new CeilingShare(Tier.CAPPED, 1, now);
             double truth = Tier.CAPPED.ceilingBurst() * random.nextDouble();
             List<Given> given = new ArrayList<>();
             double busy = random.nextDouble();
@@ -121,7 +144,7 @@
     /** What an earlier life gave may be on its way while the new one begins; and nothing fills that another process has. */
     @Test
     void aShareFillsOnlyWithWhatIsItsOwn() {
-        CeilingShare share = new CeilingShare(Tier.CAPPED, 0.5, 5000, 4000);
+        CeilingShare share = new CeilingShare(Tier.CAPPED, 0.5, 4000);
         assertEquals((1000 - CeilingShare.LENT_MS) / 1000 * 17.5, share.at(5000, FILL), 1e-9);
         CeilingShare.Fill another = new CeilingShare.Fill(false, 1);
         assertEquals(share.at(5000, FILL) - 0.1 * 17.5, share.at(5100, another), 1e-9);
--- a/gateway/src/test/java/deckfall/quota/Tier.java
+++ b/gateway/src/test/java/deckfall/quota/Tier.java
@@ -3,6 +3,7 @@
 import deckfall.LatePolicy;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,9 +22,11 @@
 final class Tier {
     static final Terms BASIC = new Terms(2, 7, 0, 0);
     static final Terms CAPPED = new Terms(15, 26, 35, 57);
+    /** As CAPPED, without a ceiling. */
+    static final Terms LARGE = new Terms(15, 26, 0, 0);
     static final Terms ONLY_CAPPED = new Terms(0, 0, 35, 57);
     static final double MOST_UNITS = 4;
-    private static final List<Terms> PLANS = List.of(BASIC, CAPPED, ONLY_CAPPED);
+    private static final List<Terms> PLANS = List.of(BASIC, CAPPED, ONLY_CAPPED, LARGE);
     private static final int INTAKE = 40;
     private static final double STEP_MS = 5;
     private static final double BEAT_MS = 20;
@@ -33,7 +36,7 @@
 
     private record Sending(double at, int order, Customer customer, double units) { }
 
-    private record Open(Customer customer, int gateway, double units, double at) { }
+    private record Open(Customer customer, int gateway, double units, double at, boolean leased) { }
 
     /** One customer and the stores as they truly are. */
     static final class Customer {
@@ -66,6 +69,7 @@
 
     final List<Customer> customers = new ArrayList<>();
     final List<Double> waits = new ArrayList<>();
+    final List<Double> leasedWaits = new ArrayList<>(); // of tries at a gateway that held a lease of that customer's quota
     private final Exchange[] gateways;
     private final double[] upAt;
     private final double[] room; // of the intake
@@ -77,6 +81,7 @@
             new PriorityQueue<>(Comparator.comparingDouble(Sending::at).thenComparingInt(Sending::order));
     private final Map<String, Open> open = new HashMap<>();
     private final Set<Integer> leaving = new HashSet<>();
+    private final Set<Integer> older = new HashSet<>();
     private BiPredicate<Integer, Integer> cut = (a, b) -> false;
     private int order;
     private int asked;
@@ -88,6 +93,7 @@
     long bytes;
     double beyond;
     double sent;
+    final Map<Exchange.Why, Integer> refusedFor = new EnumMap<>(Exchange.Why.class);
     final LatePolicy late = new LatePolicy();
     private ToIntFunction<Customer> through = c -> -1;
 
@@ -150,11 +156,47 @@
         cut = between;
     }
 
+    int gateways() {
+        return gateways.length;
+    }
+
     Exchange gateway(int i) {
         return gateways[i];
     }
 
-    private void post(int from, int to, byte[] data) {
+    /** That gateway speaks as the version before leases: it neither says nor hears anything of them. */
+    void older(int gateway) {
+        older.add(gateway);
+    }
+
+    /** As the version before leases reads it: whatever is newer it must never get. */
+    private static Talk readByOlder(Talk talk) {
+        List<Talk.Item> items = new ArrayList<>();
+        for (Talk.Item item : talk.items()) {
+            if (item instanceof Talk.LeaseCapable) {
+                items.add(new Talk.Presence(Talk.State.HERE));
+                items.add(new Talk.Presence(Talk.State.HERE));
+            } else if (isNew(item)) {
+                throw new AssertionError("an older version can't read " + item);
+            } else {
+                items.add(item);
+            }
+        }
+        return new Talk(talk.life(), talk.toLife(), talk.count(), items);
+    }
+
+    private static boolean isNew(Talk.Item item) {
+        return item instanceof Talk.LeaseRequest || item instanceof Talk.LeaseGrant || item instanceof Talk.UsageReport;
+    }
+
+    private static byte[] saidByOlder(byte[] data) {
+        Talk talk = Talk.read(data);
+        List<Talk.Item> items = talk.items().stream().filter(i -> !(i instanceof Talk.LeaseCapable)).toList();
+        return new Talk(talk.life(), talk.toLife(), talk.count(), items).bytes();
+    }
+
+    private void post(int from, int to, byte[] said) {
+        byte[] data = older.contains(from) ? saidByOlder(said) : said;
         told++;
         bytes += data.length;
         if (random.nextDouble() >= loss && !cut.test(from, to)) {
@@ -168,10 +210,14 @@
             throw new AssertionError(id + " was decided twice, or never asked");
         }
         waits.add(now - o.at());
+        if (o.leased()) {
+            leasedWaits.add(now - o.at());
+        }
         if (d.in()) {
             double wait = random.nextInt(10) == 0 ? 400 * random.nextDouble() : 5 * random.nextDouble();
             sendings.add(new Sending(Math.min(now + wait, Math.max(now, d.leaveBy())), order++, o.customer(), o.units()));
         } else {
+            refusedFor.merge(d.why(), 1, Integer::sum);
             o.customer().touch(now);
             refusedWithRoom += o.customer().level >= o.customer().terms.burst() / 2 ? 1 : 0;
         }
@@ -219,7 +265,8 @@
             late.ask(c, c.terms.rate(), c.terms.burst(), units, now);
         }
         String id = "r" + asked++;
-        open.put(id, new Open(c, gateway, units, now));
+        boolean leased = gateways[gateway].holdsLease(now, c.named.customer());
+        open.put(id, new Open(c, gateway, units, now, leased));
         gateways[gateway].want(now, id, c.named, units, now + DEADLINE_MS);
     }
 
@@ -265,7 +312,7 @@
         if (talk == null) {
             throw new AssertionError("a message that can't be read");
         }
-        gateways[m.to()].heard(now, m.from(), talk);
+        gateways[m.to()].heard(now, m.from(), older.contains(m.to()) ? readByOlder(talk) : talk);
     }
 
     /** Of each unit that was sent on, what went beyond quotas at the full price of it; the same of the late policy. */
@@ -283,6 +330,8 @@
         beyond = 0;
         sent = 0;
         waits.clear();
+        leasedWaits.clear();
+        refusedFor.clear();
         customers.forEach(c -> c.touch(now));
         customers.forEach(c -> c.sent = 0);
         customers.forEach(c -> c.allowed = c.level);
@@ -293,13 +342,22 @@
     }
 
     double wait(double quantile) {
-        List<Double> sorted = waits.stream().sorted().toList();
+        return quantile(waits, quantile);
+    }
+
+    /** Of tries at gateways that held a lease of the customer's quota when they came. */
+    double leasedWait(double quantile) {
+        return leasedWaits.isEmpty() ? Double.NaN : quantile(leasedWaits, quantile);
+    }
+
+    private static double quantile(List<Double> values, double quantile) {
+        List<Double> sorted = values.stream().sorted().toList();
         return sorted.get((int) (quantile * (sorted.size() - 1)));
     }
 
     /** The least that any ceiling's true store ever had; below nothing is what was passed. */
     double lowestCeiling() {
-        return customers.stream().filter(c -> c.terms != BASIC).mapToDouble(c -> c.lowest).min().orElse(0);
+        return customers.stream().filter(c -> c.terms.ceilingRate() > 0).mapToDouble(c -> c.lowest).min().orElse(0);
     }
 
     @Override
