--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -19,13 +19,14 @@
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.XYSeries;
 import org.knowm.xchart.style.markers.SeriesMarkers;
+import marlford.storm.scale.ScaleCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** A storm: processes, faults, a verdict. Exit 0 where all held, 1 broken, 2 bad arguments, 3 could not judge. */
 @Command(name = "storm", mixinStandardHelpOptions = true, sortOptions = false,
-        subcommands = Compare.class,
+        subcommands = {Compare.class, ScaleCommand.class},
         description = "Starts several processes of the program, breaks what is between them, and judges what they did.")
 final class Main implements Callable<Integer> {
     private static final int HELD = 0;
