--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -19,6 +19,7 @@
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.XYSeries;
 import org.knowm.xchart.style.markers.SeriesMarkers;
+import marlford.storm.scale.ScaleCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -28,7 +29,7 @@
         name = "storm",
         mixinStandardHelpOptions = true,
         sortOptions = false,
-        subcommands = Compare.class,
+        subcommands = {Compare.class, ScaleCommand.class},
         description = "Starts several processes of the program, breaks what is between them, and judges what they did.")
 final class Main implements Callable<Integer> {
     private static final int HELD = 0;
