--- a/fleet/src/main/java/marlford/fleet/Fleet.java
+++ b/fleet/src/main/java/marlford/fleet/Fleet.java
@@ -16,41 +16,42 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
-import marlford.agree.Caller;
-import marlford.agree.MonotonicTime;
-import marlford.agree.Voter;
+import marlford.consensus.MonotonicClock;
+import marlford.consensus.RequestSender;
+import marlford.consensus.Voter;
 import marlford.lease.Member;
 import marlford.lease.Reply;
-import marlford.task.Act;
-import marlford.task.Duty;
+import marlford.task.FleetTask;
+import marlford.task.TaskRun;
 
 /**
- * A process's part in the fleet: the member on a thread of its own, the voter where this process is one, and the tasks. It
- * shares nothing with the loop that serves clients, and nothing there waits for it.
+ * A process's part in the fleet: the member on a thread of its own, the voter if this process is one, and the tasks.
+ * It shares no thread with the event loop that serves clients, and nothing there waits for it.
  */
 final class Fleet {
     private static final long TICK_MS = 10;
-    private static final long LEAVE_MS = 1000; // for the last word; it takes a few milliseconds where a majority is there
+    private static final long LEAVE_MS =
+            1000; // for the last word; it takes a few milliseconds where a majority is there
 
     private final FleetConfig config;
     private final Consumer<String> log;
-    private final MonotonicTime time = MonotonicTime.ofThisProcess();
-    private final WallTime wall;
+    private final MonotonicClock time = MonotonicClock.ofThisProcess();
+    private final WallClock wallClock;
     private final NioEventLoopGroup network = new NioEventLoopGroup(1);
     private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1, work -> {
         Thread t = new Thread(work, "marlford-member");
         t.setDaemon(true);
         return t;
     });
-    private final Acts acts = new Acts();
-    private final Map<String, FleetConfig.TaskConfig> tasks = new LinkedHashMap<>();
-    private final Map<String, Duty> duties = new LinkedHashMap<>();
+    private final TaskDispatcher dispatcher = new TaskDispatcher();
+    private final Map<String, FleetConfig.TaskConfig> taskConfigs = new LinkedHashMap<>();
+    private final Map<String, FleetTask> tasks = new LinkedHashMap<>();
     private final Member member;
     private final Voter voter; // null where this process is none
-    private final Caller caller;
-    private final Export export; // null where nothing is exported
-    private final Lists lists; // null where each gateway calls for lists when it likes
-    private Eyes eyes; // null until the gateway serves, and where nothing is probed
+    private final RequestSender requestSender;
+    private final UsageExporter usageExporter; // null where nothing is exported
+    private final SharedListPolling listPolling; // null where each gateway calls for lists when it likes
+    private HealthCheckWorker healthChecks; // null until the gateway serves, and where nothing is probed
     private final CompletableFuture<Void> left = new CompletableFuture<>();
     private double dueAt = Double.NaN; // when the next tick should come
     private long session;
@@ -62,12 +63,27 @@
     Fleet(FleetConfig config, Consumer<String> log) throws IOException {
         this.config = config;
         this.log = log;
-        this.wall = new WallTime(config.folder());
-        this.member = new Member(config.name(), new SecureRandom().nextLong() >>> 1, config.ttlMs(),
-                List.copyOf(config.voters().keySet()), config.driftPpm(), config.marginMs(), config.stallMs());
-        this.voter = config.voters().containsKey(config.name()) ? new Voter(new Voter.Settings(config.fleet(), config.name(),
-                config.voters(), config.folder().resolve(config.name())), time, network, log) : null;
-        this.caller = new Caller(network, config.voters(), new Caller.Ears() {
+        this.wallClock = new WallClock(config.folder());
+        this.member = new Member(
+                config.name(),
+                new SecureRandom().nextLong() >>> 1,
+                config.ttlMs(),
+                List.copyOf(config.voters().keySet()),
+                config.driftPpm(),
+                config.marginMs(),
+                config.stallMs());
+        this.voter = config.voters().containsKey(config.name())
+                ? new Voter(
+                        new Voter.Settings(
+                                config.fleet(),
+                                config.name(),
+                                config.voters(),
+                                config.folder().resolve(config.name())),
+                        time,
+                        network,
+                        log)
+                : null;
+        this.requestSender = new RequestSender(network, config.voters(), new RequestSender.Listener() {
             @Override
             public void heard(long id, Reply reply) {
                 run(() -> member.heard(id, reply, time.ms()));
@@ -79,29 +95,34 @@
             }
         });
         for (FleetConfig.TaskConfig t : config.tasks()) {
-            tasks.put(t.name(), t);
-            duties.put(t.name(), t.duty());
+            taskConfigs.put(t.name(), t);
+            tasks.put(t.name(), t.task());
         }
-        export = config.export() == null ? null
-                : new Export(config.export(), Files.createDirectories(config.folder()).resolve(config.name() + ".usage"), wall, log);
-        lists = config.lists() ? new Lists(member, this::run, time::ms) : null;
+        usageExporter = config.export() == null
+                ? null
+                : new UsageExporter(
+                        config.export(),
+                        Files.createDirectories(config.folder()).resolve(config.name() + ".usage"),
+                        wallClock,
+                        log);
+        listPolling = config.lists() ? new SharedListPolling(member, this::run, time::ms) : null;
     }
 
     /** Whose turn it is to call for a list. */
     ListTurn lists() {
-        return lists == null ? ListTurn.NONE : lists;
+        return listPolling == null ? ListTurn.NONE : listPolling;
     }
 
     /** The gateway of this process serves. */
     void serving(Inside gateway) {
         if (config.probes() != null && gateway.mayProbe()) {
-            run(() -> eyes = new Eyes(config.probes(), gateway, member, this::run, log));
+            run(() -> healthChecks = new HealthCheckWorker(config.probes(), gateway, member, this::run, log));
         }
     }
 
     /** Where a gateway of this process notes what it lets in. */
     Usage usage() {
-        return export == null ? Usage.NONE : export.usage();
+        return usageExporter == null ? Usage.NONE : usageExporter.usage();
     }
 
     /** Begins; returns at once, whoever else is there. */
@@ -110,10 +131,10 @@
             voter.start();
         }
         thread.execute(() -> {
-            duties.values().forEach(d -> d.begin(member));
+            tasks.values().forEach(d -> d.begin(member));
             begun = true;
         });
-        thread.scheduleWithFixedDelay(() -> run(() -> { }), 0, TICK_MS, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(() -> run(() -> {}), 0, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** All that touches the member happens here, one at a time, and each time what follows from it is sent. */
@@ -138,7 +159,7 @@
         double now = time.ms();
         double late = Double.isNaN(dueAt) ? 0 : Math.max(0, now - dueAt);
         dueAt = now + TICK_MS;
-        caller.drive(member, now);
+        requestSender.drive(member, now);
         if (member.session() != session) {
             session = member.session();
             log.accept("fleet: " + (session == 0 ? "the session has ended" : "session " + session));
@@ -148,42 +169,48 @@
             return;
         }
         if (ending) {
-            if (running == 0 && (export == null || !export.isRunning())) {
+            if (running == 0 && (usageExporter == null || !usageExporter.isRunning())) {
                 member.leave(); // what began is over, so the next holder acts alone
             }
             return;
         }
-        if (lists != null) {
-            lists.due(now, late);
+        if (listPolling != null) {
+            listPolling.due(now, late);
         }
-        if (eyes != null) {
-            eyes.due(member, now, late);
+        if (healthChecks != null) {
+            healthChecks.due(member, now, late);
         }
-        if (export != null) {
-            export.due(member, now, late, () -> run(() -> { }));
+        if (usageExporter != null) {
+            usageExporter.due(member, now, late, () -> run(() -> {}));
         }
-        duties.forEach((name, duty) -> duty.due(member, now, late, wall.ms())
-                .forEach(a -> post(tasks.get(name), duty, a)));
+        tasks.forEach((name, task) ->
+                task.due(member, now, late, wallClock.ms()).forEach(a -> post(taskConfigs.get(name), task, a)));
     }
 
-    private void post(FleetConfig.TaskConfig task, Duty duty, Act act) {
+    private void post(FleetConfig.TaskConfig taskConfig, FleetTask task, TaskRun taskRun) {
         running++;
-        acts.post(task.url(), act, config.name()).whenComplete((over, e) -> run(() -> {
-            running--;
-            duty.ended(member, act);
-        }));
+        dispatcher
+                .post(taskConfig.url(), taskRun, config.name())
+                .whenComplete((over, e) -> run(() -> {
+                    running--;
+                    task.ended(member, taskRun);
+                }));
     }
 
     /** Runs work under a lease of its own; the token, or the reason why not. */
     CompletableFuture<Long> hold(String lease, int limit) {
         CompletableFuture<Long> held = new CompletableFuture<>();
         thread.execute(() -> member.want(lease, limit));
-        thread.scheduleWithFixedDelay(() -> {
-            long token = member.token(lease);
-            if (token != 0 && member.mayAct(token, time.ms(), 0, 0)) {
-                held.complete(token);
-            }
-        }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(
+                () -> {
+                    long token = member.token(lease);
+                    if (token != 0 && member.mayAct(token, time.ms(), 0, 0)) {
+                        held.complete(token);
+                    }
+                },
+                TICK_MS,
+                TICK_MS,
+                TimeUnit.MILLISECONDS);
         return held;
     }
 
@@ -204,8 +231,9 @@
     /** What operators see of the fleet from here; from any thread, without waiting for anybody but this member. */
     String text() {
         CompletableFuture<String> text = new CompletableFuture<>();
-        thread.execute(() -> text.complete("member=" + member + " left_ms=" + Math.round(member.leftMs(time.ms())) + '\n'
-                + caller.text() + (lists == null ? "" : lists.text()) + (eyes == null ? "" : eyes.text())));
+        thread.execute(() -> text.complete("member=" + member + " left_ms=" + Math.round(member.leftMs(time.ms()))
+                + '\n' + requestSender.text() + (listPolling == null ? "" : listPolling.text())
+                + (healthChecks == null ? "" : healthChecks.text())));
         String voters = voter == null ? "" : voter.text();
         try {
             return text.get(LEAVE_MS, TimeUnit.MILLISECONDS) + voters;
@@ -219,10 +247,10 @@
 
     void close() {
         thread.shutdownNow();
-        if (export != null) {
-            export.close();
+        if (usageExporter != null) {
+            usageExporter.close();
         }
-        caller.close();
+        requestSender.close();
         if (voter != null) {
             voter.close();
         }
--- a/fleet/src/main/java/marlford/fleet/Export.java
+++ b/fleet/src/main/java/marlford/fleet/UsageExporter.java
@@ -22,12 +22,13 @@
 import marlford.usage.UsageTable;
 
 /**
- * Usage, from the gateway's loop to the fleet's file. Counting is a store in mapped memory, which outlives the process, and
- * never a call to the system. Exporting runs on a thread of its own, under the fleet's lease {@value #LEASE}: it reads what
- * the file has that it has not read, appends a batch that does not count yet, syncs, reads again, and frees the batch once
- * it counts. It wants the lease only while something waits, so all have their turn.
+ * Exports usage from the gateway's event loop to the fleet's file. Counting writes to mapped memory, which survives
+ * the process, without a system call. Exporting runs on a thread of its own under the fleet's lease {@value #LEASE}:
+ * it reads what others have appended, appends a batch, syncs, reads again, and frees the batch once it counts. The
+ * lease is requested only while something is waiting, so all members get their turn. A failed export is logged and
+ * tried again.
  */
-final class Export {
+final class UsageExporter {
     private static final String LEASE = "usage-export";
     private static final int BATCHES = 32; // of one turn; then the next member has its turn
     private static final double TAKES_MS = 100; // the least that has to be left of a session for a turn
@@ -36,7 +37,7 @@
     private static final int READ_MAX = 1 << 20; // bytes at a time
 
     private final FleetConfig.ExportConfig config;
-    private final WallTime wall;
+    private final WallClock wallClock;
     private final Consumer<String> log;
     private final UsageTable table;
     private final ExportLog exported = new ExportLog();
@@ -49,21 +50,28 @@
     private volatile boolean running;
 
     /** @param kept where this gateway's table lies; it has to outlive the process */
-    Export(FleetConfig.ExportConfig config, Path kept, WallTime wall, Consumer<String> log) throws IOException {
+    UsageExporter(FleetConfig.ExportConfig config, Path kept, WallClock wallClock, Consumer<String> log)
+            throws IOException {
         this.config = config;
-        this.wall = wall;
+        this.wallClock = wallClock;
         this.log = log;
         int cells = UsageTable.size(UsageTable.PAGES, UsageTable.ROWS);
-        try (FileChannel file = FileChannel.open(kept, StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE)) {
+        try (FileChannel file =
+                FileChannel.open(kept, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
             Mapped mapped = new Mapped(file.map(FileChannel.MapMode.READ_WRITE, 0, (long) cells * CELL), cells);
-            this.table = new UsageTable(mapped, UsageTable.PAGES, UsageTable.ROWS, new SecureRandom().nextLong() >>> 1, config.intervalMs());
+            this.table = new UsageTable(
+                    mapped,
+                    UsageTable.PAGES,
+                    UsageTable.ROWS,
+                    new SecureRandom().nextLong() >>> 1,
+                    config.intervalMs());
         }
     }
 
     /** Numbers in mapped memory, in this machine's order. */
     private record Mapped(MappedByteBuffer bytes, int size) implements Cells {
-        private static final VarHandle LONGS = MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
+        private static final VarHandle LONGS =
+                MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
 
         @Override
         public long get(int at) {
@@ -86,12 +94,12 @@
         return new Usage() {
             @Override
             public void admitted(long customer, double units) {
-                table.admitted(customer, units, wall.ms());
+                table.admitted(customer, units, wallClock.ms());
             }
 
             @Override
             public void look() {
-                table.look(wall.ms());
+                table.look(wallClock.ms());
             }
         };
     }
@@ -130,8 +138,8 @@
     }
 
     private void turn(long token) throws IOException {
-        try (FileChannel file = FileChannel.open(config.file(), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        try (FileChannel file = FileChannel.open(
+                        config.file(), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
                 FileChannel end = FileChannel.open(config.file(), StandardOpenOption.APPEND)) {
             catchUp(file);
             for (int i = 0; i < BATCHES; i++) {
@@ -140,7 +148,8 @@
                     return;
                 }
                 if (!exported.has(b.source(), b.sequence())) {
-                    end.write(ByteBuffer.wrap(ExportLog.record(token, b))); // a part of it is no record, and comes again
+                    end.write(
+                            ByteBuffer.wrap(ExportLog.record(token, b))); // a part of it is no record, and comes again
                     end.force(false);
                     catchUp(file);
                 }
--- a/fleet/src/main/java/marlford/probe/Prober.java
+++ b/fleet/src/main/java/marlford/health/Prober.java
@@ -1,4 +1,4 @@
-package marlford.probe;
+package marlford.health;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -7,25 +7,25 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import marlford.lease.Book;
+import marlford.lease.LeaseStateMachine;
 import marlford.lease.Member;
-import marlford.spread.Spread;
+import marlford.partition.Partitioner;
 
 /**
- * One prober of each host for all: the hosts fall into {@value #SHARDS} shards, each shard has one member, and that member
- * asks the shard's hosts in turn and tells all what it found. A probe is a <em>bounded</em> act: a host knows no tokens. Two
- * probes of one host at once need a stop between look and write, and do no harm.
+ * Health checks with one prober for each host. Hosts are partitioned into {@value #SHARDS} shards; the member that
+ * holds a shard probes its hosts in turn and reports the results on the board. Hosts do not check fencing tokens: two
+ * members may probe one host at the same time if a process is suspended, which does no harm.
  *
- * <p><b>Whose fault is it?</b> A member that fails to reach more than half of the hosts it asked lately, and of at least
- * {@value #FEWEST}, may itself be cut off: what it failed at it keeps to itself, and others find out on their own, as without a
- * prober. What it reached is told all the same.
+ * <p>A member that cannot reach more than half of the hosts it probed lately, and of at least {@value #FEWEST}, may
+ * itself be cut off. It keeps its failures to itself, and reports successes only.
  *
- * <p>Bounds: {@value #HOSTS_MAX} hosts, the first by their names; {@value #UNDER_WAY_MAX} probes under way. Milliseconds by
- * one monotonic clock. Not thread-safe.
+ * <p>Limits: {@value #HOSTS_MAX} hosts, the first by name; {@value #UNDER_WAY_MAX} concurrent probes. Times in
+ * milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class Prober {
-    /** The board's topic of findings. */
+    /** The board's topic for probe results. */
     public static final String TOPIC = "probe";
+
     static final String POOL = "host-probe";
     static final int SHARDS = 64;
     static final int HOSTS_MAX = 4096;
@@ -33,12 +33,12 @@
     static final int FEWEST = 3;
     private static final double LATELY = 3; // rounds
 
-    /** A probe that begins now. */
-    public record Probe(String host, int shard, long token, double sentAt) { }
+    /** A probe to be sent now. */
+    public record Probe(String host, int shard, long token, double sentAt) {}
 
     private static final class Watched {
         final int shard;
-        long token; // under which it is asked
+        long token; // fencing token of its shard
         double nextAt;
         boolean running;
         boolean reached = true;
@@ -55,37 +55,38 @@
     private int running;
     private long kept;
 
-    /** @param takesMs the longest that a probe takes */
+    /** @param takesMs the timeout of a probe */
     public Prober(double everyMs, double takesMs) {
         this.everyMs = everyMs;
         this.takesMs = takesMs;
     }
 
-    /** Takes part. */
+    /** Joins the pool of probers. */
     public void begin(Member member) {
         member.join(POOL, SHARDS);
     }
 
-    /** The hosts there are. */
+    /** Sets the hosts to be probed. */
     public void listed(Collection<String> names) {
-        Set<String> there = new HashSet<>(names.stream().sorted().limit(HOSTS_MAX).toList());
+        Set<String> there =
+                new HashSet<>(names.stream().sorted().limit(HOSTS_MAX).toList());
         hosts.entrySet().removeIf(e -> !there.contains(e.getKey()) && !e.getValue().running);
         there.forEach(h -> hosts.computeIfAbsent(h, name -> new Watched(shard(name))));
     }
 
     static int shard(String host) {
-        return Spread.piece(host, SHARDS);
+        return Partitioner.shardOf(host, SHARDS);
     }
 
-    /** Where in a round a host has its turn, so that one member's hosts are not asked in one moment; 0 to 1. */
+    /** The phase of a host in a round, from 0 to 1, so that probes are spread over the round. */
     private static double phase(String host) {
         return Math.floorMod(host.hashCode() * 0x85EBCA6B >>> Byte.SIZE, Short.MAX_VALUE) / (double) Short.MAX_VALUE;
     }
 
-    /** The probes that begin now; each is {@link #ended} later. */
+    /** The probes to be sent now; {@link #ended} is called for each. */
     public List<Probe> due(Member member, double now, double lateMs) {
-        Map<Integer, Book.Holding> mine = new HashMap<>();
-        for (Book.Holding h : member.holdings()) {
+        Map<Integer, LeaseStateMachine.Holding> mine = new HashMap<>();
+        for (LeaseStateMachine.Holding h : member.holdings()) {
             if (h.name().equals(POOL) && h.shard() >= 0) {
                 mine.put(h.shard(), h);
             }
@@ -93,7 +94,7 @@
         List<Probe> due = new ArrayList<>();
         Set<Integer> busy = new HashSet<>();
         hosts.forEach((host, w) -> {
-            Book.Holding h = mine.get(w.shard);
+            LeaseStateMachine.Holding h = mine.get(w.shard);
             if (h == null) {
                 return;
             }
@@ -101,7 +102,10 @@
                 w.token = h.token();
                 w.nextAt = now + phase(host) * everyMs;
             }
-            if (!h.wanted() && !w.running && now >= w.nextAt && running < UNDER_WAY_MAX
+            if (!h.wanted()
+                    && !w.running
+                    && now >= w.nextAt
+                    && running < UNDER_WAY_MAX
                     && member.mayAct(h.token(), now, lateMs, takesMs)) {
                 w.running = true;
                 running++;
@@ -112,18 +116,20 @@
                 busy.add(w.shard);
             }
         });
-        mine.values().stream().filter(h -> h.wanted() && !busy.contains(h.shard())).forEach(member::giveUp);
+        mine.values().stream()
+                .filter(h -> h.wanted() && !busy.contains(h.shard()))
+                .forEach(member::giveUp);
         return due;
     }
 
-    /** A probe is over. */
-    public void ended(Member member, Probe p, Finding f, double now) {
+    /** Records the result of a probe. */
+    public void ended(Member member, Probe p, ProbeResult f, double now) {
         Watched w = hosts.get(p.host());
         running--;
         if (w == null) {
             return;
         }
-        boolean reached = f.kind() == Finding.Kind.WELL || f.kind() == Finding.Kind.ILL;
+        boolean reached = f.kind() == ProbeResult.Kind.WELL || f.kind() == ProbeResult.Kind.ILL;
         boolean changed = reached != w.reached;
         w.running = false;
         w.reached = reached;
@@ -136,12 +142,14 @@
     }
 
     private boolean doubtsItself(double now) {
-        List<Watched> asked = hosts.values().stream().filter(w -> now - w.askedAt < LATELY * everyMs).toList();
+        List<Watched> asked = hosts.values().stream()
+                .filter(w -> now - w.askedAt < LATELY * everyMs)
+                .toList();
         long missed = asked.stream().filter(w -> !w.reached).count();
         return asked.size() >= FEWEST && missed * 2 > asked.size();
     }
 
-    /** For operators. */
+    /** One line for the operators' page. */
     public String text() {
         return "probes hosts=" + hosts.size() + " under_way=" + running + " kept_to_itself=" + kept;
     }
--- a/fleet/src/test/java/marlford/lease/Sim.java
+++ b/fleet/src/test/java/marlford/lease/MemberSimulation.java
@@ -8,22 +8,23 @@
 import java.util.Random;
 import java.util.function.ToIntFunction;
 import marlford.board.Board;
-import marlford.board.Notice;
-import marlford.task.Act;
-import marlford.task.Duty;
+import marlford.board.BoardChanges;
+import marlford.task.FleetTask;
+import marlford.task.TaskRun;
 
 /** A fleet on a clock of the test's own. */
-public final class Sim {
+public final class MemberSimulation {
     /** Of a step, in milliseconds. */
     public static final double STEP = 10;
     /** Of a session, in milliseconds. */
     public static final long TTL = 1000;
+
     private static final int VOTERS = 3;
 
     public final Random random;
     final double loss;
-    final Book book = new Book(1);
-    final Silence[] silence = new Silence[VOTERS];
+    final LeaseStateMachine machine = new LeaseStateMachine(1);
+    final FailureDetector[] silence = new FailureDetector[VOTERS];
     final Board board = new Board(); // of whoever leads
     final List<Peer> peers = new ArrayList<>();
     final PriorityQueue<Mail> mail = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
@@ -34,17 +35,18 @@
     long asks;
     /** What asks and replies are measured by, and what they came to. */
     public ToIntFunction<Object> size = o -> 0;
+
     public long bytes;
 
-    private record Mail(double at, Runnable what) { }
+    private record Mail(double at, Runnable what) {}
 
-    private record Watching(Peer to, long id, Ask.Watch ask) { }
+    private record Watching(Peer to, long id, Request.Watch ask) {}
 
-    public Sim(long seed, double loss) {
+    public MemberSimulation(long seed, double loss) {
         this.random = new Random(seed);
         this.loss = loss;
         for (int v = 0; v < VOTERS; v++) {
-            silence[v] = new Silence(300);
+            silence[v] = new FailureDetector(300);
         }
         silence[0].lead(0);
         board.begin(1);
@@ -69,8 +71,8 @@
         while (!mail.isEmpty() && mail.peek().at() <= now) {
             mail.poll().what().run();
         }
-        for (long id : silence[leader].due(now, book.sessions())) {
-            book.apply(++index, new Command.Close(id));
+        for (long id : silence[leader].due(now, machine.sessions())) {
+            machine.apply(++index, new Command.Close(id));
         }
         tellWatches();
         for (Peer p : peers) {
@@ -85,39 +87,43 @@
     }
 
     private void ask(Peer p, Member.Outgoing o) {
-        if (o.ask() instanceof Ask.Watch w) {
+        if (o.ask() instanceof Request.Watch w) {
             watches.add(new Watching(p, o.id(), w));
             return;
         }
         Reply r;
         if (!o.voter().equals("v" + leader)) {
             r = Reply.no(Reply.Status.NOT_LEADER, "v" + leader);
-        } else if (o.ask() instanceof Ask.Renew renew) {
-            if (book.session(renew.session()) == null) {
-                r = ok(Answer.GONE);
+        } else if (o.ask() instanceof Request.Renew renew) {
+            if (machine.session(renew.session()) == null) {
+                r = ok(CommandResult.GONE);
             } else {
-                Notice news = renew.telling() == null ? null : board.hear(renew.session(), renew.telling(),
-                        token -> book.holds(renew.session(), token), now);
-                r = silence[leader].heard(renew.session(), now) ? ok(Answer.goesOn(book.session(renew.session()))).with(news)
+                BoardChanges news = renew.telling() == null
+                        ? null
+                        : board.hear(
+                                renew.session(), renew.telling(), token -> machine.holds(renew.session(), token), now);
+                r = silence[leader].heard(renew.session(), now)
+                        ? ok(CommandResult.renewed(machine.session(renew.session())))
+                                .with(news)
                         : Reply.no(Reply.Status.NOT_LEADER, "");
             }
         } else {
-            r = ok(book.apply(++index, ((Ask.Submit) o.ask()).line()));
+            r = ok(machine.apply(++index, ((Request.Submit) o.ask()).line()));
         }
         bytes += size.applyAsInt(r);
         post(() -> p.hears(o.id(), r));
     }
 
-    private Reply ok(Answer a) {
+    private Reply ok(CommandResult a) {
         return new Reply(Reply.Status.OK, "v" + leader, a, index, null);
     }
 
     private void tellWatches() {
         watches.removeIf(w -> {
-            Book.Session s = book.session(w.ask().session());
+            LeaseStateMachine.Session s = machine.session(w.ask().session());
             boolean tells = s != null && s.changed() > w.ask().since();
             if (tells) {
-                Reply r = new Reply(Reply.Status.OK, "v" + leader, null, index, book.holdings(s.id()));
+                Reply r = new Reply(Reply.Status.OK, "v" + leader, null, index, machine.holdings(s.id()));
                 bytes += size.applyAsInt(r);
                 post(() -> w.to().hears(w.id(), r));
             }
@@ -127,7 +133,7 @@
 
     /** What stands, for a test that failed. */
     public String text() {
-        return board.text() + " " + book.image();
+        return board.text() + " " + machine.snapshot();
     }
 
     public void elect() {
@@ -139,8 +145,8 @@
 
     public final class Peer {
         public final Member member;
-        final List<Duty> duties = new ArrayList<>();
-        final Map<Act, Double> running = new HashMap<>();
+        final List<FleetTask> duties = new ArrayList<>();
+        final Map<TaskRun, Double> running = new HashMap<>();
         public double standsUntil;
 
         Peer(String name, long nonce) {
@@ -155,7 +161,7 @@
             }
         }
 
-        Peer with(Duty d) {
+        Peer with(FleetTask d) {
             duties.add(d);
             d.begin(member);
             return this;
--- a/fleet/src/test/java/marlford/work/Tier.java
+++ b/fleet/src/test/java/marlford/register/TierModel.java
@@ -1,19 +1,26 @@
-package marlford.work;
+package marlford.register;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
-import marlford.Courses;
+import marlford.Interleavings;
 
 /**
  * Two gateways, one key, two groups of hosts that drop repeats for a while, an agreed log and a client that asks twice, on a
  * clock of the test's own. Whoever drives it chooses what happens next: any message is lost, late or doubled, any gateway stops
  * or dies at any step.
  */
-final class Tier implements Courses.World {
+final class TierModel implements Interleavings.Model {
     /** What may be planted: each is a fault that the invariants have to find. */
-    enum Fault { NONE, RESENT_AFTER_WINDOW, ANSWERED_BEFORE_AGREED, JOINED_WITHOUT_DIGEST, TAKEN_WITHOUT_SHARD,
-        SENT_BEFORE_ENTERED, ENTERED_WHAT_WAS_TAKEN }
+    enum Fault {
+        NONE,
+        RESENT_AFTER_WINDOW,
+        ANSWERED_BEFORE_AGREED,
+        JOINED_WITHOUT_DIGEST,
+        TAKEN_WITHOUT_SHARD,
+        SENT_BEFORE_ENTERED,
+        ENTERED_WHAT_WAS_TAKEN
+    }
 
     static final int CHOICES = 20;
     private static final double STEP = 100;
@@ -21,13 +28,14 @@
     private static final double WINDOW = 800;
     private static final double FLIGHT = 100; // the longest that an attempt is on its way to a host
     private static final int BAG_MAX = 5;
-    private static final Order ORDER = new Order("c:k", "d1", "order", 1, "POST");
-    private static final Order OTHER = new Order("c:k", "d2", "order", 1, "POST");
+    private static final KeyedRequest ORDER = new KeyedRequest("c:k", "d1", "order", 1, "POST");
+    private static final KeyedRequest OTHER = new KeyedRequest("c:k", "d2", "order", 1, "POST");
 
     /** A line on its way, or what was said of it; it belongs to the hand that asked, as a reply does to its call. */
-    private record Mail(int gateway, long session, Hand of, Line line, Said said, double sentAt) { }
+    private record Mail(
+            int gateway, long session, RequestLease of, RegisterCommand line, RegisterResult said, double sentAt) {}
 
-    private record Attempt(int gateway, int life, Hand of, String group, double leftAt, boolean other) { }
+    private record Attempt(int gateway, int life, RequestLease of, String group, double leftAt, boolean other) {}
 
     private final class Gateway {
         final int number;
@@ -35,10 +43,10 @@
         boolean stopped;
         long session;
         double until = Double.NEGATIVE_INFINITY; // its session is good
-        Hand hand; // of its client, or taken over
+        RequestLease hand; // of its client, or taken over
         boolean client;
         boolean other; // its client's order is another one under the same key
-        Ages ages = new Ages();
+        StalenessBound ages = new StalenessBound();
         double firstAt = Double.NaN; // when its own first attempt left
 
         Gateway(int number) {
@@ -47,13 +55,13 @@
 
         @Override
         public String toString() {
-            return life + "," + stopped + "," + session + "," + (until - now) + "," + hand + "," + client + other + "," + (now - firstAt)
-                    + "," + ages.most(registerIndex, now) + "," + ages.most(index + 1, now);
+            return life + "," + stopped + "," + session + "," + (until - now) + "," + hand + "," + client + other + ","
+                    + (now - firstAt) + "," + ages.most(registerIndex, now) + "," + ages.most(index + 1, now);
         }
     }
 
     private final Fault fault;
-    private final Register register = new Register();
+    private final RequestRegister register = new RequestRegister();
     private final List<Gateway> gateways = List.of(new Gateway(0), new Gateway(1));
     private final TreeMap<Long, Double> sessions = new TreeMap<>(); // when each was heard last
     private final List<Mail> bag = new ArrayList<>();
@@ -71,7 +79,7 @@
     private int takes;
     private int ends;
 
-    Tier(Fault fault) {
+    TierModel(Fault fault) {
         this.fault = fault;
         for (Gateway g : gateways) {
             open(g);
@@ -98,11 +106,20 @@
 
     @Override
     public String state() {
-        return gateways + "|" + sessions.keySet() + sessions.values().stream().map(at -> now - at).toList() + "|" + bag.stream()
-                .map(m -> m.gateway() + "," + m.session() + m.line() + m.said() + (m.of() == gateways.get(m.gateway()).hand)).toList() + "|" + attempts.stream()
-                .map(a -> a.gateway() + "," + a.life() + a.group() + (now - a.leftAt()) + a.other()
-                        + (a.of() == gateways.get(a.gateway()).hand)).toList() + "|" + ran.keySet()
-                + ran.values().stream().map(at -> now - at).toList() + "|" + told + toldOther + asked + minted + index + register.image().open() + register.image().ended();
+        return gateways + "|" + sessions.keySet()
+                + sessions.values().stream().map(at -> now - at).toList() + "|"
+                + bag.stream()
+                        .map(m -> m.gateway() + "," + m.session() + m.line() + m.said()
+                                + (m.of() == gateways.get(m.gateway()).hand))
+                        .toList()
+                + "|"
+                + attempts.stream()
+                        .map(a -> a.gateway() + "," + a.life() + a.group() + (now - a.leftAt()) + a.other()
+                                + (a.of() == gateways.get(a.gateway()).hand))
+                        .toList()
+                + "|" + ran.keySet()
+                + ran.values().stream().map(at -> now - at).toList() + "|" + told + toldOther + asked + minted + index
+                + register.snapshot().open() + register.snapshot().ended();
     }
 
     private void open(Gateway g) {
@@ -112,8 +129,8 @@
         g.ages.saw(now, index);
     }
 
-    private void asks(Gateway g, Order order) {
-        g.hand = new Hand(order, g.number == 0 ? "x" : "y", ++asked);
+    private void asks(Gateway g, KeyedRequest order) {
+        g.hand = new RequestLease(order, g.number == 0 ? "x" : "y", ++asked);
         g.client = true;
         g.other = order == OTHER;
     }
@@ -174,7 +191,7 @@
         }
         if (g.hand.due() != null && bag.size() < BAG_MAX) {
             bag.add(new Mail(g.number, g.session, g.hand, g.hand.due(), null, now));
-        } else if (g.hand.state() == Hand.State.WAITING) {
+        } else if (g.hand.state() == RequestLease.State.WAITING) {
             g.hand.looked(register.look(ORDER.key(), g.hand.order().digest()));
         }
     }
@@ -189,7 +206,7 @@
             bag.remove(m);
         }
         if (m.said() == null) {
-            Said s = applied(m);
+            RegisterResult s = applied(m);
             if (bag.size() < BAG_MAX) {
                 bag.add(new Mail(m.gateway(), m.session(), m.of(), m.line(), s, m.sentAt()));
             }
@@ -199,9 +216,9 @@
         if (g.stopped || g.session != m.session()) {
             return;
         }
-        if (m.line() instanceof Line.Take) {
-            if (m.said().kind() == Said.Kind.OWNED && g.hand == null) {
-                g.hand = new Hand(m.said().entry());
+        if (m.line() instanceof RegisterCommand.Take) {
+            if (m.said().kind() == RegisterResult.Kind.OWNED && g.hand == null) {
+                g.hand = new RequestLease(m.said().entry());
                 judged(g, m.said().entry());
             }
         } else if (g.hand == m.of()) {
@@ -209,30 +226,39 @@
         }
     }
 
-    private Said applied(Mail m) {
+    private RegisterResult applied(Mail m) {
         index++;
         if (!sessions.containsKey(m.session())) {
-            return Said.of(Said.Kind.NOT_YOURS);
+            return RegisterResult.of(RegisterResult.Kind.NOT_YOURS);
         }
-        Line line = m.line();
-        Entry e = register.entry(ORDER.key());
-        if (fault == Fault.JOINED_WITHOUT_DIGEST && line instanceof Line.Enter) {
-            line = new Line.Enter(ORDER, "x", e == null ? 0 : e.ask());
+        RegisterCommand line = m.line();
+        RegisterEntry e = register.entry(ORDER.key());
+        if (fault == Fault.JOINED_WITHOUT_DIGEST && line instanceof RegisterCommand.Enter) {
+            line = new RegisterCommand.Enter(ORDER, "x", e == null ? 0 : e.ask());
         }
-        if (fault == Fault.ENTERED_WHAT_WAS_TAKEN && line instanceof Line.Enter && e != null && e.owner() == m.session()) {
-            return Said.owned(e);
+        if (fault == Fault.ENTERED_WHAT_WAS_TAKEN
+                && line instanceof RegisterCommand.Enter
+                && e != null
+                && e.owner() == m.session()) {
+            return RegisterResult.owned(e);
         }
         boolean first = sessions.firstKey() == m.session(); // the one shard is the eldest's
-        Said s = register.apply(index, m.session(), line, (session, shard, token) -> first || fault == Fault.TAKEN_WITHOUT_SHARD,
+        RegisterResult s = register.apply(
+                index,
+                m.session(),
+                line,
+                (session, shard, token) -> first || fault == Fault.TAKEN_WITHOUT_SHARD,
                 () -> ++minted);
-        registerIndex = register.entry(ORDER.key()) == null ? 0 : register.entry(ORDER.key()).since();
-        takes += line instanceof Line.Take && s.kind() == Said.Kind.OWNED ? 1 : 0;
-        ends += line instanceof Line.End && s.kind() == Said.Kind.OVER ? 1 : 0;
+        registerIndex = register.entry(ORDER.key()) == null
+                ? 0
+                : register.entry(ORDER.key()).since();
+        takes += line instanceof RegisterCommand.Take && s.kind() == RegisterResult.Kind.OWNED ? 1 : 0;
+        ends += line instanceof RegisterCommand.End && s.kind() == RegisterResult.Kind.OVER ? 1 : 0;
         return s;
     }
 
-    private void judged(Gateway g, Entry e) {
-        Judgement j = Judgement.of(e, g.ages.most(e.since(), now), WINDOW, FLIGHT + STEP, 0);
+    private void judged(Gateway g, RegisterEntry e) {
+        ResendDecision j = ResendDecision.of(e, g.ages.most(e.since(), now), WINDOW, FLIGHT + STEP, 0);
         if (!j.again() && fault != Fault.RESENT_AFTER_WINDOW) {
             g.hand.ends(Outcome.unknown(j.why()));
         }
@@ -240,7 +266,8 @@
     }
 
     private void sends(Gateway g) {
-        boolean early = fault == Fault.SENT_BEFORE_ENTERED && g.hand != null && g.hand.state() == Hand.State.ENTERING;
+        boolean early =
+                fault == Fault.SENT_BEFORE_ENTERED && g.hand != null && g.hand.state() == RequestLease.State.ENTERING;
         if (g.stopped || g.hand == null || attempts.size() >= BAG_MAX) {
             return;
         }
@@ -248,7 +275,13 @@
         boolean open = Double.isNaN(g.firstAt) || now - g.firstAt + FLIGHT < WINDOW / 2;
         if (open && (g.hand.sends(now + FLIGHT <= g.until) || early)) {
             g.firstAt = Double.isNaN(g.firstAt) ? now : g.firstAt;
-            attempts.add(new Attempt(g.number, g.life, g.hand, g.hand.group(), now, g.hand.order().digest().equals(OTHER.digest())));
+            attempts.add(new Attempt(
+                    g.number,
+                    g.life,
+                    g.hand,
+                    g.hand.group(),
+                    now,
+                    g.hand.order().digest().equals(OTHER.digest())));
         }
     }
 
@@ -262,7 +295,8 @@
         Double first = ran.get(place);
         if (first == null || now - first > WINDOW) {
             runs++;
-            boolean elsewhere = ran.keySet().stream().anyMatch(p -> !p.equals(place) && p.endsWith(" other") == a.other());
+            boolean elsewhere =
+                    ran.keySet().stream().anyMatch(p -> !p.equals(place) && p.endsWith(" other") == a.other());
             if (first != null || elsewhere) {
                 broken = "an order ran " + (first != null ? "after its group's window" : "at two groups");
             }
@@ -279,13 +313,24 @@
     }
 
     private void takes(Gateway g) {
-        Entry e = register.entry(ORDER.key());
-        if (!g.stopped && g.session != 0 && e != null && e.owner() != g.session && bag.size() < BAG_MAX
-                && (e.owner() == 0 || fault == Fault.TAKEN_WITHOUT_SHARD) && (g.hand == null || !g.client)) {
+        RegisterEntry e = register.entry(ORDER.key());
+        if (!g.stopped
+                && g.session != 0
+                && e != null
+                && e.owner() != g.session
+                && bag.size() < BAG_MAX
+                && (e.owner() == 0 || fault == Fault.TAKEN_WITHOUT_SHARD)
+                && (g.hand == null || !g.client)) {
             if (fault == Fault.TAKEN_WITHOUT_SHARD && e.owner() != 0) {
                 register.ended(e.owner()); // taken from an owner that lives
             }
-            bag.add(new Mail(g.number, g.session, null, new Line.Take(ORDER.key(), Register.shard(ORDER.key()), 1), null, now));
+            bag.add(new Mail(
+                    g.number,
+                    g.session,
+                    null,
+                    new RegisterCommand.Take(ORDER.key(), RequestRegister.shard(ORDER.key()), 1),
+                    null,
+                    now));
         }
     }
 
@@ -298,7 +343,7 @@
         g.other = false;
         g.stopped = false;
         g.firstAt = Double.NaN;
-        g.ages = new Ages();
+        g.ages = new StalenessBound();
         bag.removeIf(m -> m.gateway() == g.number && m.said() != null);
     }
 
@@ -318,8 +363,10 @@
                 g.client = false;
                 g.other = false;
                 g.firstAt = Double.NaN;
-            } else if (g.hand != null && (g.hand.answer() != null || g.hand.state() == Hand.State.REFUSED
-                    || g.hand.state() == Hand.State.DIFFERS)) {
+            } else if (g.hand != null
+                    && (g.hand.answer() != null
+                            || g.hand.state() == RequestLease.State.REFUSED
+                            || g.hand.state() == RequestLease.State.DIFFERS)) {
                 g.hand = null;
                 g.client = false;
                 g.other = false;
