--- a/storm/src/main/java/marlford/storm/scale/DiscoveryStub.java
+++ b/storm/src/main/java/marlford/storm/scale/DiscoveryStub.java
@@ -11,7 +11,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** A stand-in for discovery: one list of hosts that are names only. It tells the whole list at once and holds watches. */
+/**
+ * A stand-in for discovery: one list of hosts that are names only. It tells the whole list at once
+ * and holds watches.
+ */
 final class DiscoveryStub implements Closeable {
     private static final int OK = 200;
     private static final int SERVICES = 820;
@@ -71,7 +74,8 @@
     /** Nothing changes, so a watch is held for as long as it may be. */
     private static void hold(String query) {
         int at = query.indexOf(HOLD);
-        long ms = at < 0 ? 0 : Long.parseLong(query.substring(at + HOLD.length()).replaceAll("\\D.*", ""));
+        long ms =
+                at < 0 ? 0 : Long.parseLong(query.substring(at + HOLD.length()).replaceAll("\\D.*", ""));
         try {
             Thread.sleep(ms);
         } catch (InterruptedException e) {
--- a/storm/src/main/java/marlford/storm/scale/FittedSlope.java
+++ b/storm/src/main/java/marlford/storm/scale/FittedSlope.java
@@ -26,10 +26,16 @@
         List<FittedSlope> slopes = new ArrayList<>();
         for (String variable : variables) {
             Map<Map<String, Object>, List<MeasuredPoint>> groups = points.stream()
-                    .collect(Collectors.groupingBy(p -> without(p.settings(), variable), LinkedHashMap::new, Collectors.toList()));
+                    .collect(Collectors.groupingBy(
+                            p -> without(p.settings(), variable), LinkedHashMap::new, Collectors.toList()));
             groups.forEach((held, group) -> {
                 boolean swept = group.get(0).settings().containsKey(variable);
-                if (swept && group.stream().mapToDouble(p -> x(p, variable)).distinct().count() >= LEAST_POINTS) {
+                if (swept
+                        && group.stream()
+                                        .mapToDouble(p -> x(p, variable))
+                                        .distinct()
+                                        .count()
+                                >= LEAST_POINTS) {
                     group.get(0).figures().keySet().forEach(figure -> slopes.add(fit(group, variable, figure, held)));
                 }
             });
--- a/storm/src/main/java/marlford/storm/scale/HollowGateway.java
+++ b/storm/src/main/java/marlford/storm/scale/HollowGateway.java
@@ -11,7 +11,8 @@
 import marlford.storm.scale.PartTimer.Part;
 
 /**
- * A gateway without clients' sockets: the program's own quotas, told of requests by whoever drives it, in virtual time or
+ * A gateway without clients' sockets: the program's own quotas, told of requests by whoever drives
+ * it, in virtual time or
  * on an event loop. Not thread-safe; it belongs to its driver's thread.
  */
 final class HollowGateway {
@@ -51,8 +52,8 @@
             Surroundings surroundings) {
         this.number = number;
         this.timer = timer;
-        Exchange.Config config = new Exchange.Config(
-                number, gateways, intakePerSecond, Workload.MAX_UNITS, CUSTOMERS_MAX, plans);
+        Exchange.Config config =
+                new Exchange.Config(number, gateways, intakePerSecond, Workload.MAX_UNITS, CUSTOMERS_MAX, plans);
         int life = (int) (long) now;
         quotas = new Exchange(now, config, life, new Random(seed), new Exchange.Link() {
             @Override
--- a/storm/src/main/java/marlford/storm/scale/ListRun.java
+++ b/storm/src/main/java/marlford/storm/scale/ListRun.java
@@ -10,5 +10,4 @@
  * @param seconds of virtual time that are timed
  * @param seed all chance is drawn from it
  */
-record ListRun(
-        int gateways, int hosts, double triesPerSecond, double changesPerSecond, double seconds, long seed) {}
+record ListRun(int gateways, int hosts, double triesPerSecond, double changesPerSecond, double seconds, long seed) {}
--- a/storm/src/main/java/marlford/storm/scale/LoneGateway.java
+++ b/storm/src/main/java/marlford/storm/scale/LoneGateway.java
@@ -25,7 +25,8 @@
 import marlford.storm.scale.PartTimer.Part;
 
 /**
- * The decision module and the list of hosts of one gateway. Hosts are names that answer after a while; no peer speaks, and
+ * The decision module and the list of hosts of one gateway. Hosts are names that answer after a
+ * while; no peer speaks, and
  * customers have no quota, so that what is timed is the list, the choice of hosts and the regular beat.
  */
 final class LoneGateway implements Actions {
@@ -199,8 +200,8 @@
         String id = "r" + asked++;
         attempts.put(id, 0);
         double now = events.now();
-        Request request = new Request(
-                id, now + DEADLINE_MS, now, false, CLASS, random.nextLong(CUSTOMERS), PLAN, 1, 0, 1);
+        Request request =
+                new Request(id, now + DEADLINE_MS, now, false, CLASS, random.nextLong(CUSTOMERS), PLAN, 1, 0, 1);
         timer.time(Part.DECISION, () -> brain.request(now, request));
     }
 
--- a/storm/src/main/java/marlford/storm/scale/LoopFleet.java
+++ b/storm/src/main/java/marlford/storm/scale/LoopFleet.java
@@ -29,7 +29,8 @@
 import marlford.storm.scale.PartTimer.Part;
 
 /**
- * A fleet of hollow gateways on event loops, each with a datagram socket of its own on loopback. Processor time is taken by
+ * A fleet of hollow gateways on event loops, each with a datagram socket of its own on loopback.
+ * Processor time is taken by
  * part, with a clock around each call, and in the sum, from the loops' threads.
  */
 final class LoopFleet implements AutoCloseable {
@@ -122,7 +123,8 @@
             figures.put(part.name().toLowerCase(Locale.ROOT) + "_ms_per_gateway_second", nanos / NANOS_PER_MS / each);
         }
         long tries = members.stream().mapToLong(m -> m.tries).sum();
-        long decisionNanos = members.stream().mapToLong(m -> m.timer.nanos(Part.DECISION)).sum();
+        long decisionNanos =
+                members.stream().mapToLong(m -> m.timer.nanos(Part.DECISION)).sum();
         figures.put("decision_us", decisionNanos / NANOS_PER_US / Math.max(1, tries));
         figures.put("tries_per_gateway_second", tries / each);
         figures.put("messages_per_gateway_second", sum(Member::messages) / each);
@@ -190,14 +192,7 @@
         void start() {
             double now = now();
             gateway = new HollowGateway(
-                    now,
-                    number,
-                    gateways,
-                    intakePerSecond,
-                    workload.plans(),
-                    random.nextLong(),
-                    timer,
-                    this);
+                    now, number, gateways, intakePerSecond, workload.plans(), random.nextLong(), timer, this);
             loadAt = now;
             long beatMs = (long) HollowGateway.BEAT_MS;
             loop().scheduleAtFixedRate(this::beat, random.nextLong(beatMs), beatMs, TimeUnit.MILLISECONDS);
@@ -235,8 +230,10 @@
         public void send(int from, int peer, byte[] data) {
             messages++;
             bytes += data.length;
-            timer.time(Part.SOCKET, () -> channel.writeAndFlush(
-                    new DatagramPacket(Unpooled.wrappedBuffer(data), members.get(peer).address())));
+            timer.time(
+                    Part.SOCKET,
+                    () -> channel.writeAndFlush(new DatagramPacket(
+                            Unpooled.wrappedBuffer(data), members.get(peer).address())));
         }
 
         @Override
--- a/storm/src/main/java/marlford/storm/scale/ProcessFleet.java
+++ b/storm/src/main/java/marlford/storm/scale/ProcessFleet.java
@@ -74,15 +74,34 @@
         ArrayNode all = root.putArray("peers");
         peers.forEach(all::add);
         root.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", 1024);
-        ObjectNode settings = root.putObject("settings").put("ordinal", number).put("balancers", peers.size()).put("az", "z0");
-        settings.putObject("limits").put("max_attempts", 3).put("cancel", true).put("probes", true)
-                .put("peer_messages", true).put("retry_after", true).put("max_retry_after_ms", 500)
+        ObjectNode settings = root.putObject("settings")
+                .put("ordinal", number)
+                .put("balancers", peers.size())
+                .put("az", "z0");
+        settings.putObject("limits")
+                .put("max_attempts", 3)
+                .put("cancel", true)
+                .put("probes", true)
+                .put("peer_messages", true)
+                .put("retry_after", true)
+                .put("max_retry_after_ms", 500)
                 .put("connect_timeout_ms", 1000);
-        settings.putObject("rules").put("warm_within_ms", 1000).put("cold_from", 0.2).put("fall_multiple", 2);
+        settings.putObject("rules")
+                .put("warm_within_ms", 1000)
+                .put("cold_from", 0.2)
+                .put("fall_multiple", 2);
         settings.putObject("specifics").put("max_units", Workload.MAX_UNITS).put("mail_per_s", 40);
-        settings.putArray("classes").addObject().put("name", "view").put("effect", "repeatable")
-                .put("goal_time_ms", 2000).put("hard_limit_ms", 4000);
-        settings.putArray("plans").addObject().put("name", "free").put("units_per_s", 1_000_000).put("depth", 1_000_000);
+        settings.putArray("classes")
+                .addObject()
+                .put("name", "view")
+                .put("effect", "repeatable")
+                .put("goal_time_ms", 2000)
+                .put("hard_limit_ms", 4000);
+        settings.putArray("plans")
+                .addObject()
+                .put("name", "free")
+                .put("units_per_s", 1_000_000)
+                .put("depth", 1_000_000);
         return json.writeValueAsString(root);
     }
 
--- a/storm/src/main/java/marlford/storm/scale/RealGateway.java
+++ b/storm/src/main/java/marlford/storm/scale/RealGateway.java
@@ -13,7 +13,8 @@
 final class RealGateway implements Closeable {
     private static final Path DEPLOY_FILE = Path.of("deploy", "balancer.toml");
     private static final String RUN = "run = \"exec java ";
-    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final String JAVA =
+            Path.of(System.getProperty("java.home"), "bin", "java").toString();
     private static final int TICKS_PER_S = 100; // of /proc, on every Linux that the program runs on
     private static final double MS_PER_TICK = 1000.0 / TICKS_PER_S;
     private static final int USER_AT = 11; // fields of /proc/PID/stat behind the name
@@ -63,7 +64,8 @@
     static List<String> deployedArguments(Path root) throws IOException {
         for (String line : Files.readAllLines(root.resolve(DEPLOY_FILE))) {
             if (line.startsWith(RUN)) {
-                return List.of(line.substring(RUN.length(), line.lastIndexOf('"')).split(" "));
+                return List.of(
+                        line.substring(RUN.length(), line.lastIndexOf('"')).split(" "));
             }
         }
         throw new IOException("no run line in " + root.resolve(DEPLOY_FILE));
--- a/storm/src/main/java/marlford/storm/scale/ScaleCommand.java
+++ b/storm/src/main/java/marlford/storm/scale/ScaleCommand.java
@@ -39,7 +39,10 @@
         VIRTUAL,
         /** Event loops and datagrams over loopback: processor time by part. */
         LOOP,
-        /** One gateway's decision module and list of hosts, timed without waiting: processor time and memory by part. */
+        /**
+         * One gateway's decision module and list of hosts, timed without waiting: processor time and memory
+         * by part.
+         */
         LIST
     }
 
@@ -63,33 +66,52 @@
     @Option(names = "--gateways", split = ",", defaultValue = "100", description = "swept (${DEFAULT-VALUE})")
     private List<Integer> gateways;
 
-    @Option(names = "--tries", split = ",", defaultValue = "8,20,60,181",
+    @Option(
+            names = "--tries",
+            split = ",",
+            defaultValue = "8,20,60,181",
             description = "requests a second and gateway; swept (${DEFAULT-VALUE})")
     private List<Double> tries;
 
-    @Option(names = "--spread", split = ",", defaultValue = "3",
+    @Option(
+            names = "--spread",
+            split = ",",
+            defaultValue = "3",
             description = "gateways that a customer comes through; swept (${DEFAULT-VALUE})")
     private List<Integer> spreads;
 
-    @Option(names = "--hosts", split = ",", defaultValue = "5000,10000,20000,40000",
+    @Option(
+            names = "--hosts",
+            split = ",",
+            defaultValue = "5000,10000,20000,40000",
             description = "on the list, with --drive=LIST; swept (${DEFAULT-VALUE})")
     private List<Integer> hosts;
 
-    @Option(names = "--changes", split = ",", defaultValue = "0.1",
+    @Option(
+            names = "--changes",
+            split = ",",
+            defaultValue = "0.1",
             description = "hosts replaced a second, with --drive=LIST; swept (${DEFAULT-VALUE})")
     private List<Double> changes;
 
-    @Option(names = "--processes", defaultValue = "0",
+    @Option(
+            names = "--processes",
+            defaultValue = "0",
             description = "real ones, idle, instead of a drive; --gateways and --hosts are swept (${DEFAULT-VALUE})")
     private int processes;
 
     @Option(names = "--ceilings", defaultValue = "BOTH", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
     private Ceilings ceilings;
 
-    @Option(names = "--load", defaultValue = "FIXED_CUSTOMERS", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
+    @Option(
+            names = "--load",
+            defaultValue = "FIXED_CUSTOMERS",
+            description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
     private Workload.Shape shape;
 
-    @Option(names = "--customers", defaultValue = "29",
+    @Option(
+            names = "--customers",
+            defaultValue = "29",
             description = "of the fleet, for each gateway, at full load (${DEFAULT-VALUE})")
     private double customers;
 
@@ -102,10 +124,16 @@
     @Option(names = "--loss", defaultValue = "0.05", description = "share of the messages lost (${DEFAULT-VALUE})")
     private double loss;
 
-    @Option(names = "--delay", split = ",", defaultValue = "1.2,8.5", description = "ms one way, from and to (${DEFAULT-VALUE})")
+    @Option(
+            names = "--delay",
+            split = ",",
+            defaultValue = "1.2,8.5",
+            description = "ms one way, from and to (${DEFAULT-VALUE})")
     private List<Double> delay;
 
-    @Option(names = "--intake", defaultValue = "40",
+    @Option(
+            names = "--intake",
+            defaultValue = "40",
             description = "messages that a gateway takes in a second (${DEFAULT-VALUE})")
     private double intake;
 
@@ -129,8 +157,7 @@
         List<MeasuredPoint> points = measure();
         List<FittedSlope> fits = FittedSlope.of(points, SWEPT);
         double took = (System.nanoTime() - began) / NANOS_PER_S;
-        ScaleReport report =
-                new ScaleReport(command(), commit(), seed, Machine.here(), took, points, fits);
+        ScaleReport report = new ScaleReport(command(), commit(), seed, Machine.here(), took, points, fits);
         report.print(System.out);
         System.out.printf(Locale.ROOT, "took %.1f s%n", took);
         if (json != null) {
--- a/storm/src/main/java/marlford/storm/scale/VirtualFleet.java
+++ b/storm/src/main/java/marlford/storm/scale/VirtualFleet.java
@@ -59,7 +59,10 @@
         return new VirtualFleet(run, timer).play();
     }
 
-    /** A run's figures, and the heap that one gateway's quota code held at its end, which may differ between two runs. */
+    /**
+     * A run's figures, and the heap that one gateway's quota code held at its end, which may differ
+     * between two runs.
+     */
     record Measured(FleetFigures figures, double heapBytesPerGateway) {}
 
     static Measured playAndWeigh(VirtualRun run) {
@@ -149,7 +152,7 @@
                 events.after(third, () -> regionCut = true);
                 events.after(2 * third, () -> regionCut = false);
             }
-            case NONE -> { }
+            case NONE -> {}
         }
     }
 
@@ -200,8 +203,7 @@
     }
 
     private boolean isCut(int from, int to) {
-        return regionCut
-                && (FaultPlan.region(from) == FaultPlan.STRUCK) != (FaultPlan.region(to) == FaultPlan.STRUCK);
+        return regionCut && (FaultPlan.region(from) == FaultPlan.STRUCK) != (FaultPlan.region(to) == FaultPlan.STRUCK);
     }
 
     private void arrive(int from, int to, byte[] data) {
--- a/storm/src/main/java/marlford/storm/scale/Workload.java
+++ b/storm/src/main/java/marlford/storm/scale/Workload.java
@@ -27,7 +27,8 @@
         /** Each customer asks for the same at any load; there are fewer of them where there are fewer requests. */
         FIXED_DEMAND,
         /**
-         * As many customers as it takes, a quarter of them on the larger plan: one in ten asks for three times its rate,
+         * As many customers as it takes, a quarter of them on the larger plan: one in ten asks for three
+         * times its rate,
          * one in ten for 0.95 of it, the others for 0.45.
          */
         PROBE
@@ -117,9 +118,7 @@
         if (shape != Shape.PROBE) {
             return random.nextDouble(LEAST_USE, MOST_USE);
         }
-        return customer % PROBE_FEW_EVERY == 0
-                ? PROBE_FEW
-                : customer % PROBE_SOME_EVERY == 0 ? PROBE_SOME : PROBE_MOST;
+        return customer % PROBE_FEW_EVERY == 0 ? PROBE_FEW : customer % PROBE_SOME_EVERY == 0 ? PROBE_SOME : PROBE_MOST;
     }
 
     /** The units of one request. */
--- a/storm/src/test/java/marlford/storm/scale/ScaleCommandTest.java
+++ b/storm/src/test/java/marlford/storm/scale/ScaleCommandTest.java
@@ -22,15 +22,16 @@
     private JsonNode result(String... arguments) throws IOException {
         Path file = folder.resolve("result.json");
         CommandLine command = new CommandLine(new ScaleCommand());
-        String[] all = Stream.concat(Stream.of(arguments), Stream.of("--json=" + file))
-                .toArray(String[]::new);
+        String[] all =
+                Stream.concat(Stream.of(arguments), Stream.of("--json=" + file)).toArray(String[]::new);
         assertEquals(CommandLine.ExitCode.OK, command.execute(all));
         return new ObjectMapper().readTree(Files.readString(file));
     }
 
     @Test
     void aSweepIsKeptWithItsCommandAndItsFits() throws IOException {
-        JsonNode result = result("--gateways=4,6,8,10", "--tries=20", "--ceilings=WITH", "--seconds=1", "--warm-up=0.5");
+        JsonNode result =
+                result("--gateways=4,6,8,10", "--tries=20", "--ceilings=WITH", "--seconds=1", "--warm-up=0.5");
         assertEquals(4, result.path("points").size());
         assertTrue(result.path("command").asText().startsWith("./marlford scale --gateways=4,6,8,10"));
         assertTrue(result.path("command").asText().endsWith("--seed=1"));
@@ -38,7 +39,9 @@
             assertEquals("gateways", fit.path("variable").asText());
             assertEquals(4, fit.path("line").path("points").asInt());
         }
-        assertEquals(result.path("points").get(0).path("figures").size(), result.path("fits").size());
+        assertEquals(
+                result.path("points").get(0).path("figures").size(),
+                result.path("fits").size());
     }
 
     @Test
@@ -61,7 +64,8 @@
     @Test
     void badArgumentsAreSaid() {
         CommandLine command = new CommandLine(new ScaleCommand());
-        for (String bad : List.of("--gateways=1", "--tries=0", "--loss=1", "--delay=3", "--processes=13", "--seconds=0")) {
+        for (String bad :
+                List.of("--gateways=1", "--tries=0", "--loss=1", "--delay=3", "--processes=13", "--seconds=0")) {
             assertEquals(CommandLine.ExitCode.USAGE, command.execute(bad), bad);
         }
     }
--- a/storm/src/test/java/marlford/storm/scale/ScaleTest.java
+++ b/storm/src/test/java/marlford/storm/scale/ScaleTest.java
@@ -15,7 +15,8 @@
     private static final double SECONDS = 6;
     private static final double BUSY = 181;
 
-    private static VirtualRun run(int gateways, double tries, int spread, boolean ceilings, FaultPlan faults, long seed) {
+    private static VirtualRun run(
+            int gateways, double tries, int spread, boolean ceilings, FaultPlan faults, long seed) {
         Workload workload = new Workload(Workload.Shape.FIXED_CUSTOMERS, tries, 29, spread, ceilings);
         return new VirtualRun(gateways, workload, LINK, faults, WARM_UP_S, SECONDS, seed);
     }
@@ -33,9 +34,7 @@
     void theSameSeedGivesTheSameCounts(boolean ceilings) {
         VirtualRun run = run(40, BUSY, 3, ceilings, FaultPlan.ZONE_LOST, 7);
         assertEquals(VirtualFleet.play(run), VirtualFleet.play(run));
-        assertNotEquals(
-                VirtualFleet.play(run),
-                VirtualFleet.play(run(40, BUSY, 3, ceilings, FaultPlan.ZONE_LOST, 8)));
+        assertNotEquals(VirtualFleet.play(run), VirtualFleet.play(run(40, BUSY, 3, ceilings, FaultPlan.ZONE_LOST, 8)));
     }
 
     /** The clock around each part is read and takes no part in what is decided. */
@@ -77,7 +76,8 @@
         FleetFigures narrow = play(60, BUSY, 3, false);
         FleetFigures wide = play(60, BUSY, 30, false);
         assertGrowsAtMost(10, narrow.customersPerGateway(), wide.customersPerGateway(), "customers");
-        assertGrowsAtMost(Math.sqrt(10), narrow.messagesPerGatewaySecond(), wide.messagesPerGatewaySecond(), "messages");
+        assertGrowsAtMost(
+                Math.sqrt(10), narrow.messagesPerGatewaySecond(), wide.messagesPerGatewaySecond(), "messages");
     }
 
     @ParameterizedTest
--- a/storm/src/test/java/marlford/storm/scale/WorkloadTest.java
+++ b/storm/src/test/java/marlford/storm/scale/WorkloadTest.java
@@ -28,14 +28,18 @@
         assertEquals(tries, triesPerGateway(customers(shape, tries, true)), 0.02 * tries);
     }
 
-    /** The letter's size: at its full load a quiet day's demand is 0.6 to 0.8 of the rates, without any scaling to speak of. */
+    /**
+     * The letter's size: at its full load a quiet day's demand is 0.6 to 0.8 of the rates, without any
+     * scaling to speak of.
+     */
     @ParameterizedTest
     @CsvSource({"true", "false"})
     void atFullLoadDemandIsSevenTenthsOfTheRates(boolean ceilings) {
         List<Customer> customers = customers(Shape.FIXED_CUSTOMERS, Workload.FULL_TRIES, ceilings);
         assertEquals(29 * GATEWAYS, customers.size());
         double use = customers.stream()
-                .mapToDouble(c -> c.unitsPerSecond() / Math.max(c.terms.rate(), c.hasQuota() ? 0 : c.terms.ceilingRate()))
+                .mapToDouble(
+                        c -> c.unitsPerSecond() / Math.max(c.terms.rate(), c.hasQuota() ? 0 : c.terms.ceilingRate()))
                 .average()
                 .orElseThrow();
         assertTrue(use > 0.6 && use < 0.8, "in the mean " + use);
