A question that waits for a message to leave is refused after 300 ms, not at its deadline

Cause: in a set of 30 with ceilings more questions wait than may leave, and each waited until 50 ms before its request's deadline: what is given up has to be answered at once. Seen: 40 gateways, 181 tries a second, p50 860 ms and p99 965 ms of 1,000, 45% refused.

Change: a question waits six answer times at most, counted from the first time that it waits.

LeaseTierTest.whatCannotBeAskedForIsRefusedLongBeforeItsDeadline fails without it (995 ms).

--- a/gateway/src/main/java/deckfall/quota/Exchange.java
+++ b/gateway/src/main/java/deckfall/quota/Exchange.java
@@ -38,6 +38,7 @@
 public final class Exchange {
     /** How long an answer may take before its question is sent again, in milliseconds: three times the way there and back. */
     public static final double ANSWER_MS = 50;
+    private static final double QUEUED_MS = 6 * ANSWER_MS; // what waits longer for a message to leave is refused then
     private static final int SENDS = 3; // of one question to one keeper: at one loss in ten seven in a thousand miss
     private static final double SYNC_MS = 500;
     private static final double ANSWERS_GAIN = 0.2; // weight of one question in that share
@@ -443,7 +444,8 @@
         }
         if (q.lenders.size() <= LENDERS && now + ANSWER_MS < q.lastMs) {
             if (!queue.isEmpty() || !creditRich(now)) {
-                if (anyLender(now, q) && queue.add(q)) {
+                q.queued(now, QUEUED_MS);
+                if (now < q.leavesBy(ANSWER_MS) && anyLender(now, q) && queue.add(q)) {
                     return;
                 }
             } else if (askLender(now, q)) {
@@ -472,7 +474,7 @@
 
     /** Questions that waited leave, as many in a message as one gateway can be asked. */
     private void askQueued(double now) {
-        for (Question q : queue.dueBefore(now + ANSWER_MS)) {
+        for (Question q : queue.expired(now, ANSWER_MS)) {
             back(q.quota);
             refuse(now, q, Why.CEILING);
         }
--- a/gateway/src/main/java/deckfall/quota/LenderQueue.java
+++ b/gateway/src/main/java/deckfall/quota/LenderQueue.java
@@ -45,9 +45,9 @@
         return null;
     }
 
-    /** Takes out those that must be decided before then. */
-    List<Question> dueBefore(double then) {
-        List<Question> due = waiting.stream().filter(q -> q.lastMs <= then).toList();
+    /** Takes out those that have waited as long as they may. */
+    List<Question> expired(double now, double answerMs) {
+        List<Question> due = waiting.stream().filter(q -> q.leavesBy(answerMs) <= now).toList();
         due.forEach(waiting::remove);
         return due;
     }
--- a/gateway/src/main/java/deckfall/quota/Question.java
+++ b/gateway/src/main/java/deckfall/quota/Question.java
@@ -19,6 +19,7 @@
     boolean guessed; // in place of them: let in without a keeper's word
     int peer; // that was asked last
     final Set<Integer> lenders = new HashSet<>(); // that had none
+    private double queuedUntil = Double.POSITIVE_INFINITY; // set as it first waits for a message to leave
 
     /** @param lastMs when it must be decided at the latest */
     Question(String id, CustomerView customer, double units, double lastMs) {
@@ -27,4 +28,14 @@
         this.units = units;
         this.lastMs = lastMs;
     }
+
+    /** It waits for a message to leave; counted from the first time, until so long after it. */
+    void queued(double now, double mostMs) {
+        queuedUntil = Math.min(queuedUntil, now + mostMs);
+    }
+
+    /** When it must have left, or is given up. */
+    double leavesBy(double answerMs) {
+        return Math.min(queuedUntil, lastMs - answerMs);
+    }
 }
--- a/gateway/src/test/java/deckfall/quota/LeaseTierTest.java
+++ b/gateway/src/test/java/deckfall/quota/LeaseTierTest.java
@@ -159,4 +159,16 @@
         t.pass(4000);
         hold("every third of an older version", t, 4, 0.03, 0.03);
     }
+
+    /** A share of a ceiling has room for two requests, so a set of 30 can't lease it; who can't be asked for is refused soon. */
+    @Test
+    void whatCannotBeAskedForIsRefusedLongBeforeItsDeadline() {
+        Tier t = LeaseTable.quietDay(GATEWAYS, 30, Tier.CAPPED, TRIES, SEED);
+        t.pass(5000);
+        t.mark();
+        t.pass(3000);
+        System.out.println("[lease] a wide set with ceilings: " + LeaseTable.row(t, 3));
+        assertTrue(t.wait(0.999) <= Tier.DEADLINE_MS / 2, t.wait(0.999) + " ms");
+        assertTrue(t.lowestCeiling() >= 0, "a ceiling was passed: " + t.lowestCeiling());
+    }
 }
--- a/gateway/src/test/java/deckfall/quota/Tier.java
+++ b/gateway/src/test/java/deckfall/quota/Tier.java
@@ -30,7 +30,7 @@
     private static final int INTAKE = 40;
     private static final double STEP_MS = 5;
     private static final double BEAT_MS = 20;
-    private static final double DEADLINE_MS = 1000;
+    static final double DEADLINE_MS = 1000;
 
     private record Mail(double at, int order, int from, int to, byte[] data) { }
 
