--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -229,6 +229,7 @@
                     peers.start();
                 }
                 begin();
+                discovery.awaitList(budget.unhealthyMs(!taken && !isMissed()));
                 discovery.start(heard::countDown);
             }).sync();
             // Without a word the list of before the start serves.
@@ -434,7 +435,7 @@
 
     /** What to say of this gateway's health: another process that serves in its place is this gateway, too. */
     boolean takesClients() {
-        return !draining && !quiesced;
+        return !draining && !quiesced && discovery.ready();
     }
 
     /** Since when that is so; infinite where it is not. */
