Discovery: lists read as they come, a bound by the heap, and 6 s for every next call

A list above 4 MiB was never taken, and one of 30,000 hosts (3.7 MB) hardly ever: in a heap of 48 MiB the text, a tree of it and the hosts stood beside each other (the old program, before LongListTest: "Channel closed while still aggregating message", one of six lists taken, then OutOfMemoryError in the thread that reads the configuration). Each failed answer was asked for again after 25 to 50 ms where a drain's grace is short, since the wait was bounded by that grace whatever the cause.

An answer is now parsed as its parts come in, and only its entries are held; a part restarts the patience. The heap bounds the hosts (1150 bytes each of three quarters of it). A list beyond is one line and a call every 2 to 5 s, an answer that can't be read is asked for ever more rarely, and the hosts known before are kept. Hosts that left are remembered up to 10,000.

CallPace now knows the time: whatever became of the calls before, the next one begins 4.5 s after the start of the last. Before, a pace in a crowd waited 6 s after a call that was silent for 6 s, and a turn lasted 12 s on top. A watch is held 4 s, 3 s in a crowd (5 and 20 before); what the additional calls of a crowd cost has not been measured.

Tests: LongListTest (six lists of 30,000 hosts in the deployed heap; fails on the program before), HostListParserTest. In CallPaceTest two properties replace the one on silent watches with a stricter deadline; with the old bounds put back both fail ("the next call came 12043 ms after the last", "opened anew after 4747 ms").

--- a/gateway/src/main/java/deckfall/list/CallPace.java
+++ b/gateway/src/main/java/deckfall/list/CallPace.java
@@ -10,36 +10,46 @@
  * <p>So the pace is of two kinds. While nobody is turned away, calls follow each other at once and a broken one is
  * made again soon. From the first refusal on each gateway slows down: the pace doubles with a refusal, up to
  * {@value #MOST_MS} ms, and shortens by three tenths with an answer, as congestion control does it; each wait is drawn
- * about the pace, or a tier that was turned away together would come back together. A call then waits longer for its
- * answer than the line may be, and a watch is held longer, since to renew it is a call as well.
+ * about the pace, or a tier that was turned away together would come back together.
  *
- * <p>Pure: no clock; the source of chance is the caller's. Not thread-safe; it belongs to one event loop.
+ * <p><b>The deadline.</b> A change counts as known {@value #TOLD_MS} ms after discovery had it and could be reached,
+ * whatever happened to the calls before. The last moment at which this gateway can have missed nothing is the start of
+ * its last call, or an answer to it. So a call that follows begins at most {@value #DUE_MS} ms after that moment, which
+ * leaves the rest for the call itself: no wait, no pause for a turn and no silent watch lasts longer.
+ *
+ * <p>Pure: every method brings its time, in milliseconds; the source of chance is the caller's. Not thread-safe; it
+ * belongs to one event loop.
  */
 public final class CallPace {
+    static final long TOLD_MS = 6000; // the platform's own limit
+    static final long CONNECT_MAX_MS = 1000; // for a connection to an agent
+    static final long ANSWER_MS = 500; // for a list once the connection stands
+    static final long DUE_MS = TOLD_MS - CONNECT_MAX_MS - ANSWER_MS; // from the last call's start to the next one
+    private static final long AGAIN_MS = 50; // after a first broken call; a watch is over only after 200
+    /** How long after its call a watch is given up where nothing went before it, in milliseconds. */
+    public static final long WATCH_MS = DUE_MS - AGAIN_MS;
+    static final long LATEST_MS = 25; // the least wait of all, where a call itself took up the time
+    static final double MOST_MS = 3000; // a wait is drawn up to half as long again
     private static final double FIRST_MS = 500; // pace after a first refusal
-    static final double MOST_MS = 4000; // news counts as told 6 s later, and a wait is up to half as long again
     private static final double LEAST_MS = 200; // below this a watch goes on without a break: no pace is needed
     private static final double FASTER = 0.7;
     private static final double SLOWER = 2;
-    private static final long HOLD_MS = 5000; // short: what a call that went astray would have told comes soon
-    private static final long HOLD_CROWDED_MS = 20_000;
-    private static final long PATIENCE_MS = 1000; // beyond what a call may wait
-    private static final long PATIENCE_CROWDED_MS = 6000; // three of discovery's own time limits
+    private static final long WATCH_PATIENCE_MS = 450; // beyond what a watch may be held
+    private static final long WATCH_PATIENCE_CROWDED_MS = 1450;
+    private static final long PATIENCE_MS = 1000; // for an answer that need not wait for news
+    private static final long PATIENCE_CROWDED_MS = 3000; // discovery's line lasts two seconds
     private static final long PATIENCE_LEAST_MS = 200; // an agent on the own machine answers at once, a late loop apart
-    private static final long AGAIN_MS = 50; // after a first broken call; a watch is over only after 200
     private static final long AGAIN_MAX_MS = 800; // each further one doubles the wait, up to this
     private static final double AGAIN_SHARE = 0.2; // of a drain's grace: the same where that is short
     private static final double ANSWER_SHARE = 0.5; // of a drain's grace: how long an agent that is called may be silent
-    static final long SILENT_MS = 2000; // by the platform's word: a watch's news counts as told so long after its hold
-    static final long CONNECT_MAX_MS = 1000; // for a connection to an agent
-    static final long ANSWER_MS = 500; // for a list once the connection stands
 
     private final Random random;
     private final long againMaxMs;
-    private final long answerMs; // for an answer that need not wait for news
-    private final long crowdedWatchMs;
+    private final long answerMs;
     private double paceMs;
     private int broken;
+    private int unusable; // answers in a row of which nothing could be taken
+    private double upToDateAt; // nothing that discovery had by then was missed
 
     /**
      * @param graceMs of a drain, by the settings: how long after its word a host may still be sent to; 0 or more
@@ -50,27 +60,47 @@
         this.random = random;
         this.againMaxMs = pushed ? (long) Math.min(AGAIN_MAX_MS, Math.max(AGAIN_MS, AGAIN_SHARE * graceMs)) : AGAIN_MAX_MS;
         this.answerMs = pushed ? (long) Math.min(PATIENCE_MS, Math.max(PATIENCE_LEAST_MS, ANSWER_SHARE * graceMs)) : PATIENCE_MS;
-        this.crowdedWatchMs = (long) Math.max(PATIENCE_LEAST_MS, Math.min(PATIENCE_CROWDED_MS,
-                SILENT_MS + graceMs - CONNECT_MAX_MS - ANSWER_MS - AGAIN_MS));
+    }
+
+    /** A connection to an agent is asked for, and on it a call. */
+    public void called(double now) {
+        upToDateAt = now;
     }
 
     /** A call was answered with a word that counts; how long to wait before the next one, in milliseconds. */
-    public long answered() {
+    public long answered(double now) {
         broken = 0;
+        unusable = 0;
+        upToDateAt = now;
         paceMs = paceMs * FASTER < LEAST_MS ? 0 : paceMs * FASTER;
         return drawn(paceMs);
     }
 
     /** A call was turned away; how long to wait before the next one, in milliseconds. */
-    public long turnedAway() {
+    public long turnedAway(double now) {
+        upToDateAt = now; // whoever is turned away could not reach discovery until then
         paceMs = Math.min(MOST_MS, Math.max(FIRST_MS, paceMs * SLOWER));
         return drawn(paceMs);
     }
 
     /** A call broke or nobody answered; how long to wait before the next one, in milliseconds. */
-    public long broke() {
+    public long broke(double now) {
         long wait = Math.min(againMaxMs, AGAIN_MS << Math.min(broken++, Long.SIZE / 4));
-        return Math.max(wait / 2 + random.nextInt((int) wait / 2 + 1), drawn(paceMs));
+        return due(now, Math.max(upperHalf(wait), drawn(paceMs)));
+    }
+
+    /**
+     * An answer came that can't be used at all. To read it again is work for nothing, so further calls come ever later;
+     * how long to wait before the next one, in milliseconds.
+     */
+    public long unusable(double now) {
+        long wait = Math.min(DUE_MS, AGAIN_MS << Math.min(unusable++, Long.SIZE / 4));
+        return due(now, Math.max(upperHalf(wait), drawn(paceMs)));
+    }
+
+    /** The list is longer than this process can hold, and hardly shorter soon; how long to wait, in milliseconds. */
+    public long tooLong(double now) {
+        return due(now, upperHalf(DUE_MS));
     }
 
     /**
@@ -79,7 +109,12 @@
      */
     public long fellSilent() {
         broken++;
-        return AGAIN_MS / 2 + random.nextInt((int) AGAIN_MS / 2 + 1);
+        return upperHalf(AGAIN_MS);
+    }
+
+    /** How long others may have their turn before this gateway calls by itself, in milliseconds. */
+    public long turnMs(double now) {
+        return due(now, DUE_MS);
     }
 
     /** How long a connection to an agent may take to come up, in milliseconds. */
@@ -90,32 +125,45 @@
     /** Another address is called from here on. */
     public void moved() {
         broken = 0;
+        unusable = 0;
         paceMs = 0;
     }
 
-    private long drawn(double ms) {
-        return (long) (ms * (0.5 + random.nextDouble()));
-    }
-
     /** Whether calls have been turned away lately. */
     public boolean crowded() {
         return paceMs > 0;
     }
 
-    /** How long a watch may be held, in milliseconds. */
-    public long holdMs() {
-        return crowded() ? HOLD_CROWDED_MS : HOLD_MS;
+    /** How long after its call a watch that is opened now is given up, in milliseconds. */
+    public long watchMs(double now) {
+        return Math.max(PATIENCE_LEAST_MS, due(now, DUE_MS) - AGAIN_MS);
     }
 
-    /**
-     * How long an answer is waited for beyond what the call may be held, in milliseconds.
-     *
-     * @param watch whether it may be held at all; what such a call misses is to be had before it counts as told
-     */
-    public long patienceMs(boolean watch) {
-        if (watch) {
-            return crowded() ? crowdedWatchMs : PATIENCE_MS;
-        }
+    /** How long discovery may hold a watch that is given up after {@code watchMs}, in milliseconds. */
+    public long holdMs(long watchMs) {
+        return Math.max(0, watchMs - (crowded() ? WATCH_PATIENCE_CROWDED_MS : WATCH_PATIENCE_MS));
+    }
+
+    /** How long the answer to a call for the whole list may be silent, in milliseconds. */
+    public long patienceMs() {
         return crowded() ? PATIENCE_CROWDED_MS : answerMs;
     }
+
+    /** By when the next call has to begin, even where an answer to the last one is still coming in. */
+    public double nextCallBy() {
+        return upToDateAt + DUE_MS;
+    }
+
+    /** So much of a wait as leaves the time for a call ahead of the deadline. */
+    private long due(double now, long wait) {
+        return Math.max(LATEST_MS, (long) Math.min(wait, nextCallBy() - now));
+    }
+
+    private long upperHalf(long wait) {
+        return wait / 2 + random.nextInt((int) wait / 2 + 1);
+    }
+
+    private long drawn(double ms) {
+        return (long) (ms * (0.5 + random.nextDouble()));
+    }
 }
--- a/gateway/src/main/java/deckfall/list/HostList.java
+++ b/gateway/src/main/java/deckfall/list/HostList.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +32,8 @@
  * put aside as if they drained, those that answered longest ago first. At least {@link Limits#keptShare} of the
  * running ones, and one, always stay, since a list without a server serves nobody. The next word takes them back.
  *
- * <p>Bound: as many entries as the list names, and those that left it for {@link Limits#goneMs}. Not thread-safe; it
+ * <p>Bound: as many entries as the list names, and at most {@value #GONE_MAX} of those that left it, each for
+ * {@link Limits#goneMs}. Not thread-safe; it
  * belongs to one event loop.
  */
 public final class HostList {
@@ -59,6 +61,9 @@
         static final Told NOTHING = new Told(false, ListKind.FAILED, List.of());
     }
 
+    /** Hosts that left the list and are remembered, at most; beyond it the first ones of the list are forgotten. */
+    static final int GONE_MAX = 10_000;
+
     /** No version is held: the next call asks for the whole list. */
     public static final long NONE = -1;
 
@@ -170,7 +175,24 @@
                 changed.put(e.getKey(), e.getValue());
             }
         }
-        return new Told(true, whole ? ListKind.FULL : ListKind.CHANGES, tell(now, changed.values()));
+        Told told = new Told(true, whole ? ListKind.FULL : ListKind.CHANGES, tell(now, changed.values()));
+        forgetOldest();
+        return told;
+    }
+
+    /** Those that have been held longest, where more are remembered than may be. */
+    private void forgetOldest() {
+        int tooMany = -GONE_MAX;
+        for (Held e : held.values()) {
+            tooMany += e.host.state() == HostState.GONE ? 1 : 0;
+        }
+        Iterator<Held> all = held.values().iterator();
+        while (tooMany > 0) {
+            if (all.next().host.state() == HostState.GONE) {
+                all.remove();
+                tooMany--;
+            }
+        }
     }
 
     private Held take(double now, Host h, boolean doubtful) {
@@ -241,6 +263,26 @@
         return ids;
     }
 
+    /** How many entries there are, those included that left the list. */
+    int held() {
+        return held.size();
+    }
+
+    /** How many hosts would be on the list if these changes were taken. */
+    public int listedWith(List<Host> changes) {
+        int listed = 0;
+        for (Held e : held.values()) {
+            listed += e.host.state() == HostState.GONE ? 0 : 1;
+        }
+        for (Host h : changes) {
+            Held e = held.get(h.id());
+            boolean before = e != null && e.host.state() != HostState.GONE;
+            boolean after = h.state() != HostState.GONE;
+            listed += (after ? 1 : 0) - (before ? 1 : 0);
+        }
+        return listed;
+    }
+
     /** A host gave an answer, so its process lives. */
     public void served(double now, String id) {
         Held e = held.get(id);
--- a/gateway/src/main/java/deckfall/net/Discovery.java
+++ b/gateway/src/main/java/deckfall/net/Discovery.java
@@ -2,12 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import deckfall.Gateway.Host;
-import deckfall.Gateway.HostState;
 import deckfall.Gateway.ListKind;
 import deckfall.list.CallPace;
 import deckfall.list.HostList;
+import deckfall.list.ListLimit;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,18 +16,13 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -53,9 +47,8 @@
     static final String LIST = "servers";
     private static final String PATH = "/v1/servers";
     private static final int GIVEN_UP = 2; // failures from which a start does not wait for a first word, and the agent is away
-    private static final long TURN_MS = 12_000; // the longest wait for a turn, whoever gives them
     private static final long REVIEW_MS = 1000; // how often the age of the list is looked at
-    private static final int MAX_LIST = 4 << 20;
+    private static final int TEXT_MAX = 1 << 20; // bytes of a list that is passed on to other gateways
 
     /** A host with the address at which this api gateway reaches it; null where it is gone or was not told. */
     record Entry(Host host, InetSocketAddress address) { }
@@ -63,17 +56,27 @@
     private final Node node;
     private final HostList list;
     private final CallPace pace;
+    private final ListLimit limit;
     private InetSocketAddress agent;
     private Calls current;
     private Calls previous; // the watch of the agent that was left, until the new one speaks
     private Runnable first; // runs once a word was taken, or none is to be had
     private int failures;
     private boolean failing;
+    private boolean failingByLength;
     private boolean started;
     private boolean old; // the age of the list was logged
+    private boolean listed; // there is a list, of an agent or of before the start
+    private boolean awaitsList; // the start's time for one is not over
 
     Discovery(Node node) {
+        this(node, ListLimit.ofHeap(Runtime.getRuntime().maxMemory()));
+    }
+
+    /** With a limit of the caller's making. */
+    Discovery(Node node, ListLimit limit) {
         this.node = node;
+        this.limit = limit;
         this.agent = node.config.discovery();
         this.list = new HostList(HostList.Limits.DEFAULT, node.clock.now());
         this.pace = new CallPace(new Random(node.config.settings().seed()),
@@ -83,6 +86,11 @@
     /** The list from before the start, for as long as no agent has spoken. */
     void known(JsonNode before) {
         List<Entry> entries = entries(before);
+        if (entries.size() > limit.hosts()) {
+            Node.log("the configuration: " + new ListTooLongException(limit.hosts()).getMessage());
+            return;
+        }
+        listed = !entries.isEmpty();
         tell(list.known(hosts(entries), before.path("version").asLong(HostList.NONE)), entries);
     }
 
@@ -104,7 +112,7 @@
         agent = to;
         failures = 0;
         pace.moved();
-        failing = false;
+        notFailing();
         if (!started) {
             return;
         }
@@ -125,6 +133,23 @@
         }
     }
 
+    /** Without any list the gateway takes no clients for so long, in milliseconds; a start that takes longer would fail. */
+    void awaitList(long ms) {
+        awaitsList = !listed;
+        node.loop.schedule(() -> {
+            awaitsList = false;
+            if (!listed) {
+                Node.log("discovery: no list of hosts yet, from " + agent + " or from before the start; healthy without one, "
+                        + "as a start may take no longer");
+            }
+        }, ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** Whether there is a list to go by, or none is waited for any longer. */
+    boolean ready() {
+        return listed || !awaitsList;
+    }
+
     /** The hosts on the list, whatever their state. */
     Set<String> listed() {
         return list.listed();
@@ -138,13 +163,14 @@
     private void connect() {
         Calls calls = new Calls(agent);
         current = calls;
+        pace.called(node.clock.now());
         new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) pace.connectMs())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), calls);
+                        ch.pipeline().addLast(new HttpClientCodec(), calls.lists, calls);
                     }
                 }).connect(agent).addListener(f -> {
                     if (!f.isSuccess()) {
@@ -162,15 +188,13 @@
             return; // another has taken over
         }
         calls.over = true;
-        if (!failing && cause != null) { // one line for a spell of failures, however often it is asked
-            Node.log("discovery: " + agent + ": " + cause.getMessage());
-        }
-        failing |= cause != null;
-        long wait = calls.turnedAway ? pace.turnedAway() : calls.fellSilent ? pace.fellSilent() : pace.broke();
+        boolean tooLong = cause instanceof ListTooLongException;
+        logOnce(cause, tooLong);
+        long wait = waitAfter(calls, cause);
         if (calls.turnedAway) {
             list.goOnFromKnown(agent);
         }
-        if (++failures >= GIVEN_UP || calls.turnedAway) { // a start does not wait in that line
+        if (++failures >= GIVEN_UP || calls.turnedAway || tooLong) { // a start waits for neither
             spoken();
         }
         if (calls.inTurn) {
@@ -183,6 +207,29 @@
         }, wait, TimeUnit.MILLISECONDS);
     }
 
+    /** One line for a spell of failures, however often it is asked, and one for a list that is too long. */
+    private void logOnce(Throwable cause, boolean tooLong) {
+        if (cause != null && (!failing || tooLong && !failingByLength)) {
+            Node.log("discovery: " + agent + ": " + String.valueOf(cause.getMessage()).lines().findFirst().orElse(""));
+        }
+        failing |= cause != null;
+        failingByLength |= tooLong;
+    }
+
+    private long waitAfter(Calls calls, Throwable cause) {
+        double now = node.clock.now();
+        if (calls.turnedAway) {
+            return pace.turnedAway(now);
+        }
+        if (calls.fellSilent) {
+            return pace.fellSilent();
+        }
+        if (cause instanceof ListTooLongException) {
+            return pace.tooLong(now);
+        }
+        return calls.unusable ? pace.unusable(now) : pace.broke(now);
+    }
+
     /** Calls an agent anew: where it was away, or its whole list is due, in turn with the other gateways. */
     private void again(Calls before) {
         if (first != null || failures < GIVEN_UP && list.version(agent) != HostList.NONE) {
@@ -198,7 +245,7 @@
         });
         node.lists().due(asked.toString(), turn);
         if (!over.get()) {
-            node.loop.schedule(() -> turn.accept(null), TURN_MS, TimeUnit.MILLISECONDS);
+            node.loop.schedule(() -> turn.accept(null), pace.turnMs(node.clock.now()), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -217,21 +264,28 @@
                 if (before == current) {
                     again(before);
                 }
-            }, pace.broke(), TimeUnit.MILLISECONDS);
+            }, pace.broke(node.clock.now()), TimeUnit.MILLISECONDS);
             return;
         }
         if (told != null) {
             failures = 0;
-            failing = false;
+            notFailing();
         }
         connect();
-        current.inTurn = told == null;
+        current.takeTurn(told == null);
+    }
+
+    private void notFailing() {
+        failing = false;
+        failingByLength = false;
     }
 
     /** Takes a list that another gateway was told, as if the agent had told it here. */
     private boolean taken(InetSocketAddress by, ListTurn.Told told) {
-        try (InputStream in = new ByteArrayInputStream(told.text().getBytes(StandardCharsets.UTF_8))) {
-            return take(by, JsonTree.read(in));
+        try {
+            HostListParser parser = new HostListParser(limit.hosts());
+            parser.feed(told.text().getBytes(StandardCharsets.UTF_8));
+            return take(by, parser.end());
         } catch (IOException | RuntimeException e) {
             Node.log("discovery: " + by + " as another gateway was told: " + e.getMessage());
             return false;
@@ -239,13 +293,17 @@
     }
 
     /** Takes a word of an agent, or not. What can't be told on is asked for again, and not lost. */
-    private boolean take(InetSocketAddress by, JsonNode said) {
-        List<Entry> entries = entries(said);
-        long version = said.path("version").asLong(HostList.NONE);
-        HostList.Told told = list.heard(node.clock.now(), by, version, said.path("full").asBoolean(), hosts(entries));
+    private boolean take(InetSocketAddress by, HostListAnswer said) throws ListTooLongException {
+        List<Entry> entries = said.entries();
+        List<Host> hosts = hosts(entries);
+        if (!said.full() && list.listedWith(hosts) > limit.hosts()) {
+            throw new ListTooLongException(limit.hosts());
+        }
+        HostList.Told told = list.heard(node.clock.now(), by, said.version(), said.full(), hosts);
+        listed |= told.taken();
         if (told.taken() && (told.kind() == ListKind.FULL || !told.hosts().isEmpty())) {
             if (told.kind() == ListKind.FULL) {
-                Node.log("discovery: " + by + " lists " + told.hosts().size() + " hosts, version " + version);
+                Node.log("discovery: " + by + " lists " + told.hosts().size() + " hosts, version " + said.version());
             }
             try {
                 tell(told, entries);
@@ -306,15 +364,19 @@
     }
 
     /** The calls on one connection to an agent. */
-    private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Calls extends SimpleChannelInboundHandler<HostListHandler.Answer> {
         private final InetSocketAddress to;
+        private final HostListHandler lists = new HostListHandler(limit.hosts());
         private Channel channel;
         private Future<?> timeout;
         private boolean heard; // a word of it was taken
         private boolean over;
         private boolean turnedAway;
         private boolean fellSilent; // a watch that got no answer in its time
+        private boolean unusable; // an answer of which nothing could be taken
         private int answers;
+        private boolean comesIn; // a part of its answer is here
+        private double partAt; // when the last one came
         private boolean whole; // the list was asked for, and not what changed
         private boolean inTurn; // others wait for what comes of the first call
 
@@ -341,25 +403,47 @@
         private void call() {
             long from = list.version(to);
             whole = from == HostList.NONE;
-            String uri = whole ? PATH : PATH + "?from=" + from + "&hold_ms=" + pace.holdMs();
+            double now = node.clock.now();
+            long limitMs = whole ? pace.patienceMs() : this == current ? pace.watchMs(now) : CallPace.WATCH_MS;
+            String uri = whole ? PATH : PATH + "?from=" + from + "&hold_ms=" + pace.holdMs(limitMs);
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             channel.writeAndFlush(request, channel.voidPromise());
-            long limit = (whole ? 0 : pace.holdMs()) + pace.patienceMs(!whole);
-            timeout = node.loop.schedule(this::timeUp, limit, TimeUnit.MILLISECONDS);
+            comesIn = false;
+            timeout = node.loop.schedule(this::timeUp, limitMs, TimeUnit.MILLISECONDS);
         }
 
-        /** An answer that stands in the socket by now was not late, this loop was. */
+        /** An answer that stands in the socket by now was not late, this loop was; one that is coming in may go on. */
         private void timeUp() {
             int before = answers;
             if (channel.isActive()) {
                 Transport.readNow(channel);
             }
-            if (answers == before) {
-                fellSilent = !whole && heard;
-                drop();
+            if (answers != before) {
+                return;
+            }
+            double now = node.clock.now();
+            double until = Math.min(partAt + pace.patienceMs(), pace.nextCallBy());
+            if (comesIn && channel.isActive() && now < until) {
+                timeout = node.loop.schedule(this::timeUp, (long) Math.ceil(until - now), TimeUnit.MILLISECONDS);
+                return;
             }
+            fellSilent = !whole && heard;
+            drop();
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event == HostListHandler.Progress.PART) {
+                comesIn = true;
+                partAt = node.clock.now();
+            }
+        }
+
+        void takeTurn(boolean mine) {
+            inTurn = mine;
+            lists.keepText(mine && node.lists() != ListTurn.NONE ? TEXT_MAX : 0);
         }
 
         private void stopTimeout() {
@@ -369,34 +453,27 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) throws IOException {
+        protected void channelRead0(ChannelHandlerContext ctx, HostListHandler.Answer answer) throws IOException {
             if (this != current && this != previous) {
                 return; // an agent that was left: its word may be older than what the new one told
             }
             answers++;
             stopTimeout();
-            if (!response.status().equals(HttpResponseStatus.OK)) {
-                turnedAway = response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
-                throw new IOException("discovery answered " + response.status());
-            }
-            JsonNode said;
-            try (InputStream in = new ByteBufInputStream(response.content().duplicate())) {
-                said = JsonTree.read(in);
-            } catch (IOException e) {
-                list.lost(); // what it told is lost, and the whole list holds it too
-                throw e;
+            if (!answer.status().equals(HttpResponseStatus.OK)) {
+                turnedAway = answer.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                throw new IOException("discovery answered " + answer.status());
             }
+            HostListAnswer said = answer.list();
             long before = list.version(to);
             boolean taken = take(to, said);
             if (inTurn) { // whether it is believed here or not yet: the others decide for themselves
-                inTurn = false;
-                boolean full = said.path("full").asBoolean();
-                node.lists().called(to.toString(), true, full ? response.content().toString(StandardCharsets.UTF_8) : null);
+                takeTurn(false);
+                node.lists().called(to.toString(), true, said.full() ? answer.text() : null);
             }
             if (!taken) {
-                throw new IOException("a word of version " + said.path("version") + " where " + before + " is held");
+                throw new IOException("a word of version " + said.version() + " where " + before + " is held");
             }
-            takenFrom(ctx, HttpUtil.isKeepAlive(response));
+            takenFrom(ctx, answer.keepAlive());
             spoken();
         }
 
@@ -404,14 +481,14 @@
             heard = true;
             if (this == current) {
                 failures = 0;
-                failing = false;
+                notFailing();
                 Calls left = previous;
                 previous = null;
                 if (left != null) {
                     left.drop();
                 }
             }
-            long wait = this == current ? pace.answered() : 0;
+            long wait = this == current ? pace.answered(node.clock.now()) : 0;
             if (keepAlive && wait == 0) {
                 call(); // the next call first, so that no change falls between
             } else if (keepAlive) {
@@ -433,6 +510,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            unusable = !(cause instanceof IOException) || cause instanceof UnreadableListException;
+            if (cause instanceof UnreadableListException && (this == current || this == previous)) {
+                list.lost(); // what it told is lost, and the whole list holds it too
+            }
             ctx.close();
             failed(this, cause);
         }
@@ -444,37 +525,18 @@
      */
     static List<Entry> entries(JsonNode list) {
         List<Entry> entries = new ArrayList<>();
+        HostEntryReader reader = new HostEntryReader();
         for (JsonNode e : list.path(LIST)) {
+            reader.set(e);
             try {
-                entries.add(entry(e));
+                entries.add(reader.entry());
             } catch (IllegalArgumentException bad) {
-                String id = e.path("id").asText();
-                Node.log("discovery: entry '" + id + "': " + bad.getMessage());
-                if (!id.isEmpty()) {
-                    entries.add(new Entry(host(e, id, HostState.DRAINING), null));
+                Node.log("discovery: entry '" + reader.id() + "': " + bad.getMessage());
+                if (reader.drained() != null) {
+                    entries.add(reader.drained());
                 }
             }
         }
         return entries;
     }
-
-    private static Entry entry(JsonNode e) {
-        String id = e.path("id").asText();
-        if (id.isEmpty()) {
-            throw new IllegalArgumentException("no id");
-        }
-        HostState state = switch (e.path("state").asText()) {
-            case "ready" -> HostState.RUNNING;
-            case "draining" -> HostState.DRAINING;
-            case "gone" -> HostState.GONE;
-            default -> throw new IllegalArgumentException("unknown host state " + e.path("state"));
-        };
-        return new Entry(host(e, id, state), state == HostState.GONE ? null
-                : NodeConfig.address(e.path("addr").asText()));
-    }
-
-    private static Host host(JsonNode e, String id, HostState state) {
-        return new Host(id, e.path("zone").asText(), e.path("kind").asText(), e.path("cell").asInt(), state,
-                e.path("weight").asDouble(1), e.path("started_ms").asDouble());
-    }
 }
--- a/gateway/src/test/java/deckfall/list/HostListTest.java
+++ b/gateway/src/test/java/deckfall/list/HostListTest.java
@@ -349,4 +349,28 @@
         without.goOnFromKnown("agent");
         assertEquals(HostList.NONE, without.version("agent"));
     }
+
+    @Test
+    void changesAreCountedBeforeTheyAreTaken() {
+        whole(0, A, 1, ready("a"), ready("b"));
+        assertEquals(3, list.listedWith(List.of(ready("a"), ready("c"))));
+        assertEquals(1, list.listedWith(List.of(host("b", HostState.GONE, 0), host("x", HostState.GONE, 0))));
+        change(1, A, 2, host("b", HostState.GONE, 0));
+        assertEquals(2, list.listedWith(List.of(ready("b"))));
+    }
+
+    /** Lists that share no host, one after another within a minute: those that left once added up without a bound. */
+    @Test
+    void hostsThatLeftAreRememberedUpToABound() {
+        int hosts = HostList.GONE_MAX;
+        for (int version = 1; version <= 3; version++) {
+            List<Host> fresh = new ArrayList<>();
+            for (int i = 0; i < hosts; i++) {
+                fresh.add(ready(version + "-" + i));
+            }
+            assertEquals(hosts, list.heard(version, A, version, true, fresh).hosts().size());
+        }
+        assertEquals(hosts, list.listed().size());
+        assertEquals(2 * hosts, list.held());
+    }
 }
--- a/gateway/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/gateway/src/test/java/deckfall/net/DiscoveryTest.java
@@ -15,11 +15,15 @@
 import deckfall.net.Sockets.Server;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** A discovery that is in trouble: the gateway asks again, believes no older word and is never left without hosts. */
 class DiscoveryTest extends SocketTest {
+    private static final int PART = 20; // bytes
+    private static final int PART_MS = 40; // apart; together longer than the 200 ms that an answer may be silent here
+
     private Node nodeAsking(Server agent) throws IOException {
         return running(Sockets.config(agent.address(), "127.0.0.1:0"));
     }
@@ -153,4 +157,47 @@
         serves(node, host, 3);
         assertFalse(host.asked.isEmpty());
     }
+
+    /** A gateway that knows of no host would refuse all that it gets: it says so until it has a list. */
+    @Test
+    void withoutAnyListItIsNotHealthy() throws Exception {
+        Server host = host(SocketTest::echo);
+        AtomicBoolean away = new AtomicBoolean(true);
+        Server agent = kept(new Server((m, s) -> {
+            if (!away.get() && !m.start().contains("from=")) {
+                s.getOutputStream().write(ok(list(1, true, entry("h0", host.address(), "ready"))));
+            }
+        }));
+        Node node = nodeAsking(agent);
+        assertEquals(503, health(node));
+        away.set(false);
+        await(agent, "from=1&");
+        assertEquals(200, health(node));
+        serves(node, host, 1);
+    }
+
+    /** It comes in parts, for longer than an answer may be silent: each part shows that the agent is there. */
+    @Test
+    void anAnswerThatComesInPartsIsWaitedFor() throws Exception {
+        Server host = host(SocketTest::echo);
+        Server agent = kept(new Server((m, s) -> {
+            if (m.start().contains("from=")) {
+                return;
+            }
+            byte[] whole = ok(list(1, true, entry("h0", host.address(), "ready")));
+            for (int from = 0; from < whole.length; from += PART) {
+                s.getOutputStream().write(whole, from, Math.min(PART, whole.length - from));
+                Thread.sleep(PART_MS);
+            }
+        }));
+        String settings = Sockets.config(agent.address(), "127.0.0.1:0")
+                .replace("\"rules\": {", "\"rules\": {\"drain_grace_ms\": 400, ");
+        Node node = running(settings);
+        await(agent, "from=1&");
+        serves(node, host, 1);
+    }
+
+    private int health(Node node) throws IOException {
+        return client(node).send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status();
+    }
 }
