GET /healthz says no while a start knows of no host, for as long as a start may take

A gateway with neither a list of discovery nor one in its configuration answered 200 and refused all that it got. A process that takes a running one's place does not wait: with it waiting, ProcessTest.theRunningProgramIsReplacedOrServesOn failed. DiscoveryTest.withoutAnyListItIsNotHealthy shows 503, then 200.

--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -229,6 +229,9 @@
                     peers.start();
                 }
                 begin();
+                if (!taken) { // else the gateway is in service, and an upgrade does not end that
+                    discovery.awaitList(budget.unhealthyMs(!isMissed()));
+                }
                 discovery.start(heard::countDown);
             }).sync();
             // Without a word the list of before the start serves.
@@ -434,7 +437,7 @@
 
     /** What to say of this gateway's health: another process that serves in its place is this gateway, too. */
     boolean takesClients() {
-        return !draining && !quiesced;
+        return !draining && !quiesced && discovery.ready();
     }
 
     /** Since when that is so; infinite where it is not. */
--- a/gateway/src/main/java/deckfall/start/StartBudget.java
+++ b/gateway/src/main/java/deckfall/start/StartBudget.java
@@ -74,6 +74,15 @@
         };
     }
 
+    /**
+     * For how long, in milliseconds from now on, a gateway without any list of hosts may say that it is not healthy.
+     *
+     * @param alone whether nobody else serves: then the platform waits longer
+     */
+    public long unhealthyMs(boolean alone) {
+        return Math.max(LAST_MS, (alone ? ALONE_MS : PLATFORM_MS - HEARD_MS) - age.getAsLong());
+    }
+
     /** Milliseconds since the process began. */
     public long ageMs() {
         return age.getAsLong();
