--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -229,7 +229,9 @@
                     peers.start();
                 }
                 begin();
-                discovery.awaitList(budget.unhealthyMs(!taken && !isMissed()));
+                if (!taken) { // else the gateway is in service, and an upgrade does not end that
+                    discovery.awaitList(budget.unhealthyMs(!isMissed()));
+                }
                 discovery.start(heard::countDown);
             }).sync();
             // Without a word the list of before the start serves.
