--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import marlford.storm.scale.ScaleCommand;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
@@ -28,7 +29,7 @@
         name = "storm",
         mixinStandardHelpOptions = true,
         sortOptions = false,
-        subcommands = Compare.class,
+        subcommands = {Compare.class, ScaleCommand.class},
         description = "Starts several processes of the program, breaks what is between them, and judges what they did.")
 final class Main implements Callable<Integer> {
     private static final int HELD = 0;
