Real processes under load, with kills, judged by what comes to the hosts

Need: real processes were only measured idle.

Exit 1 where a ceiling, or a quota with the terms of docs/design/quota-leases.md, was passed. ProcessSettings holds what both kinds of run with processes have in common.

--- a/storm/src/main/java/marlford/storm/scale/DiscoveryStub.java
+++ b/storm/src/main/java/marlford/storm/scale/DiscoveryStub.java
@@ -7,12 +7,15 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
- * A stand-in for discovery: one list of hosts that are names only. It tells the whole list at once
+ * A stand-in for discovery: one list of hosts, which may be names only. It tells the whole list at once
  * and holds watches.
  */
 final class DiscoveryStub implements Closeable {
@@ -33,12 +36,18 @@
     private final byte[] nothing = answer(false, "");
     private final AtomicLong calls = new AtomicLong();
 
+    /** @param hosts that are on the list as names only */
     DiscoveryStub(int hosts) throws IOException {
-        StringBuilder entries = new StringBuilder();
-        for (int i = 0; i < hosts; i++) {
-            entries.append(i > 0 ? "," : "").append(entry(i));
-        }
-        whole = answer(true, entries.toString());
+        this(IntStream.range(0, hosts).mapToObj(DiscoveryStub::nobody).toList());
+    }
+
+    /** @param addresses of the hosts on the list */
+    DiscoveryStub(List<String> addresses) throws IOException {
+        whole = answer(
+                true,
+                IntStream.range(0, addresses.size())
+                        .mapToObj(i -> entry(i, addresses.get(i)))
+                        .collect(Collectors.joining(",")));
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.setExecutor(threads);
         server.createContext("/", this::tell);
@@ -50,9 +59,12 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
+    private static String nobody(int number) {
+        return "127.1." + number / HOSTS_PER_BYTE + "." + (1 + number % HOSTS_PER_BYTE) + ":" + HOST_PORT;
+    }
+
     /** Some 120 bytes, as an agent's entries are. */
-    private static String entry(int number) {
-        String address = "127.1." + number / HOSTS_PER_BYTE + "." + (1 + number % HOSTS_PER_BYTE) + ":" + HOST_PORT;
+    private static String entry(int number, String address) {
         return "{\"id\":\"h" + number + "\",\"addr\":\"" + address + "\",\"zone\":\"z" + FaultPlan.zone(number)
                 + "\",\"kind\":\"service-" + number % SERVICES
                 + "\",\"cell\":0,\"state\":\"ready\",\"weight\":1.0,\"started_ms\":0}";
--- a/storm/src/main/java/marlford/storm/scale/ProcessFleet.java
+++ b/storm/src/main/java/marlford/storm/scale/ProcessFleet.java
@@ -1,13 +1,8 @@
 package marlford.storm.scale;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import deckfall.quota.Terms;
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -24,9 +19,8 @@
     private static final long SETTLE_MS = 5000;
     private static final long LOOK_MS = 20;
     private static final double MS_PER_S = 1000;
-    private static final int PEER_PORT = 9;
-    private static final int PEERS_PER_BYTE = 250;
     private static final double WAITED_IN_VAIN = -1;
+    private static final Terms UNLIMITED = new Terms(1_000_000, 1_000_000, 0, 0);
 
     private final DiscoveryStub discovery;
     private final int hosts;
@@ -38,79 +32,19 @@
         this.hosts = hosts;
         discovery = new DiscoveryStub(hosts);
         folder = Files.createTempDirectory("marlford-scale");
-        List<String> addresses = peerAddresses(processes, peers);
+        ProcessSettings all = new ProcessSettings(
+                discovery.address(),
+                ProcessSettings.peerAddresses(processes, peers),
+                ProcessSettings.MAIL_PER_S,
+                List.of(UNLIMITED));
         for (int i = 0; i < processes; i++) {
             Path own = Files.createDirectories(folder.resolve("g" + i));
             Path settings = own.resolve("node.json");
-            Files.writeString(settings, settings(i, addresses));
+            Files.writeString(settings, all.text(i, ProcessSettings.freePort()));
             gateways.add(new RealGateway(root, own, settings));
         }
     }
 
-    /** The first ones are free ports of this machine, the others addresses at which nobody is. */
-    private static List<String> peerAddresses(int processes, int peers) throws IOException {
-        List<String> addresses = new ArrayList<>();
-        List<DatagramSocket> held = new ArrayList<>();
-        for (int i = 0; i < processes; i++) {
-            DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-            held.add(free);
-            addresses.add("127.0.0.1:" + free.getLocalPort());
-        }
-        held.forEach(DatagramSocket::close);
-        for (int i = processes; i < peers; i++) {
-            addresses.add("127.2." + i / PEERS_PER_BYTE + "." + (1 + i % PEERS_PER_BYTE) + ":" + PEER_PORT);
-        }
-        return addresses;
-    }
-
-    private String settings(int number, List<String> peers) throws IOException {
-        ObjectMapper json = new ObjectMapper();
-        ObjectNode root = json.createObjectNode();
-        root.put("name", "g" + number)
-                .put("listen", "127.0.0.1:" + freePort())
-                .put("discovery", discovery.address())
-                .put("peer_listen", peers.get(number))
-                .put("seed", Integer.toHexString(number + 1));
-        ArrayNode all = root.putArray("peers");
-        peers.forEach(all::add);
-        root.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", 1024);
-        ObjectNode settings = root.putObject("settings")
-                .put("ordinal", number)
-                .put("balancers", peers.size())
-                .put("az", "z0");
-        settings.putObject("limits")
-                .put("max_attempts", 3)
-                .put("cancel", true)
-                .put("probes", true)
-                .put("peer_messages", true)
-                .put("retry_after", true)
-                .put("max_retry_after_ms", 500)
-                .put("connect_timeout_ms", 1000);
-        settings.putObject("rules")
-                .put("warm_within_ms", 1000)
-                .put("cold_from", 0.2)
-                .put("fall_multiple", 2);
-        settings.putObject("specifics").put("max_units", Workload.MAX_UNITS).put("mail_per_s", 40);
-        settings.putArray("classes")
-                .addObject()
-                .put("name", "view")
-                .put("effect", "repeatable")
-                .put("goal_time_ms", 2000)
-                .put("hard_limit_ms", 4000);
-        settings.putArray("plans")
-                .addObject()
-                .put("name", "free")
-                .put("units_per_s", 1_000_000)
-                .put("depth", 1_000_000);
-        return json.writeValueAsString(root);
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
-        }
-    }
-
     /** Starts all, measures them idle, kills one and starts it anew, and measures again. */
     Map<String, Double> play(double seconds) throws IOException, InterruptedException {
         Map<String, Double> figures = new LinkedHashMap<>();
@@ -139,7 +73,8 @@
         return figures;
     }
 
-    private static double awaitReady(RealGateway gateway) throws IOException, InterruptedException {
+    /** Milliseconds from its start to its word that it serves; -1 where it never said so. */
+    static double awaitReady(RealGateway gateway) throws IOException, InterruptedException {
         while (!gateway.isReady()) {
             if (!gateway.isAlive() || gateway.ageMs() > READY_MS) {
                 return WAITED_IN_VAIN;
--- a/storm/src/main/java/marlford/storm/scale/RealGateway.java
+++ b/storm/src/main/java/marlford/storm/scale/RealGateway.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** One process of the program, started as the deploy file says. */
 final class RealGateway implements Closeable {
@@ -84,6 +86,19 @@
         return Files.exists(log) && Files.readString(log).contains(part);
     }
 
+    /** The sum of a counter over the lines of every second that its present process has logged. */
+    long logged(String counter) throws IOException {
+        if (!Files.exists(log)) {
+            return 0;
+        }
+        long sum = 0;
+        Matcher found = Pattern.compile(" " + counter + "=(\\d+)").matcher(Files.readString(log));
+        while (found.find()) {
+            sum += Long.parseLong(found.group(1));
+        }
+        return sum;
+    }
+
     double ageMs() {
         return (System.nanoTime() - startedNanos) / NANOS_PER_MS;
     }
--- a/storm/src/main/java/marlford/storm/scale/ScaleCommand.java
+++ b/storm/src/main/java/marlford/storm/scale/ScaleCommand.java
@@ -15,7 +15,8 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 
-/** Measures what a fleet's control costs as it grows. Exit 0 where it was measured, 2 for bad arguments. */
+/** Measures what a fleet's control costs as it grows. Exit 0 where it was measured, 1 where a bound was passed, 2 for
+ * bad arguments. */
 @Command(
         name = "scale",
         mixinStandardHelpOptions = true,
@@ -100,6 +101,28 @@
             description = "real ones, idle, instead of a drive; --gateways and --hosts are swept (${DEFAULT-VALUE})")
     private int processes;
 
+    @Option(
+            names = "--load-seconds",
+            defaultValue = "0",
+            description =
+                    "of load on real processes, with kills; --gateways and --tries are swept (${DEFAULT-VALUE}: idle)")
+    private double loadSeconds;
+
+    @Option(
+            names = "--kills",
+            negatable = true,
+            defaultValue = "true",
+            fallbackValue = "true",
+            description = "with --load-seconds: kill a keeper and a holder of leases (${DEFAULT-VALUE})")
+    private boolean kills;
+
+    @Option(
+            names = "--demand",
+            split = ",",
+            defaultValue = "1.5,0.8",
+            description = "with --load-seconds: times the rate, of each plan's customers in turn (${DEFAULT-VALUE})")
+    private List<Double> demands;
+
     @Option(names = "--ceilings", defaultValue = "BOTH", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
     private Ceilings ceilings;
 
@@ -163,7 +186,8 @@
         if (json != null) {
             report.write(json);
         }
-        return CommandLine.ExitCode.OK;
+        boolean passed = points.stream().anyMatch(LoadedFleet::isBoundPassed);
+        return passed ? CommandLine.ExitCode.SOFTWARE : CommandLine.ExitCode.OK;
     }
 
     private String badArgument() {
@@ -177,6 +201,12 @@
         if (processes < 0 || processes > MOST_PROCESSES || gateways.stream().anyMatch(n -> n < processes)) {
             return "at most " + MOST_PROCESSES + " processes, and no more than gateways";
         }
+        if (!(loadSeconds >= 0) || loadSeconds > 0 && processes < LoadedFleet.LEAST_PROCESSES) {
+            return "load needs at least " + LoadedFleet.LEAST_PROCESSES + " processes";
+        }
+        if (demands.stream().anyMatch(demand -> !(demand > 0))) {
+            return "demand must be above 0";
+        }
         if (changes.stream().anyMatch(rate -> !(rate >= 0))) {
             return "changes can't be below 0";
         }
@@ -192,7 +222,7 @@
 
     private List<MeasuredPoint> measure() throws IOException, InterruptedException {
         if (processes > 0) {
-            return measureProcesses();
+            return loadSeconds > 0 ? measureLoadedProcesses() : measureProcesses();
         }
         return switch (drive) {
             case VIRTUAL -> measureVirtual();
@@ -218,6 +248,23 @@
         return points;
     }
 
+    private List<MeasuredPoint> measureLoadedProcesses() throws IOException, InterruptedException {
+        List<MeasuredPoint> points = new ArrayList<>();
+        Path root = Path.of(System.getProperty("marlford.root", ""));
+        for (int count : gateways) {
+            for (double each : tries) {
+                try (LoadedFleet fleet = new LoadedFleet(root, processes, count, each, demands, seed)) {
+                    Map<String, Object> settings = fleet.settings();
+                    settings.put(TRIES, each);
+                    settings.put("demand", demands);
+                    settings.put("kills", kills);
+                    points.add(new MeasuredPoint(settings, fleet.play(loadSeconds, kills)));
+                }
+            }
+        }
+        return points;
+    }
+
     private List<MeasuredPoint> measureLoops() throws InterruptedException {
         List<MeasuredPoint> points = new ArrayList<>();
         loadLoopCode();
--- a/storm/src/main/java/marlford/storm/scale/Workload.java
+++ b/storm/src/main/java/marlford/storm/scale/Workload.java
@@ -39,7 +39,7 @@
 
     static final double MAX_UNITS = 4;
     private static final int MAX_UNITS_DRAWN = 3;
-    private static final double MEAN_UNITS = 2;
+    static final double MEAN_UNITS = 2;
     private static final double LEAST_USE = 0.4;
     private static final double MOST_USE = 1.0;
     private static final double PROBE_FEW = 3;
@@ -50,9 +50,9 @@
     private static final int PROBE_CAPPED_EVERY = 4;
 
     private static final Terms BASIC = new Terms(2, 7, 0, 0);
-    private static final Terms CAPPED = new Terms(15, 26, 35, 57);
-    private static final Terms ONLY_CAPPED = new Terms(0, 0, 35, 57);
-    private static final Terms MIDDLE = new Terms(15, 26, 0, 0);
+    static final Terms CAPPED = new Terms(15, 26, 35, 57);
+    static final Terms ONLY_CAPPED = new Terms(0, 0, 35, 57);
+    static final Terms MIDDLE = new Terms(15, 26, 0, 0);
     private static final Terms LARGE = new Terms(35, 57, 0, 0);
 
     /** Of 29 customers; with demand at 0.7 of the rate they come to 179 requests a second. */
--- a/storm/src/test/java/marlford/storm/scale/ScaleCommandTest.java
+++ b/storm/src/test/java/marlford/storm/scale/ScaleCommandTest.java
@@ -64,9 +64,15 @@
     @Test
     void badArgumentsAreSaid() {
         CommandLine command = new CommandLine(new ScaleCommand());
-        for (String bad :
-                List.of("--gateways=1", "--tries=0", "--loss=1", "--delay=3", "--processes=13", "--seconds=0")) {
-            assertEquals(CommandLine.ExitCode.USAGE, command.execute(bad), bad);
+        for (String bad : List.of(
+                "--gateways=1",
+                "--tries=0",
+                "--loss=1",
+                "--delay=3",
+                "--processes=13",
+                "--seconds=0",
+                "--processes=3 --load-seconds=5")) {
+            assertEquals(CommandLine.ExitCode.USAGE, command.execute(bad.split(" ")), bad);
         }
     }
 
