What a lease may get is worked out in the ledger, for quotas and ceilings alike

Found on reading the change once more: Book.lease and CeilingShare.lease computed the same share, rounding and room beside each other, with three calls into LeaseLedger each. LeaseLedger.grant does it once; no behaviour changes.

--- a/gateway/src/main/java/deckfall/quota/Book.java
+++ b/gateway/src/main/java/deckfall/quota/Book.java
@@ -96,12 +96,10 @@
         }
         demand += settled.spent() / DEMAND_MS * 1000;
         level += settled.returned();
-        double fair = Math.min(level * LeaseLedger.FAIR, LEASED_MOST * terms.burst() - leases.outstanding(now));
-        double units = LeaseLedger.whole(Math.min(Math.min(request.units(), fair), leases.room(peer, life)));
-        boolean may = inCharge && fill.on() && terms.rate() > 0 && units > 0;
-        if (!may || !leases.grant(now, peer, life, request.serial(), units)) {
+        if (!inCharge || !fill.on() || terms.rate() <= 0) {
             return 0;
         }
+        double units = leases.grant(now, peer, life, request, level, LEASED_MOST * terms.burst());
         level -= units;
         return units;
     }
--- a/gateway/src/main/java/deckfall/quota/CeilingShare.java
+++ b/gateway/src/main/java/deckfall/quota/CeilingShare.java
@@ -99,12 +99,11 @@
             return settled.granted();
         }
         store += settled.returned();
-        double fair = Math.min(at(now, fill) * LeaseLedger.FAIR,
-                LEASED_MOST * hold * fill.part() - leases.outstanding(now));
-        double units = LeaseLedger.whole(Math.min(Math.min(request.units(), fair), leases.room(peer, life)));
-        if (!fill.on() || now < formerTill || units <= 0 || !leases.grant(now, peer, life, request.serial(), units)) {
+        double available = at(now, fill);
+        if (!fill.on() || now < formerTill) {
             return 0;
         }
+        double units = leases.grant(now, peer, life, request, available, LEASED_MOST * hold * fill.part());
         store -= units;
         return units;
     }
--- a/gateway/src/main/java/deckfall/quota/LeaseLedger.java
+++ b/gateway/src/main/java/deckfall/quota/LeaseLedger.java
@@ -31,7 +31,7 @@
     /** So long after its grant a lease counts as outstanding: what is sent on last may take its time to connect. */
     static final double LENT_MS = USE_MS + CeilingShare.LENT_MS - CeilingShare.USE_MS;
     /** Part of what an owner has that one request may get. */
-    static final double FAIR = 0.5;
+    private static final double FAIR = 0.5;
     /** Most units of one lease: what is held must fit a message. */
     static final double MOST_UNITS = 60;
     private static final double STEP = 0.25; // of granted units, as messages have them
@@ -101,31 +101,38 @@
         return new Settled(false, 0, spent, returned);
     }
 
-    /** Grants so many units in answer to a request that was settled just now; false where there is no room for them. */
-    boolean grant(double now, int peer, int life, int serial, double units) {
+    /**
+     * Grants units in answer to a request that was settled just now: no more than it wants, than a fair part of what the
+     * owner has, than the holder's lease has room for, and than keeps all that is leased within a bound.
+     *
+     * @param available what the owner has itself
+     * @param most units that may be outstanding
+     * @return the units, which have left the owner's store; 0 where it is too little, or there is no room for a holder
+     */
+    double grant(double now, int peer, int life, Talk.LeaseRequest request, double available, double most) {
+        double fair = Math.min(available * FAIR, most - outstanding(now));
         Entry e = entry(peer, life);
+        if (e == null && entries.size() >= ENTRIES_MAX) {
+            return 0;
+        }
+        double room = MOST_UNITS - (e == null ? 0 : e.units);
+        double units = whole(Math.min(Math.min(request.units(), fair), room));
+        if (units <= 0) {
+            return 0;
+        }
         if (e == null) {
-            if (entries.size() >= ENTRIES_MAX) {
-                return false;
-            }
             e = new Entry(peer, life);
             entries.add(e);
         }
-        e.serial = serial;
+        e.serial = request.serial();
         e.granted = units;
         e.units += units;
         e.until = now + LENT_MS;
-        return true;
-    }
-
-    /** Units by which that holder's lease may grow. */
-    double room(int peer, int life) {
-        Entry e = entry(peer, life);
-        return MOST_UNITS - (e == null ? 0 : e.units);
+        return units;
     }
 
     /** So many units as a message can carry; 0 where it is too little to grant. */
-    static double whole(double units) {
+    private static double whole(double units) {
         return units < LEAST_UNITS ? 0 : Math.floor(units / STEP) * STEP;
     }
 
