--- a/gateway/src/test/java/deckfall/net/LeftClientsTest.java
+++ b/gateway/src/test/java/deckfall/net/LeftClientsTest.java
@@ -329,6 +329,16 @@
         assertEquals(200, c.send(view("now-goes-on", LONG_MS)).receive().status());
     }
 
+    /** In one turn of the loop, so that the end of the client stands unread. */
+    private void leavesAsAnAttemptBegins(Client c) throws Exception {
+        inLoop(() -> {
+            c.close();
+            clock.move(LATE_MS);
+            module.act.send("v", "h0", 0);
+            return null;
+        });
+    }
+
     /** A host begins a request with its last byte: that of a long body is held back until the client was looked for. */
     @Test
     void aLongBodyWhoseClientLeftBehindItNeverComesWhole() throws Exception {
@@ -338,12 +348,7 @@
                 + "Content-Length: " + LONG_BODY + "\r\n\r\n");
         c.socket.getOutputStream().write(new byte[LONG_BODY]);
         module.awaitHeld("v");
-        inLoop(() -> {
-            c.close();
-            clock.move(LATE_MS);
-            module.act.send("v", "h0", 0);
-            return null;
-        });
+        leavesAsAnAttemptBegins(c);
         assertEquals(Outcome.CANCELLED, module.awaitEnd());
         assertHostAskedOnly();
     }
@@ -355,12 +360,7 @@
         String bad = view("bad", LONG_MS).replace("units=1", "units=x");
         Client c = client(node).send(bad + bad + view("v", LONG_MS));
         module.awaitHeld("v");
-        inLoop(() -> {
-            c.close();
-            clock.move(LATE_MS);
-            module.act.send("v", "h0", 0);
-            return null;
-        });
+        leavesAsAnAttemptBegins(c);
         assertEquals(Outcome.MOOT, module.awaitEnd());
         assertHostAskedOnly();
     }
