--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -451,7 +451,7 @@
     }
 
     /** Takes a request whole from its client; the entry owns the message from here on. */
-    void taken(Request r, FullHttpRequest message, ClientServer.Connection client) {
+    void taken(Request r, FullHttpRequest message, ClientConnection client) {
         OpenRequest entry = new OpenRequest(r, message, client);
         open.put(r.id(), entry);
         figures.taken();
@@ -531,7 +531,7 @@
      * its end yet. Where the end could not be seen, since too much unread stands in front of it, the request is answered here.
      */
     void endIfClientLeft(OpenRequest r) {
-        ClientServer.Connection client = r.client();
+        ClientConnection client = r.client();
         if (client == null) {
             return;
         }
@@ -551,7 +551,7 @@
      */
     HostConnection.Sink streams(Attempt a, HttpResponse head, Runnable more) {
         OpenRequest r = a.owner;
-        ClientServer.Connection client = a.ended || r.closed() ? null : r.client();
+        ClientConnection client = a.ended || r.closed() ? null : r.client();
         HostConnection.Sink sink = client == null ? null : client.stream(head, more);
         if (sink == null) {
             return null;
@@ -587,7 +587,7 @@
             figures.ended(r.request.requestClass(), outcome == Outcome.OK ? Figures.End.ANSWERED : Figures.End.ERRORED);
         }
         if (outcome == Outcome.OK) {
-            ClientServer.Connection client = close(r);
+            ClientConnection client = close(r);
             if (client != null) {
                 figures.ended(r.request.requestClass(), Figures.End.ANSWERED);
                 client.serve(response);
@@ -601,7 +601,7 @@
         forgetIfOver(r);
     }
 
-    private ClientServer.Connection close(OpenRequest r) {
+    private ClientConnection close(OpenRequest r) {
         if (!r.closed()) {
             figures.closed();
         }
@@ -679,7 +679,7 @@
     }
 
     private void answer(OpenRequest r, HttpResponseStatus status, double retryAfterMs) {
-        ClientServer.Connection client = r == null ? null : close(r);
+        ClientConnection client = r == null ? null : close(r);
         if (client != null) {
             boolean refused = status == HttpResponseStatus.TOO_MANY_REQUESTS;
             figures.ended(r.request.requestClass(), refused ? Figures.End.DEFERRED : Figures.End.ERRORED);
--- a/gateway/src/main/java/deckfall/net/OpenRequest.java
+++ b/gateway/src/main/java/deckfall/net/OpenRequest.java
@@ -11,14 +11,14 @@
     final Request request;
     final FullHttpRequest message; // held until the entry leaves the table
     final List<Attempt> attempts = new ArrayList<>(2);
-    private ClientServer.Connection client;
+    private ClientConnection client;
     private boolean closed;
     Attempt stream; // whose answer goes to the client as it comes
     double leftAt = Double.POSITIVE_INFINITY; // when its client was seen to leave without an answer
     int out; // attempts that have not ended
     Future<?> guard;
 
-    OpenRequest(Request request, FullHttpRequest message, ClientServer.Connection client) {
+    OpenRequest(Request request, FullHttpRequest message, ClientConnection client) {
         this.request = request;
         this.message = message;
         this.client = client;
@@ -29,13 +29,13 @@
     }
 
     /** The client that is still owed an answer; null where none is. */
-    ClientServer.Connection client() {
+    ClientConnection client() {
         return client;
     }
 
     /** The client to answer, for the one caller that ends the request; null for all later ones (rule 1). */
-    ClientServer.Connection close() {
-        ClientServer.Connection owed = client;
+    ClientConnection close() {
+        ClientConnection owed = client;
         closed = true;
         client = null;
         return owed;
