Log why connections end, requests are refused or sent again; a trace by request id

The log could not tell why a client's connection ended, nor follow one request. Change: every end of a client's connection goes through one call with a reason (CloseReason); refusals, failures, attempts and their ends are events with the request's id (EventLog). No behaviour changes.

--- a/gateway/src/main/java/deckfall/net/ClientConnection.java
+++ b/gateway/src/main/java/deckfall/net/ClientConnection.java
@@ -50,6 +50,7 @@
     private final ClientPlaces places;
     private final RequestTerms terms;
     private final Channel channel;
+    private final long number;
     private final RequestReader reader;
     private final ArrayDeque<Object> waiting = new ArrayDeque<>(); // requests, and at the end what is unreadable
     private final Runnable next = this::next;
@@ -70,9 +71,12 @@
     private boolean paused;
     private Upload upload; // the rest of the body of the request under way; null where all of it is here
     private boolean answered; // that request, though more of its body may come
+    private CloseReason closing; // null until this side ends the connection
     private Linger linger; // null until the last answer has left
 
-    ClientConnection(Node node, ClientPlaces places, RequestTerms terms, Channel channel) {
+    /** @param number of the connection, counted from the process's start */
+    ClientConnection(Node node, ClientPlaces places, RequestTerms terms, Channel channel, long number) {
+        this.number = number;
         this.node = node;
         this.places = places;
         this.terms = terms;
@@ -88,9 +92,10 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+        node.events.opened(number);
         if (!places.take(this)) {
             ended = true;
-            channel.close();
+            close(CloseReason.HOUSE_FULL);
         }
     }
 
@@ -100,7 +105,7 @@
      */
     private void hangUp(Future<? super Void> left) {
         if (!left.isSuccess() || !(channel instanceof DuplexChannel) || !channel.isActive()) { // in memory nothing stands unread
-            channel.close();
+            close(left.isSuccess() ? CloseReason.LAST_ANSWER : CloseReason.LAST_ANSWER_FAILED);
             return;
         }
         linger = new Linger(node.clock.now());
@@ -108,7 +113,7 @@
         freeWaiting();
         reader.forget(bytes -> {
             if (!linger.read(bytes)) {
-                channel.close();
+                close(CloseReason.LAST_ANSWER);
             }
         });
         ((DuplexChannel) channel).shutdownOutput();
@@ -133,6 +138,7 @@
         }
         OpenRequest left = current;
         current = null;
+        node.events.closed(number, closing == null ? CloseReason.BY_CLIENT : closing, left == null ? null : left.request.id());
         if (left != null) {
             node.clientLeft(left);
         }
@@ -156,6 +162,14 @@
         return channel;
     }
 
+    /** Ends the connection; the first reason counts. */
+    void close(CloseReason why) {
+        if (closing == null) {
+            closing = why;
+        }
+        channel.close();
+    }
+
     /** Whether it is read on for a while after its last answer. */
     boolean lingers(double now) {
         return linger.goesOn(now);
@@ -190,12 +204,13 @@
     void timeOut() {
         keepAlive = false;
         if (upload != null) {
-            channel.close(); // in the middle of a body: no answer would be heard ahead of its end
+            close(CloseReason.STALLED_BODY); // no answer would be heard ahead of the body's end
         } else if (reader.unfinished()) {
+            closing = CloseReason.STALLED_REQUEST;
             answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
         } else {
             places.leave(this);
-            channel.close();
+            close(CloseReason.SILENT);
         }
     }
 
@@ -219,7 +234,7 @@
             return;
         }
         if (upload != null && !upload.over()) { // a body that can't be read: its request will never be whole
-            channel.close();
+            close(CloseReason.UNREADABLE_BODY);
             return;
         }
         whole++;
@@ -377,10 +392,12 @@
             answer(unknown ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, 0);
         } else if (node.full()) {
             LongRequest.free(request);
+            node.events.refused(read.id(), node.isOver() ? EventLog.Refusal.ENDING : EventLog.Refusal.TOO_MANY_OPEN);
             node.figures.ended(read.requestClass(), Figures.End.DEFERRED);
             answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
         } else {
             requests++;
+            node.events.taken(number, read.id());
             node.taken(read, request, this);
         }
     }
@@ -456,7 +473,7 @@
                     finish(LastHttpContent.EMPTY_LAST_CONTENT, !keepAlive);
                 } else {
                     keepAlive = false;
-                    channel.close(); // before the promised end, so the client knows
+                    close(CloseReason.ANSWER_CUT); // before the promised end, so the client knows
                 }
             }
         };
@@ -519,6 +536,6 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        channel.close();
+        close(CloseReason.IO_ERROR);
     }
 }
--- a/gateway/src/main/java/deckfall/net/ClientPlaces.java
+++ b/gateway/src/main/java/deckfall/net/ClientPlaces.java
@@ -97,7 +97,7 @@
     void endLingering(double now) {
         for (ClientConnection c : List.copyOf(lingering)) {
             if (!c.lingers(now)) {
-                c.channel().close();
+                c.close(CloseReason.LAST_ANSWER);
             }
         }
     }
@@ -105,28 +105,28 @@
     /** Closes what has been idle for too long: sooner where there are many. */
     void closeIdle(double now) {
         boolean pressed = connections.size() > maxConnections * PRESSED_SHARE;
-        closeIdle(onlookers, now - GIVES_WAY_MS);
-        closeIdle(casual, now - GIVES_WAY_MS);
-        closeIdle(idle, now - (pressed ? GIVES_WAY_MS : IDLE_MS));
+        closeIdle(onlookers, now - GIVES_WAY_MS, CloseReason.IDLE);
+        closeIdle(casual, now - GIVES_WAY_MS, CloseReason.IDLE);
+        closeIdle(idle, now - (pressed ? GIVES_WAY_MS : IDLE_MS), CloseReason.IDLE);
     }
 
     /** Closes what is idle where clients are sent away. */
     void closeAway(double now) {
         for (LinkedHashSet<ClientConnection> from : givingWay) {
-            closeIdle(from, now - (from == unused ? AWAY_SILENT_MS : AWAY_MS));
+            closeIdle(from, now - (from == unused ? AWAY_SILENT_MS : AWAY_MS), CloseReason.SENT_AWAY);
         }
     }
 
-    private void closeIdle(LinkedHashSet<ClientConnection> from, double since) {
+    private void closeIdle(LinkedHashSet<ClientConnection> from, double since, CloseReason why) {
         for (ClientConnection c = first(from); c != null && c.idleSince() < since; c = first(from)) {
-            giveUp(c, from); // it leaves the set either way
+            giveUp(c, from, why); // it leaves the set either way
         }
     }
 
     /** Closes all that are idle, but for those without a first request that are younger than this. */
     void closeAll(double young) {
         for (LinkedHashSet<ClientConnection> from : givingWay) {
-            List.copyOf(from).stream().filter(c -> from != unused || c.idleSince() < young).forEach(c -> giveUp(c, from));
+            List.copyOf(from).stream().filter(c -> from != unused || c.idleSince() < young).forEach(c -> giveUp(c, from, CloseReason.ENDING));
         }
     }
 
@@ -134,7 +134,7 @@
     void closeUsed() {
         for (LinkedHashSet<ClientConnection> from : givingWay) {
             if (from != unused) {
-                List.copyOf(from).forEach(c -> giveUp(c, from));
+                List.copyOf(from).forEach(c -> giveUp(c, from, CloseReason.ENDING));
             }
         }
     }
@@ -153,17 +153,17 @@
         if (!lingering.isEmpty()) {
             ClientConnection oldest = first(lingering);
             leave(oldest);
-            oldest.channel().close();
+            oldest.close(CloseReason.LAST_ANSWER);
             return true;
         }
         while (unused.size() > maxNewcomers) {
-            if (giveUp(first(unused), unused)) {
+            if (giveUp(first(unused), unused, CloseReason.MADE_ROOM)) {
                 return true;
             }
         }
         for (LinkedHashSet<ClientConnection> from : givingWay) {
             for (ClientConnection c = first(from); c != null; c = first(from)) {
-                if (giveUp(c, from)) {
+                if (giveUp(c, from, CloseReason.MADE_ROOM)) {
                     return true;
                 }
             }
@@ -172,11 +172,11 @@
     }
 
     /** Ends a connection unless a request stands unread in its socket: closing that away would lose it. */
-    private boolean giveUp(ClientConnection c, LinkedHashSet<ClientConnection> from) {
+    private boolean giveUp(ClientConnection c, LinkedHashSet<ClientConnection> from, CloseReason why) {
         boolean free = c.isFree(from == unused);
         if (free) {
             leave(c); // now, as its end is told only later
-            c.channel().close();
+            c.close(why);
         } else {
             from.remove(c); // it was just asked something, and answered at once where it stands here still
             if (!c.isAsking(from == unused)) {
--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -16,6 +16,7 @@
     private final RequestTerms terms;
     private final ClientPlaces places;
     private Channel listener;
+    private long accepted; // connections since the start
     private boolean swept; // the sweep has begun
 
     ClientServer(Node node) {
@@ -30,7 +31,7 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        new ClientConnection(node, places, terms, ch).addTo(ch.pipeline());
+                        new ClientConnection(node, places, terms, ch, ++accepted).addTo(ch.pipeline());
                     }
                 }).bind(node.transport.at(node.config.listen()));
         listener = bound.channel();
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -67,8 +67,9 @@
     final LoopLag lag;
     final Figures figures;
     private final Events module;
+    final EventLog events;
     private final Leavings leavings = new Leavings();
-    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private final ArrayDeque<Event> untold = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
     final ClientServer clients;
     private final HostClient hosts;
@@ -106,6 +107,7 @@
             Clock clock) {
         this.config = config;
         this.clock = clock;
+        this.events = new EventLog(clock);
         this.end = EndSchedule.of(config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max()
                 .orElse(0));
         this.transport = transport;
@@ -355,7 +357,8 @@
         extras.usage().look();
         String done = module.account(clock.now());
         if (!done.isEmpty()) {
-            log("did " + done + " clients=" + clients.count() + " late=" + Math.round(lag.ms()) + leavings.take());
+            log("did " + done + " clients=" + clients.count() + " late=" + Math.round(lag.ms()) + leavings.take()
+                    + events.take());
         }
     }
 
@@ -411,13 +414,13 @@
      * until it has returned.
      */
     private void tell(Event event) {
-        events.add(event);
+        untold.add(event);
         if (telling) {
             return;
         }
         telling = true;
         try {
-            for (Event next = events.poll(); next != null; next = events.poll()) {
+            for (Event next = untold.poll(); next != null; next = untold.poll()) {
                 try {
                     next.tell(clock.now(), module);
                 } catch (RuntimeException e) { // the guard of its deadline still answers the request concerned
@@ -470,6 +473,11 @@
         return over || open.size() >= config.maxOpen();
     }
 
+    /** Whether nothing is sent on any more. */
+    boolean isOver() {
+        return over;
+    }
+
     /** Rule 1: attempts end with the client's time, and what the module then leaves unanswered fails here. */
     void deadline(String id) {
         OpenRequest r = open.get(id);
@@ -579,6 +587,7 @@
         a.stopTimer();
         OpenRequest r = a.owner;
         r.out--;
+        events.attemptEnded(r.request.id(), a.number, outcome);
         if (response != null) {
             discovery.served(a.host);
         }
@@ -655,6 +664,7 @@
         if (timeoutMs > 0) {
             a.limit(loop.schedule(() -> timeUp(a), micros(timeoutMs), TimeUnit.MICROSECONDS));
         }
+        events.attempted(id, a.number, host);
         hosts.send(a);
     }
 
@@ -670,11 +680,13 @@
 
     @Override
     public void refuse(String id, double retryAfterMs) {
+        events.refused(id, EventLog.Refusal.DECIDED);
         answer(open.get(id), HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs);
     }
 
     @Override
     public void fail(String id) {
+        events.failed(id);
         answer(open.get(id), HttpResponseStatus.BAD_GATEWAY, 0);
     }
 
@@ -788,6 +800,7 @@
 
     /** @param stay for how long clients may go on asking over what they have open, in milliseconds */
     void drainAfter(double stay) {
+        events.state("draining, clients stay for " + (long) stay + " ms");
         draining = true;
         operators.ready(false);
         if (stay <= 0) {
@@ -806,12 +819,14 @@
 
     /** From here on each answer is its connection's last. */
     void leave() {
+        events.state("leaving");
         leaving = true;
         awayAt = Math.min(awayAt, clock.now());
     }
 
     /** Gives up every attempt; what follows from that is answered as ever. */
     void endAll() {
+        events.state("over");
         over = true;
         for (OpenRequest r : List.copyOf(open.values())) {
             endAttempts(r); // the module refuses or fails it, as its further attempts are void now
@@ -826,6 +841,7 @@
     /** The final answer to a request that is held and gets no further attempt. */
     private void answerUnserved(OpenRequest r) {
         if (r.attempts.isEmpty()) { // never sent: another gateway may have it
+            events.refused(r.request.id(), EventLog.Refusal.NEVER_SENT);
             answer(r, HttpResponseStatus.TOO_MANY_REQUESTS, config.settings().limits().maxRetryAfterMs());
         } else { // held for another attempt after one that may have run
             answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
--- /dev/null
+++ b/gateway/src/test/java/deckfall/net/EventLogTest.java
@@ -0,0 +1,38 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.Gateway.Outcome;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Each end has its reason: in the counts of a second, and in a line with the request's id. */
+class EventLogTest {
+    @Test
+    void countsByReasonAndBeginsAnew() {
+        EventLog log = new EventLog(MovedClock.standing(), null);
+        log.closed(1, CloseReason.IDLE, null);
+        log.closed(2, CloseReason.IDLE, null);
+        log.closed(3, CloseReason.STALLED_REQUEST, null);
+        log.refused("a", EventLog.Refusal.ENDING);
+        log.attempted("a", 0, "h0");
+        log.attempted("a", 1, "h1");
+        assertEquals(" closed_idle=2 closed_stalled_request=1 refused_ending=1 retried=1", log.take());
+        assertEquals("", log.take());
+    }
+
+    @Test
+    void aTracedProcessSaysEachEventWithItsRequest() {
+        List<String> lines = new ArrayList<>();
+        EventLog log = new EventLog(MovedClock.standing(), lines::add);
+        log.taken(7, "a");
+        log.attemptEnded("a", 1, Outcome.RESET);
+        log.closed(7, CloseReason.BY_CLIENT, "a");
+        assertEquals(3, lines.size());
+        assertTrue(lines.get(0).endsWith(" taken request=a client=7"), lines.get(0));
+        assertTrue(lines.get(1).endsWith(" attempt-ended request=a number=1 outcome=reset"), lines.get(1));
+        assertTrue(lines.get(2).endsWith(" closed client=7 reason=by_client request=a"), lines.get(2));
+    }
+}
