--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -100,6 +100,10 @@
         return places.count();
     }
 
+    boolean hasUnsent() {
+        return places.all().stream().anyMatch(c -> !c.channel().isWritable());
+    }
+
     Channel listener() {
         return listener;
     }
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -871,6 +871,11 @@
         return clients.count();
     }
 
+    /** Whether a client's connection has output that could not leave; on the event loop. */
+    boolean hasUnsent() {
+        return clients.hasUnsent();
+    }
+
     /** Where operators call, where the configuration left the port to the system. */
     InetSocketAddress console() {
         return console.address();
