A client's time runs on while reading pauses: one judgement for every state of its connection

Callers saw: a client that stopped inside a request behind others on its connection got its error up to 5.5 s later, in a long body never. Cause: RequestReader.resume began the client's time anew whenever reading went on, and a connection whose reading was paused was not judged at all (trace: the table of docs/incidents; 20 requests ahead 5.5 s, three bad ones 3.8 s, a long body 4.3 s). A client ended later than owed is counted (broken_client_left_open in the log).

--- a/gateway/src/main/java/deckfall/net/ClientConnection.java
+++ b/gateway/src/main/java/deckfall/net/ClientConnection.java
@@ -3,12 +3,16 @@
 import deckfall.Gateway.Request;
 import deckfall.console.Figures;
 import deckfall.end.Linger;
+import deckfall.guard.ClientProgress;
+import deckfall.guard.ClientProgress.Stopped;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -35,7 +39,6 @@
     private static final int LOOKED_AHEAD = 256 * 1024; // bytes read ahead on one connection to look for the client's end
     private static final int LOOKED_AHEAD_IN_ALL = 4 * 1024 * 1024; // the same on all connections
     private static final double UNSEEN_MS = 40; // a client seen so lately is not looked for again: half of what is allowed
-    private static final double READ_MS = 2000; // for a first request to begin, from the connection's start
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
     private static final double BODY_BYTES_PER_MS = 64; // that a client sends at least, by the protocol
@@ -57,6 +60,8 @@
     private long waitingBytes;
     private double seenAt; // the client was surely connected then
     private boolean behind; // reading paused: what is read may be older than this loop is late
+    private long unsent; // bytes of output that had not left at the last look
+    private double outputAt; // when output was last seen to leave
     private boolean hidden; // more is unread than is read ahead
     private OpenRequest current;
     private boolean busy;
@@ -194,23 +199,56 @@
         return !unused && reader.unfinished();
     }
 
-    /** Whether no request has come for too long on a connection that owes one. */
-    boolean overdue(double now) {
-        boolean silent = whole == 0 && !reader.unfinished() && idleSince < now - READ_MS;
-        boolean expected = !busy || upload != null && !upload.over(); // of the client, and not of a host
-        return expected && !ended && channel.config().isAutoRead() && (silent || reader.overdue(now));
+    /** Looks at what the client does: where it has stopped, the connection ends with an error or without one. */
+    void endIfStopped() {
+        if (!paused && !(channel.config().isAutoRead() && reader.isDrained())) {
+            readToEnd(); // nothing else reads it, and its client may stop all the same
+        }
+        if (judge() == Stopped.NO) {
+            return;
+        }
+        readToEnd(); // what stands in the socket was not late, this loop was
+        Stopped how = judge();
+        if (how != Stopped.NO && channel.isActive()) {
+            end(how);
+        }
+    }
+
+    private Stopped judge() {
+        seeOutput();
+        return ClientProgress.judge(node.clock.now(), progress());
+    }
+
+    private ClientProgress.Connection progress() {
+        boolean answerDue = busy && (upload == null || upload.over());
+        return new ClientProgress.Connection(idleSince, whole > 0, reader.input(), !waiting.isEmpty(), answerDue, ended,
+                unsent > 0, outputAt);
+    }
+
+    /** Notes whether output has left since the last look. */
+    private void seeOutput() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        long now = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        if (now != unsent || now == 0) {
+            outputAt = node.clock.now();
+        }
+        unsent = now;
     }
 
-    void timeOut() {
+    private void end(Stopped how) {
+        node.rules.clientEnded(ClientProgress.stoppedMs(node.clock.now(), how, progress()));
         keepAlive = false;
-        if (upload != null) {
+        if (how == Stopped.READING) { // no switch: its class would be loaded here, perhaps with no descriptor left
+            channel.config().setOption(ChannelOption.SO_LINGER, 0); // else what it does not read would stand ahead of the end
+            close(CloseReason.STALLED_OUTPUT);
+        } else if (how == Stopped.BEFORE_FIRST_REQUEST) {
+            places.leave(this);
+            close(CloseReason.SILENT);
+        } else if (upload != null) {
             close(CloseReason.STALLED_BODY); // no answer would be heard ahead of the body's end
-        } else if (reader.unfinished()) {
+        } else {
             closing = CloseReason.STALLED_REQUEST;
             answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
-        } else {
-            places.leave(this);
-            close(CloseReason.SILENT);
         }
     }
 
@@ -301,8 +339,8 @@
     private void steer() {
         boolean fast = upload != null && upload.full() || isLongBodyAhead();
         boolean reads = !paused && !fast && waiting.size() < PIPELINED;
-        if (reads && !channel.config().isAutoRead()) {
-            reader.resume();
+        if (!reads && channel.config().isAutoRead()) {
+            reader.pause();
         }
         behind |= !reads;
         channel.config().setAutoRead(reads);
@@ -311,13 +349,6 @@
         }
     }
 
-    /** While reading pauses the client's end is not seen: so that nothing of one that left is sent on, it is looked for. */
-    void lookWhilePaused() {
-        if (!ended && !paused && !channel.config().isAutoRead()) {
-            look();
-        }
-    }
-
     /**
      * Whether the client is still connected. Its end stands behind what it sent, so that is read where it was not for
      * {@value #UNSEEN_MS} ms, within the bounds of what is read ahead. Until a body is whole nobody need look: its last part is
@@ -341,7 +372,11 @@
             Transport.readNow(channel);
             boolean nothing = reader.taken() == before;
             hidden = full && !nothing;
+            if (hidden) {
+                reader.pause();
+            }
             if (channel.isActive() && nothing) {
+                reader.drained();
                 seenAt = node.clock.now();
                 behind = false;
                 return Presence.CONNECTED;
@@ -351,7 +386,7 @@
     }
 
     private boolean hasReadAheadEnough() {
-        return waitingBytes >= LOOKED_AHEAD || places.readAhead() >= LOOKED_AHEAD_IN_ALL || isLongBodyAhead();
+        return waitingBytes >= LOOKED_AHEAD || upload != null && !upload.over() && upload.full() || places.readAhead() >= LOOKED_AHEAD_IN_ALL || isLongBodyAhead();
     }
 
     /** Whether the last request that waits has a long body, of which as much was read as is kept. */
--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -114,12 +114,11 @@
         double now = node.clock.now();
         places.endLingering(now);
         for (ClientConnection c : places.all()) {
-            c.lookWhilePaused();
-            if (c.overdue(now)) {
-                Transport.readNow(c.channel()); // what stands in its socket was not late, this loop was
-                if (c.overdue(node.clock.now())) {
-                    c.timeOut();
-                }
+            try {
+                c.endIfStopped();
+            } catch (RuntimeException e) { // of this connection alone: the others are looked at all the same
+                Node.log("defect: a connection could not be looked at: " + e);
+                c.close(CloseReason.IO_ERROR);
             }
         }
         if (now - node.awayAt() > node.end.acceptsMs()) {
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -12,6 +12,7 @@
 import deckfall.console.Console;
 import deckfall.console.Figures;
 import deckfall.end.EndSchedule;
+import deckfall.guard.RuleCounter;
 import deckfall.start.Birth;
 import deckfall.start.StartBudget;
 import deckfall.start.StartBudget.Step;
@@ -68,6 +69,7 @@
     final Figures figures;
     private final Events module;
     final EventLog events;
+    final RuleCounter rules = new RuleCounter();
     private final Leavings leavings = new Leavings();
     private final ArrayDeque<Event> untold = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
@@ -358,7 +360,7 @@
         String done = module.account(clock.now());
         if (!done.isEmpty()) {
             log("did " + done + " clients=" + clients.count() + " late=" + Math.round(lag.ms()) + leavings.take()
-                    + events.take());
+                    + events.take() + rules.text());
         }
     }
 
--- a/gateway/src/main/java/deckfall/net/RequestReader.java
+++ b/gateway/src/main/java/deckfall/net/RequestReader.java
@@ -1,5 +1,7 @@
 package deckfall.net;
 
+import deckfall.guard.ClientProgress;
+import deckfall.guard.ClientProgress.Part;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
@@ -31,10 +33,7 @@
 final class RequestReader extends ChannelInboundHandlerAdapter {
     private static final HttpHeadersFactory HEADERS = StrictHeaders.ofRequests(RequestTerms.SINGLE);
     private static final double NONE = -1;
-    private static final double HEAD_MS = 3500; // for a head, from its first byte
-    private static final double PAUSE_MS = 2500; // within a body
     private static final long LONGEST = 48 << 20; // bytes of a body
-    private static final double BODY_BYTES_PER_MS = 16; // on the mean, beside the time that a head has
 
     /** In the place of a request: the connection ends with this answer. */
     record Unreadable(HttpResponseStatus status) { }
@@ -57,6 +56,10 @@
     private double readAt; // when something of it last came
     private long read; // bytes of its body
     private long taken; // bytes of the connection's whole life
+    private boolean drained = true; // all that has come was read, as far as is known
+    private double pausedAt; // since when that is not so
+    private long takenByThen; // bytes of the connection at that time
+    private double unseenMs; // for how long what was read last may have stood unread
     private boolean reading; // what was read last is still being passed on
 
     /** @param steer runs where reading on may have to pause or to go on */
@@ -79,6 +82,7 @@
                 return;
             }
             readAt = clock.now();
+            unseenMs = drained ? 0 : unseenMs;
             if (since == NONE) {
                 since = readAt;
             }
@@ -114,18 +118,37 @@
         return since != NONE;
     }
 
-    /** Whether what is coming does not get on: a head by its time in all, a body by its pauses and its mean speed. */
-    boolean overdue(double now) {
-        if (since == NONE || head == null) {
-            return since != NONE && now - since > HEAD_MS;
+    /** What is coming, for the judgement of its progress. */
+    ClientProgress.Input input() {
+        Part part = since == NONE ? Part.NONE : head == null ? Part.HEAD : Part.BODY;
+        return new ClientProgress.Input(part, since, readAt, unseenMs, read, drained);
+    }
+
+    /** Something may stand unread from now on: what the client sends meanwhile is not known. */
+    void pause() {
+        if (drained) {
+            drained = false;
+            pausedAt = clock.now();
+            takenByThen = taken;
         }
-        return now - readAt > PAUSE_MS || now - since > HEAD_MS + read / BODY_BYTES_PER_MS;
     }
 
-    /** The client was not read for a while, and its time starts anew. */
-    void resume() {
-        since = since == NONE ? NONE : clock.now();
-        readAt = clock.now();
+    /** Whether all that has come was read, as far as is known. */
+    boolean isDrained() {
+        return drained;
+    }
+
+    /** All that has come was read. What stood unread meanwhile may have come at any time since the pause began. */
+    void drained() {
+        if (drained) {
+            return;
+        }
+        drained = true;
+        if (taken > takenByThen) {
+            double now = clock.now();
+            unseenMs = now - pausedAt;
+            since = since == NONE ? NONE : Math.min(now, since + unseenMs);
+        }
     }
 
     @Override
--- a/gateway/src/test/java/deckfall/HouseTest.java
+++ b/gateway/src/test/java/deckfall/HouseTest.java
@@ -12,7 +12,8 @@
 
 /** The floors of the house: decisions and the pure modules see no socket, no file and no clock, and nothing above them. */
 class HouseTest {
-    private static final String[] PURE = {"deckfall.account", "deckfall.end", "deckfall.frame", "deckfall.gossip", "deckfall.lease", "deckfall.list",
+    private static final String[] PURE = {"deckfall.account", "deckfall.end", "deckfall.frame", "deckfall.gossip", "deckfall.guard",
+            "deckfall.lease", "deckfall.list",
             "deckfall.quota"};
     private static final String[] OUTSIDE = {"java.io..", "java.net..", "java.nio.channels..", "java.nio.file..",
             "java.time..", "java.util.concurrent..", "io.netty..", "com.fasterxml.."};
