End the connection of a client that takes none of its answers

Callers saw: one that read no answers and stopped was still open after 30 s, also with half a request behind them. Cause: nothing looked at output that does not leave; the requests behind it wait for it, and an error would stand behind it, too (trace: four rows of the table in docs/incidents, open at 30 s). Ruled out: the limits of input, which never run while an answer is ahead.

--- a/gateway/src/main/java/deckfall/guard/ClientProgress.java
+++ b/gateway/src/main/java/deckfall/guard/ClientProgress.java
@@ -17,8 +17,8 @@
     private static final double RESUMED_MS = 1000; // for the next piece, once reading has gone on after a pause
     private static final double BODY_GRACE_MS = 3500; // of a request, before its mean speed counts
     private static final double BODY_BYTES_PER_MS = 16; // on the mean
-    private static final double OUTPUT_MS = Double.MAX_VALUE; // answers not taken, with more of the client's input behind them
-    private static final double LONG_OUTPUT_MS = Double.MAX_VALUE; // one answer not taken, and nothing behind it
+    private static final double OUTPUT_MS = 2500; // answers not taken, with more of the client's input behind them
+    private static final double LONG_OUTPUT_MS = 5000; // one answer not taken, and nothing behind it
 
     private ClientProgress() { }
 
