A head has 2.5 s in place of 3.5 s

Callers saw: a client that stopped within a head got its 408 after 3.5 to 3.6 s, where 3 s are owed.

--- a/gateway/src/main/java/deckfall/guard/ClientProgress.java
+++ b/gateway/src/main/java/deckfall/guard/ClientProgress.java
@@ -12,7 +12,7 @@
     public static final double OWED_MS = 3000;
 
     private static final double FIRST_REQUEST_MS = 2000; // from the connection's start
-    private static final double HEAD_MS = 3500; // from its first byte; a client may take 2000
+    private static final double HEAD_MS = 2500; // from its first byte; a client may take 2000
     private static final double BODY_PAUSE_MS = 2500; // between two pieces of a body
     private static final double RESUMED_MS = 1000; // for the next piece, once reading has gone on after a pause
     private static final double BODY_GRACE_MS = 3500; // of a request, before its mean speed counts
