Go on accepting after a failed accept

Callers saw: after one failed accept nothing was accepted for 1 s, and whoever connected meanwhile waited unread, also a client that stopped inside a request; at the listener's end (SIGTERM, an upgrade) those in its queue were reset. Ruled out: the listener's queue and the loop, which take the same connections at once without failures. Change: AcceptRetry, on the listeners of clients, operators and the fleet: the next accept follows at once, a row of failures pauses for 2 to 50 ms, no descriptor makes room.

--- a/fleet/src/main/java/marlford/consensus/FrameTransport.java
+++ b/fleet/src/main/java/marlford/consensus/FrameTransport.java
@@ -1,5 +1,6 @@
 package marlford.consensus;
 
+import deckfall.accept.AcceptRetry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -57,6 +58,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
+                .handler(new AcceptRetry(System.err::println, () -> {}))
                 .childHandler(pipeline(listener))
                 .bind(at)
                 .sync()
--- a/gateway/src/main/java/deckfall/console/Console.java
+++ b/gateway/src/main/java/deckfall/console/Console.java
@@ -1,5 +1,6 @@
 package deckfall.console;
 
+import deckfall.accept.AcceptRetry;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -83,6 +84,7 @@
         try {
             listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                    .handler(new AcceptRetry(log, () -> { }))
                     .childHandler(new ChannelInitializer<>() {
                         @Override
                         protected void initChannel(Channel ch) {
--- a/gateway/src/main/java/deckfall/net/ClientPlaces.java
+++ b/gateway/src/main/java/deckfall/net/ClientPlaces.java
@@ -15,6 +15,8 @@
     private static final double IDLE_MS = 20_000; // idle for so long, it is closed
     private static final double AWAY_MS = 300; // idle for so long, it is closed where clients are sent away
     private static final double AWAY_SILENT_MS = 1500; // without a first request for so long, the same
+    private static final double FEWER_SHARE = 0.75; // of the connections at which no descriptor was left
+    private static final double FEWER_MS = 10_000;
     private static final int ASKED_ONCE = 1; // requests on a connection that need not bring another
 
     private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
@@ -25,14 +27,15 @@
     private final LinkedHashSet<ClientConnection> lingering = new LinkedHashSet<>(); // after the last answer, the oldest first
     /** Who gives way first, once there are no more newcomers than may be; the longest idle stands first in each. */
     private final List<LinkedHashSet<ClientConnection>> givingWay = List.of(onlookers, casual, idle, unused);
-    private final int maxConnections;
-    private final int maxNewcomers;
+    private final int mostConnections; // by the settings
+    private int maxConnections; // less, for a while, where the system has fewer descriptors
+    private double fewerUntil;
     private long readAhead; // bytes of requests that wait their turn, on all connections
 
     /** @param descriptors that the process may hold */
     ClientPlaces(int descriptors) {
-        this.maxConnections = (int) (descriptors * SOCKET_SHARE);
-        this.maxNewcomers = (int) (maxConnections * NEWCOMERS_SHARE);
+        this.mostConnections = (int) (descriptors * SOCKET_SHARE);
+        this.maxConnections = mostConnections;
     }
 
     /** Takes in a new connection, for which another may have to give way; false where none does. */
@@ -45,6 +48,18 @@
         return true;
     }
 
+    /**
+     * No descriptor was left for a connection. For a while fewer are let in, or hosts and discovery would get none either: each
+     * that is free is taken by the next client.
+     */
+    void noDescriptor(double now) {
+        fewerUntil = now + FEWER_MS;
+        maxConnections = Math.max(1, Math.min(maxConnections, (int) (connections.size() * FEWER_SHARE)));
+        while (connections.size() >= maxConnections && makeRoom()) {
+            continue;
+        }
+    }
+
     void leave(ClientConnection c) {
         connections.remove(c);
         lingering.remove(c);
@@ -104,6 +119,7 @@
 
     /** Closes what has been idle for too long: sooner where there are many. */
     void closeIdle(double now) {
+        maxConnections = now > fewerUntil ? mostConnections : maxConnections;
         boolean pressed = connections.size() > maxConnections * PRESSED_SHARE;
         closeIdle(onlookers, now - GIVES_WAY_MS, CloseReason.IDLE);
         closeIdle(casual, now - GIVES_WAY_MS, CloseReason.IDLE);
@@ -156,7 +172,7 @@
             oldest.close(CloseReason.LAST_ANSWER);
             return true;
         }
-        while (unused.size() > maxNewcomers) {
+        while (unused.size() > maxConnections * NEWCOMERS_SHARE) {
             if (giveUp(first(unused), unused, CloseReason.MADE_ROOM)) {
                 return true;
             }
--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -1,5 +1,6 @@
 package deckfall.net;
 
+import deckfall.accept.AcceptRetry;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -10,13 +11,14 @@
     static final int MAX_BODY = 64 * 1024;
     private static final long SWEEP_MS = 100;
     private static final double ASKS_WITHIN_MS = 200; // of connecting: the longest way there and back, and a late loop
-    private static final int ACCEPTED_AT_ONCE = 16; // netty's own bound for one reading of a listener
 
     private final Node node;
     private final RequestTerms terms;
     private final ClientPlaces places;
     private Channel listener;
+    private AcceptRetry acceptRetry; // of that listener
     private long accepted; // connections since the start
+    private boolean takingQueue; // ahead of the listener's end
     private boolean swept; // the sweep has begun
 
     ClientServer(Node node) {
@@ -27,7 +29,9 @@
 
     /** Clients are served once this is done. */
     ChannelFuture start() {
+        AcceptRetry accepting = new AcceptRetry(Node::log, this::noDescriptor);
         ChannelFuture bound = node.transport.server(node.group)
+                .handler(accepting)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
@@ -35,6 +39,7 @@
                     }
                 }).bind(node.transport.at(node.config.listen()));
         listener = bound.channel();
+        acceptRetry = accepting;
         if (!swept) {
             swept = true;
             node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -53,13 +58,27 @@
         }, Node.TURN_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Who stands in the queue at the listener's end is taken in all the same. */
+    private void noDescriptor() {
+        if (!takingQueue) {
+            places.noDescriptor(node.clock.now());
+        }
+    }
+
     private void takeQueue() {
         if (!listener.isOpen()) {
             return; // an end and a process that takes this one's place may come to it both
         }
-        for (int taken = 0; taken <= Transport.BACKLOG; taken += ACCEPTED_AT_ONCE) {
+        takingQueue = true;
+        for (int i = 0; i <= Transport.BACKLOG; i++) { // one a call at least, where all but that fail
+            long before = acceptRetry.calls();
+            listener.config().setAutoRead(true); // a failure may have paused it, and then one is taken a call
             Transport.readNow(listener);
+            if (acceptRetry.calls() == before) {
+                break;
+            }
         }
+        takingQueue = false;
     }
 
     /** After this only requests that already came are answered; who has just connected is about to ask. */
--- /dev/null
+++ b/gateway/src/test/java/deckfall/net/FailedAcceptStopsAcceptingTest.java
@@ -0,0 +1,122 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Brain;
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Registry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** An accept that fails costs that call alone: nobody who connects is left waiting, or reset with the listener. */
+class FailedAcceptStopsAcceptingTest extends SocketTest {
+    private static final int IN_A_ROW = 40; // a second each would be more than the test's patience
+    private static final int WAITING = 60; // connections in the listener's queue
+
+    private final AtomicInteger failing = new AtomicInteger();
+    private int port;
+
+    /** TCP, whose next accepts fail with this. */
+    private Transport failing(String error) {
+        return new Transport() {
+            @Override
+            ServerBootstrap server(EventLoopGroup group) {
+                return new ServerBootstrap().group(group).channelFactory(() -> new NioServerSocketChannel() {
+                    @Override
+                    protected int doReadMessages(List<Object> accepted) throws Exception {
+                        if (failing.get() > 0) {
+                            failing.decrementAndGet();
+                            throw new IOException(error);
+                        }
+                        return super.doReadMessages(accepted);
+                    }
+                });
+            }
+
+            @Override
+            Bootstrap client(EventLoop loop) {
+                return TCP.client(loop);
+            }
+
+            @Override
+            void claim(InetSocketAddress address) throws IOException {
+                TCP.claim(address);
+            }
+
+            @Override
+            SocketAddress at(InetSocketAddress address) {
+                return TCP.at(address);
+            }
+        };
+    }
+
+    private Node node(String error) throws Exception {
+        registry = kept(new Registry(list(1, true, entry("h0", host(SocketTest::echo).address(), "ready"))));
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))),
+                Brain::new, failing(error), new NioEventLoopGroup(1));
+        ends.push(node::stop);
+        node.start();
+        port = node.port();
+        return node;
+    }
+
+    private Client connected() throws IOException {
+        return kept(new Client(new Socket(InetAddress.getLoopbackAddress(), port)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Software caused connection abort", "Too many open files", "No buffer space available",
+        "Cannot allocate memory"})
+    void theNextIsTakenSoon(String error) throws Exception {
+        node(error);
+        failing.set(IN_A_ROW);
+        assertEquals(200, connected().send(view("a", Sockets.PATIENCE_MS)).receive().status());
+    }
+
+    /** Who stands in the queue when the process is told to end, or another one takes its place, is heard. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whoStandsInTheQueueAtTheListenersEndIsHeard(boolean replaced) throws Exception {
+        Node node = node("Too many open files in system");
+        node.loop.submit(node.clients::pause).get();
+        List<Client> waiting = new ArrayList<>();
+        for (int i = 0; i < WAITING; i++) {
+            waiting.add(connected().send(view("w" + i, Sockets.PATIENCE_MS)));
+        }
+        failing.set(IN_A_ROW);
+        node.loop.submit(replaced ? node.clients::leave : node.clients::stopAccepting).get();
+        for (Client c : waiting) {
+            assertEquals(200, c.receive().status());
+        }
+    }
+
+    /** An idle connection gives way where no descriptor is left, or all would wait for its end. */
+    @Test
+    void roomIsMadeWhereNoDescriptorIsLeft() throws Exception {
+        Node node = node("Too many open files");
+        Client idle = connected();
+        assertEquals(200, idle.send(view("idle", Sockets.PATIENCE_MS)).receive().status());
+        failing.set(2);
+        assertEquals(200, connected().send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        Sockets.await(() -> node.loop.submit(node::connections).get() == 1, "the idle connection gave way");
+    }
+}
