One guard for sending, repeating, closing and listening, with a count of each broken rule

Change: AttemptGuard (pure) judges every repeat that the decision module asks for; a forbidden one does not leave and is counted and logged. An attempt whose connection comes up is held against its client's time, its host's drain and the request's end right before it is written. A connection that is closed by choice on a whole request counts as closed_unanswered. Measured: AttemptGuardTest; ForbiddenRepeatIsSentTest fails without the check (the repeat reaches the other zone) and passes with it; CrossingsTest, MeetingsTest, LeftClientsTest, NodeTest, EndsTest, StoppedClientIsLeftOpenTest and HouseTest pass.

--- a/gateway/src/main/java/deckfall/net/Attempt.java
+++ b/gateway/src/main/java/deckfall/net/Attempt.java
@@ -14,6 +14,7 @@
     private final Node node;
     boolean left; // for its host
     boolean ended;
+    Outcome outcome; // null until ended
     double streamedAt; // when its answer began to go to the client as it comes; 0: it does not
     private Future<?> timeout;
 
@@ -40,6 +41,9 @@
     @Override
     void connected() {
         node.endIfClientLeft(owner);
+        if (!ended && !node.mayLeave(this)) {
+            node.giveUp(this, Outcome.CONNECT_FAILED);
+        }
     }
 
     @Override
--- a/gateway/src/main/java/deckfall/net/ClientConnection.java
+++ b/gateway/src/main/java/deckfall/net/ClientConnection.java
@@ -5,6 +5,7 @@
 import deckfall.end.Linger;
 import deckfall.guard.ClientProgress;
 import deckfall.guard.ClientProgress.Stopped;
+import deckfall.guard.Rule;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
@@ -171,6 +172,10 @@
     void close(CloseReason why) {
         if (closing == null) {
             closing = why;
+            boolean owed = current != null || !waiting.isEmpty();
+            if (owed && why.isChosen() && channel.isActive()) {
+                node.rules.broken(Rule.CLOSED_UNANSWERED);
+            }
         }
         channel.close();
     }
--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -1,6 +1,7 @@
 package deckfall.net;
 
 import deckfall.accept.AcceptRetry;
+import deckfall.guard.Rule;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -29,6 +30,9 @@
 
     /** Clients are served once this is done. */
     ChannelFuture start() {
+        if (node.isDraining()) {
+            node.rules.broken(Rule.LISTENED_WHILE_ENDING);
+        }
         AcceptRetry accepting = new AcceptRetry(Node::log, this::noDescriptor);
         ChannelFuture bound = node.transport.server(node.group)
                 .handler(accepting)
--- a/gateway/src/main/java/deckfall/net/CloseReason.java
+++ b/gateway/src/main/java/deckfall/net/CloseReason.java
@@ -31,5 +31,10 @@
     /** The last answer could not be written. */
     LAST_ANSWER_FAILED,
     /** The last answer was written, and the client's end not waited for any longer. */
-    LAST_ANSWER
+    LAST_ANSWER;
+
+    /** Whether this gateway ends the connection of a client that did nothing wrong, to have it no longer. */
+    boolean isChosen() {
+        return this == HOUSE_FULL || this == MADE_ROOM || this == IDLE || this == SENT_AWAY || this == ENDING || this == SILENT;
+    }
 }
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -12,6 +12,8 @@
 import deckfall.console.Console;
 import deckfall.console.Figures;
 import deckfall.end.EndSchedule;
+import deckfall.guard.AttemptGuard;
+import deckfall.guard.Rule;
 import deckfall.guard.RuleCounter;
 import deckfall.start.Birth;
 import deckfall.start.StartBudget;
@@ -28,6 +30,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,6 +49,7 @@
     private static final long GAUGE_MS = 250; // how often the hosts are counted for the operators
     private static final long ACCOUNT_MS = 1000; // how often it logs what it did
     static final long TURN_MS = 2; // a timer's end: the event loop has been round since it was set
+    private static final double EARNS_NOTHING_MS = 500; // after its time; an answer later than that counts as none
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_REPORT = new double[0];
 
@@ -75,6 +79,7 @@
     private final Map<String, OpenRequest> open = new HashMap<>();
     final ClientServer clients;
     private final HostClient hosts;
+    private final HostStates states;
     private final Discovery discovery;
     private final PeerLink peers;
     private Mail mail;
@@ -120,6 +125,7 @@
         this.figures = new Figures(config.settings().classes().stream().map(RequestClass::name).toList());
         this.clients = new ClientServer(this);
         this.hosts = new HostClient(this);
+        this.states = new HostStates(clock);
         this.discovery = new Discovery(this);
         this.peers = new PeerLink(this);
         this.operators = new Operators(loop, this::quiesce, this::resume, () -> discovery.leaveOut(console.leftOut()));
@@ -475,6 +481,10 @@
         return over || open.size() >= config.maxOpen();
     }
 
+    boolean isDraining() {
+        return draining;
+    }
+
     /** Whether nothing is sent on any more. */
     boolean isOver() {
         return over;
@@ -494,7 +504,7 @@
     }
 
     /** Ends an attempt's connection, and only then tells of its end. */
-    private void giveUp(Attempt a, Outcome outcome) {
+    void giveUp(Attempt a, Outcome outcome) {
         a.abandon();
         attemptEnded(a, outcome, null);
     }
@@ -586,6 +596,7 @@
             return;
         }
         a.ended = true;
+        a.outcome = outcome;
         a.stopTimer();
         OpenRequest r = a.owner;
         r.out--;
@@ -615,6 +626,9 @@
     private ClientConnection close(OpenRequest r) {
         if (!r.closed()) {
             figures.closed();
+            if (r.client() != null && clock.now() > r.request.deadlineMs() + EARNS_NOTHING_MS) {
+                rules.broken(Rule.ANSWERED_LATE);
+            }
         }
         return r.close();
     }
@@ -630,6 +644,7 @@
         hosts.listed(kind, entries);
         operators.listed(discovery.listed());
         List<Host> list = Discovery.hosts(entries);
+        states.told(kind, list);
         tell((now, m) -> m.hosts(now, kind, list));
         hosts.giveUpComingUp(entries);
     }
@@ -656,7 +671,7 @@
         Upload rest = LongRequest.restOf(r.message);
         boolean gone = rest != null && !rest.untouched(); // a part of its body went to a host, and no other has it
         if (gone || over || r.closed() || now >= r.request.deadlineMs()
-                || a.number >= config.settings().limits().maxAttempts()) {
+                || a.number >= config.settings().limits().maxAttempts() || breaksRule(a, now)) {
             attemptEnded(a, Outcome.MOOT, null);
             return;
         }
@@ -670,6 +685,42 @@
         hosts.send(a);
     }
 
+    /** Whether what the module asks for is against a rule; it then does not happen, and is counted and logged. */
+    private boolean breaksRule(Attempt a, double now) {
+        if (a.number == 0) {
+            return false;
+        }
+        List<AttemptGuard.Earlier> before = new ArrayList<>();
+        for (Attempt earlier : a.owner.attempts) {
+            if (earlier != a) {
+                before.add(new AttemptGuard.Earlier(earlier.outcome, earlier.sentAt, states.host(earlier.host)));
+            }
+        }
+        RequestClass requestClass = requestClass(a.owner.request);
+        Rule broken = AttemptGuard.brokenByRepeat(now, requestClass, config.settings().limits(), before, states.host(a.host));
+        if (broken == null) {
+            return false;
+        }
+        rules.broken(broken);
+        log("defect: prevented " + broken + " of request " + a.owner.request.id());
+        return true;
+    }
+
+    private RequestClass requestClass(Request request) {
+        return config.settings().classes().stream().filter(c -> c.name().equals(request.requestClass())).findFirst().orElseThrow();
+    }
+
+    /**
+     * Whether an attempt whose connection has come up may still be written: a late loop, or a connection that came up late, may
+     * have passed its client's time or its host's drain. To be called right before.
+     */
+    boolean mayLeave(Attempt a) {
+        double now = clock.now();
+        double grace = config.settings().rules().drainGraceMs();
+        boolean drained = grace > 0 && AttemptGuard.isDrained(now, states.state(a.host), states.sinceMs(a.host), grace);
+        return !drained && now < a.owner.request.deadlineMs() && (!a.owner.closed() || a.owner.stream == a);
+    }
+
     @Override
     public void cancel(String id, int attempt) {
         OpenRequest r = open.get(id);
@@ -742,7 +793,21 @@
     /** An attempt is about to be written to its host. */
     void leaves(Attempt a) {
         a.left = true;
-        leavings.sent(clock.now() - a.owner.leftAt);
+        double now = clock.now();
+        leavings.sent(now - a.owner.leftAt);
+        if (now - a.owner.leftAt > Leavings.SOON_MS) {
+            rules.broken(Rule.SENT_FOR_LEFT_CLIENT);
+        }
+        double grace = config.settings().rules().drainGraceMs();
+        if (grace > 0 && AttemptGuard.isDrained(now, states.state(a.host), states.sinceMs(a.host), grace)) {
+            rules.broken(Rule.SENT_TO_DRAINING);
+        }
+        if (now > a.owner.request.deadlineMs()) {
+            rules.broken(Rule.SENT_AFTER_DEADLINE);
+        }
+        if (a.owner.closed()) {
+            rules.broken(Rule.SENT_AFTER_ANSWER);
+        }
     }
 
     ListTurn lists() {
--- /dev/null
+++ b/gateway/src/test/java/deckfall/net/ForbiddenRepeatIsSentTest.java
@@ -0,0 +1,62 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.order;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Request;
+import deckfall.guard.Rule;
+import deckfall.net.Sockets.Registry;
+import deckfall.net.Sockets.Server;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+
+/** Whatever the decision module asks for, a repeat that is against a rule does not leave. */
+class ForbiddenRepeatIsSentTest extends SocketTest {
+    /** Sends a keyed request to one zone, and after a reset to another one, where its repeat would run. */
+    private static final class Careless implements Quiet {
+        private final Actions act;
+        private final AtomicReference<Outcome> second;
+
+        Careless(Actions act, AtomicReference<Outcome> second) {
+            this.act = act;
+            this.second = second;
+        }
+
+        @Override
+        public void request(double now, Request r) {
+            act.send(r.id(), "h0", 0);
+        }
+
+        @Override
+        public void attemptEnded(double now, AttemptResult r) {
+            if (r.attempt() == 0) {
+                act.send(r.id(), "h1", 0);
+            } else {
+                second.set(r.outcome());
+                act.fail(r.id());
+            }
+        }
+    }
+
+    @Test
+    void aKeyedRequestThatMayHaveRunStaysInItsZone() throws Exception {
+        Server resets = host((m, s) -> s.close());
+        Server other = host(SocketTest::echo);
+        registry = kept(new Registry(list(1, true, entry("h0", resets.address(), "ready"),
+                entry("h1", other.address(), "ready").replace("\"zone\":\"a\"", "\"zone\":\"b\""))));
+        AtomicReference<Outcome> second = new AtomicReference<>();
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"), act -> new Careless(act, second));
+        ends.push(node::stop);
+        assertEquals(502, client(node).send(order("o", "body")).receive().status());
+        Sockets.await(() -> second.get() != null, "the module is told");
+        assertEquals(Outcome.MOOT, second.get());
+        assertEquals(List.of(), other.asked);
+        assertEquals(1, node.loop.submit(() -> node.rules.count(Rule.REPEATED_ELSEWHERE)).get());
+    }
+}
