End an attempt whose host takes nothing more of a long body

Callers saw: a client in a long body whose host did not read stayed open beyond 30 s, with no answer. Cause: the gateway pauses such a client, and only the body's least speed bounded the attempt, minutes for 20 MB (trace: the row of the table in docs/incidents). Ruled out: the client's own limits, which do not run while its bytes stand unread. Change: bytes of a body that have not moved for 5 s, as long as an answer may pause, end the attempt as one that never ran; the body can't go to another host, so the request is answered, the rest is read and forgotten, and the client's limits run again.

--- a/gateway/src/main/java/deckfall/net/HostConnection.java
+++ b/gateway/src/main/java/deckfall/net/HostConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -36,6 +37,7 @@
     private static final String NEVER_RAN = "X-Never-Ran";
     private static final long STALL_MS = 250; // an answer that has begun and gets no further for so long is no answer
     private static final long LONG_STALL_MS = 5000; // the same for one that is passed on as it comes
+    private static final long UPLOAD_LOOK_MS = 250;
     private static final long LONGEST = 48 << 20; // bytes of an answer; whatever claims or brings more is none
     private static final int INTERIM_MAX = 16; // 1xx answers ahead of one
 
@@ -58,6 +60,8 @@
     private HttpResponse head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Upload upload; // the rest of the request, on its way; null where all of it was written
+    private long untaken; // bytes of it that had not left at the last look
+    private double takenAt; // when bytes of it were last seen to leave
     private Sink sink; // takes the answer as it comes; null where it is put together here
     private long passed; // bytes of it that went there
     private double readAt; // when something last came, or reading went on
@@ -205,12 +209,33 @@
                     message.headers()), channel.voidPromise());
             channel.writeAndFlush(new DefaultHttpContent(message.content()), channel.voidPromise());
             upload = ((LongRequest) message).rest;
+            takenAt = clock.now();
+            untaken = 0;
             upload.to(taker);
+            watchUpload(x);
         } else {
             channel.writeAndFlush(message).addListener(f -> lastLeft(x, f.isSuccess()));
         }
     }
 
+    /** A host that takes nothing of a body for too long would hold its client up for as long as the body may take. */
+    private void watchUpload(Exchange x) {
+        channel.eventLoop().schedule(() -> {
+            if (exchange != x || written) {
+                return;
+            }
+            ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+            long now = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+            takenAt = now == 0 || now != untaken ? clock.now() : takenAt;
+            untaken = now;
+            if (clock.now() - takenAt > LONG_STALL_MS) {
+                lost();
+            } else {
+                watchUpload(x);
+            }
+        }, UPLOAD_LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void lastLeft(Exchange x, boolean left) {
         if (exchange != x) {
             return;
