Listen again after a successor's end until the address can be had

Callers would see: an upgrade whose new process ends early, and whose place can't be listened at in that moment, left nobody who accepts, for good. Cause: Node.takeBack bound once and only logged a failure. Change: it tries again every 50 ms, until it listens, is told to end or is replaced.

--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -49,6 +49,7 @@
     private static final long GAUGE_MS = 250; // how often the hosts are counted for the operators
     private static final long ACCOUNT_MS = 1000; // how often it logs what it did
     static final long TURN_MS = 2; // a timer's end: the event loop has been round since it was set
+    private static final long LISTEN_AGAIN_MS = 50;
     private static final double EARNS_NOTHING_MS = 500; // after its time; an answer later than that counts as none
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_REPORT = new double[0];
@@ -344,15 +345,23 @@
         tell((now, m) -> m.restored(now));
         if (replaced) {
             replaced = false;
-            clients.start().addListener(f -> {
-                if (!f.isSuccess()) {
-                    log("upgrade: can't listen again: " + f.cause().getMessage());
-                }
-            });
+            listenAgain();
             stay();
         }
     }
 
+    private void listenAgain() {
+        if (draining || replaced) {
+            return;
+        }
+        clients.start().addListener(f -> {
+            if (!f.isSuccess()) {
+                log("upgrade: can't listen again, and tries on: " + f.cause().getMessage());
+                loop.schedule(this::listenAgain, LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
     /** What only the event loop can count, made known to the console's. */
     private void gauge() {
         loop.schedule(this::gauge, GAUGE_MS, TimeUnit.MILLISECONDS);
--- a/gateway/src/test/java/deckfall/net/FailedAcceptStopsAcceptingTest.java
+++ b/gateway/src/test/java/deckfall/net/FailedAcceptStopsAcceptingTest.java
@@ -32,7 +32,10 @@
     private static final int IN_A_ROW = 40; // a second each would be more than the test's patience
     private static final int WAITING = 60; // connections in the listener's queue
 
+    private static final InetSocketAddress NOT_HERE = new InetSocketAddress("192.0.2.1", 0); // no address of any machine
+
     private final AtomicInteger failing = new AtomicInteger();
+    private final AtomicInteger failingBinds = new AtomicInteger();
     private int port;
 
     /** TCP, whose next accepts fail with this. */
@@ -64,7 +67,7 @@
 
             @Override
             SocketAddress at(InetSocketAddress address) {
-                return TCP.at(address);
+                return TCP.at(failingBinds.getAndUpdate(n -> Math.max(0, n - 1)) > 0 ? NOT_HERE : address);
             }
         };
     }
@@ -109,6 +112,19 @@
         }
     }
 
+    /** A successor that ends early hands the place back; a listener that can't be had at once was once given up for good. */
+    @Test
+    void aPlaceThatIsTakenBackIsListenedAtThoughTheFirstBindsFail() throws Exception {
+        Node node = node("none");
+        node.place(() -> { }).release();
+        node.place(() -> { }).leave();
+        failingBinds.set(3);
+        node.place(() -> { }).takeBack();
+        Sockets.await(() -> node.loop.submit(() -> failingBinds.get() == 0 && node.clients.listener().isActive()).get(), "a listener");
+        port = node.port();
+        assertEquals(200, connected().send(view("a", Sockets.PATIENCE_MS)).receive().status());
+    }
+
     /** An idle connection gives way where no descriptor is left, or all would wait for its end. */
     @Test
     void roomIsMadeWhereNoDescriptorIsLeft() throws Exception {
