A request's time counts from its reading, also while it waits behind others

Cause: the time of a request that was read ahead began when its turn came. Change: what is read ahead keeps the time at which it came; where reading had paused, that at which it did. Traces no longer name requests of the warm-up.

--- a/gateway/src/main/java/deckfall/net/ClientConnection.java
+++ b/gateway/src/main/java/deckfall/net/ClientConnection.java
@@ -50,13 +50,16 @@
     /** What a look into a client's socket says; unknown where too much unread stands in front of its end. */
     enum Presence { CONNECTED, LEFT, UNKNOWN }
 
+    /** What was read and waits its turn: its client's time counts from then. */
+    private record Waiting(Object message, double arrivedMs) { }
+
     private final Node node;
     private final ClientPlaces places;
     private final RequestTerms terms;
     private final Channel channel;
     private final long number;
     private final RequestReader reader;
-    private final ArrayDeque<Object> waiting = new ArrayDeque<>(); // requests, and at the end what is unreadable
+    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>(); // requests, and at the end what is unreadable
     private final Runnable next = this::next;
     private long waitingBytes;
     private double seenAt; // the client was surely connected then
@@ -152,11 +155,11 @@
 
     /** What was sent ahead gets no answer any more. */
     private void freeWaiting() {
-        List<Object> ahead = List.copyOf(waiting);
+        List<Waiting> ahead = List.copyOf(waiting);
         waiting.clear(); // first, as letting go of a body may look here
         places.readAhead(-waitingBytes);
         waitingBytes = 0;
-        ahead.forEach(LongRequest::free);
+        ahead.forEach(w -> LongRequest.free(w.message()));
     }
 
     /** Since when it has been idle, on the node's clock. */
@@ -294,16 +297,17 @@
     }
 
     private void queue(Object message) {
-        waiting.add(message);
+        double late = Math.max(node.lag.ms(), reader.unreadMs()); // so long it may have stood in its socket
+        waiting.add(new Waiting(message, node.clock.now() - late));
         waitingBytes += size(message);
         places.readAhead(size(message));
     }
 
-    private Object unqueue() {
-        Object message = waiting.poll();
-        waitingBytes -= size(message);
-        places.readAhead(-size(message));
-        return message;
+    private Waiting unqueue() {
+        Waiting next = waiting.poll();
+        waitingBytes -= size(next.message());
+        places.readAhead(-size(next.message()));
+        return next;
     }
 
     private static int size(Object message) {
@@ -325,7 +329,8 @@
     /** Goes on with what was sent ahead, but only as fast as the client takes the answers. */
     private void next() {
         while (!busy && !ended && !waiting.isEmpty() && channel.isWritable()) {
-            Object message = unqueue();
+            Waiting first = unqueue();
+            Object message = first.message();
             steer();
             busy = true;
             answered = false;
@@ -335,7 +340,7 @@
                 keepAlive = false; // where the next request would begin is not known
                 answer(((RequestReader.Unreadable) message).status(), 0);
             } else {
-                handle((FullHttpRequest) message);
+                handle((FullHttpRequest) message, first.arrivedMs());
             }
         }
     }
@@ -391,12 +396,13 @@
     }
 
     private boolean hasReadAheadEnough() {
-        return waitingBytes >= LOOKED_AHEAD || upload != null && !upload.over() && upload.full() || places.readAhead() >= LOOKED_AHEAD_IN_ALL || isLongBodyAhead();
+        boolean fullBody = upload != null && !upload.over() && upload.full();
+        return fullBody || isLongBodyAhead() || waitingBytes >= LOOKED_AHEAD || places.readAhead() >= LOOKED_AHEAD_IN_ALL;
     }
 
     /** Whether the last request that waits has a long body, of which as much was read as is kept. */
     private boolean isLongBodyAhead() {
-        Upload ahead = LongRequest.restOf(waiting.peekLast());
+        Upload ahead = waiting.isEmpty() ? null : LongRequest.restOf(waiting.peekLast().message());
         return ahead != null && ahead.full();
     }
 
@@ -415,7 +421,7 @@
         return (upload.length() < 0 ? LENGTH_GUESSED : upload.length()) / BODY_BYTES_PER_MS;
     }
 
-    private void handle(FullHttpRequest request) {
+    private void handle(FullHttpRequest request, double arrivedMs) {
         keepAlive = HttpUtil.isKeepAlive(request);
         chunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
         if (request.uri().equals(READY)) {
@@ -423,8 +429,7 @@
             answer(node.takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             return;
         }
-        double now = node.clock.now();
-        Request read = terms.read(request, now, now - node.lag.ms(), restMs());
+        Request read = terms.read(request, node.clock.now(), arrivedMs, restMs());
         if (read == null || node.knows(read.id())) {
             boolean unknown = !request.headers().contains(RequestTerms.ID);
             LongRequest.free(request);
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -115,7 +115,7 @@
             Clock clock) {
         this.config = config;
         this.clock = clock;
-        this.events = new EventLog(clock);
+        this.events = transport == Transport.MEMORY ? new EventLog(clock, null) : new EventLog(clock); // no trace of a warm-up
         this.end = EndSchedule.of(config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max()
                 .orElse(0));
         this.transport = transport;
--- a/gateway/src/main/java/deckfall/net/RequestReader.java
+++ b/gateway/src/main/java/deckfall/net/RequestReader.java
@@ -138,6 +138,11 @@
         return drained;
     }
 
+    /** For how long what is being read may have stood unread, as reading paused. */
+    double unreadMs() {
+        return drained ? 0 : clock.now() - pausedAt;
+    }
+
     /** All that has come was read. What stood unread meanwhile may have come at any time since the pause began. */
     void drained() {
         if (drained) {
