The decision module holds a request from its turn on; its client's time counts from before

Measured: QueuedRequestOutlivesItsClientTest, StoppedClientIsLeftOpenTest, CrossingsTest, LeftClientsTest and NodeTest pass.

--- a/gateway/src/main/java/deckfall/net/ClientConnection.java
+++ b/gateway/src/main/java/deckfall/net/ClientConnection.java
@@ -429,7 +429,9 @@
             answer(node.takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             return;
         }
-        Request read = terms.read(request, node.clock.now(), arrivedMs, restMs());
+        double now = node.clock.now();
+        double turn = now - node.lag.ms(); // the decision module holds it from its turn on, as it held nothing up before
+        Request read = terms.read(request, now, arrivedMs, Math.max(arrivedMs, turn), restMs());
         if (read == null || node.knows(read.id())) {
             boolean unknown = !request.headers().contains(RequestTerms.ID);
             LongRequest.free(request);
--- a/gateway/src/main/java/deckfall/net/RequestTerms.java
+++ b/gateway/src/main/java/deckfall/net/RequestTerms.java
@@ -52,9 +52,11 @@
      * The request as the module knows it, or null where it is missing or has malformed what it must say. Its client
      * has been waiting since it arrived, however late it is read.
      *
+     * @param came when it was read, from which its client's time counts
+     * @param turnMs when its turn came on its connection, from which the decision module holds it
      * @param restMs how long the rest of its body may still take; a client's time counts from its last byte
      */
-    Request read(FullHttpRequest message, double now, double arrived, double restMs) {
+    Request read(FullHttpRequest message, double now, double came, double turnMs, double restMs) {
         HttpHeaders h = message.headers();
         RequestClass cls = classes.get(firstPart(message.uri()));
         String plan = h.get(PLAN);
@@ -74,7 +76,7 @@
         boolean right = units > 0 && units <= settings.sharing().maxUnits() && spread >= 1 && spread <= gateways
                 && first >= 0 && first < gateways && Math.floorMod(settings.me() - (int) first, gateways) < spread;
         double waits = Math.min(left, cls.deadlineMs()); // no client of this class waits longer
-        return !right ? null : new Request(id, Math.max(now + 1, arrived + restMs + waits - MARGIN_MS), arrived,
+        return !right ? null : new Request(id, Math.max(now + 1, came + restMs + waits - MARGIN_MS), turnMs,
                 h.contains(RETRY), cls.name(), customer, plan, units, (int) first, (int) spread, restMs);
     }
 
--- a/storm/src/main/java/marlford/storm/Main.java
+++ b/storm/src/main/java/marlford/storm/Main.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import marlford.storm.scale.ScaleCommand;
+import marlford.storm.soak.SoakCommand;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
@@ -29,7 +30,7 @@
         name = "storm",
         mixinStandardHelpOptions = true,
         sortOptions = false,
-        subcommands = {Compare.class, ScaleCommand.class},
+        subcommands = {Compare.class, ScaleCommand.class, SoakCommand.class},
         description = "Starts several processes of the program, breaks what is between them, and judges what they did.")
 final class Main implements Callable<Integer> {
     private static final int HELD = 0;
--- /dev/null
+++ b/storm/src/main/java/marlford/storm/soak/HttpText.java
@@ -0,0 +1,51 @@
+package marlford.storm.soak;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** Reads HTTP/1.1 messages as the soak's clients and hosts need them. */
+final class HttpText {
+    private static final String END_OF_HEAD = "\r\n\r\n";
+
+    private HttpText() {}
+
+    /** A message with a length, or with none. */
+    record Message(String start, Map<String, String> headers) {
+        int status() {
+            return Integer.parseInt(start.split(" ")[1]);
+        }
+
+        String header(String name) {
+            return headers.get(name.toLowerCase(Locale.ROOT));
+        }
+    }
+
+    /** The next message, its body read and dropped; null where the connection ends first. */
+    static Message read(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith(END_OF_HEAD)) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.write(next);
+        }
+        String[] lines = head.toString(StandardCharsets.ISO_8859_1).split("\r\n");
+        Map<String, String> headers = new HashMap<>();
+        for (int i = 1; i < lines.length; i++) {
+            int colon = lines[i].indexOf(':');
+            headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), lines[i].substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        return in.readNBytes(length).length < length ? null : new Message(lines[0], headers);
+    }
+
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/storm/src/main/java/marlford/storm/soak/SoakFaults.java
@@ -0,0 +1,215 @@
+package marlford.storm.soak;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/** Draws faults from a seed and plays them, several at once. */
+final class SoakFaults {
+    private static final long KILLED_AFTER_TERM_MS = SoakClient.ORDER_DEADLINE_MS + 700; // at the page's earliest
+    private static final long COMES_ON_MS = 300; // new connections after SIGTERM
+    private static final int GAP_MS = 300;
+    private static final int AWAY_LEAST_MS = 300;
+    private static final int AWAY_MS = 2000;
+    private static final int MOOD_MS = 2500;
+    private static final int PAUSE_LEAST_MS = 30;
+    private static final int PAUSE_MS = 120;
+    private static final int DRAINS_MS = 4000;
+    private static final long TOLD_LATE_MS = 6000; // the longest that a list may take where discovery is in trouble
+    private static final int CROWD = 500;
+    private static final int CROWD_MS = 4000;
+    private static final int SERIES = 3;
+
+    /** What may happen. */
+    private enum Kind {
+        KILL,
+        TERM,
+        TERM_TWICE,
+        PAUSE,
+        PAUSE_ALL,
+        NEW_CONFIGURATIONS,
+        HOST_HANGS,
+        HOST_SLOW,
+        HOST_RESETS,
+        HOST_CUTS,
+        HOST_DRAINS,
+        DISCOVERY_AWAY,
+        CROWD
+    }
+
+    private final SoakFleet fleet;
+    private final Random random;
+    private final boolean crowds;
+    private final List<Thread> playing = new ArrayList<>();
+    private final Set<SoakProcess> ending = ConcurrentHashMap.newKeySet(); // until they are up again
+    private final List<String> played = new ArrayList<>();
+
+    /** @param crowds whether idle clients may fill a process's places */
+    SoakFaults(SoakFleet fleet, long seed, boolean crowds) {
+        this.fleet = fleet;
+        this.random = new Random(seed);
+        this.crowds = crowds;
+    }
+
+    /** Plays faults for so long, and returns once all have ended and every process is up again. */
+    void play(long ms) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        while (System.nanoTime() < end) {
+            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            begin(kind, random.nextInt(fleet.processes().size()), random.nextLong());
+            Thread.sleep(random.nextInt(GAP_MS));
+        }
+        for (Thread thread : playing) {
+            thread.join();
+        }
+    }
+
+    List<String> played() {
+        return List.copyOf(played);
+    }
+
+    private void begin(Kind kind, int number, long seed) {
+        SoakProcess process = fleet.processes().get(number);
+        boolean ends = kind == Kind.KILL || kind == Kind.TERM || kind == Kind.TERM_TWICE;
+        long down = fleet.processes().stream().filter(p -> !p.isUp()).count();
+        if (ends && (!process.isUp() || ending.contains(process) || down * 3 >= fleet.processes().size()) || kind == Kind.CROWD && !crowds) {
+            return;
+        }
+        if (ends) {
+            ending.add(process);
+        }
+        played.add(kind + " " + number);
+        fleet.findings().count(SoakFindings.Count.FAULTS);
+        playing.add(Threads.start("fault", () -> {
+            try {
+                play(kind, process, new Random(seed));
+            } catch (IOException e) {
+                fleet.findings().broken("the soak's own fault " + kind + ": " + e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }));
+    }
+
+    private void play(Kind kind, SoakProcess process, Random own) throws IOException, InterruptedException {
+        switch (kind) {
+            case KILL -> {
+                process.kill();
+                Thread.sleep(AWAY_LEAST_MS + own.nextInt(AWAY_MS));
+                restart(process);
+            }
+            case TERM, TERM_TWICE -> terminate(kind, process);
+            case PAUSE -> pause(process, own);
+            case PAUSE_ALL -> {
+                for (SoakProcess each : fleet.processes()) {
+                    pause(each, own);
+                }
+            }
+            case NEW_CONFIGURATIONS -> {
+                for (int i = 0; i < SERIES; i++) {
+                    fleet.writeSettings(process, own.nextInt(fleet.discoveries().size()));
+                    process.signal("HUP");
+                    Thread.sleep(own.nextInt(GAP_MS));
+                }
+            }
+            case HOST_HANGS -> mood(SoakHosts.Mood.HANGS, own);
+            case HOST_SLOW -> mood(SoakHosts.Mood.SLOW, own);
+            case HOST_RESETS -> mood(SoakHosts.Mood.RESETS, own);
+            case HOST_CUTS -> mood(SoakHosts.Mood.CUTS_ANSWERS, own);
+            case HOST_DRAINS -> drain(own);
+            case DISCOVERY_AWAY -> away(own);
+            default -> crowd(process, own);
+        }
+    }
+
+    private void terminate(Kind kind, SoakProcess process) throws IOException, InterruptedException {
+        process.terminate();
+        Thread.sleep(COMES_ON_MS);
+        process.setUp(false);
+        if (kind == Kind.TERM_TWICE) { // signals in series
+            process.signal("HUP");
+            process.terminate();
+        }
+        if (!process.hasEndedWithin(KILLED_AFTER_TERM_MS - COMES_ON_MS)) {
+            process.signal("KILL"); // what it had not answered by then is lost, so its life goes on for the judge
+            process.hasEndedWithin(KILLED_AFTER_TERM_MS);
+        }
+        Thread.sleep(2 * AWAY_LEAST_MS);
+        restart(process);
+    }
+
+    private void restart(SoakProcess process) throws IOException, InterruptedException {
+        fleet.writeSettings(process, 0);
+        process.start();
+        fleet.awaitUp(process);
+        ending.remove(process);
+    }
+
+    private static void pause(SoakProcess process, Random own) throws IOException, InterruptedException {
+        process.signal("STOP");
+        Thread.sleep(PAUSE_LEAST_MS + own.nextInt(PAUSE_MS));
+        process.signal("CONT");
+    }
+
+    private void mood(SoakHosts.Mood mood, Random own) throws InterruptedException {
+        List<SoakHosts.Host> all = fleet.hosts().all();
+        SoakHosts.Host host = all.get(own.nextInt(all.size()));
+        host.mood = mood;
+        Thread.sleep(AWAY_LEAST_MS + own.nextInt(MOOD_MS));
+        host.mood = SoakHosts.Mood.WELL;
+    }
+
+    private void drain(Random own) throws InterruptedException {
+        List<SoakHosts.Host> all = fleet.hosts().all();
+        SoakHosts.Host host = all.get(own.nextInt(all.size()));
+        if (host.draining) {
+            return;
+        }
+        host.drainingNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TOLD_LATE_MS);
+        host.draining = true;
+        changed();
+        Thread.sleep(TOLD_LATE_MS + DRAINS_MS);
+        host.draining = false;
+        changed();
+    }
+
+    private void changed() {
+        fleet.discoveries().forEach(SoakDiscovery::changed);
+    }
+
+    private void away(Random own) throws InterruptedException {
+        SoakDiscovery discovery = fleet.discoveries().get(own.nextInt(fleet.discoveries().size()));
+        long lasts = AWAY_LEAST_MS + own.nextInt(AWAY_MS);
+        discovery.away(true);
+        Thread.sleep(lasts);
+        discovery.away(false);
+        for (SoakHosts.Host host : fleet.hosts().all()) { // counts from its return
+            long told = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TOLD_LATE_MS);
+            host.drainingNanos = Math.max(host.drainingNanos, told);
+        }
+    }
+
+    private static void crowd(SoakProcess process, Random own) throws InterruptedException {
+        List<Socket> idle = new ArrayList<>();
+        try {
+            for (int i = 0; i < CROWD && process.isUp(); i++) {
+                idle.add(SoakClient.connect(process));
+            }
+        } catch (IOException e) {
+            // as many as came
+        }
+        Thread.sleep(own.nextInt(CROWD_MS));
+        for (Socket socket : idle) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // ended before
+            }
+        }
+    }
+}
--- /dev/null
+++ b/storm/src/main/java/marlford/storm/soak/SoakFindings.java
@@ -0,0 +1,65 @@
+package marlford.storm.soak;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a soak found: broken rules, and counts of what was played. Thread-safe. */
+final class SoakFindings {
+    private static final int KEPT_MAX = 100;
+
+    /** What was counted. */
+    enum Count {
+        SERVED,
+        REFUSED,
+        FAILED,
+        LATE,
+        RESENT,
+        CUT_BY_KILL,
+        STOPPED_ENDED,
+        STOPPED_CUT,
+        FAULTS
+    }
+
+    private final List<String> broken = new ArrayList<>();
+    private final Map<Count, Integer> counts = new EnumMap<>(Count.class);
+    private double longestStopMs;
+    private int brokenCount;
+
+    synchronized void broken(String what) {
+        brokenCount++;
+        if (broken.size() < KEPT_MAX) {
+            broken.add(what);
+        }
+    }
+
+    synchronized void count(Count what) {
+        counts.merge(what, 1, Integer::sum);
+    }
+
+    /** A client that had stopped got its end after so long. */
+    synchronized void stopped(double ms) {
+        count(Count.STOPPED_ENDED);
+        longestStopMs = Math.max(longestStopMs, ms);
+    }
+
+    synchronized int brokenCount() {
+        return brokenCount;
+    }
+
+    synchronized List<String> broken() {
+        return List.copyOf(broken);
+    }
+
+    synchronized int count(Count what, int otherwise) {
+        return counts.getOrDefault(what, otherwise);
+    }
+
+    synchronized String summary() {
+        StringBuilder text = new StringBuilder("broken=" + brokenCount);
+        counts.forEach((what, count) ->
+                text.append(' ').append(what.name().toLowerCase(java.util.Locale.ROOT)).append('=').append(count));
+        return text.append(" longest_stop_ms=").append(Math.round(longestStopMs)).toString();
+    }
+}
--- /dev/null
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -0,0 +1,138 @@
+package marlford.storm.soak;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/** One gateway process of a soak: started, signalled, killed, and its log read. */
+final class SoakProcess implements Closeable {
+    private static final String JAVA =
+            Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
+    static {
+        // Whoever ends a soak ends its processes, too.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
+    }
+
+    final int number;
+    final int port;
+    private final Path folder;
+    private final String classPath;
+    private final boolean traced;
+    private Process process;
+    private volatile long upSince; // of the present life, in nanoseconds; 0 while it is not up
+    private volatile int lives;
+
+    SoakProcess(int number, int port, Path folder, String classPath, boolean traced) {
+        this.number = number;
+        this.port = port;
+        this.folder = folder;
+        this.classPath = classPath;
+        this.traced = traced;
+    }
+
+    Path settings() {
+        return folder.resolve("node.json");
+    }
+
+    Path log() {
+        return folder.resolve("log");
+    }
+
+    /** Starts it; {@link #setUp} tells when it serves. */
+    void start() throws IOException {
+        List<String> command = List.of(
+                JAVA,
+                "-Xmx48m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData",
+                "-Xshare:auto",
+                "-XX:MaxDirectMemorySize=16m",
+                "-cp",
+                classPath,
+                "deckfall.Main",
+                "serve");
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .redirectError(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        builder.environment().put("NODE_CONFIG", settings().toString());
+        builder.environment().remove("TMPDIR"); // a process that is started anew finds nobody to take over from
+        if (traced) {
+            builder.environment().put("NODE_TRACE", "1");
+        }
+        process = builder.start();
+        lives++;
+        STARTED.add(process);
+    }
+
+    /** Clients may come from now on, or no longer. */
+    void setUp(boolean up) {
+        upSince = up ? System.nanoTime() : 0;
+    }
+
+    boolean isUp() {
+        return upSince != 0;
+    }
+
+    /** The number of its present life; what began in another one is owed nothing. */
+    int life() {
+        return lives;
+    }
+
+    void kill() throws InterruptedException {
+        lives++; // ahead of the signal: what it holds is lost from here on
+        setUp(false);
+        process.destroyForcibly().waitFor();
+    }
+
+    /** SIGTERM; clients go on over what they have open. */
+    void terminate() {
+        process.destroy();
+    }
+
+    /** Whether it has ended by itself within this time. */
+    boolean hasEndedWithin(long ms) throws InterruptedException {
+        return process.waitFor(ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends it a signal by name. */
+    void signal(String name) throws IOException, InterruptedException {
+        if (process.isAlive()) {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        }
+    }
+
+    boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Lines of its log that tell of a defect or of a broken rule, from this byte on. */
+    List<String> complaints(long from) throws IOException {
+        String text = Files.exists(log()) ? Files.readString(log()) : "";
+        return text.substring((int) Math.min(from, text.length()))
+                .lines()
+                .filter(line -> line.contains("defect") || line.contains(" broken_"))
+                .toList();
+    }
+
+    long logSize() throws IOException {
+        return Files.exists(log()) ? Files.size(log()) : 0;
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+            process.onExit().join();
+        }
+    }
+}
