--- a/storm/src/main/java/marlford/storm/soak/HttpText.java
+++ b/storm/src/main/java/marlford/storm/soak/HttpText.java
@@ -39,7 +39,9 @@
         Map<String, String> headers = new HashMap<>();
         for (int i = 1; i < lines.length; i++) {
             int colon = lines[i].indexOf(':');
-            headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), lines[i].substring(colon + 1).trim());
+            headers.put(
+                    lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
+                    lines[i].substring(colon + 1).trim());
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         return in.readNBytes(length).length < length ? null : new Message(lines[0], headers);
--- a/storm/src/main/java/marlford/storm/soak/SoakClient.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakClient.java
@@ -14,7 +14,8 @@
 final class SoakClient implements Runnable {
     static final long VIEW_DEADLINE_MS = 1500;
     static final long ORDER_DEADLINE_MS = 2500;
-    private static final long ANSWER_SLACK_MS = 550; // an answer this late still is one: half a second, and 50 ms of each limit
+    private static final long ANSWER_SLACK_MS =
+            550; // an answer this late still is one: half a second, and 50 ms of each limit
     private static final int CONNECT_MS = 2000;
     private static final int THINK_MS = 250;
     private static final int REST_MS = 3000;
@@ -87,7 +88,8 @@
                 entry.leftNanos = System.nanoTime();
                 return false;
             }
-            socket.setSoTimeout((int) (deadline + ANSWER_SLACK_MS + fleet.lateness().ms()));
+            socket.setSoTimeout(
+                    (int) (deadline + ANSWER_SLACK_MS + fleet.lateness().ms()));
             HttpText.Message answer = HttpText.read(in);
             if (answer != null) {
                 count(answer.status());
@@ -124,12 +126,12 @@
     }
 
     static String order(String id, long deadlineMs, int process) {
-        return "POST /order/" + id + " HTTP/1.1\r\nHost: h\r\n" + headers(id, deadlineMs, process) + "Idempotency-Key: k" + id
-                + "\r\nContent-Length: 4\r\n\r\nbody";
+        return "POST /order/" + id + " HTTP/1.1\r\nHost: h\r\n" + headers(id, deadlineMs, process)
+                + "Idempotency-Key: k" + id + "\r\nContent-Length: 4\r\n\r\nbody";
     }
 
     private static String headers(String id, long deadlineMs, int process) {
-        return "X-Trace-Id: " + id + "\r\nX-Plan: free\r\nX-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: " + deadlineMs
-                + "\r\nX-Quota: units=1,spread=1,first=" + process + "\r\n";
+        return "X-Trace-Id: " + id + "\r\nX-Plan: free\r\nX-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: "
+                + deadlineMs + "\r\nX-Quota: units=1,spread=1,first=" + process + "\r\n";
     }
 }
--- a/storm/src/main/java/marlford/storm/soak/SoakCommand.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakCommand.java
@@ -14,7 +14,8 @@
         name = "soak",
         mixinStandardHelpOptions = true,
         sortOptions = false,
-        description = "Random, overlapping faults over a few dozen real gateways, judged by what clients and hosts saw.")
+        description =
+                "Random, overlapping faults over a few dozen real gateways, judged by what clients and hosts saw.")
 public final class SoakCommand implements Callable<Integer> {
     private static final int CROWD_ONE_IN = 3; // of the seeds
     private static final long SETTLE_MS = 4500; // the longest deadline, and an answer that is late
@@ -73,7 +74,8 @@
         fleet.judge(logs);
         List<String> found = fleet.findings().broken();
         System.out.println("soak: seed " + seed + " faults " + faults.played().size() + " late "
-                + Math.round(fleet.lateness().ms()) + " ms, so far " + fleet.findings().summary());
+                + Math.round(fleet.lateness().ms()) + " ms, so far "
+                + fleet.findings().summary());
         for (String what : found.subList(before, found.size())) {
             System.out.println("soak: seed " + seed + " BROKEN " + what);
         }
--- a/storm/src/main/java/marlford/storm/soak/SoakDiscovery.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakDiscovery.java
@@ -74,7 +74,8 @@
                 }
                 String text = list();
                 socket.getOutputStream()
-                        .write(HttpText.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text));
+                        .write(HttpText.bytes(
+                                "HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text));
             }
         } catch (IOException | InterruptedException e) {
             // ended either way
@@ -83,7 +84,9 @@
 
     private void hold(String start) throws InterruptedException {
         long began = System.nanoTime();
-        while (start.contains("from=" + version + "&") && !away && (System.nanoTime() - began) / NANOS_PER_MS < HOLD_MS) {
+        while (start.contains("from=" + version + "&")
+                && !away
+                && (System.nanoTime() - began) / NANOS_PER_MS < HOLD_MS) {
             Thread.sleep(LOOK_MS);
         }
     }
--- a/storm/src/main/java/marlford/storm/soak/SoakFaults.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFaults.java
@@ -77,7 +77,11 @@
         SoakProcess process = fleet.processes().get(number);
         boolean ends = kind == Kind.KILL || kind == Kind.TERM || kind == Kind.TERM_TWICE;
         long down = fleet.processes().stream().filter(p -> !p.isUp()).count();
-        if (ends && (!process.isUp() || ending.contains(process) || down * 3 >= fleet.processes().size()) || kind == Kind.CROWD && !crowds) {
+        if (ends
+                        && (!process.isUp()
+                                || ending.contains(process)
+                                || down * 3 >= fleet.processes().size())
+                || kind == Kind.CROWD && !crowds) {
             return;
         }
         if (ends) {
@@ -98,25 +102,11 @@
 
     private void play(Kind kind, SoakProcess process, Random own) throws IOException, InterruptedException {
         switch (kind) {
-            case KILL -> {
-                process.kill();
-                Thread.sleep(AWAY_LEAST_MS + own.nextInt(AWAY_MS));
-                restart(process);
-            }
+            case KILL -> kill(process, own);
             case TERM, TERM_TWICE -> terminate(kind, process);
             case PAUSE -> pause(process, own);
-            case PAUSE_ALL -> {
-                for (SoakProcess each : fleet.processes()) {
-                    pause(each, own);
-                }
-            }
-            case NEW_CONFIGURATIONS -> {
-                for (int i = 0; i < SERIES; i++) {
-                    fleet.writeSettings(process, own.nextInt(fleet.discoveries().size()));
-                    process.signal("HUP");
-                    Thread.sleep(own.nextInt(GAP_MS));
-                }
-            }
+            case PAUSE_ALL -> pauseAll(own);
+            case NEW_CONFIGURATIONS -> configure(process, own);
             case HOST_HANGS -> mood(SoakHosts.Mood.HANGS, own);
             case HOST_SLOW -> mood(SoakHosts.Mood.SLOW, own);
             case HOST_RESETS -> mood(SoakHosts.Mood.RESETS, own);
@@ -127,6 +117,27 @@
         }
     }
 
+    private void kill(SoakProcess process, Random own) throws IOException, InterruptedException {
+        process.kill();
+        Thread.sleep(AWAY_LEAST_MS + own.nextInt(AWAY_MS));
+        restart(process);
+    }
+
+    private void pauseAll(Random own) throws IOException, InterruptedException {
+        for (SoakProcess each : fleet.processes()) {
+            pause(each, own);
+        }
+    }
+
+    /** Several configurations in a row, each of which may name another discovery. */
+    private void configure(SoakProcess process, Random own) throws IOException, InterruptedException {
+        for (int i = 0; i < SERIES; i++) {
+            fleet.writeSettings(process, own.nextInt(fleet.discoveries().size()));
+            process.signal("HUP");
+            Thread.sleep(own.nextInt(GAP_MS));
+        }
+    }
+
     private void terminate(Kind kind, SoakProcess process) throws IOException, InterruptedException {
         process.terminate();
         Thread.sleep(COMES_ON_MS);
@@ -183,7 +194,8 @@
     }
 
     private void away(Random own) throws InterruptedException {
-        SoakDiscovery discovery = fleet.discoveries().get(own.nextInt(fleet.discoveries().size()));
+        SoakDiscovery discovery =
+                fleet.discoveries().get(own.nextInt(fleet.discoveries().size()));
         long lasts = AWAY_LEAST_MS + own.nextInt(AWAY_MS);
         discovery.away(true);
         Thread.sleep(lasts);
--- a/storm/src/main/java/marlford/storm/soak/SoakFindings.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFindings.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /** What a soak found: broken rules, and counts of what was played. Thread-safe. */
@@ -44,22 +45,18 @@
         longestStopMs = Math.max(longestStopMs, ms);
     }
 
-    synchronized int brokenCount() {
-        return brokenCount;
-    }
-
     synchronized List<String> broken() {
         return List.copyOf(broken);
     }
 
-    synchronized int count(Count what, int otherwise) {
-        return counts.getOrDefault(what, otherwise);
-    }
-
     synchronized String summary() {
         StringBuilder text = new StringBuilder("broken=" + brokenCount);
-        counts.forEach((what, count) ->
-                text.append(' ').append(what.name().toLowerCase(java.util.Locale.ROOT)).append('=').append(count));
-        return text.append(" longest_stop_ms=").append(Math.round(longestStopMs)).toString();
+        counts.forEach((what, count) -> text.append(' ')
+                .append(what.name().toLowerCase(Locale.ROOT))
+                .append('=')
+                .append(count));
+        return text.append(" longest_stop_ms=")
+                .append(Math.round(longestStopMs))
+                .toString();
     }
 }
--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -19,13 +19,27 @@
 final class SoakFleet implements Closeable {
     private static final int HOSTS = 8;
     private static final int CLIENTS_EACH = 3;
+    private static final String SETTINGS = """
+                {"name": "gNUMBER", "listen": "127.0.0.1:PORT", "discovery": "DISCOVERY", "seed": "8c1f30d27a5be9NUMBER",
+                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 400}, "peer_listen": PEER, "peers": [PEERS],
+                 "known": LIST,
+                 "settings": {"ordinal": NUMBER, "balancers": COUNT, "az": "z0",
+                  "limits": {"max_attempts": 3, "cancel": true, "probes": true, "peer_messages": true, "retry_after": true,
+                   "max_retry_after_ms": 500, "connect_timeout_ms": 1000},
+                  "rules": {"warm_within_ms": 1000, "cold_from": 0.2, "fall_multiple": 2, "drain_grace_ms": 2000},
+                  "specifics": {"max_units": 4, "mail_per_s": 40},
+                  "classes": [
+                   {"name": "view", "effect": "repeatable", "goal_time_ms": 800, "hard_limit_ms": 1500},
+                   {"name": "order", "effect": "by_key", "key_scope": "zone", "window_ms": 7500, "goal_time_ms": 1500,
+                    "hard_limit_ms": 2500}],
+                  "plans": [{"name": "free", "units_per_s": 1000000, "depth": 1000000}]}}
+                """;
     private static final long READY_MS = 60_000;
     private static final long LOOK_MS = 20;
 
     /** A request that got no answer; whether it is lost follows from the log of the process that may have read it. */
     private record Suspect(SoakProcess process, int life, String id, String how) {}
 
-    private final Path folder;
     private final List<SoakProcess> processes = new ArrayList<>();
     private final RequestLedger ledger = new RequestLedger();
     private final SoakFindings findings = new SoakFindings();
@@ -37,7 +51,6 @@
     private volatile boolean playing = true;
 
     SoakFleet(Path folder, String classPath, int count, long seed) throws IOException {
-        this.folder = folder;
         this.hosts = new SoakHosts(HOSTS, seed, ledger, findings, lateness);
         discoveries.add(new SoakDiscovery(hosts));
         discoveries.add(new SoakDiscovery(hosts));
@@ -148,22 +161,7 @@
 
     /** Writes its configuration anew, with one of the discoveries and the present list. */
     void writeSettings(SoakProcess process, int discovery) throws IOException {
-        String text = """
-                {"name": "gNUMBER", "listen": "127.0.0.1:PORT", "discovery": "DISCOVERY", "seed": "8c1f30d27a5be9NUMBER",
-                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 400}, "peer_listen": PEER, "peers": [PEERS],
-                 "known": LIST,
-                 "settings": {"ordinal": NUMBER, "balancers": COUNT, "az": "z0",
-                  "limits": {"max_attempts": 3, "cancel": true, "probes": true, "peer_messages": true, "retry_after": true,
-                   "max_retry_after_ms": 500, "connect_timeout_ms": 1000},
-                  "rules": {"warm_within_ms": 1000, "cold_from": 0.2, "fall_multiple": 2, "drain_grace_ms": 2000},
-                  "specifics": {"max_units": 4, "mail_per_s": 40},
-                  "classes": [
-                   {"name": "view", "effect": "repeatable", "goal_time_ms": 800, "hard_limit_ms": 1500},
-                   {"name": "order", "effect": "by_key", "key_scope": "zone", "window_ms": 7500, "goal_time_ms": 1500,
-                    "hard_limit_ms": 2500}],
-                  "plans": [{"name": "free", "units_per_s": 1000000, "depth": 1000000}]}}
-                """
-                .replace("NUMBER", Integer.toString(process.number))
+        String text = SETTINGS.replace("NUMBER", Integer.toString(process.number))
                 .replace("PORT", Integer.toString(process.port))
                 .replace("DISCOVERY", discoveries.get(discovery).address())
                 .replace("LIST", discoveries.get(discovery).list())
@@ -180,7 +178,8 @@
         for (Suspect suspect : suspects) {
             String log = Files.readString(suspect.process().log());
             if (log.contains("taken request=" + suspect.id() + " ")) {
-                findings.broken("lost: " + suspect.id() + " at process " + suspect.process().number + ": " + suspect.how());
+                findings.broken(
+                        "lost: " + suspect.id() + " at process " + suspect.process().number + ": " + suspect.how());
             } else {
                 findings.count(SoakFindings.Count.RESENT);
             }
@@ -195,10 +194,6 @@
         }
     }
 
-    Path folder() {
-        return folder;
-    }
-
     @Override
     public void close() throws IOException {
         stop();
--- a/storm/src/main/java/marlford/storm/soak/StoppingClient.java
+++ b/storm/src/main/java/marlford/storm/soak/StoppingClient.java
@@ -121,7 +121,9 @@
     private String sent(SoakProcess process, boolean order) {
         String id = "s" + number + "-" + ++asked;
         fleet.ledger().sent(id, order ? SoakClient.ORDER_DEADLINE_MS : DEADLINE_MS, order);
-        return order ? SoakClient.order(id, SoakClient.ORDER_DEADLINE_MS, process.number) : SoakClient.view(id, DEADLINE_MS, process.number);
+        return order
+                ? SoakClient.order(id, SoakClient.ORDER_DEADLINE_MS, process.number)
+                : SoakClient.view(id, DEADLINE_MS, process.number);
     }
 
     private String text(SoakProcess process, Position position) {
