Give a client that expects it leave to send its body once the answer ahead has left

Callers saw: a client that sent Expect: 100-continue behind another request got no 100, and a 408 as soon as that one was answered, as if it had stopped. Cause: the word was only given where nothing was due at the moment of reading; the client's time ran meanwhile. Change: the word is given when the answer ahead has left, and at least 1 s from then.

--- a/gateway/src/main/java/deckfall/guard/ClientProgress.java
+++ b/gateway/src/main/java/deckfall/guard/ClientProgress.java
@@ -15,6 +15,8 @@
     private static final double HEAD_MS = 2500; // from its first byte; a client may take 2000
     private static final double BODY_PAUSE_MS = 2500; // between two pieces of a body
     private static final double RESUMED_MS = 1000; // for the next piece, once reading has gone on after a pause
+    /** A client that waited for this gateway counts as having waited for so long, which leaves it {@link #RESUMED_MS}. */
+    public static final double WAITED_MS = BODY_PAUSE_MS - RESUMED_MS;
     private static final double BODY_GRACE_MS = 3500; // of a request, before its mean speed counts
     private static final double BODY_BYTES_PER_MS = 16; // on the mean
     private static final double OUTPUT_MS = 2500; // answers not taken, with more of the client's input behind them
--- a/gateway/src/main/java/deckfall/net/ClientConnection.java
+++ b/gateway/src/main/java/deckfall/net/ClientConnection.java
@@ -266,8 +266,15 @@
             node.loop.execute(() -> confirm(((RequestReader.BodyRead) event).body()));
             return;
         }
-        // Ahead of an answer that is still due it would be taken to belong to that one; then the client waits.
-        if (event == RequestReader.Asks.TO_GO_ON && !busy && !ended && waiting.isEmpty()) {
+        if (event == RequestReader.Asks.TO_GO_ON) {
+            tellToGoOn();
+        }
+    }
+
+    /** Not ahead of an answer that is still due, as it would be taken to belong to that one: then the client waits. */
+    private void tellToGoOn() {
+        if (reader.asksToGoOn() && !busy && !ended && waiting.isEmpty()) {
+            reader.toldToGoOn();
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
                     Unpooled.EMPTY_BUFFER), channel.voidPromise());
         }
@@ -575,6 +582,7 @@
         }
         busy = false;
         if (waiting.isEmpty()) {
+            tellToGoOn();
             rest();
         } else { // not at once: an answer may be given while the request is being taken
             node.loop.execute(next);
--- a/gateway/src/main/java/deckfall/net/RequestReader.java
+++ b/gateway/src/main/java/deckfall/net/RequestReader.java
@@ -50,6 +50,7 @@
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Upload rest; // of a body too long to be kept; null where it is put together here
+    private boolean asked; // the head that is here expects a word before its body
     private boolean over;
     private IntConsumer forgotten = bytes -> { };
     private double since = NONE; // when an unfinished request began to come
@@ -133,6 +134,19 @@
         }
     }
 
+    /** Whether the client waits for the word that its head was read, before it sends the body. */
+    boolean asksToGoOn() {
+        return asked && read == 0 && head != null;
+    }
+
+    /** The client is given that word: it has some time from here on, however long it waited. */
+    void toldToGoOn() {
+        asked = false;
+        double latest = clock.now() - ClientProgress.WAITED_MS;
+        since = Math.max(since, latest);
+        readAt = Math.max(readAt, latest);
+    }
+
     /** Whether all that has come was read, as far as is known. */
     boolean isDrained() {
         return drained;
@@ -189,6 +203,7 @@
         } else if (HttpUtil.getContentLength(request, 0L) > LONGEST) {
             refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE); // before any of it is read
         } else if (HttpUtil.is100ContinueExpected(request)) {
+            asked = true;
             ctx.fireUserEventTriggered(Asks.TO_GO_ON);
         } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
             refuse(ctx, HttpResponseStatus.EXPECTATION_FAILED);
@@ -232,6 +247,7 @@
     /** A request has come whole: the next one begins here, and has where something stands behind the last. */
     private void nextFrom() {
         head = null;
+        asked = false;
         read = 0;
         since = decoder.leftOver() ? clock.now() : NONE;
     }
