Count the time that a connection waits to be accepted towards its first request

Cause: a request's time began with the first look at its connection, however long that had stood in the accept queue (trace: the request is taken in the same millisecond as its connection, between connections that give way). Ruled out: the loop's own lateness, which is counted already. Change: while each reading of the listener leaves connections behind, or accepting pauses, those that are accepted may have waited since that began; a first request that comes with its connection counts from there. Measured: QueuedRequestOutlivesItsClientTest.whatWaitsToBeAcceptedIsToldWhatIsLeft failed without it (told 19,980) and passes; FailedAcceptStopsAcceptingTest and StoppedClientIsLeftOpenTest pass.

--- a/gateway/src/main/java/deckfall/accept/AcceptRetry.java
+++ b/gateway/src/main/java/deckfall/accept/AcceptRetry.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 /**
  * Goes on accepting after a failed accept. Without it netty's bootstrap accepts nothing for a second. The first failure in a row
@@ -17,8 +18,15 @@
     private static final int DOUBLINGS = 6; // beyond the longest pause
     private static final String NO_DESCRIPTOR = "Too many open files"; // of the process, or of the system
 
+    private static final int AT_ONCE = 16; // netty's own bound for one reading of a listener
+    private static final double NONE = -1;
+
     private final Consumer<String> log;
     private final Runnable makeRoom;
+    private final DoubleSupplier clock;
+    private int inReading; // connections that this reading has brought
+    private double readingMs; // when it began
+    private double backlogMs = NONE; // since when each reading left some behind
     private long calls; // accepts that came to something, and failures
     private int failures; // in a row
     private boolean paused;
@@ -26,8 +34,10 @@
     /**
      * @param log takes one line for a row of failures
      * @param makeRoom runs where no descriptor was left
+     * @param clock in milliseconds
      */
-    public AcceptRetry(Consumer<String> log, Runnable makeRoom) {
+    public AcceptRetry(Consumer<String> log, Runnable makeRoom, DoubleSupplier clock) {
+        this.clock = clock;
         this.log = log;
         this.makeRoom = makeRoom;
     }
@@ -41,9 +51,26 @@
     public void channelRead(ChannelHandlerContext ctx, Object accepted) {
         calls++;
         failures = 0;
+        readingMs = inReading++ == 0 ? clock.getAsDouble() : readingMs;
         ctx.fireChannelRead(accepted);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (inReading < AT_ONCE && !paused) {
+            backlogMs = NONE;
+        } else if (backlogMs == NONE) {
+            backlogMs = inReading == 0 ? clock.getAsDouble() : readingMs;
+        }
+        inReading = 0;
+        ctx.fireChannelReadComplete();
+    }
+
+    /** For how long a connection that is being accepted may have waited behind others. */
+    public double waitedMs() {
+        return backlogMs == NONE ? 0 : clock.getAsDouble() - backlogMs;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         calls++;
@@ -60,6 +87,7 @@
 
     private void pause(Channel listener) {
         paused = true;
+        backlogMs = backlogMs == NONE ? clock.getAsDouble() : backlogMs;
         listener.config().setAutoRead(false);
         long doubled = SHORTEST_MS << Math.min(failures, DOUBLINGS);
         listener.eventLoop().schedule(() -> {
--- a/gateway/src/main/java/deckfall/net/ClientConnection.java
+++ b/gateway/src/main/java/deckfall/net/ClientConnection.java
@@ -40,6 +40,7 @@
     private static final int LOOKED_AHEAD = 256 * 1024; // bytes read ahead on one connection to look for the client's end
     private static final int LOOKED_AHEAD_IN_ALL = 4 * 1024 * 1024; // the same on all connections
     private static final double UNSEEN_MS = 40; // a client seen so lately is not looked for again: half of what is allowed
+    private static final double JUST_OPENED_MS = 50;
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
     private static final double BODY_BYTES_PER_MS = 64; // that a client sends at least, by the protocol
@@ -58,6 +59,7 @@
     private final RequestTerms terms;
     private final Channel channel;
     private final long number;
+    private final double waitedMs;
     private final RequestReader reader;
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>(); // requests, and at the end what is unreadable
     private final Runnable next = this::next;
@@ -83,8 +85,12 @@
     private CloseReason closing; // null until this side ends the connection
     private Linger linger; // null until the last answer has left
 
-    /** @param number of the connection, counted from the process's start */
-    ClientConnection(Node node, ClientPlaces places, RequestTerms terms, Channel channel, long number) {
+    /**
+     * @param number of the connection, counted from the process's start
+     * @param waitedMs for how long it may have waited to be accepted
+     */
+    ClientConnection(Node node, ClientPlaces places, RequestTerms terms, Channel channel, long number, double waitedMs) {
+        this.waitedMs = waitedMs;
         this.number = number;
         this.node = node;
         this.places = places;
@@ -304,8 +310,12 @@
     }
 
     private void queue(Object message) {
+        double now = node.clock.now();
         double late = Math.max(node.lag.ms(), reader.unreadMs()); // so long it may have stood in its socket
-        waiting.add(new Waiting(message, node.clock.now() - late));
+        if (whole == 1 && now - idleSince < JUST_OPENED_MS) { // it came with the connection
+            late = Math.max(late, waitedMs + now - idleSince);
+        }
+        waiting.add(new Waiting(message, now - late));
         waitingBytes += size(message);
         places.readAhead(size(message));
     }
--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -33,13 +33,13 @@
         if (node.isDraining()) {
             node.rules.broken(Rule.LISTENED_WHILE_ENDING);
         }
-        AcceptRetry accepting = new AcceptRetry(Node::log, this::noDescriptor);
+        AcceptRetry accepting = new AcceptRetry(Node::log, this::noDescriptor, node.clock::now);
         ChannelFuture bound = node.transport.server(node.group)
                 .handler(accepting)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        new ClientConnection(node, places, terms, ch, ++accepted).addTo(ch.pipeline());
+                        new ClientConnection(node, places, terms, ch, ++accepted, accepting.waitedMs()).addTo(ch.pipeline());
                     }
                 }).bind(node.transport.at(node.config.listen()));
         listener = bound.channel();
--- a/gateway/src/test/java/deckfall/net/QueuedRequestOutlivesItsClientTest.java
+++ b/gateway/src/test/java/deckfall/net/QueuedRequestOutlivesItsClientTest.java
@@ -15,6 +15,7 @@
 class QueuedRequestOutlivesItsClientTest extends SocketTest {
     private static final int PATIENCE_MS = 20_000;
     private static final double HELD_MS = 5000;
+    private static final int BEFORE = 20; // more than are accepted at once
     private static final long BEATS_MS = 100;
     private static final double SLACK_MS = 150;
 
@@ -42,4 +43,28 @@
         int told = Integer.parseInt(host.next().header("X-Expires-In-Ms"));
         assertTrue(told <= PATIENCE_MS - HELD_MS + SLACK_MS, "told " + told);
     }
+
+    /** Connections that come faster than they are accepted wait behind each other, and their requests with them. */
+    @Test
+    void whatWaitsToBeAcceptedIsToldWhatIsLeft() throws Exception {
+        Server host = host(SocketTest::echo);
+        MovedClock clock = MovedClock.standing();
+        CountDownLatch accepted = new CountDownLatch(1);
+        Node node = nodeBefore(host, clock);
+        node.loop.submit(node.clients::pause).get();
+        for (int i = 0; i < BEFORE; i++) {
+            client(node);
+        }
+        Client last = client(node).send(view("waits", PATIENCE_MS));
+        node.loop.submit(() -> {
+            Transport.readNow(node.clients.listener()); // a part of those that wait
+            clock.move(HELD_MS);
+            Transport.readNow(node.clients.listener());
+            accepted.countDown();
+        });
+        assertTrue(accepted.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals("for waits ", last.receive().text());
+        int told = Integer.parseInt(host.next().header("X-Expires-In-Ms"));
+        assertTrue(told <= PATIENCE_MS - HELD_MS + SLACK_MS, "told " + told);
+    }
 }
