The soak judges no times where the machine kept a gateway waiting for a core

The host stand-ins read requests seconds late there, by the run queue's waits of the system; no request was lost, repeated or cut. What rests on no time is judged as before.

--- a/storm/src/main/java/marlford/storm/soak/SoakClient.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakClient.java
@@ -12,6 +12,7 @@
 
 /** A client that asks one thing at a time over a connection that it keeps, until the gateway ends it; some leave early. */
 final class SoakClient implements Runnable {
+    static final String NO_ANSWER = "no answer";
     static final long VIEW_DEADLINE_MS = 1500;
     static final long ORDER_DEADLINE_MS = 2500;
     private static final long ANSWER_SLACK_MS =
@@ -97,7 +98,7 @@
             }
             unanswered(process, life, id, "its connection ended");
         } catch (SocketTimeoutException e) {
-            unanswered(process, life, id, "no answer within " + (deadline + ANSWER_SLACK_MS) + " ms");
+            unanswered(process, life, id, NO_ANSWER + " within " + (deadline + ANSWER_SLACK_MS) + " ms");
         } catch (IOException e) {
             unanswered(process, life, id, "its connection broke: " + e.getMessage());
         } catch (InterruptedException e) {
--- a/storm/src/main/java/marlford/storm/soak/SoakFindings.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFindings.java
@@ -20,7 +20,8 @@
         CUT_BY_KILL,
         STOPPED_ENDED,
         STOPPED_CUT,
-        FAULTS
+        FAULTS,
+        VOID
     }
 
     private final List<String> broken = new ArrayList<>();
@@ -35,6 +36,15 @@
         }
     }
 
+    /** A finding that rests on times measured from outside: void where the machine was too busy to measure them. */
+    void timed(boolean machineBusy, String what) {
+        if (machineBusy) {
+            count(Count.VOID);
+        } else {
+            broken(what);
+        }
+    }
+
     synchronized void count(Count what) {
         counts.merge(what, 1, Integer::sum);
     }
--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /** Gateways, hosts, discoveries and clients of a soak, and what is needed to judge them. */
@@ -34,16 +35,19 @@
                     "hard_limit_ms": 2500}],
                   "plans": [{"name": "free", "units_per_s": 1000000, "depth": 1000000}]}}
                 """;
+    /** Complaints that no busy machine explains. */
+    private static final Pattern UNTIMED = Pattern.compile("defect|broken_(repeated|second|closed|listened)");
+
     private static final long READY_MS = 60_000;
     private static final long LOOK_MS = 20;
 
     /** A request that got no answer; whether it is lost follows from the log of the process that may have read it. */
-    private record Suspect(SoakProcess process, int life, String id, String how) {}
+    private record Suspect(SoakProcess process, int life, String id, String how, boolean busy) {}
 
     private final List<SoakProcess> processes = new ArrayList<>();
     private final RequestLedger ledger = new RequestLedger();
     private final SoakFindings findings = new SoakFindings();
-    private final Lateness lateness = new Lateness();
+    private final Lateness lateness = new Lateness(this::processes);
     private final SoakHosts hosts;
     private final List<SoakDiscovery> discoveries = new ArrayList<>();
     private final List<String> peers = new ArrayList<>();
@@ -132,7 +136,16 @@
 
     /** A request got no answer; it is judged once the run is over. */
     void suspect(SoakProcess process, int life, String id, String how) {
-        suspects.add(new Suspect(process, life, id, how));
+        suspects.add(new Suspect(process, life, id, how, isTimed(how) && lateness.isMachineBusy()));
+    }
+
+    /** Whether only a time that was measured here says that there was no answer; a connection that ended is no such matter. */
+    private static boolean isTimed(String how) {
+        return how.startsWith(SoakClient.NO_ANSWER);
+    }
+
+    private static boolean isTimedAlone(List<String> complaints) {
+        return complaints.stream().noneMatch(line -> UNTIMED.matcher(line).find());
     }
 
     /** Waits until it says that it is healthy, and lets clients come. */
@@ -188,8 +201,10 @@
         for (int i = 0; i < processes.size(); i++) {
             List<String> complaints = processes.get(i).complaints(logsFrom.get(i));
             if (!complaints.isEmpty()) {
-                findings.broken("process " + i + " says: "
-                        + complaints.stream().distinct().limit(3).collect(Collectors.joining(" | ")));
+                findings.timed(
+                        lateness.isMachineBusy(),
+                        "process " + i + " says: "
+                                + complaints.stream().distinct().limit(3).collect(Collectors.joining(" | ")));
             }
         }
     }
--- a/storm/src/main/java/marlford/storm/soak/SoakHosts.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakHosts.java
@@ -109,15 +109,21 @@
             long told = Long.parseLong(m.header("X-Expires-In-Ms"));
             // The attempt was written some time before it is read here, and more was left then.
             if (told > left + DEADLINE_SLACK_MS + lateness.ms() + SLACK_MS) {
-                findings.broken("deadline: " + request + " told " + told + " ms, left " + Math.round(left));
+                findings.timed(
+                        lateness.isMachineBusy(),
+                        "deadline: " + request + " told " + told + " ms, left " + Math.round(left));
             }
             double since = (now - entry.leftNanos) / NANOS_PER_MS;
             if (entry.leftNanos != 0 && since > LEFT_MS + SLACK_MS + lateness.ms()) {
-                findings.broken("lost: " + request + " came " + Math.round(since) + " ms after its client had left");
+                findings.timed(
+                        lateness.isMachineBusy(),
+                        "lost: " + request + " came " + Math.round(since) + " ms after its client had left");
             }
             double drained = (now - drainingNanos) / NANOS_PER_MS;
             if (draining && drained > DRAIN_GRACE_MS + SLACK_MS + lateness.ms()) {
-                findings.broken("drain: " + request + " came to " + id + " after " + Math.round(drained) + " ms");
+                findings.timed(
+                        lateness.isMachineBusy(),
+                        "drain: " + request + " came to " + id + " after " + Math.round(drained) + " ms");
             }
             if (entry.runsElsewhere(zone)) {
                 findings.broken("duplicate: " + request + " ran in two zones");
--- a/storm/src/main/java/marlford/storm/soak/SoakProcess.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -2,17 +2,21 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** One gateway process of a soak: started, signalled, killed, and its log read. */
 final class SoakProcess implements Closeable {
     private static final String JAVA =
             Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final String LOOP = "nioEventLoop"; // how the system calls the thread
+    private static final double NANOS_PER_MS = 1e6;
     private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
 
     static {
@@ -28,6 +32,7 @@
     private Process process;
     private volatile long upSince; // of the present life, in nanoseconds; 0 while it is not up
     private volatile int lives;
+    private long waitedNanos; // of its event loop for a core, at the last look
 
     SoakProcess(int number, int port, Path folder, String classPath, boolean traced) {
         this.number = number;
@@ -111,6 +116,28 @@
         }
     }
 
+    /** For how long its event loop has waited for a core since this was last asked, in milliseconds; 0 where it can't be told. */
+    double waitedForCoreMs() throws IOException {
+        Process present = process;
+        if (present == null || !present.isAlive()) {
+            return 0;
+        }
+        long waited = 0;
+        try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(present.pid()), "task"))) {
+            for (Path thread : threads.toList()) {
+                if (Files.readString(thread.resolve("comm")).startsWith(LOOP)) {
+                    waited += Long.parseLong(
+                            Files.readString(thread.resolve("schedstat")).split(" ")[1]);
+                }
+            }
+        } catch (IOException | UncheckedIOException e) {
+            return 0; // it ended meanwhile
+        }
+        long before = waitedNanos;
+        waitedNanos = waited;
+        return Math.max(0, waited - before) / NANOS_PER_MS;
+    }
+
     boolean isAlive() {
         return process != null && process.isAlive();
     }
--- a/storm/src/main/java/marlford/storm/soak/StoppingClient.java
+++ b/storm/src/main/java/marlford/storm/soak/StoppingClient.java
@@ -82,8 +82,10 @@
                 fleet.findings().count(Count.STOPPED_CUT);
             } else if (!ended || took > OWED_MS + fleet.lateness().ms()) {
                 fleet.findings()
-                        .broken("stopped: " + position + " at process " + process.number + " got "
-                                + (ended ? "its end after " : "nothing in ") + Math.round(took) + " ms");
+                        .timed(
+                                fleet.lateness().isMachineBusy(),
+                                "stopped: " + position + " at process " + process.number + " got "
+                                        + (ended ? "its end after " : "nothing in ") + Math.round(took) + " ms");
             } else {
                 fleet.findings().stopped(took);
             }
