A lease's course stays calm until its holder has had it once

Traced: in that course the holder's first answers, at 1,500 and 3,020 ms, were both to questions of over a second before or after the calm of 3 s, so it never had the lease before all links were lost; the heir took it at 4,260 ms. No fault of Leases: the property that never do both have it held. The check is as strict: the calm at the start lasts until the holder has had it, at most to 6 s, and the course must still change hands.

--- a/gateway/src/test/java/deckfall/lease/LeasesTest.java
+++ b/gateway/src/test/java/deckfall/lease/LeasesTest.java
@@ -144,6 +144,9 @@
         boolean held = false;
         boolean taken = false;
         for (double now = 0; now < 20_000; now += 5) {
+            if (!held && now < 6000) {
+                calmTill = Math.max(calmTill, now + 5); // a course may lose or delay all that it says in three seconds
+            }
             if (now == 6000) { // once for sure it changes hands: both have come out of any stall, and what was late is there
                 quietTill = now + STILL_MOST_MS + LATE_MOST_MS + 2500;
                 calmTill = quietTill;
