AcceptRetry for a listener that asks nothing takes the log alone

Found on reading the change once more: the console and the fleet's listener passed System::nanoTime for a clock in milliseconds, which nothing asked, and an empty way to make room. A constructor with the log alone says what they want; no behaviour changes. Measured: FailedAcceptStopsAcceptingTest, ConsoleTest, HouseTest and FleetHouseTest pass; the whole suite was not run on it.

--- a/fleet/src/main/java/marlford/consensus/FrameTransport.java
+++ b/fleet/src/main/java/marlford/consensus/FrameTransport.java
@@ -58,7 +58,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(QUEUE_MAX / 2, QUEUE_MAX))
-                .handler(new AcceptRetry(System.err::println, () -> {}, System::nanoTime))
+                .handler(new AcceptRetry(System.err::println))
                 .childHandler(pipeline(listener))
                 .bind(at)
                 .sync()
--- a/gateway/src/main/java/deckfall/accept/AcceptRetry.java
+++ b/gateway/src/main/java/deckfall/accept/AcceptRetry.java
@@ -31,6 +31,11 @@
     private int failures; // in a row
     private boolean paused;
 
+    /** For a listener nobody asks for how long connections waited, and that has no room to make. */
+    public AcceptRetry(Consumer<String> log) {
+        this(log, () -> { }, () -> 0);
+    }
+
     /**
      * @param log takes one line for a row of failures
      * @param makeRoom runs where no descriptor was left
--- a/gateway/src/main/java/deckfall/console/Console.java
+++ b/gateway/src/main/java/deckfall/console/Console.java
@@ -84,7 +84,7 @@
         try {
             listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                    .handler(new AcceptRetry(log, () -> { }, System::nanoTime))
+                    .handler(new AcceptRetry(log))
                     .childHandler(new ChannelInitializer<>() {
                         @Override
                         protected void initChannel(Channel ch) {
