A SIGHUP in the first tenth of a second no longer ends a starting gateway

Cause: until the virtual machine takes signals, SIGHUP's default holds. Evidence: java serve and kill -HUP after 0.02 and 0.05 s: exit 129, nothing on stderr; after 0.1 s it lives on. Change: run starts the program with SIGHUP ignored; the file is looked at four times a second in any case (Reload), so a new configuration holds 250 ms later at most. storm's reader of the run line takes what stands ahead of exec. Test: ProcessTest.sighupAheadOfTheProgramEndsItsStart, the signal sent as the shell becomes java; without the change it failed in 0.2 s ('not ready', process gone), with it ProcessTest is green.

--- a/gateway/src/main/java/deckfall/net/Reload.java
+++ b/gateway/src/main/java/deckfall/net/Reload.java
@@ -20,7 +20,7 @@
  * under it, keeps ignoring it: the virtual machine leaves such a signal alone, whatever handler is set, and says
  * nothing. A gateway so started once went on for good with the discovery that its first file named.
  *
- * <p>Before the virtual machine runs, SIGHUP ends the process as it ends any program.
+ * <p>Before the virtual machine takes signals, SIGHUP ends the process; the deploy file starts it with SIGHUP ignored.
  */
 final class Reload {
     static final long LOOK_MS = 250; // how often the file is looked at
--- a/gateway/src/test/java/deckfall/net/ProcessTest.java
+++ b/gateway/src/test/java/deckfall/net/ProcessTest.java
@@ -210,6 +210,21 @@
         }
     }
 
+    /** The virtual machine ends at a SIGHUP that comes before the program takes it, with status 129 and without a line. */
+    @Test
+    void sighupAheadOfTheProgramEndsItsStart() throws Exception {
+        String run = Files.readAllLines(Path.of("..", "deploy", "balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = \"")).findFirst().orElseThrow();
+        choosePort();
+        start(config("127.0.0.1:1"), run.substring(run.indexOf('"') + 1, run.indexOf("exec java")));
+        Path name = Path.of("/proc", Long.toString(process.pid()), "comm");
+        while (!Files.readString(name).startsWith("java")) {
+            assertTrue(process.isAlive()); // still the shell
+        }
+        hangUp(config("127.0.0.1:1"));
+        awaitReady();
+    }
+
     /** Whenever in a start the file is replaced, and though no signal follows, the process ends on the new one. */
     @ParameterizedTest
     @ValueSource(ints = {0, 150, 400, 800})
--- a/storm/src/main/java/marlford/storm/scale/RealGateway.java
+++ b/storm/src/main/java/marlford/storm/scale/RealGateway.java
@@ -14,7 +14,8 @@
 /** One process of the program, started as the deploy file says. */
 final class RealGateway implements Closeable {
     private static final Path DEPLOY_FILE = Path.of("deploy", "balancer.toml");
-    private static final String RUN = "run = \"exec java ";
+    private static final String RUN = "run = ";
+    private static final String PROGRAM = "exec java ";
     private static final String JAVA =
             Path.of(System.getProperty("java.home"), "bin", "java").toString();
     private static final int TICKS_PER_S = 100; // of /proc, on every Linux that the program runs on
@@ -66,8 +67,8 @@
     static List<String> deployedArguments(Path root) throws IOException {
         for (String line : Files.readAllLines(root.resolve(DEPLOY_FILE))) {
             if (line.startsWith(RUN)) {
-                return List.of(
-                        line.substring(RUN.length(), line.lastIndexOf('"')).split(" "));
+                int from = line.indexOf(PROGRAM) + PROGRAM.length();
+                return List.of(line.substring(from, line.lastIndexOf('"')).split(" "));
             }
         }
         throw new IOException("no run line in " + root.resolve(DEPLOY_FILE));
