Discovery is called again where taking turns failed

Cause, by trace: ListTurn.Told is first needed at the first retry, some 25 ms after the listener opens (-Xlog:class+load). Where a crowd has taken every descriptor by then, a class of target/classes can't be opened; the NoClassDefFoundError went into a task of the event loop, which logs nothing, and nothing else would ever have called again. Ruled out: accepting without netty's pause (78 runs of the test and 10 of 20 s with a crowd: calls every 80 ms throughout). Change: the retry is scheduled ahead of what others may throw, and calls out of turn where taking a turn throws, with a line. Test: DiscoveryTest.discoveryIsNeverCalledAgainAfterAFailedTurn, both crossings seen to fail (30 s in vain); green with it, and the forced process calls on in 3 of 3.

--- a/gateway/src/main/java/deckfall/net/Discovery.java
+++ b/gateway/src/main/java/deckfall/net/Discovery.java
@@ -197,14 +197,23 @@
         if (++failures >= GIVEN_UP || calls.turnedAway || tooLong) { // a start waits for neither
             spoken();
         }
+        node.loop.schedule(() -> retry(calls), wait, TimeUnit.MILLISECONDS); // ahead of what others may throw
         if (calls.inTurn) {
             node.lists().called(agent.toString(), false, null);
         }
-        node.loop.schedule(() -> {
-            if (calls == current) {
-                again(calls);
-            }
-        }, wait, TimeUnit.MILLISECONDS);
+    }
+
+    /** Calls anew after a failure, out of turn where taking turns fails: nothing else would ever call again. */
+    private void retry(Calls failed) {
+        if (failed != current) {
+            return;
+        }
+        try {
+            again(failed);
+        } catch (RuntimeException | LinkageError e) {
+            Node.log("defect: no turn to call discovery: " + e);
+            connect();
+        }
     }
 
     /** One line for a spell of failures, however often it is asked, and one for a list that is too long. */
@@ -260,11 +269,7 @@
     /** It is this gateway's turn to call, or a list came that another was told. */
     private void goOn(Calls before, InetSocketAddress asked, ListTurn.Told told) {
         if (told != null && !taken(asked, told)) { // as one of an agent that counts anew, for a while
-            node.loop.schedule(() -> {
-                if (before == current) {
-                    again(before);
-                }
-            }, pace.broke(node.clock.now()), TimeUnit.MILLISECONDS);
+            node.loop.schedule(() -> retry(before), pace.broke(node.clock.now()), TimeUnit.MILLISECONDS);
             return;
         }
         if (told != null) {
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -88,7 +88,7 @@
     private boolean telling;
     private boolean serving; // before, what peers say is for the ears of a module that has not begun
     private final Operators operators;
-    private Extras extras = Extras.NONE;
+    Extras extras = Extras.NONE; // set ahead of the start
     private Console console; // null where there is none
     private boolean draining;
     private boolean leaving; // that has come so far that clients no longer stay
--- a/gateway/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/gateway/src/test/java/deckfall/net/DiscoveryTest.java
@@ -14,13 +14,18 @@
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
 import java.io.IOException;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A discovery that is in trouble: the gateway asks again, believes no older word and is never left without hosts. */
 class DiscoveryTest extends SocketTest {
+    private static final int CALLS_AWAY = 8;
     private static final int PART = 20; // bytes
     private static final int PART_MS = 40; // apart; together longer than the 200 ms that an answer may be silent here
 
@@ -89,6 +94,46 @@
         serves(node, host, 3);
     }
 
+    /** A class that could not be loaded for want of a descriptor once ended the calls for good, without a line. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void discoveryIsNeverCalledAgainAfterAFailedTurn(boolean hasTurn) throws Exception {
+        AtomicBoolean away = new AtomicBoolean(true);
+        Server agent = kept(new Server((m, s) -> {
+            if (away.get()) {
+                s.setSoLinger(true, 0);
+                s.close();
+            } else if (!m.start().contains("from=")) {
+                s.getOutputStream().write(ok(list(1, true)));
+            }
+        }));
+        Node node = nodeAsking(agent);
+        node.loop.submit(() -> node.extras = new Extras(Map.of(), Usage.NONE, new FailingTurn(hasTurn), inside -> { })).sync();
+        for (int i = 0; i < CALLS_AWAY; i++) {
+            assertNotNull(agent.next(), "calls ended");
+        }
+        away.set(false);
+        await(agent, "from=1&");
+    }
+
+    /** Fails where a turn is asked for, or else where what came of it is told. */
+    private record FailingTurn(boolean hasTurn) implements ListTurn {
+        @Override
+        public void due(String agent, Consumer<Told> next) {
+            if (!hasTurn) {
+                throw new NoClassDefFoundError("planted");
+            }
+            next.accept(null);
+        }
+
+        @Override
+        public void called(String agent, boolean answered, String whole) {
+            if (!answered) {
+                throw new NoClassDefFoundError("planted");
+            }
+        }
+    }
+
     /** A drain must not be undone by a word from before it, and an agent that counts anew is heard in the end. */
     @Test
     void anOlderListOfTheSameAgentReopensNobody() throws Exception {
