Soak tells how a process ended, and no longer ends one by its own SIGHUP

Also, by reading, not seen: a client's connection could get the port of a process that is away; the soak holds the ports, bound and not listened to.

--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -54,23 +56,34 @@
     private final List<Suspect> suspects = new CopyOnWriteArrayList<>();
     private volatile boolean playing = true;
 
+    private final List<SocketChannel> reservedPorts = new ArrayList<>();
+
     SoakFleet(Path folder, String classPath, int count, long seed) throws IOException {
         this.hosts = new SoakHosts(HOSTS, seed, ledger, findings, lateness);
         discoveries.add(new SoakDiscovery(hosts));
         discoveries.add(new SoakDiscovery(hosts));
-        List<Closeable> held = new ArrayList<>();
+        List<DatagramSocket> held = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             Path own = Files.createDirectories(folder.resolve("g" + i));
-            ServerSocket port = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            int port = reservePort();
             DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-            held.add(port);
             held.add(peer);
             peers.add("\"127.0.0.1:" + peer.getLocalPort() + "\"");
-            processes.add(new SoakProcess(i, port.getLocalPort(), own, classPath, true));
-        }
-        for (Closeable c : held) {
-            c.close();
+            processes.add(new SoakProcess(i, port, own, classPath, true));
         }
+        held.forEach(DatagramSocket::close);
+    }
+
+    /**
+     * A port that no client's connection gets while its process is away: bound here, but not listened to. The process binds it all
+     * the same, since both allow the address's reuse.
+     */
+    private int reservePort() throws IOException {
+        SocketChannel reserved = SocketChannel.open();
+        reservedPorts.add(reserved);
+        reserved.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        return ((InetSocketAddress) reserved.getLocalAddress()).getPort();
     }
 
     /** Starts all processes, and returns once they serve. */
@@ -153,7 +166,7 @@
         long end = System.nanoTime() + READY_MS * 1_000_000;
         while (!isHealthy(process)) {
             if (System.nanoTime() > end || !process.isAlive()) {
-                findings.broken("start: process " + process.number + " did not come up");
+                findings.broken("start: process " + process.number + " did not come up: " + process.ending());
                 return;
             }
             Thread.sleep(LOOK_MS);
@@ -182,8 +195,10 @@
                 .replace("PEER", peers.get(process.number))
                 .replace("COUNT", Integer.toString(processes.size()));
         Path fresh = process.settings().resolveSibling("fresh.json");
-        Files.writeString(fresh, text);
-        Files.move(fresh, process.settings(), StandardCopyOption.REPLACE_EXISTING);
+        synchronized (process) { // two faults may write at once
+            Files.writeString(fresh, text);
+            Files.move(fresh, process.settings(), StandardCopyOption.REPLACE_EXISTING);
+        }
     }
 
     /** Judges requests without an answer by what their process says that it read, and the processes by their own complaints. */
@@ -219,5 +234,8 @@
             discovery.close();
         }
         hosts.close();
+        for (SocketChannel reserved : reservedPorts) {
+            reserved.close();
+        }
     }
 }
--- a/storm/src/main/java/marlford/storm/soak/SoakProcess.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -15,6 +15,8 @@
 final class SoakProcess implements Closeable {
     private static final String JAVA =
             Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final String PROGRAM = "java"; // its name once the shell has become it
+    private static final int LAST_LINES = 5;
     private static final String LOOP = "nioEventLoop"; // how the system calls the thread
     private static final double NANOS_PER_MS = 1e6;
     private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
@@ -53,6 +55,9 @@
     /** Starts it; {@link #setUp} tells when it serves. */
     void start() throws IOException {
         List<String> command = List.of(
+                "sh",
+                "-c",
+                "trap '' HUP; exec \"$0\" \"$@\"", // as the deploy file does
                 JAVA,
                 "-Xmx48m",
                 "-XX:+UseSerialGC",
@@ -107,15 +112,33 @@
         return process.waitFor(ms, TimeUnit.MILLISECONDS);
     }
 
-    /** Sends it a signal by name. */
+    /** Sends it a signal by name; none while it is still the shell that starts the program. */
     void signal(String name) throws IOException, InterruptedException {
-        if (process.isAlive()) {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+        Process present = process;
+        if (present.isAlive() && isProgram(present)) {
+            new ProcessBuilder("kill", "-" + name, Long.toString(present.pid()))
                     .start()
                     .waitFor();
         }
     }
 
+    private static boolean isProgram(Process process) {
+        try {
+            return Files.readString(Path.of("/proc", Long.toString(process.pid()), "comm"))
+                    .startsWith(PROGRAM);
+        } catch (IOException e) {
+            return false; // it ended meanwhile
+        }
+    }
+
+    /** How it ended, or that it has not, and the last lines of its log. */
+    String ending() throws IOException {
+        String state = process.isAlive() ? "alive" : "exit status " + process.exitValue();
+        List<String> lines = Files.exists(log()) ? Files.readAllLines(log()) : List.of();
+        return state + ", last lines: "
+                + String.join(" | ", lines.subList(Math.max(0, lines.size() - LAST_LINES), lines.size()));
+    }
+
     /** For how long its event loop has waited for a core since this was last asked, in milliseconds; 0 where it can't be told. */
     double waitedForCoreMs() throws IOException {
         Process present = process;
