A host's slow start no longer depends on the gateway's wall clock

Change: HostStarts. A start told after the first list counts from the word that tells it; in a first list the youngest host may have started just now and the others as long before as their times are apart; the wall clock only tells what is over an hour old. Test: ColdTierTest.aWrongWallClockChangesWhatColdHostsGet, 30 gateways, one in three off by 3 s or an hour, each way, hosts back while all run and processes started anew in the midst: figures are those of right clocks to the digit. HostStartsTest states the rule.

--- a/gateway/src/main/java/deckfall/Brain.java
+++ b/gateway/src/main/java/deckfall/Brain.java
@@ -115,6 +115,7 @@
     private final List<Server> homes = new ArrayList<>();
     private Peer[] peers = new Peer[0];
     private Settings set;
+    private HostStarts starts;
     private Leases leases;
     private double pulse; // milliseconds between words of one keeper to another
     private final Account account = new Account();
@@ -168,6 +169,7 @@
         set = settings;
         random = new Random(settings.seed());
         startedAt = fillsSince = now;
+        starts = new HostStarts(settings.rules().warmWithinMs());
         peers = new Peer[Math.max(1, settings.gateways())];
         Arrays.setAll(peers, Peer::new);
         double pulses = PULSE_SHARE * Math.max(1, settings.sharing().mailPerSecond()) / 1000;
@@ -196,15 +198,18 @@
         if (kind == ListKind.FAILED) act.timer(RELAX_MS, "watch");
         if (kind == ListKind.FAILED) return;
         if (kind != ListKind.CHANGES) servers.values().forEach(s -> s.listed = false);
+        starts.telling(hosts);
         for (Host h : hosts) {
             Server s = servers.computeIfAbsent(h.id(), id -> new Server(h));
             s.info = h;
             s.listed = h.state() != HostState.GONE;
-            if (h.startedMs() > 0 && h.startedMs() > s.coldAt) {
-                s.coldAt = h.startedMs();
+            if (h.startedMs() > 0 && h.startedMs() != s.toldStartMs) {
+                s.toldStartMs = h.startedMs();
+                s.coldAt = starts.latestStart(now, h.startedMs());
                 s.health.slow = 1;
             }
         }
+        starts.told(kind);
         survey(now);
         release(now);
     }
--- a/gateway/src/main/java/deckfall/State.java
+++ b/gateway/src/main/java/deckfall/State.java
@@ -284,7 +284,8 @@
         double outWork;
         final Health health = new Health();
         private final Map<String, Health> byClass = new TreeMap<>();
-        double coldAt = NEVER;
+        double toldStartMs; // as discovery told it; 0 for long ago
+        double coldAt = NEVER; // its start on this gateway's clock
 
         Server(Host info) {
             this.info = info;
--- a/gateway/src/test/java/deckfall/ColdTier.java
+++ b/gateway/src/test/java/deckfall/ColdTier.java
@@ -7,6 +7,7 @@
 import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Request;
 import deckfall.Gateway.Rules;
+import deckfall.Gateway.Settings;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,18 +25,21 @@
     private static final int QUEUE_PER_CORE = 16;
     private static final int BUSY = 5; // one of so many gateways gets three times the mean
     private static final double TIME_MS = 3000; // of a client
+    private static final int WRONG_ONE_IN = 3; // gateways
     private static final Rules RULES = FakeGateway.settings(0, 1).rules();
 
     /** A request at a host. */
     private static final class Job {
         final int gateway;
+        final int life; // of that gateway
         final String id;
         final int attempt;
         final double sentAt;
         double left; // milliseconds of work
 
-        Job(int gateway, String id, int attempt, double sentAt, double left) {
+        Job(int gateway, int life, String id, int attempt, double sentAt, double left) {
             this.gateway = gateway;
+            this.life = life;
             this.id = id;
             this.attempt = attempt;
             this.sentAt = sentAt;
@@ -111,24 +115,34 @@
     }
 
     private final List<FakeGateway> gateways = new ArrayList<>();
+    private final double[] clockErrors; // by gateway, in milliseconds
+    private final int[] lives;
     private final Map<String, SimHost> hosts = new HashMap<>();
     private final List<SimHost> inOrder = new ArrayList<>();
     private final Map<String, Integer> attempts = new HashMap<>();
     private final Random random;
     private final int[] cores; // of hosts, in turn
     private final double workMs;
-    private double now = 1000;
+    private double now = 1e8;
     private int asked;
     private int served;
     private int toCold;
     private double worst;
 
     ColdTier(int gatewayCount, int hostCount, int[] cores, double workMs, long seed) {
+        this(gatewayCount, hostCount, cores, workMs, seed, 0);
+    }
+
+    /** With one gateway in three whose wall clock was wrong by so much when it started. */
+    ColdTier(int gatewayCount, int hostCount, int[] cores, double workMs, long seed, double clockErrorMs) {
+        this.clockErrors = new double[gatewayCount];
+        this.lives = new int[gatewayCount];
         this.cores = cores;
         this.workMs = workMs;
         this.random = new Random(seed);
         for (int i = 0; i < gatewayCount; i++) {
-            gateways.add(new FakeGateway(now, FakeGateway.settings(i, gatewayCount, random.nextLong())));
+            clockErrors[i] = i % WRONG_ONE_IN == 0 ? clockErrorMs : 0;
+            gateways.add(begin(i));
         }
         for (int i = 0; i < hostCount; i++) {
             add(cores[i % cores.length]);
@@ -143,9 +157,31 @@
         return host;
     }
 
+    private FakeGateway begin(int number) {
+        Settings settings = FakeGateway.settings(number, clockErrors.length, random.nextLong());
+        return new FakeGateway(clockOf(number), settings);
+    }
+
+    /** What that gateway's clock shows: it was set from its wall clock once, and runs on. */
+    private double clockOf(int number) {
+        return now + clockErrors[number];
+    }
+
     private void tell(ListKind kind, List<SimHost> changed) {
         List<Host> list = changed.stream().map(SimHost::info).toList();
-        gateways.forEach(g -> g.brain.hosts(now, kind, list));
+        for (int i = 0; i < gateways.size(); i++) {
+            gateways.get(i).brain.hosts(clockOf(i), kind, list);
+        }
+    }
+
+    /** All gateways whose wall clock is wrong are started anew, and told the whole list as it stands. */
+    void restartWrongOnes() {
+        List<Host> list = inOrder.stream().filter(h -> h.up).map(SimHost::info).toList();
+        for (int i = 0; i < gateways.size(); i += WRONG_ONE_IN) {
+            gateways.set(i, begin(i));
+            lives[i]++;
+            gateways.get(i).brain.hosts(clockOf(i), ListKind.FULL, list);
+        }
     }
 
     /** So many hosts start, and all gateways are told at once. */
@@ -194,7 +230,9 @@
         double perStep = load * coresMeant / workMs * STEP_MS;
         for (double end = now + ms; now < end;) {
             now += STEP_MS;
-            gateways.forEach(g -> g.runTo(now));
+            for (int i = 0; i < gateways.size(); i++) {
+                gateways.get(i).runTo(clockOf(i));
+            }
             for (double due = perStep + random.nextDouble(); due >= 1; due--) {
                 ask();
             }
@@ -207,8 +245,10 @@
 
     private void ask() {
         int among = random.nextBoolean() ? gateways.size() : Math.max(1, gateways.size() / BUSY);
-        FakeGateway g = gateways.get(random.nextInt(among));
-        g.brain.request(now, new Request("r" + asked++, now + TIME_MS, now, false, "read", 1, "free", 1, 0, 1));
+        int number = random.nextInt(among);
+        double clock = clockOf(number);
+        gateways.get(number).brain.request(clock,
+                new Request("r" + asked++, clock + TIME_MS, clock, false, "read", 1, "free", 1, 0, 1));
     }
 
     private void carry(int gateway) {
@@ -218,7 +258,7 @@
             g.sent.clear();
             for (FakeGateway.Sent s : sent) {
                 int attempt = attempts.merge(s.id(), 1, Integer::sum) - 1;
-                Job job = new Job(gateway, s.id(), attempt, s.at(), -Math.log(1 - random.nextDouble()) * workMs);
+                Job job = new Job(gateway, lives[gateway], s.id(), attempt, s.at(), -Math.log(1 - random.nextDouble()) * workMs);
                 SimHost host = hosts.get(s.host());
                 if (host.up) {
                     host.take(job);
@@ -234,8 +274,12 @@
     private void end(Job job, Outcome outcome, String host) {
         boolean ok = outcome == Outcome.OK;
         served += ok ? 1 : 0;
-        gateways.get(job.gateway).brain.attemptEnded(now, new AttemptResult(job.id, job.attempt, host, outcome,
-                now - job.sentAt, ok, 0, 0, new double[0]));
+        if (job.life != lives[job.gateway]) {
+            return; // whoever sent it is gone
+        }
+        double clock = clockOf(job.gateway);
+        gateways.get(job.gateway).brain.attemptEnded(clock, new AttemptResult(job.id, job.attempt, host, outcome,
+                clock - job.sentAt, ok, 0, 0, new double[0]));
     }
 
     /** The most that a cold host got in any window, over the most that it bears. */
--- a/gateway/src/test/java/deckfall/ColdTierTest.java
+++ b/gateway/src/test/java/deckfall/ColdTierTest.java
@@ -1,5 +1,6 @@
 package deckfall;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,6 +19,7 @@
     private static final double LEARNS_MS = 4000;
     private static final double AWAY_MS = 2000;
     private static final double WATCHED_MS = 5000;
+    private static final double RESTART_AFTER_MS = 300; // into the slow start
 
     /** Hosts of several sizes in every second play; nothing in the list tells a gateway which is which. */
     private static int[] cores(long seed) {
@@ -61,4 +63,35 @@
             hold(t, "%d gateways, %d of %d back, %.0f ms, seed %d".formatted(gateways, lost, hosts, workMs, seed));
         }
     }
+
+    /**
+     * One process in three has a wall clock that was wrong when it started. Hosts come back while all run; then just these
+     * processes are started anew, in the midst of it, as by an upgrade. All goes as with right clocks.
+     */
+    @ParameterizedTest
+    @CsvSource({"-3600000", "-3000", "3000", "3600000"})
+    void aWrongWallClockChangesWhatColdHostsGet(double errorMs) {
+        for (long seed = 1; seed <= 4; seed++) {
+            ColdTier right = withWrongClocks(seed, 0);
+            ColdTier wrong = withWrongClocks(seed, errorMs);
+            hold(wrong, "30 gateways, one in three off by %.0f ms, seed %d".formatted(errorMs, seed));
+            assertEquals(right.toCold(), wrong.toCold());
+            assertEquals(right.worst(), wrong.worst());
+            assertEquals(right.servedShare(), wrong.servedShare());
+        }
+    }
+
+    private static ColdTier withWrongClocks(long seed, double errorMs) {
+        ColdTier t = new ColdTier(30, 18, cores(seed), 20, seed, errorMs);
+        t.pass(LEARNS_MS, USUAL, 18);
+        t.lose(6);
+        t.pass(AWAY_MS, USUAL, 18);
+        t.comeBack(6);
+        if (seed % 2 == 0) {
+            t.pass(RESTART_AFTER_MS, BURST, 18);
+            t.restartWrongOnes();
+        }
+        t.pass(WATCHED_MS, BURST, 18);
+        return t;
+    }
 }
--- /dev/null
+++ b/gateway/src/test/java/deckfall/HostStartsTest.java
@@ -0,0 +1,50 @@
+package deckfall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.Gateway.Host;
+import deckfall.Gateway.HostState;
+import deckfall.Gateway.ListKind;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** However wrong the wall clock, no host is taken to have started before it did. */
+class HostStartsTest {
+    private static final double NOW = 1e9; // true time
+    private static final double WARM_MS = 10_000;
+
+    private static void tell(HostStarts starts, ListKind kind, double... startedMs) {
+        List<Host> hosts = Stream.iterate(0, i -> i < startedMs.length, i -> i + 1)
+                .map(i -> new Host("h" + i, "a", "std", 0, HostState.RUNNING, 1, startedMs[i])).toList();
+        starts.telling(hosts);
+        starts.told(kind);
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {-3_600_000, -3000, 0, 3000, 3_600_000})
+    void aStartThatIsSeenCountsFromThenWhateverTheClockSays(double errorMs) {
+        HostStarts starts = new HostStarts(WARM_MS);
+        tell(starts, ListKind.FULL, 0);
+        assertEquals(NOW + errorMs, starts.latestStart(NOW + errorMs, NOW - 500));
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {-3_600_000, -3000, 0, 3000, 3_600_000})
+    void theFirstListTellsHowFarStartsAreApart(double errorMs) {
+        for (ListKind kind : List.of(ListKind.CACHED, ListKind.FULL, ListKind.CHANGES)) {
+            HostStarts starts = new HostStarts(WARM_MS);
+            double youngest = NOW - 300;
+            double older = youngest - 4000;
+            tell(starts, ListKind.CACHED, older, youngest, 0);
+            double clock = NOW + errorMs;
+            assertEquals(clock, starts.latestStart(clock, youngest));
+            assertEquals(clock - 4000, starts.latestStart(clock, older));
+            assertTrue(starts.latestStart(clock, NOW - 8_000_000) < clock - WARM_MS);
+            starts.told(kind);
+            assertEquals(kind == ListKind.CACHED ? clock - 4000 : clock, starts.latestStart(clock, older));
+        }
+    }
+}
