A peer whose wall clock is wrong is heard within a second

A life more than a minute in the future by the hearer's clock was dropped, and one lower than the life before was taken for a message overtaken on the way: for as long as the clocks were apart, up to an hour, nobody counted what that gateway let in, and its questions got no answer. Change: PeerLife, one rule in place of the two copies in State and Exchange. A number that can't be right by the clocks is believed once it was heard for 1 s in which the present life was silent; the life before it stays over. Test: BooksTest.theUseOfAPeerWithAWrongClockIsUncounted; without the change an hour ahead, 3 s and an hour behind failed (a customer whose store was used up was let in), 3 s ahead held. PeerLifeTest states the rule; a stray number still begins no life.

--- a/gateway/src/main/java/deckfall/Brain.java
+++ b/gateway/src/main/java/deckfall/Brain.java
@@ -773,7 +773,7 @@
         peer.toldAt = now;
         account.note(Item.TOLD);
         leases.told(now, peer.number, peer.serial);
-        act.tell(peer.number, new Tell(epoch, peer.epoch, peer.serial, peer.heardSerial, entries).bytes());
+        act.tell(peer.number, new Tell(epoch, peer.life.number(), peer.serial, peer.heardSerial, entries).bytes());
     }
 
     private Tell.Entry tellOf(double now, Customer c, Peer keeper) {
--- a/gateway/src/main/java/deckfall/State.java
+++ b/gateway/src/main/java/deckfall/State.java
@@ -9,6 +9,7 @@
 import deckfall.gossip.Loans;
 import deckfall.gossip.UseMessage;
 import deckfall.quota.Exchange;
+import deckfall.quota.PeerLife;
 import deckfall.quota.Talk;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -25,7 +26,6 @@
     static final double SLOW_MAX = 12; // largest slowness that is believed
     static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
     private static final double FILLED = 2; // times the time in which its slowest store fills from nothing
-    private static final double CLOCKS_APART_MS = 60_000; // a life that begins later than this is no life
 
     private State() { }
 
@@ -94,8 +94,7 @@
         final LinkedHashSet<Customer> tells = new LinkedHashSet<>(); // to it as a keeper
         final LinkedHashSet<Customer> answers = new LinkedHashSet<>(); // to it by this gateway as a keeper
         boolean waiting; // stands in the outbox
-        boolean met;
-        int epoch;
+        final PeerLife life = new PeerLife();
         int serial; // of the last message to it
         int heardSerial;
         double toldAt = NEVER;
@@ -108,14 +107,10 @@
         }
 
         /** Whether a message is news: not overtaken on the way, told twice, or of a life before its sender's. */
-        boolean hears(double now, int life, int heard) {
-            // Lives are compared by difference: their field runs over every 50 days of Unix time.
-            boolean late = life == epoch ? !Tell.after(heard, heardSerial) : life - epoch < 0;
-            // A life that has yet to begin would make all that its sender says from now on seem late.
-            boolean unborn = life - (int) (long) now > CLOCKS_APART_MS;
-            if (met && late || unborn) return false;
-            met = true;
-            epoch = life;
+        boolean hears(double now, int saidLife, int heard) {
+            boolean sameLife = life.isKnown() && saidLife == life.number();
+            boolean late = sameLife && !Tell.after(heard, heardSerial);
+            if (!life.hears(now, saidLife) || late) return false;
             heardSerial = heard;
             return true;
         }
@@ -192,10 +187,10 @@
         /** What is known between this gateway and a peer on this customer, new for each life of the peer. */
         Member member(Peer peer) {
             Member m = members.get(peer.number);
-            if (m == null || m.epoch != peer.epoch) {
+            if (m == null || m.epoch != peer.life.number()) {
                 othersOpen -= m == null ? 0 : m.open;
                 m = new Member();
-                m.epoch = peer.epoch;
+                m.epoch = peer.life.number();
                 members.put(peer.number, m);
             }
             return m;
--- a/gateway/src/main/java/deckfall/quota/Exchange.java
+++ b/gateway/src/main/java/deckfall/quota/Exchange.java
@@ -67,7 +67,6 @@
     private static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
     private static final double FILLED = 2; // times the time in which its slower store fills
     private static final double ACTIVE_MS = 10_000; // a book used since then is passed on
-    private static final double LIVES_APART_MS = 60_000; // a life that begins later than this is none
     private static final int[] HELLOS_MS = {0, 400}; // after others were first heard; the second for who lost the first
     private static final int ROOM = 2; // largest requests that each share of a ceiling has room for
     private static final int LENDERS = 3; // asked for units of a ceiling, one after the other
@@ -116,9 +115,8 @@
 
     private static final class Peer {
         final Verdicts verdicts = new Verdicts();
-        boolean met;
+        final PeerLife life = new PeerLife();
         boolean leases; // its version understands requests for leases
-        int life;
         int syncCount;
         boolean synced;
         boolean leaves;
@@ -737,7 +735,7 @@
         Book b = bookOf(now, request.named(), from);
         double units = 0;
         if (b != null) {
-            units = b.lease(now, from, p.life, request, before(now, b) < 0, fill(now, b));
+            units = b.lease(now, from, p.life.number(), request, before(now, b) < 0, fill(now, b));
         }
         if (request.units() > 0) {
             double fullness = b == null ? 0 : b.grantable(now);
@@ -746,7 +744,7 @@
     }
 
     private void hearLeaseGrant(double now, int from, Peer p, Talk.LeaseGrant grant) {
-        CustomerView k = renewals.granted(now, from, p.life, grant);
+        CustomerView k = renewals.granted(now, from, p.life.number(), grant);
         if (k != null) {
             k.told(now, grant.fullness() * k.terms.burst(), grant.demand());
         }
@@ -907,14 +905,11 @@
             return;
         }
         Peer p = peers[from];
-        int newer = talk.life() - p.life;
-        boolean unborn = talk.life() - (int) (long) now > LIVES_APART_MS;
-        if (unborn || p.met && newer < 0) {
+        boolean begins = !p.life.isKnown() || talk.life() != p.life.number();
+        if (!p.life.hears(now, talk.life())) {
             return;
         }
-        if (!p.met || newer > 0) {
-            p.met = true;
-            p.life = talk.life();
+        if (begins) {
             p.synced = false;
             p.leaves = false;
             p.leases = false;
@@ -1115,14 +1110,14 @@
             for (Talk.Item item : e.getValue()) {
                 int more = Talk.bytes(item);
                 if (size + more > Talk.MOST_BYTES) {
-                    tell(e.getKey(), peers[e.getKey()].life, part);
+                    tell(e.getKey(), peers[e.getKey()].life.number(), part);
                     part = new ArrayList<>();
                     size = Talk.HEAD_BYTES;
                 }
                 part.add(item);
                 size += more;
             }
-            tell(e.getKey(), peers[e.getKey()].life, part);
+            tell(e.getKey(), peers[e.getKey()].life.number(), part);
         }
         due.clear();
     }
