A connection that this machine can't make blames no host and costs no attempt

Without a channel netty tells the failure on its global executor's thread, so the event loop's state was changed from two threads. Change: LocalFailure tells the two kinds apart; HostClient.Opening tries again within the attempt after 1 to 50 ms, for 500 ms at most, on the event loop; then Outcome.UNSENT, which surely never ran and judges no host. Probes end unsent at once, and the fleet's prober reports nothing of them. ENETUNREACH, EHOSTUNREACH, ETIMEDOUT stay a word on the host. Backoff serves AcceptRetry, too. ProberTest.aMemberWithoutSocketsBlamesNoHost.

--- a/fleet/src/main/java/marlford/fleet/HealthCheckWorker.java
+++ b/fleet/src/main/java/marlford/fleet/HealthCheckWorker.java
@@ -49,17 +49,21 @@
         }
         prober.due(member, now, lateMs)
                 .forEach(p -> gateway.probe(
-                        p.host(),
-                        (outcome, tookMs) -> thread.accept(() -> {
-                            ProbeResult f = new ProbeResult(kind(outcome), tookMs);
-                            prober.ended(member, p, f, p.sentAt() + tookMs);
-                        })));
+                        p.host(), (outcome, tookMs) -> thread.accept(() -> ended(member, p, outcome, tookMs))));
         for (ProbeResultFilter.Report r : results.read(member.board(), now)) {
             gateway.evidence(r.host(), outcome(r.finding().kind()), r.finding().tookMs(), r.ageMs());
             note(r);
         }
     }
 
+    private void ended(Member member, Prober.Probe probe, Outcome outcome, double tookMs) {
+        if (outcome == Outcome.UNSENT) {
+            prober.unsent(probe);
+        } else {
+            prober.ended(member, probe, new ProbeResult(kind(outcome), tookMs), probe.sentAt() + tookMs);
+        }
+    }
+
     private void listed(Set<String> hosts) {
         prober.listed(hosts);
         told.keySet().retainAll(hosts);
--- a/fleet/src/main/java/marlford/health/Prober.java
+++ b/fleet/src/main/java/marlford/health/Prober.java
@@ -83,7 +83,7 @@
         return Math.floorMod(host.hashCode() * 0x85EBCA6B >>> Byte.SIZE, Short.MAX_VALUE) / (double) Short.MAX_VALUE;
     }
 
-    /** The probes to be sent now; {@link #ended} is called for each. */
+    /** The probes to be sent now; {@link #ended} or {@link #unsent} is called for each. */
     public List<Probe> due(Member member, double now, double lateMs) {
         Map<Integer, LeaseStateMachine.Holding> mine = new HashMap<>();
         for (LeaseStateMachine.Holding h : member.holdings()) {
@@ -122,6 +122,15 @@
         return due;
     }
 
+    /** A probe that this machine could not send tells nothing of its host, which is probed again in the next round. */
+    public void unsent(Probe p) {
+        running--;
+        Watched w = hosts.get(p.host());
+        if (w != null) {
+            w.running = false;
+        }
+    }
+
     /** Records the result of a probe. */
     public void ended(Member member, Probe p, ProbeResult f, double now) {
         Watched w = hosts.get(p.host());
--- a/fleet/src/test/java/marlford/health/ProberTest.java
+++ b/fleet/src/test/java/marlford/health/ProberTest.java
@@ -27,6 +27,7 @@
         final Map<Prober.Probe, Double> running = new HashMap<>();
         final Map<String, ProbeResultFilter.Report> last = new HashMap<>();
         boolean blind; // reaches no host
+        boolean withoutSockets;
 
         Probing(MemberSimulation.Peer peer) {
             this.peer = peer;
@@ -64,7 +65,9 @@
                 continue; // stopped in the middle: what no look can prevent
             }
             p.running.entrySet().removeIf(e -> {
-                if (e.getValue() <= sim.now) {
+                if (e.getValue() <= sim.now && p.withoutSockets) {
+                    p.prober.unsent(e.getKey());
+                } else if (e.getValue() <= sim.now) {
                     boolean lost = p.blind || down.contains(e.getKey().host());
                     p.prober.ended(
                             p.peer.member,
@@ -136,6 +139,27 @@
                 members.get(0).prober.text());
     }
 
+    /** Probes that a machine can't send blame no host, and the next rounds go on. */
+    @Test
+    void aMemberWithoutSocketsBlamesNoHost() {
+        MemberSimulation sim = fleet(4, 30);
+        while (members.stream().anyMatch(p -> p.last.size() < 30)) {
+            step(sim, "");
+        }
+        for (boolean without : List.of(true, false)) {
+            members.get(0).withoutSockets = without;
+            probes = 0;
+            for (double end = sim.now + 10 * EVERY; sim.now < end; ) {
+                step(sim, "");
+            }
+            assertTrue(probes >= 8 * 30, probes + " probes of 30 hosts in 10 rounds");
+            members.get(1)
+                    .last
+                    .forEach((h, r) ->
+                            assertEquals(ProbeResult.Kind.WELL, r.finding().kind(), h));
+        }
+    }
+
     /** Whatever happens to members, and whatever is lost: never two probers of a host that both live, and probing goes on. */
     @Test
     void neverTwoOfOneHostWhateverHappens() {
--- a/gateway/src/main/java/deckfall/Gateway.java
+++ b/gateway/src/main/java/deckfall/Gateway.java
@@ -26,11 +26,13 @@
 
     /** How an attempt, a probe or a counter call ended; SPOILT: an answer came that can't be read. */
     public enum Outcome {
-        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, SPOILT;
+        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, SPOILT,
+        /** Never left, for reasons of this gateway's machine: no word on the host. */
+        UNSENT;
 
         /** True where the outcome proves that the host never ran the request. */
         public boolean neverRan() {
-            return this == FULL || this == CONNECT_FAILED || this == MOOT;
+            return this == FULL || this == CONNECT_FAILED || this == MOOT || this == UNSENT;
         }
     }
 
--- a/gateway/src/main/java/deckfall/State.java
+++ b/gateway/src/main/java/deckfall/State.java
@@ -260,7 +260,7 @@
          * reached is as bad as may be, one that is late as bad as a full one; to be well is worth as much as one answer.
          */
         void probed(double sentAt, Outcome outcome, double late, double gain, double fadeMs) {
-            if (sentAt > at) {
+            if (sentAt > at && outcome != Outcome.UNSENT) {
                 judge(sentAt, switch (outcome) {
                     case OK -> 1;
                     case TIMEOUT, ERROR, FULL, SPOILT -> late;
--- a/gateway/src/main/java/deckfall/accept/AcceptRetry.java
+++ b/gateway/src/main/java/deckfall/accept/AcceptRetry.java
@@ -13,14 +13,14 @@
  * waiting connections without end. One for each listener, set as its bootstrap's handler; on the listener's event loop.
  */
 public final class AcceptRetry extends ChannelInboundHandlerAdapter {
-    private static final long SHORTEST_MS = 1;
+    private static final long SHORTEST_MS = 4;
     static final long LONGEST_MS = 50;
-    private static final int DOUBLINGS = 6; // beyond the longest pause
     private static final String NO_DESCRIPTOR = "Too many open files"; // of the process, or of the system
 
     private static final int AT_ONCE = 16; // netty's own bound for one reading of a listener
     private static final double NONE = -1;
 
+    private final Backoff backoff = new Backoff(SHORTEST_MS, LONGEST_MS);
     private final Consumer<String> log;
     private final Runnable makeRoom;
     private final DoubleSupplier clock;
@@ -56,6 +56,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object accepted) {
         calls++;
         failures = 0;
+        backoff.reset();
         readingMs = inReading++ == 0 ? clock.getAsDouble() : readingMs;
         ctx.fireChannelRead(accepted);
     }
@@ -94,10 +95,9 @@
         paused = true;
         backlogMs = backlogMs == NONE ? clock.getAsDouble() : backlogMs;
         listener.config().setAutoRead(false);
-        long doubled = SHORTEST_MS << Math.min(failures, DOUBLINGS);
         listener.eventLoop().schedule(() -> {
             paused = false;
             listener.config().setAutoRead(true);
-        }, Math.min(LONGEST_MS, doubled), TimeUnit.MILLISECONDS);
+        }, backoff.nextMs(), TimeUnit.MILLISECONDS);
     }
 }
--- a/gateway/src/main/java/deckfall/account/Account.java
+++ b/gateway/src/main/java/deckfall/account/Account.java
@@ -56,7 +56,7 @@
             return switch (outcome) {
                 case OK -> OK;
                 case FULL -> FULL;
-                case CONNECT_FAILED -> UNREACHED;
+                case CONNECT_FAILED, UNSENT -> UNREACHED;
                 case TIMEOUT, CANCELLED -> SILENT;
                 default -> BROKEN;
             };
--- a/gateway/src/main/java/deckfall/net/HostClient.java
+++ b/gateway/src/main/java/deckfall/net/HostClient.java
@@ -3,6 +3,7 @@
 import deckfall.Gateway.HostState;
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
+import deckfall.accept.Backoff;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -52,6 +53,9 @@
     private static final long SWEEP_LEAST_MS = 20; // that costs a share of a core, however short the time is
     private static final long SWEEP_MOST_MS = 500; // descriptors of hosts that get nothing more are free by then
     private static final double SOCKET_SHARE = 0.36; // of all descriptors; the program itself needs some, too
+    private static final double LOCAL_FAILURE_MS = 500; // for so long a request waits for this machine to make a connection
+    private static final long SHORTEST_PAUSE_MS = 1; // between tries of it
+    private static final long LONGEST_PAUSE_MS = 50;
     private static final double PROBE_TIMEOUT_MS = 250; // the platform's own for all deployments: their files have it fixed
 
     private final Node node;
@@ -208,7 +212,7 @@
     // ---- asking
 
     void send(Attempt a) {
-        start(a.host, a, () -> attemptMessage(a));
+        start(a.host, a, () -> attemptMessage(a), LOCAL_FAILURE_MS);
     }
 
     private FullHttpRequest attemptMessage(Attempt a) {
@@ -271,7 +275,7 @@
                     Unpooled.EMPTY_BUFFER);
             message.headers().set(HttpHeaderNames.HOST, HOST);
             return message;
-        });
+        }, 0);
         node.loop.schedule(() -> {
             probe.look();
             if (probe.under()) {
@@ -281,7 +285,8 @@
         }, (long) PROBE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void start(String host, HostConnection.Exchange x, Message message) {
+    /** @param retryMs for how long a connection is tried again that this machine can't make */
+    private void start(String host, HostConnection.Exchange x, Message message, double retryMs) {
         Pool pool = pools.get(host);
         if (pool == null) {
             x.ended(Outcome.CONNECT_FAILED, null); // its address was taken from the list
@@ -296,45 +301,107 @@
                 return;
             }
         }
-        if (!room()) {
-            x.ended(Outcome.CONNECT_FAILED, null);
-            return;
-        }
-        connect(pool, x, message);
+        new Opening(pool, x, message, now + retryMs).begin();
     }
 
     private interface Message {
         FullHttpRequest build();
     }
 
-    private void connect(Pool pool, HostConnection.Exchange x, Message message) {
-        connections++;
-        HostConnection c = new HostConnection(pool, node.clock);
-        c.await(x);
-        pool.comingUp.add(c);
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                c.attach(ch);
-            }
-        }).connect(node.transport.at(pool.address));
-        connecting.addListener(f -> {
-            pool.comingUp.remove(c);
-            if (!f.isSuccess()) { // also where no descriptor was left: then there is no channel to close
-                connections--;
-                c.lost();
+    /**
+     * A connection that comes up for one exchange. Where this machine can't make one, that is no word on the host, and it is tried
+     * again after a short pause, without a further attempt.
+     */
+    private final class Opening {
+        private final Pool pool;
+        private final HostConnection.Exchange exchange;
+        private final Message message;
+        private final Backoff backoff = new Backoff(SHORTEST_PAUSE_MS, LONGEST_PAUSE_MS);
+        private final double retriedUntil;
+        private HostConnection connection;
+
+        Opening(Pool pool, HostConnection.Exchange exchange, Message message, double retriedUntil) {
+            this.pool = pool;
+            this.exchange = exchange;
+            this.message = message;
+            this.retriedUntil = retriedUntil;
+        }
+
+        void begin() {
+            prepare();
+            connect();
+        }
+
+        private void prepare() {
+            connection = new HostConnection(pool, node.clock);
+            connection.await(exchange);
+            pool.comingUp.add(connection);
+        }
+
+        private void connect() {
+            if (!room()) {
+                failed(true);
                 return;
             }
-            connecting.channel().closeFuture().addListener(closed -> connections--);
-            if (c.awaits(x)) {
-                x.connected();
+            connections++;
+            HostConnection opened = connection;
+            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    opened.attach(ch);
+                }
+            }).connect(node.transport.at(pool.address));
+            connecting.addListener(f -> onLoop(() -> { // without a channel netty tells it on a thread of its own
+                if (f.isSuccess()) {
+                    up(connecting.channel());
+                } else {
+                    connections--;
+                    failed(LocalFailure.is(f.cause()));
+                }
+            }));
+        }
+
+        private void up(Channel channel) {
+            pool.comingUp.remove(connection);
+            channel.closeFuture().addListener(closed -> connections--);
+            if (connection.awaits(exchange)) {
+                exchange.connected();
             }
-            if (c.awaits(x)) {
-                c.write(x, message.build());
+            if (connection.awaits(exchange)) {
+                connection.write(exchange, message.build());
+            } else {
+                connection.close(); // nobody waits any more, and nothing may ever leave on it
+            }
+        }
+
+        private void failed(boolean here) {
+            pool.comingUp.remove(connection);
+            if (!here) {
+                connection.lost();
+            } else if (node.clock.now() >= retriedUntil) {
+                connection.unsent();
+            } else if (connection.awaits(exchange)) {
+                connection.forget();
+                prepare();
+                node.loop.schedule(this::connectAgain, backoff.nextMs(), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void connectAgain() {
+            if (connection.awaits(exchange)) {
+                connect();
             } else {
-                c.close(); // nobody waits any more, and nothing may ever leave on it
+                pool.comingUp.remove(connection);
             }
-        });
+        }
+    }
+
+    private void onLoop(Runnable what) {
+        if (node.loop.inEventLoop()) {
+            what.run();
+        } else {
+            node.loop.execute(what);
+        }
     }
 
     // ---- load reports
--- a/gateway/src/main/java/deckfall/net/HostConnection.java
+++ b/gateway/src/main/java/deckfall/net/HostConnection.java
@@ -288,6 +288,16 @@
         breakWith(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
     }
 
+    /** No connection could be made, for reasons of this machine alone. */
+    void unsent() {
+        breakWith(Outcome.UNSENT);
+    }
+
+    /** What awaits it goes on with another connection. */
+    void forget() {
+        exchange = null;
+    }
+
     /** No answer will come of this, whatever else comes; the host has run the request all the same. */
     private void spoilt() {
         breakWith(Outcome.SPOILT);
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -365,7 +365,12 @@
     /** What only the event loop can count, made known to the console's. */
     private void gauge() {
         loop.schedule(this::gauge, GAUGE_MS, TimeUnit.MILLISECONDS);
-        figures.cluster(operators.listedCount(), module.avoided(clock.now()));
+        figures.cluster(operators.listedCount(), avoided());
+    }
+
+    /** How many hosts are not trusted, or closed; on the event loop. */
+    int avoided() {
+        return module.avoided(clock.now());
     }
 
     /** One line a second of what was done and how late the loop is: a fleet's logs can be added up by second. */
