A socket that can't be had for a moment no longer ends a start

Change: StartRetry tries the address, the listener and the console again for up to 2 s where the machine has no resources; an address in use ends the start at once, as before. A listener without a socket is no listener to a drain that begins just then.

--- a/gateway/src/main/java/deckfall/console/Console.java
+++ b/gateway/src/main/java/deckfall/console/Console.java
@@ -96,6 +96,7 @@
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
         } catch (Exception e) { // netty throws what failed as it is, checked or not
+            close();
             throw new IOException("no console at " + at + ": " + e.getMessage(), e);
         }
         group.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -42,7 +42,8 @@
                         new ClientConnection(node, places, terms, ch, ++accepted, accepting.waitedMs()).addTo(ch.pipeline());
                     }
                 }).bind(node.transport.at(node.config.listen()));
-        listener = bound.channel();
+        boolean failed = bound.isDone() && !bound.isSuccess(); // there was no socket for it
+        listener = failed ? null : bound.channel();
         acceptRetry = accepting;
         if (!swept) {
             swept = true;
--- a/gateway/src/main/java/deckfall/net/LocalFailure.java
+++ b/gateway/src/main/java/deckfall/net/LocalFailure.java
@@ -17,12 +17,20 @@
 
     /** Whether a connection failed here, ahead of anything that the other end could have done. */
     static boolean is(Throwable cause) {
-        if (cause instanceof ChannelException || cause instanceof BindException) { // no socket; no local address
-            return true;
-        }
-        if (cause instanceof ConnectException || cause instanceof NoRouteToHostException) {
-            return false;
+        return cause instanceof BindException || isWantOfResources(cause);
+    }
+
+    /** Whether it, or what caused it, is a want of descriptors, buffers or memory. */
+    static boolean isWantOfResources(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof ChannelException) { // no socket
+                return true;
+            }
+            boolean told = cause instanceof BindException || cause instanceof ConnectException || cause instanceof NoRouteToHostException;
+            if (cause instanceof SocketException && !told) {
+                return !String.valueOf(cause.getMessage()).contains(NO_WAY);
+            }
         }
-        return cause instanceof SocketException && !String.valueOf(cause.getMessage()).contains(NO_WAY);
+        return false;
     }
 }
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -230,7 +230,10 @@
         try {
             boolean taken = serves != null && serves.take(budget.limitMs(Step.TAKEN));
             if (!taken) {
-                transport.claim(config.listen());
+                StartRetry.call(() -> {
+                    transport.claim(config.listen());
+                    return null;
+                });
             }
             if (taken && serves.away()) {
                 operators.quiesce();
@@ -247,11 +250,9 @@
             }).sync();
             // Without a word the list of before the start serves.
             heard.await(budget.limitMs(Step.WORD), TimeUnit.MILLISECONDS);
-            ChannelFuture opening = loop.submit(() -> draining ? null : clients.start()).sync().getNow();
-            if (opening == null) {
+            if (!StartRetry.call(this::openListener)) {
                 return false;
             }
-            opening.sync();
             if (taken && !serves.serving(budget.limitMs(Step.LEFT))) {
                 log("upgrade: the process that served did not say that it left");
             }
@@ -265,6 +266,16 @@
         }
     }
 
+    /** Returns whether clients are served; they are not where the process was told to end by now. */
+    private boolean openListener() throws InterruptedException {
+        ChannelFuture opening = loop.submit(() -> draining ? null : clients.start()).sync().getNow();
+        if (opening == null) {
+            return false;
+        }
+        opening.sync();
+        return true;
+    }
+
     /**
      * Operators may call from now on; a second call does nothing.
      *
@@ -273,7 +284,20 @@
     void openConsole(Kept kept) throws IOException {
         if (console == null && config.console() != null) {
             console = new Console(operators, figures, extras.pages(), kept == null ? null : kept.leftOut(), Node::log);
-            console.listen(config.console());
+            listenForOperators();
+        }
+    }
+
+    private void listenForOperators() throws IOException {
+        try {
+            StartRetry.call(() -> {
+                console.listen(config.console());
+                return null;
+            });
+        } catch (IOException | RuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new IOException(e);
         }
     }
 
--- a/gateway/src/main/java/deckfall/net/Transport.java
+++ b/gateway/src/main/java/deckfall/net/Transport.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketAddress;
@@ -44,7 +45,7 @@
             try (Socket probe = new Socket()) { // bound and not listening, it takes nobody's connection
                 probe.setReuseAddress(true);
                 probe.bind(address);
-            } catch (IOException e) {
+            } catch (BindException e) {
                 throw new IOException("somebody else has the address " + address, e);
             }
         }
