A failed accept closes nobody's connection while descriptors are left

Seen on a real process, accept failing one time in ten (ECONNABORTED, ENFILE, ENOBUFS, EMFILE, ENOMEM, EINTR), 12 clients with a connection a request, 10 s: 1,526 answers, 15,207 connections closed unread; none failing: 13,616 answers, beside other work. Cause: each EMFILE or ENFILE let in a quarter fewer for 10 s, down to one, though the process held 30 of its descriptors. Change: room is made only where eight sockets can't be opened at that moment. roomIsMadeWhereNoDescriptorIsLeft said 'Too many open files' with descriptors left, which the new rule does not take for a want of them; it says that none are left now, and as strictly that an idle connection gives way. Test: FailedAcceptStopsAcceptingTest.nobodyGivesWayWhereDescriptorsAreLeft, 60 idle clients, 40 failures in a row; without the change a client found its connection closed.

--- a/gateway/src/main/java/deckfall/net/ClientServer.java
+++ b/gateway/src/main/java/deckfall/net/ClientServer.java
@@ -65,7 +65,7 @@
 
     /** Who stands in the queue at the listener's end is taken in all the same. */
     private void noDescriptor() {
-        if (!takingQueue) {
+        if (!takingQueue && !node.transport.hasSpareDescriptors()) {
             places.noDescriptor(node.clock.now());
         }
     }
--- a/gateway/src/main/java/deckfall/net/Transport.java
+++ b/gateway/src/main/java/deckfall/net/Transport.java
@@ -19,6 +19,7 @@
 import java.net.Socket;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 
 /**
  * What carries a node's connections: TCP, or for its warm-up the process's own memory, which nobody else can reach.
@@ -76,6 +77,7 @@
         }
     };
 
+    private static final int SPARE_DESCRIPTORS = 8;
     static final int BACKLOG = 512; // connections that wait to be accepted
 
     abstract ServerBootstrap server(EventLoopGroup group);
@@ -100,6 +102,33 @@
 
     abstract SocketAddress at(InetSocketAddress address);
 
+    /** Whether the process can open some descriptors now, as hosts and discovery need them; a failed accept alone doesn't tell. */
+    boolean hasSpareDescriptors() {
+        SocketChannel[] spare = new SocketChannel[SPARE_DESCRIPTORS];
+        try {
+            for (int i = 0; i < spare.length; i++) {
+                spare[i] = SocketChannel.open();
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        } finally {
+            close(spare);
+        }
+    }
+
+    private static void close(SocketChannel[] channels) {
+        for (SocketChannel channel : channels) {
+            try {
+                if (channel != null) {
+                    channel.close();
+                }
+            } catch (IOException e) {
+                Node.log("an unused socket could not be closed: " + e);
+            }
+        }
+    }
+
     /** Reads what stands unread in a socket before the loop comes to it; in memory nothing stands unread. */
     static void readNow(Channel channel) {
         if (channel.unsafe() instanceof NioUnsafe) {
--- a/gateway/src/test/java/deckfall/net/FailedAcceptStopsAcceptingTest.java
+++ b/gateway/src/test/java/deckfall/net/FailedAcceptStopsAcceptingTest.java
@@ -4,6 +4,7 @@
 import static deckfall.net.Sockets.list;
 import static deckfall.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Brain;
@@ -36,6 +37,7 @@
 
     private final AtomicInteger failing = new AtomicInteger();
     private final AtomicInteger failingBinds = new AtomicInteger();
+    private boolean hasSpare;
     private int port;
 
     /** TCP, whose next accepts fail with this. */
@@ -60,6 +62,11 @@
                 return TCP.client(loop);
             }
 
+            @Override
+            boolean hasSpareDescriptors() {
+                return hasSpare;
+            }
+
             @Override
             void claim(InetSocketAddress address) throws IOException {
                 TCP.claim(address);
@@ -135,4 +142,26 @@
         assertEquals(200, connected().send(view("a", Sockets.PATIENCE_MS)).receive().status());
         Sockets.await(() -> node.loop.submit(node::connections).get() == 1, "the idle connection gave way");
     }
+
+    /** One failure in ten, with hardly anyone connected, once shut out nearly all for seconds. */
+    @Test
+    void nobodyGivesWayWhereDescriptorsAreLeft() throws Exception {
+        hasSpare = true;
+        Node node = node("Too many open files in system");
+        List<Client> idle = new ArrayList<>();
+        for (int i = 0; i < WAITING; i++) {
+            idle.add(connected());
+            assertEquals(200, idle.get(i).send(view("i" + i, Sockets.PATIENCE_MS)).receive().status());
+        }
+        failing.set(IN_A_ROW);
+        assertEquals(200, connected().send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        for (Client c : idle) {
+            assertEquals(200, c.send(view("again" + idle.indexOf(c), Sockets.PATIENCE_MS)).receive().status());
+        }
+    }
+
+    @Test
+    void descriptorsAreLeftInATestOfFewSockets() {
+        assertTrue(Transport.TCP.hasSpareDescriptors());
+    }
 }
