The soak makes system calls fail and wall clocks wrong

A small library of our own, built with cc and loaded into each process, fails accept, socket, connect, epoll_wait as Linux documents and cuts reads and writes short, one call in ten in a third of the lives; the wall clock of another third is off by 3 s or an hour, each way. Each life draws from the seed. Also: findings of the first start are printed, and logs of an earlier soak in the same folder are removed, since names of requests repeat with the seed and an answered request of the former run counted as lost.

--- a/storm/src/main/java/marlford/storm/soak/SoakCommand.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakCommand.java
@@ -49,6 +49,7 @@
         List<String> broken = new ArrayList<>();
         try (SoakFleet fleet = new SoakFleet(folder, System.getProperty("java.class.path"), processes, seed)) {
             fleet.start();
+            fleet.findings().broken().forEach(what -> System.out.println("soak: start BROKEN " + what));
             for (long s = seed; s < seed + seeds; s++) {
                 play(fleet, s, seconds);
             }
--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -58,7 +58,8 @@
 
     private final List<SocketChannel> reservedPorts = new ArrayList<>();
 
-    SoakFleet(Path folder, String classPath, int count, long seed) throws IOException {
+    SoakFleet(Path folder, String classPath, int count, long seed) throws IOException, InterruptedException {
+        FailingCalls calls = FailingCalls.build(folder);
         this.hosts = new SoakHosts(HOSTS, seed, ledger, findings, lateness);
         discoveries.add(new SoakDiscovery(hosts));
         discoveries.add(new SoakDiscovery(hosts));
@@ -69,7 +70,8 @@
             DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
             held.add(peer);
             peers.add("\"127.0.0.1:" + peer.getLocalPort() + "\"");
-            processes.add(new SoakProcess(i, port, own, classPath, true));
+            Files.deleteIfExists(own.resolve(SoakProcess.LOG)); // of another soak, with the same names of requests
+            processes.add(new SoakProcess(i, port, own, classPath, calls, seed * count + i));
         }
         held.forEach(DatagramSocket::close);
     }
--- a/storm/src/main/java/marlford/storm/soak/SoakProcess.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 
 /** One gateway process of a soak: started, signalled, killed, and its log read. */
 final class SoakProcess implements Closeable {
+    static final String LOG = "log"; // its file
     private static final String JAVA =
             Path.of(System.getProperty("java.home"), "bin", "java").toString();
     private static final String PROGRAM = "java"; // its name once the shell has become it
@@ -30,18 +32,20 @@
     final int port;
     private final Path folder;
     private final String classPath;
-    private final boolean traced;
+    private final FailingCalls calls;
+    private final Random random; // what each life meets
     private Process process;
     private volatile long upSince; // of the present life, in nanoseconds; 0 while it is not up
     private volatile int lives;
     private long waitedNanos; // of its event loop for a core, at the last look
 
-    SoakProcess(int number, int port, Path folder, String classPath, boolean traced) {
+    SoakProcess(int number, int port, Path folder, String classPath, FailingCalls calls, long seed) {
         this.number = number;
         this.port = port;
         this.folder = folder;
         this.classPath = classPath;
-        this.traced = traced;
+        this.calls = calls;
+        this.random = new Random(seed);
     }
 
     Path settings() {
@@ -49,7 +53,7 @@
     }
 
     Path log() {
-        return folder.resolve("log");
+        return folder.resolve(LOG);
     }
 
     /** Starts it; {@link #setUp} tells when it serves. */
@@ -74,9 +78,8 @@
                 .redirectError(ProcessBuilder.Redirect.appendTo(log().toFile()));
         builder.environment().put("NODE_CONFIG", settings().toString());
         builder.environment().remove("TMPDIR"); // a process that is started anew finds nobody to take over from
-        if (traced) {
-            builder.environment().put("NODE_TRACE", "1");
-        }
+        builder.environment().put("NODE_TRACE", "1");
+        calls.draw(random, builder.environment());
         process = builder.start();
         lives++;
         STARTED.add(process);
