A fleet connection is opened again whatever its listener throws

Class: a step that nobody repeats when something ahead of it throws (as with discovery's calls). ReconnectingChannel scheduled its next connect after telling its listener of the end; a listener that throws once ended the connection for good. It schedules first now; and a connect that fails for want of a socket is told on the event loop, as the listener's contract says. Test: ReconnectingChannelTest, a listener that throws at each end; without the change one connection in 10 s.

--- a/fleet/src/main/java/marlford/consensus/FrameTransport.java
+++ b/fleet/src/main/java/marlford/consensus/FrameTransport.java
@@ -76,8 +76,8 @@
                 .handler(pipeline(listener))
                 .connect(to)
                 .addListener(f -> {
-                    if (!f.isSuccess()) {
-                        listener.closed(null);
+                    if (!f.isSuccess()) { // where there was no socket, netty tells it on a thread of its own
+                        group.execute(() -> listener.closed(null));
                     }
                 });
     }
--- a/fleet/src/main/java/marlford/consensus/ReconnectingChannel.java
+++ b/fleet/src/main/java/marlford/consensus/ReconnectingChannel.java
@@ -41,10 +41,10 @@
             @Override
             public void closed(Channel closed) {
                 channel = null;
-                listener.closed(closed);
-                if (!over && !group.isShuttingDown()) {
+                if (!over && !group.isShuttingDown()) { // ahead of what the listener may throw
                     group.schedule(ReconnectingChannel.this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
                 }
+                listener.closed(closed);
             }
         });
     }
