Failing accepts are logged once a second

Seen with one accept in ten failing on a real process: some 500 lines a second from the event loop (5,139 in 10 s), since each failure among accepted connections began a new row. Change: one line a second with the count since the last.

--- a/gateway/src/main/java/deckfall/accept/AcceptRetry.java
+++ b/gateway/src/main/java/deckfall/accept/AcceptRetry.java
@@ -17,6 +17,7 @@
     static final long LONGEST_MS = 50;
     private static final String NO_DESCRIPTOR = "Too many open files"; // of the process, or of the system
 
+    private static final long LOG_EVERY_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int AT_ONCE = 16; // netty's own bound for one reading of a listener
     private static final double NONE = -1;
 
@@ -29,6 +30,9 @@
     private double backlogMs = NONE; // since when each reading left some behind
     private long calls; // accepts that came to something, and failures
     private int failures; // in a row
+    private boolean logged; // ever
+    private long loggedNanos; // the last time
+    private int unlogged; // failures since then
     private boolean paused;
 
     /** For a listener nobody asks for how long connections waited, and that has no room to make. */
@@ -37,7 +41,7 @@
     }
 
     /**
-     * @param log takes one line for a row of failures
+     * @param log takes one line a second at most while accepts fail
      * @param makeRoom runs where no descriptor was left
      * @param clock in milliseconds
      */
@@ -80,9 +84,8 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         calls++;
-        if (failures++ == 0) {
-            log.accept("accept failed, and is tried again: " + cause.getMessage());
-        }
+        failures++;
+        logSeldom(cause);
         if (String.valueOf(cause.getMessage()).contains(NO_DESCRIPTOR)) {
             makeRoom.run();
         }
@@ -91,6 +94,19 @@
         }
     }
 
+    /** One line a second however many fail, or logging them would cost more than accepting. */
+    private void logSeldom(Throwable cause) {
+        unlogged++;
+        long now = System.nanoTime();
+        if (logged && now - loggedNanos < LOG_EVERY_NANOS) {
+            return;
+        }
+        log.accept("accept failed, and is tried again: " + cause.getMessage() + " (" + unlogged + " since the last such line)");
+        unlogged = 0;
+        logged = true;
+        loggedNanos = now;
+    }
+
     private void pause(Channel listener) {
         paused = true;
         backlogMs = backlogMs == NONE ? clock.getAsDouble() : backlogMs;
