A folder that fails no longer ends a start

Change: it is looked at again at the console's pace until it can be read; no host is left out or taken back that the folder can't keep (the operator gets 500, as before).

--- a/gateway/src/main/java/deckfall/console/Console.java
+++ b/gateway/src/main/java/deckfall/console/Console.java
@@ -69,7 +69,7 @@
         this.figures = figures;
         this.pages = Map.copyOf(pages);
         this.log = log;
-        this.leftOut = new LeftOut(folder);
+        this.leftOut = new LeftOut(folder, log);
         this.hosts = leftOut.hosts();
     }
 
--- a/gateway/src/main/java/deckfall/console/LeftOut.java
+++ b/gateway/src/main/java/deckfall/console/LeftOut.java
@@ -10,11 +10,15 @@
 import java.util.Base64;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 
 /**
  * The hosts that operators left out, each an empty file of a folder, so that they outlive the process and both
  * processes of an upgrade go by the same ones. Without a folder they are kept in memory alone.
  *
+ * <p>A folder that fails keeps no process from its start: it is looked at again until it can be read, and no host is left out, or taken
+ * back, that it can't keep.
+ *
  * <p>Bound: {@value #MAX} hosts; one more is not taken, and the operator is told so. Not thread-safe.
  */
 final class LeftOut {
@@ -24,12 +28,17 @@
     private final Path folder; // null: memory alone
     private Set<String> hosts = new TreeSet<>();
 
-    /** Starts with the hosts of the folder, which need not exist yet. */
-    LeftOut(Path folder) throws IOException {
+    /**
+     * Starts with the hosts of the folder, which need not exist yet.
+     *
+     * @param log takes one line where the folder can't be read
+     */
+    LeftOut(Path folder, Consumer<String> log) {
         this.folder = folder;
-        if (folder != null) {
-            Files.createDirectories(folder);
+        try {
             look();
+        } catch (IOException e) {
+            log.accept("console: can't read yet which hosts are left out: " + e);
         }
     }
 
@@ -67,6 +76,7 @@
         if (folder == null) {
             return false;
         }
+        Files.createDirectories(folder);
         Set<String> found = new TreeSet<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
             for (Path file : files) {
