A folder that fails when the process already serves no longer ends it

The same after a place was taken back: the closed listener was then accepted on without end, a line each. Change: the socket is tried again after 10 ms to 1 s until it can be had; clients are served all the while. Test: HandOverTest.aSocketThatCanNotBeHadYetIsTriedAgain; without the change open() threw 'No such file or directory'.

--- a/gateway/src/main/java/deckfall/upgrade/Successor.java
+++ b/gateway/src/main/java/deckfall/upgrade/Successor.java
@@ -1,5 +1,6 @@
 package deckfall.upgrade;
 
+import deckfall.accept.Backoff;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
@@ -24,6 +25,8 @@
     static final String LEFT = "left";
 
     private static final long WARM_MS = 120_000; // a start on a slow machine; nothing is held up meanwhile
+    private static final long SHORTEST_PAUSE_MS = 10; // between tries of a socket that fails
+    private static final long LONGEST_PAUSE_MS = 1000;
     private static final long SERVING_MS = 10_000; // from taken to serving: no message from peers is heard meanwhile
     static final long PROBATION_MS = 10_000;
 
@@ -61,9 +64,13 @@
         this.log = log;
     }
 
-    /** Waits for a successor from now on, on a thread of its own. */
-    public synchronized void open() throws IOException {
-        bind();
+    /** Waits for a successor from now on, on a thread of its own; where there can be no socket yet, from when there can. */
+    public void open() {
+        try {
+            bind();
+        } catch (IOException e) {
+            log.accept("upgrade: no successor is heard yet: " + e);
+        }
         Thread thread = new Thread(this::serve, "successor");
         thread.setDaemon(true);
         thread.start();
@@ -78,19 +85,31 @@
         }
         Files.deleteIfExists(path);
         listener = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
-        listener.bind(UnixDomainSocketAddress.of(path));
+        try {
+            listener.bind(UnixDomainSocketAddress.of(path));
+        } catch (IOException e) {
+            listener.close();
+            throw e;
+        }
+    }
+
+    private synchronized boolean isBound() {
+        return listener != null && listener.isOpen();
     }
 
     private void serve() {
+        Backoff backoff = new Backoff(SHORTEST_PAUSE_MS, LONGEST_PAUSE_MS);
         try {
             while (!closed) {
-                try (SocketChannel channel = listener.accept(); Wire wire = new Wire(channel)) {
-                    if (!closed) { // a close that met the accepting half way lets one more through
-                        serve(wire);
+                try {
+                    if (!isBound()) {
+                        bind();
                     }
+                    serveNext(backoff);
                 } catch (IOException | RuntimeException e) { // the next one is to be heard all the same
                     if (!closed) {
                         log.accept("upgrade: " + e);
+                        Thread.sleep(backoff.nextMs());
                     }
                 }
             }
@@ -99,6 +118,15 @@
         }
     }
 
+    private void serveNext(Backoff backoff) throws IOException, InterruptedException {
+        try (SocketChannel channel = listener.accept(); Wire wire = new Wire(channel)) {
+            backoff.reset();
+            if (!closed) { // a close that met the accepting half way lets one more through
+                serve(wire);
+            }
+        }
+    }
+
     private void serve(Wire wire) throws IOException, InterruptedException {
         String hello = wire.next(SERVING_MS);
         if (!HELLO.equals(hello)) {
@@ -137,6 +165,8 @@
     @Override
     public synchronized void close() throws IOException {
         closed = true;
-        listener.close(); // the file stays: it may be a successor's
+        if (listener != null) {
+            listener.close(); // the file stays: it may be a successor's
+        }
     }
 }
--- a/gateway/src/test/java/deckfall/upgrade/HandOverTest.java
+++ b/gateway/src/test/java/deckfall/upgrade/HandOverTest.java
@@ -15,6 +15,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -229,4 +230,14 @@
         assertEquals("release", next());
         assertTrue(done.isEmpty());
     }
+
+    /** The folder can't be written to for a while: that once ended a process that served. */
+    @Test
+    void aSocketThatCanNotBeHadYetIsTriedAgain() throws Exception {
+        path = dir.resolve("missing").resolve("s");
+        running(NEVER_MS);
+        Files.createDirectory(path.getParent());
+        assertTrue(awaitFound().take(PATIENCE_MS));
+        assertEquals("release", next());
+    }
 }
