The soak replaces running processes, too

A second process starts in the first one's folder and takes its place while clients, pauses, configurations and failing calls go on; the first gets SIGTERM within 6 s of that and SIGKILL as ever. What the first took in is owed.

--- a/storm/src/main/java/marlford/storm/soak/SoakFaults.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFaults.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -13,6 +14,7 @@
 final class SoakFaults {
     private static final long KILLED_AFTER_TERM_MS = SoakClient.ORDER_DEADLINE_MS + 700; // at the page's earliest
     private static final long COMES_ON_MS = 300; // new connections after SIGTERM
+    private static final int TOLD_TO_END_MS = 6000; // after a successor serves
     private static final int GAP_MS = 300;
     private static final int AWAY_LEAST_MS = 300;
     private static final int AWAY_MS = 2000;
@@ -30,6 +32,7 @@
         KILL,
         TERM,
         TERM_TWICE,
+        UPGRADE,
         PAUSE,
         PAUSE_ALL,
         NEW_CONFIGURATIONS,
@@ -42,6 +45,8 @@
         CROWD
     }
 
+    private static final Set<Kind> ENDING = EnumSet.of(Kind.KILL, Kind.TERM, Kind.TERM_TWICE, Kind.UPGRADE);
+
     private final SoakFleet fleet;
     private final Random random;
     private final boolean crowds;
@@ -75,7 +80,7 @@
 
     private void begin(Kind kind, int number, long seed) {
         SoakProcess process = fleet.processes().get(number);
-        boolean ends = kind == Kind.KILL || kind == Kind.TERM || kind == Kind.TERM_TWICE;
+        boolean ends = ENDING.contains(kind);
         long down = fleet.processes().stream().filter(p -> !p.isUp()).count();
         if (ends
                         && (!process.isUp()
@@ -104,6 +109,7 @@
         switch (kind) {
             case KILL -> kill(process, own);
             case TERM, TERM_TWICE -> terminate(kind, process);
+            case UPGRADE -> upgrade(process, own);
             case PAUSE -> pause(process, own);
             case PAUSE_ALL -> pauseAll(own);
             case NEW_CONFIGURATIONS -> configure(process, own);
@@ -154,6 +160,17 @@
         restart(process);
     }
 
+    /** A second process takes the first one's place while clients go on; the first is told to end within 6 s of that. */
+    private void upgrade(SoakProcess process, Random own) throws IOException, InterruptedException {
+        long servings = process.servings();
+        process.startSuccessor();
+        if (fleet.awaitSuccessor(process, servings)) {
+            Thread.sleep(own.nextInt(TOLD_TO_END_MS));
+            process.endPredecessor(KILLED_AFTER_TERM_MS);
+        }
+        ending.remove(process);
+    }
+
     private void restart(SoakProcess process) throws IOException, InterruptedException {
         fleet.writeSettings(process, 0);
         process.start();
--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -176,6 +176,19 @@
         process.setUp(true);
     }
 
+    /** Waits until one more process of it serves than before an upgrade; whether it does. */
+    boolean awaitSuccessor(SoakProcess process, long servings) throws IOException, InterruptedException {
+        long end = System.nanoTime() + READY_MS * 1_000_000;
+        while (process.servings() <= servings) {
+            if (System.nanoTime() > end || !process.isAlive()) {
+                findings.broken("upgrade: process " + process.number + " did not come up: " + process.ending());
+                return false;
+            }
+            Thread.sleep(LOOK_MS);
+        }
+        return true;
+    }
+
     private static boolean isHealthy(SoakProcess process) {
         try (var socket = SoakClient.connect(process)) {
             socket.setSoTimeout(1000);
--- a/storm/src/main/java/marlford/storm/soak/SoakProcess.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -35,6 +35,7 @@
     private final FailingCalls calls;
     private final Random random; // what each life meets
     private Process process;
+    private Process predecessor; // in an upgrade
     private volatile long upSince; // of the present life, in nanoseconds; 0 while it is not up
     private volatile int lives;
     private long waitedNanos; // of its event loop for a core, at the last look
@@ -58,6 +59,11 @@
 
     /** Starts it; {@link #setUp} tells when it serves. */
     void start() throws IOException {
+        launch();
+        lives++;
+    }
+
+    private void launch() throws IOException {
         List<String> command = List.of(
                 "sh",
                 "-c",
@@ -77,14 +83,37 @@
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                 .redirectError(ProcessBuilder.Redirect.appendTo(log().toFile()));
         builder.environment().put("NODE_CONFIG", settings().toString());
-        builder.environment().remove("TMPDIR"); // a process that is started anew finds nobody to take over from
+        builder.environment().put("TMPDIR", folder.toString()); // where the processes of an upgrade meet
         builder.environment().put("NODE_TRACE", "1");
         calls.draw(random, builder.environment());
         process = builder.start();
-        lives++;
         STARTED.add(process);
     }
 
+    /** Starts another process beside the running one, which goes on until it is told to end; what it took in is owed all the same. */
+    void startSuccessor() throws IOException {
+        predecessor = process;
+        launch();
+    }
+
+    /** The process of before the upgrade gets SIGTERM, and SIGKILL where it has not ended within this time. */
+    void endPredecessor(long ms) throws InterruptedException {
+        predecessor.destroy();
+        if (!predecessor.waitFor(ms, TimeUnit.MILLISECONDS)) {
+            predecessor.destroyForcibly();
+        }
+        predecessor = null;
+    }
+
+    /** How often a process here has said that it serves. */
+    long servings() throws IOException {
+        return Files.exists(log())
+                ? Files.readAllLines(log()).stream()
+                        .filter(line -> line.startsWith("serves after "))
+                        .count()
+                : 0;
+    }
+
     /** Clients may come from now on, or no longer. */
     void setUp(boolean up) {
         upSince = up ? System.nanoTime() : 0;
@@ -183,6 +212,9 @@
 
     @Override
     public void close() {
+        if (predecessor != null) {
+            predecessor.destroyForcibly();
+        }
         if (process != null) {
             process.destroyForcibly();
             process.onExit().join();
