A new process that has no socket for a moment still finds the one that serves

Change: only a refused connect tells that nobody listens; anything else is tried again for as long as the answer may take. Test: HandOverTest.aFailedConnectTakesTheRunningProcessForGone, three failures forced; null without the change.

--- a/gateway/src/main/java/deckfall/upgrade/Predecessor.java
+++ b/gateway/src/main/java/deckfall/upgrade/Predecessor.java
@@ -1,14 +1,21 @@
 package deckfall.upgrade;
 
+import deckfall.accept.Backoff;
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketAddress;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 
 /** The new process's side of an upgrade: what it asks of the one that serves. For one thread. */
 public final class Predecessor implements Closeable {
+    private static final long SHORTEST_PAUSE_MS = 5; // between tries to connect
+    private static final long LONGEST_PAUSE_MS = 100;
+
     private final Wire wire;
     private boolean away;
 
@@ -23,13 +30,20 @@
      * @throws IOException where one answers that this program can't take over from: nothing has happened there
      */
     public static Predecessor find(Path path, long waitMs) throws IOException, InterruptedException {
+        return find(path, waitMs, SocketChannel::open);
+    }
+
+    /** Connects to an address. */
+    interface Connector {
+        SocketChannel connect(SocketAddress address) throws IOException;
+    }
+
+    static Predecessor find(Path path, long waitMs, Connector connector) throws IOException, InterruptedException {
         if (!Files.exists(path)) {
             return null;
         }
-        SocketChannel channel;
-        try {
-            channel = SocketChannel.open(UnixDomainSocketAddress.of(path));
-        } catch (IOException e) {
+        SocketChannel channel = connected(path, waitMs, connector);
+        if (channel == null) {
             return null; // left behind by a process that is gone
         }
         Wire wire = new Wire(channel);
@@ -52,6 +66,24 @@
                 + (hello == null ? "no answer within " + waitMs + " ms" : hello));
     }
 
+    /** Null where nobody listens there; a machine that has no socket for a moment is no word on that. */
+    private static SocketChannel connected(Path path, long waitMs, Connector connector) throws InterruptedException {
+        Backoff backoff = new Backoff(SHORTEST_PAUSE_MS, LONGEST_PAUSE_MS);
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        while (true) {
+            try {
+                return connector.connect(UnixDomainSocketAddress.of(path));
+            } catch (ConnectException e) {
+                return null;
+            } catch (IOException e) {
+                if (System.nanoTime() > end) {
+                    return null;
+                }
+            }
+            Thread.sleep(backoff.nextMs());
+        }
+    }
+
     /**
      * Asks for the place; from its return on peers and quotas are this process's.
      *
--- a/gateway/src/test/java/deckfall/upgrade/HandOverTest.java
+++ b/gateway/src/test/java/deckfall/upgrade/HandOverTest.java
@@ -10,6 +10,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
+import java.net.SocketException;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
@@ -22,6 +23,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -240,4 +242,20 @@
         assertTrue(awaitFound().take(PATIENCE_MS));
         assertEquals("release", next());
     }
+
+    /** Without a socket for a moment the running process was taken for gone, and the new one ended: its address was in use. */
+    @Test
+    void aFailedConnectTakesTheRunningProcessForGone() throws Exception {
+        running(NEVER_MS);
+        AtomicInteger failing = new AtomicInteger(3);
+        Predecessor old = Predecessor.find(path, PATIENCE_MS, address -> {
+            if (failing.getAndDecrement() > 0) {
+                throw new SocketException("Too many open files in system");
+            }
+            return SocketChannel.open(address);
+        });
+        assertNotNull(old);
+        ends.push(old);
+        assertTrue(old.take(PATIENCE_MS));
+    }
 }
--- a/storm/src/main/java/marlford/storm/soak/SoakFaults.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFaults.java
@@ -181,9 +181,7 @@
     }
 
     private static void pause(SoakProcess process, Random own) throws IOException, InterruptedException {
-        process.signal("STOP");
-        Thread.sleep(PAUSE_LEAST_MS + own.nextInt(PAUSE_MS));
-        process.signal("CONT");
+        process.pause(PAUSE_LEAST_MS + own.nextInt(PAUSE_MS));
     }
 
     private void mood(SoakHosts.Mood mood, Random own) throws InterruptedException {
--- a/storm/src/main/java/marlford/storm/soak/SoakProcess.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -159,9 +159,20 @@
 
     /** Sends it a signal by name; none while it is still the shell that starts the program. */
     void signal(String name) throws IOException, InterruptedException {
-        Process present = process;
-        if (present.isAlive() && isProgram(present)) {
-            new ProcessBuilder("kill", "-" + name, Long.toString(present.pid()))
+        signal(process, name);
+    }
+
+    /** Stops it for so long; that one goes on, though another takes its place meanwhile. */
+    void pause(long ms) throws IOException, InterruptedException {
+        Process paused = process;
+        signal(paused, "STOP");
+        Thread.sleep(ms);
+        signal(paused, "CONT");
+    }
+
+    private static void signal(Process to, String name) throws IOException, InterruptedException {
+        if (to.isAlive() && isProgram(to)) {
+            new ProcessBuilder("kill", "-" + name, Long.toString(to.pid()))
                     .start()
                     .waitFor();
         }
--- a/storm/src/main/resources/marlford/storm/soak/failing_calls.c
+++ b/storm/src/main/resources/marlford/storm/soak/failing_calls.c
@@ -90,6 +90,8 @@
 static const int SOCKET_ERRORS[] = {ENFILE, EMFILE, ENOBUFS, ENOMEM};
 static const int CONNECT_ERRORS[] = {EADDRNOTAVAIL, ENOBUFS, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT};
 
+static const int LOCAL_CONNECT_ERRORS[] = {ENOBUFS, ENOMEM}; /* of Unix sockets */
+
 int accept(int fd, struct sockaddr *address, socklen_t *length) {
     return fails() ? fail_with(ACCEPT_ERRORS, LENGTH(ACCEPT_ERRORS)) : opened(real_accept(fd, address, length), SOCK_STREAM);
 }
@@ -105,7 +107,11 @@
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
-    return fails() ? fail_with(CONNECT_ERRORS, LENGTH(CONNECT_ERRORS)) : real_connect(fd, address, length);
+    if (!fails()) {
+        return real_connect(fd, address, length);
+    }
+    return address->sa_family == AF_UNIX ? fail_with(LOCAL_CONNECT_ERRORS, LENGTH(LOCAL_CONNECT_ERRORS))
+                                         : fail_with(CONNECT_ERRORS, LENGTH(CONNECT_ERRORS));
 }
 
 int close(int fd) {
