--- a/storm/src/main/java/marlford/storm/soak/SoakProcess.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -18,6 +18,7 @@
     private static final String JAVA =
             Path.of(System.getProperty("java.home"), "bin", "java").toString();
     private static final String PROGRAM = "java"; // its name once the shell has become it
+    private static final String STARTS = "deckfall: SIGHUP is ignored"; // the first line of each process
     private static final int LAST_LINES = 5;
     private static final String LOOP = "nioEventLoop"; // how the system calls the thread
     private static final double NANOS_PER_MS = 1e6;
@@ -98,8 +99,10 @@
 
     /** Whether the start of a successor failed for want of SO_REUSEPORT, which the virtual machine looks for once (KNOWN-RED.txt). */
     boolean failedForReusePort() throws IOException {
-        return ending().contains("Address already in use")
-                && Files.readString(log()).contains("Unknown channel option 'SO_REUSEPORT'");
+        String text = Files.readString(log());
+        int lastStart = text.lastIndexOf(STARTS);
+        return text.indexOf("can't start: Address already in use", Math.max(0, lastStart)) >= 0
+                && text.contains("Unknown channel option 'SO_REUSEPORT'");
     }
 
     /** The successor has ended; the process before it serves on. */
