--- a/gateway/src/main/java/deckfall/Brain.java
+++ b/gateway/src/main/java/deckfall/Brain.java
@@ -773,7 +773,8 @@
         peer.toldAt = now;
         account.note(Item.TOLD);
         leases.told(now, peer.number, peer.serial);
-        act.tell(peer.number, new Tell(epoch, peer.life.number(), peer.serial, peer.heardSerial, entries).bytes());
+        Tell message = new Tell(epoch, peer.life.number(), peer.serial, peer.heardSerial, entries);
+        act.tell(peer.number, message.bytes());
     }
 
     private Tell.Entry tellOf(double now, Customer c, Peer keeper) {
--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -976,6 +976,11 @@
         return clients.count();
     }
 
+    /** How many attempts wait for their host; on the event loop. */
+    int attemptsOut() {
+        return open.values().stream().mapToInt(r -> r.out).sum();
+    }
+
     /** Whether a client's connection has output that could not leave; on the event loop. */
     boolean hasUnsent() {
         return clients.hasUnsent();
