--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -976,9 +976,9 @@
         return clients.count();
     }
 
-    /** How many attempts wait for their host; on the event loop. */
-    int attemptsOut() {
-        return open.values().stream().mapToInt(r -> r.out).sum();
+    /** How many requests wait for their answer; on the event loop. */
+    int openRequests() {
+        return open.size();
     }
 
     /** Whether a client's connection has output that could not leave; on the event loop. */
