--- a/gateway/src/main/java/deckfall/net/Node.java
+++ b/gateway/src/main/java/deckfall/net/Node.java
@@ -976,6 +976,11 @@
         return clients.count();
     }
 
+    /** How many requests wait for their answer; on the event loop. */
+    int openRequests() {
+        return open.size();
+    }
+
     /** Whether a client's connection has output that could not leave; on the event loop. */
     boolean hasUnsent() {
         return clients.hasUnsent();
