--- a/review/1/LongAnswersToSlowReaders.java
+++ b/review/1/LongAnswersToSlowReaders.java
@@ -13,7 +13,7 @@
     private static final int HOSTS = 12;
     private static final int READERS = 320; // some 270 at a time: of 1,024 descriptors clients hold a third at most, 341
     private static final long READER_GAP_MS = 15; // between the starts of two readers
-    private static final int ANSWER_BYTES = 8_000_000; // the pages allow 32 MB
+    private static final int ANSWER_BYTES = 5_000_000; // the pages allow 32 MB
     private static final int[] READ_BYTES = {64 * 1024, ANSWER_BYTES}; // up to where a reader reads in one go
     private static final long READER_PAUSE_MS = 4000; // what a slow reader waits after the first part
     private static final int READER_EXPIRES_MS = 6000;
