Count the buffers of all connections and log them each second

Change: client and host channels take their buffers from one counting allocator; the activity line has buffers_kb.

--- a/gateway/src/main/java/marlford/gateway/net/ClientServer.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientServer.java
@@ -39,6 +39,7 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
+                        node.buffers.attach(ch);
                         new ClientConnection(node, connections, requestParser, ch, ++acceptedCount, retry.backlogWaitMs())
                                 .addTo(ch.pipeline());
                     }
--- a/gateway/src/main/java/marlford/gateway/net/HostClient.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostClient.java
@@ -381,6 +381,7 @@
             ChannelFuture connectFuture = bootstrap.clone().handler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel ch) {
+                    node.buffers.attach(ch);
                     opened.attach(ch);
                 }
             }).connect(node.transport.socketAddress(pool.address));
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -53,6 +53,7 @@
     private static final long LISTEN_RETRY_DELAY_MS = 50;
     private static final double LATE_ANSWER_LIMIT_MS = 500; // a final answer sent later than this after its deadline breaks ANSWERED_LATE
     private static final double MICROS_PER_MS = 1000;
+    private static final long BYTES_PER_KB = 1024;
     private static final double[] NO_LOAD_REPORT = new double[0];
 
     /** An event that waits to be delivered to the decision engine. */
@@ -74,6 +75,7 @@
     final NioEventLoopGroup group;
     final EventLoop loop;
     final EventLoopLag lag;
+    final ConnectionBuffers buffers;
     final ServiceMetrics metrics;
     private final Events engine;
     final EventLog eventLog;
@@ -116,6 +118,12 @@
 
     Node(NodeConfig config, Function<Actions, Events> engineFactory, Transport transport, NioEventLoopGroup group,
             Clock clock) {
+        this(config, engineFactory, transport, group, clock, ConnectionBuffers.ofProcess());
+    }
+
+    Node(NodeConfig config, Function<Actions, Events> engineFactory, Transport transport, NioEventLoopGroup group,
+            Clock clock, ConnectionBuffers buffers) {
+        this.buffers = buffers;
         this.config = config;
         this.clock = clock;
         // A warm-up node, which uses the in-memory transport, writes no trace.
@@ -418,7 +426,7 @@
 
     /**
      * Logs one line per second with the counts since the last line: first those of the decision engine, then the number of open
-     * client connections ("clients"), the event loop lag in milliseconds ("late"), requests of clients that disconnected, closed
+     * client connections ("clients"), the event loop lag in milliseconds ("late"), the buffers of all connections ("buffers_kb"), requests of clients that disconnected, closed
      * connections, refused and repeated requests, and broken rules, which are counted since the start of the process. The lines
      * of many gateways can be added up by second.
      */
@@ -427,7 +435,8 @@
         extensions.usageRecorder().onTick();
         String activity = engine.takeActivityLine(clock.now());
         if (!activity.isEmpty()) {
-            log("did " + activity + " clients=" + clientServer.connectionCount() + " late=" + Math.round(lag.ms()) + departures.takeCounts()
+            log("did " + activity + " clients=" + clientServer.connectionCount() + " late=" + Math.round(lag.ms())
+                    + " buffers_kb=" + buffers.usedBytes() / BYTES_PER_KB + departures.takeCounts()
                     + eventLog.takeCounts() + ruleCounter.text());
         }
     }
