Bound the buffers of all connections together, so that slow peers stop no other

Cause: each slow connection held up to 128 KiB of direct memory, and nothing bounded the sum. At 127 of them the 16 MB of the process were used up, and every allocation on the event loop slept in java.nio.Bits.reserveMemory.

Change: ConnectionBuffers, to which every client, host and discovery channel is attached, derives one window from what is free in the process. It bounds reads, unwritten output, the held part of a body and the length up to which messages are buffered. The event loop never asks for direct memory beyond its share.

--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -103,7 +103,7 @@
         this.requestParser = requestParser;
         this.channel = channel;
         this.lastSeenMs = this.idleSinceMs = node.clock.now();
-        this.reader = new RequestReader(node.clock, this::updateReading);
+        this.reader = new RequestReader(node.clock, node.buffers, this::updateReading);
     }
 
     void addTo(ChannelPipeline pipeline) {
--- a/gateway/src/main/java/marlford/gateway/net/ClientServer.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientServer.java
@@ -9,7 +9,6 @@
 
 /** Accepts client connections and checks them at a regular interval. Used on the event loop. */
 final class ClientServer {
-    static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024; // bytes of a body that is buffered; longer bodies are streamed
     private static final long SWEEP_INTERVAL_MS = 100;
     private static final double FIRST_REQUEST_GRACE_MS = 200; // from connecting: longest round trip plus event loop lag
 
--- a/gateway/src/main/java/marlford/gateway/net/ConnectionBuffers.java
+++ b/gateway/src/main/java/marlford/gateway/net/ConnectionBuffers.java
@@ -4,39 +4,92 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.util.internal.PlatformDependent;
 
 /**
  * The buffers of all connections of the process: what is read and not yet passed on, and what could not be written yet. Each channel
- * is attached once, so that its buffers are counted here. Used on the event loop; the count may be read from any thread.
+ * is attached once. From then on its buffers are counted here, and the size of its reads, the output that it may hold and the length up
+ * to which a message is buffered follow the <em>window</em>, which shrinks as the buffers of the process grow. So a few connections hold
+ * as much as is useful, and many slow ones together stay within the direct memory of the process.
+ *
+ * <p>The event loop must not wait for memory: where direct memory is short, the JDK sleeps inside the allocation. Beyond its share
+ * of the direct memory a buffer is therefore allocated on the heap.
+ *
+ * <p>Used on the event loops of the process; the count may be read from any thread.
  */
 final class ConnectionBuffers {
-    private static final ConnectionBuffers OF_PROCESS = new ConnectionBuffers();
+    /** Upper bound of the window: beyond it a connection gains no throughput. */
+    static final int MAX_WINDOW_BYTES = 64 * 1024;
+    private static final int MIN_WINDOW_BYTES = 1024;
+    /** Fraction of the limit that is the smallest window: half of the limit is enough for so many connections in both directions. */
+    private static final long SMALLEST_WINDOWS = 2048;
+    /** Part of the free bytes that one window may take. */
+    private static final long FREE_WINDOWS = 64;
+    private static final double TARGET_SHARE = 0.5; // of the direct memory; the smallest windows may go beyond it
+    private static final double DIRECT_SHARE = 0.85; // of the direct memory; the JDK's own temporary buffers need the rest
+    private static final int READS_PER_LOOP = 16; // of one channel, before the event loop serves the next one
 
-    private final CountingAllocator allocator = new CountingAllocator();
+    private static final ConnectionBuffers OF_PROCESS = new ConnectionBuffers(PlatformDependent.maxDirectMemory());
+
+    private final long targetBytes;
+    private final int minWindowBytes;
+    private final CountingAllocator allocator;
+    private final ReadAllocator readAllocator = new ReadAllocator();
+    private final OutputLimiter outputLimiter = new OutputLimiter();
+
+    /** @param directBytes limit of the direct memory of the process */
+    ConnectionBuffers(long directBytes) {
+        this.targetBytes = (long) (directBytes * TARGET_SHARE);
+        this.minWindowBytes = (int) Math.max(MIN_WINDOW_BYTES, Math.min(MAX_WINDOW_BYTES, targetBytes / SMALLEST_WINDOWS));
+        this.allocator = new CountingAllocator((long) (directBytes * DIRECT_SHARE));
+    }
 
     /** Returns the instance that all nodes of this process share. */
     static ConnectionBuffers ofProcess() {
         return OF_PROCESS;
     }
 
-    /** Counts the buffers of a new channel from now on. */
+    /** Counts and bounds the buffers of a new channel from now on. To be called before other handlers are added. */
     void attach(Channel channel) {
         channel.config().setAllocator(allocator);
+        channel.config().setRecvByteBufAllocator(readAllocator);
+        channel.pipeline().addFirst(outputLimiter);
     }
 
     /** Returns the size of all buffers in bytes. */
     long usedBytes() {
-        return allocator.unpooled.metric().usedDirectMemory() + allocator.unpooled.metric().usedHeapMemory();
+        return allocator.usedDirectBytes() + allocator.unpooled.metric().usedHeapMemory();
     }
 
-    /** Allocates each buffer by itself, in direct memory where Netty prefers that. */
+    /**
+     * Returns how much one connection may hold in each direction now, in bytes: at most {@value #MAX_WINDOW_BYTES}, and less the more
+     * all connections hold.
+     */
+    int windowBytes() {
+        long freeBytes = targetBytes - usedBytes();
+        return (int) Math.max(minWindowBytes, Math.min(MAX_WINDOW_BYTES, freeBytes / FREE_WINDOWS));
+    }
+
+    /** Allocates each buffer by itself: in direct memory up to a limit, and on the heap beyond it. */
     private static final class CountingAllocator extends AbstractByteBufAllocator {
         private final UnpooledByteBufAllocator unpooled = new UnpooledByteBufAllocator(PlatformDependent.directBufferPreferred());
+        private final long maxDirectBytes;
 
-        CountingAllocator() {
+        CountingAllocator(long maxDirectBytes) {
             super(PlatformDependent.directBufferPreferred());
+            this.maxDirectBytes = maxDirectBytes;
+        }
+
+        long usedDirectBytes() {
+            return unpooled.metric().usedDirectMemory();
         }
 
         @Override
@@ -46,7 +99,8 @@
 
         @Override
         protected ByteBuf newDirectBuffer(int initialCapacity, int maxCapacity) {
-            return unpooled.directBuffer(initialCapacity, maxCapacity);
+            return usedDirectBytes() + initialCapacity > maxDirectBytes ? unpooled.heapBuffer(initialCapacity, maxCapacity)
+                    : unpooled.directBuffer(initialCapacity, maxCapacity);
         }
 
         @Override
@@ -54,4 +108,46 @@
             return false;
         }
     }
+
+    /** Reads no more at once than the window. */
+    private final class ReadAllocator extends AdaptiveRecvByteBufAllocator {
+        ReadAllocator() {
+            maxMessagesPerRead(READS_PER_LOOP);
+        }
+
+        @Override
+        @SuppressWarnings("deprecation") // the method of the interface is deprecated; Netty's own handles are not
+        public Handle newHandle() {
+            return new WindowHandle(super.newHandle());
+        }
+    }
+
+    private final class WindowHandle extends RecvByteBufAllocator.DelegatingHandle {
+        WindowHandle(RecvByteBufAllocator.Handle adaptive) {
+            super(adaptive);
+        }
+
+        @Override
+        public ByteBuf allocate(ByteBufAllocator channelAllocator) {
+            return channelAllocator.ioBuffer(guess());
+        }
+
+        @Override
+        public int guess() {
+            return Math.min(super.guess(), windowBytes());
+        }
+    }
+
+    /** Makes a channel unwritable once it holds more output than the window. */
+    @ChannelHandler.Sharable
+    private final class OutputLimiter extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            int window = windowBytes();
+            if (context.channel().config().getWriteBufferHighWaterMark() != window) {
+                context.channel().config().setWriteBufferWaterMark(new WriteBufferWaterMark(window / 2, window));
+            }
+            context.write(message, promise);
+        }
+    }
 }
--- a/gateway/src/main/java/marlford/gateway/net/Discovery.java
+++ b/gateway/src/main/java/marlford/gateway/net/Discovery.java
@@ -186,6 +186,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
+                        node.buffers.attach(ch);
                         ch.pipeline().addLast(new HttpClientCodec(), connection.listHandler, connection);
                     }
                 }).connect(agent).addListener(f -> {
--- a/gateway/src/main/java/marlford/gateway/net/HostClient.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostClient.java
@@ -365,7 +365,7 @@
 
         /** Assigns the exchange to a new connection object, since one that has failed cannot be reused. */
         private void newConnection() {
-            connection = new HostConnection(pool, node.clock);
+            connection = new HostConnection(pool, node.clock, node.buffers);
             connection.assign(exchange);
             pool.connecting.add(connection);
         }
@@ -381,7 +381,6 @@
             ChannelFuture connectFuture = bootstrap.clone().handler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    node.buffers.attach(ch);
                     opened.attach(ch);
                 }
             }).connect(node.transport.socketAddress(pool.address));
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -55,6 +55,7 @@
 
     private final Owner owner;
     private final Clock clock;
+    private final ConnectionBuffers buffers;
     private final Decoder decoder = new Decoder();
     private Channel channel;
     private Exchange exchange;
@@ -73,7 +74,8 @@
     private Future<?> stallTimer;
     private double idleSince;
 
-    HostConnection(Owner owner, Clock clock) {
+    HostConnection(Owner owner, Clock clock, ConnectionBuffers buffers) {
+        this.buffers = buffers;
         this.owner = owner;
         this.clock = clock;
     }
@@ -193,6 +195,7 @@
     /** Installs this connection's handlers on its channel. */
     void attach(Channel newChannel) {
         channel = newChannel;
+        buffers.attach(newChannel);
         newChannel.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
     }
 
@@ -400,11 +403,16 @@
         if (!bounded || length > MAX_RESPONSE_BYTES || interimHead && ++interimResponses > MAX_INTERIM_RESPONSES
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             failInvalidResponse();
-        } else if (length > ClientServer.MAX_BUFFERED_BODY_BYTES) {
+        } else if (length > maxBufferedBytes()) {
             startStreaming();
         }
     }
 
+    /** Returns up to which length the response is buffered. Only a 200 is streamed earlier where memory is short. */
+    private int maxBufferedBytes() {
+        return head.status().equals(HttpResponseStatus.OK) ? buffers.windowBytes() : ConnectionBuffers.MAX_WINDOW_BYTES;
+    }
+
     /** Starts to stream a response. Only a 200 is streamed; of any other status, a long body is invalid. */
     private void startStreaming() {
         if (head.status().equals(HttpResponseStatus.OK)) {
@@ -429,7 +437,7 @@
     }
 
     private void onContent(ChannelHandlerContext ctx, HttpContent content) {
-        if (sink == null && body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BUFFERED_BODY_BYTES) {
+        if (sink == null && body.readableBytes() + content.content().readableBytes() > maxBufferedBytes()) {
             startStreaming();
             if (sink == null) {
                 return;
--- a/gateway/src/main/java/marlford/gateway/net/RequestBodyStream.java
+++ b/gateway/src/main/java/marlford/gateway/net/RequestBodyStream.java
@@ -9,12 +9,10 @@
  * seen to be still connected: the end of a client's connection follows the body, and a host starts to process a request
  * once it is complete. Runs on the event loop that client and host connections share.
  *
- * <p>Ownership: an added part belongs to this object until it is forwarded or discarded. At most
- * {@value #MAX_BUFFERED_BYTES} bytes and the result of one socket read are buffered; {@link #isFull} then requests a pause.
+ * <p>Ownership: an added part belongs to this object until it is forwarded or discarded. At most the window of
+ * {@link ConnectionBuffers} and the result of one socket read are buffered; {@link #isFull} then requests a pause.
  */
 final class RequestBodyStream {
-    private static final int MAX_BUFFERED_BYTES = 64 * 1024; // received and not yet forwarded
-
     /** A host connection that receives the body. */
     interface Receiver {
         /** Whether another part can be written now. */
@@ -28,9 +26,11 @@
     }
 
     private final long length;
+    private final ConnectionBuffers buffers;
     private final Runnable onChange;
     private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>();
     private long bufferedBytes;
+    private boolean full; // more than the window was buffered, and has not been forwarded since
     private ByteBuf lastPart; // received, but held back until confirmed; null otherwise
     private boolean complete; // the last byte has been received from the client
     private boolean confirmed; // the client was still connected after the last byte
@@ -40,10 +40,12 @@
 
     /**
      * @param length of the whole body in bytes, including the buffered part; negative when the client does not declare it
+     * @param buffers bounds the buffered bytes
      * @param onChange called when {@link #isFull} or {@link #isComplete} may have changed
      */
-    RequestBodyStream(long length, Runnable onChange) {
+    RequestBodyStream(long length, ConnectionBuffers buffers, Runnable onChange) {
         this.length = length;
+        this.buffers = buffers;
         this.onChange = onChange;
     }
 
@@ -54,7 +56,7 @@
 
     /** Whether reading from the client has to pause. */
     boolean isFull() {
-        return bufferedBytes > MAX_BUFFERED_BYTES;
+        return full;
     }
 
     /** Whether the client has sent the whole body. */
@@ -76,7 +78,8 @@
         parts.add(part);
         bufferedBytes += part.readableBytes();
         forward();
-        if (isFull()) {
+        if (bufferedBytes > buffers.windowBytes()) {
+            full = true;
             onChange.run();
         }
     }
@@ -123,7 +126,6 @@
 
     /** Forwards as many parts as the host can take now. */
     void forward() {
-        boolean wasFull = isFull();
         while (receiver != null && !parts.isEmpty() && receiver.isReady()) {
             ByteBuf part = parts.poll();
             bufferedBytes -= part.readableBytes();
@@ -136,7 +138,8 @@
             forwardingStarted = true;
             completed.finish();
         }
-        if (wasFull && !isFull()) {
+        if (full && bufferedBytes <= buffers.windowBytes()) {
+            full = false;
             onChange.run();
         }
     }
@@ -152,6 +155,7 @@
             lastPart = null;
         }
         bufferedBytes = 0;
+        full = false;
         onChange.run();
     }
 }
--- a/gateway/src/main/java/marlford/gateway/net/RequestReader.java
+++ b/gateway/src/main/java/marlford/gateway/net/RequestReader.java
@@ -49,6 +49,7 @@
     }
 
     private final Clock clock;
+    private final ConnectionBuffers buffers;
     private final Runnable updateReading;
     private final Decoder decoder = new Decoder();
     private HttpRequest head;
@@ -69,8 +70,9 @@
     private boolean reading; // the latest input is still being passed on
 
     /** @param updateReading called when reading may have to pause or resume */
-    RequestReader(Clock clock, Runnable updateReading) {
+    RequestReader(Clock clock, ConnectionBuffers buffers, Runnable updateReading) {
         this.clock = clock;
+        this.buffers = buffers;
         this.updateReading = updateReading;
     }
 
@@ -225,8 +227,8 @@
             refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (bodyStream == null && bodyBytes > ClientServer.MAX_BUFFERED_BODY_BYTES) {
-            bodyStream = new RequestBodyStream(HttpUtil.getContentLength(head, -1L), updateReading);
+        if (bodyStream == null && bodyBytes > buffers.windowBytes()) {
+            bodyStream = new RequestBodyStream(HttpUtil.getContentLength(head, -1L), buffers, updateReading);
             ByteBuf bufferedBody = body;
             body = Unpooled.EMPTY_BUFFER;
             ctx.fireChannelRead(new StreamedRequest(head, bufferedBody, bodyStream));
--- a/gateway/src/test/java/marlford/gateway/net/DisconnectedClientTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/DisconnectedClientTest.java
@@ -48,7 +48,7 @@
     private static final double CLOCK_ADVANCE_MS = 101;
     private static final int CLIENT_TIME_MS = 60_000; // remaining time that clients announce, since the clock is advanced
     // more than is read before a host accepts the request
-    private static final int LONG_BODY_BYTES = 4 * ClientServer.MAX_BUFFERED_BODY_BYTES;
+    private static final int LONG_BODY_BYTES = 4 * ConnectionBuffers.MAX_WINDOW_BYTES;
 
     /** How a client disconnects. */
     private enum Disconnect {
--- a/gateway/src/test/java/marlford/gateway/net/LongRequestBodyTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/LongRequestBodyTest.java
@@ -265,7 +265,7 @@
     }
 
     // too long to buffer whole, yet read completely while the request waits
-    private static final int WAITING_BODY_BYTES = ClientServer.MAX_BUFFERED_BODY_BYTES + 20_000;
+    private static final int WAITING_BODY_BYTES = ConnectionBuffers.MAX_WINDOW_BYTES + 20_000;
 
     /** The data behind the buffered part of a waiting body had no consumer, and was once never released. */
     @Test
--- /dev/null
+++ b/gateway/src/test/java/marlford/gateway/net/SlowPeersProcessTest.java
@@ -0,0 +1,249 @@
+package marlford.gateway.net;
+
+import static marlford.gateway.net.Sockets.bytes;
+import static marlford.gateway.net.Sockets.entry;
+import static marlford.gateway.net.Sockets.list;
+import static marlford.gateway.net.Sockets.ok;
+import static marlford.gateway.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.SequenceInputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import marlford.gateway.net.Sockets.DiscoveryAgent;
+import marlford.gateway.net.Sockets.Message;
+import marlford.gateway.net.Sockets.RecordingServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against slow peers that use up the direct memory of the process: its event loop then slept in each allocation, long answers
+ * were cut off and other requests were lost.
+ */
+class SlowPeersProcessTest {
+    private static final int SLOW_CLIENTS = 80; // with 128 KiB each they would hold more than twice the direct memory
+    private static final String DIRECT_MEMORY = "4m";
+    private static final int LONG_BYTES = 12 << 20; // more than the socket buffers of a connection take
+    private static final int SHORT_BYTES = 60_000; // short enough to be buffered
+    private static final int SMALL_BUFFER_BYTES = 4096; // of sockets
+    private static final int PART_BYTES = 1 << 16;
+    private static final int PIPELINED = 16;
+    private static final int OTHER_REQUESTS = 40;
+    private static final long OTHER_GAP_MS = 50;
+    private static final long MAX_ANSWER_MS = 1000; // of other requests, whose hosts answer at once
+    private static final Pattern LATE = Pattern.compile("late=(\\d+)");
+
+    /** What the gateway holds for slow peers. */
+    enum Held { LONG_ANSWER, CHUNKED_ANSWER, PIPELINED_SHORT_ANSWERS, LONG_BODY, SHORT_BODY }
+
+    @TempDir
+    private Path folder;
+    private Process process;
+    private int port;
+    private final CountDownLatch released = new CountDownLatch(1); // slow peers go on
+    private final List<Socket> slowClients = new ArrayList<>();
+
+    @AfterEach
+    void stop() throws IOException {
+        process.destroyForcibly();
+        for (Socket socket : slowClients) {
+            socket.close();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void slowPeersDoNotStopTheEventLoop(Held held) throws Exception {
+        try (RecordingServer fast = new RecordingServer((m, s) -> answer(held, m, s));
+                ServerSocket slow = listenWithSmallBuffer()) {
+            serveSlowly(slow);
+            String address = held == Held.LONG_BODY ? "127.0.0.1:" + slow.getLocalPort() : fast.address();
+            try (DiscoveryAgent agent = new DiscoveryAgent(list(1, true, entry("h0", address, "ready")))) {
+                start(agent.server.address());
+                for (int i = 0; i < SLOW_CLIENTS; i++) {
+                    slowClients.add(startSlowClient(held, i));
+                }
+                assertOthersAreServed();
+                released.countDown();
+                assertAllServed(held);
+            }
+        }
+    }
+
+    private static ServerSocket listenWithSmallBuffer() throws IOException {
+        ServerSocket listener = new ServerSocket();
+        listener.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2 * SLOW_CLIENTS);
+        return listener;
+    }
+
+    /** Reads a request's head at once, and the body of an order only once it is released. */
+    private void serveSlowly(ServerSocket listener) {
+        daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                daemon(() -> {
+                    InputStream in = socket.getInputStream();
+                    while (true) {
+                        int first = in.read();
+                        if (first == 'P') {
+                            released.await();
+                        }
+                        Sockets.read(new SequenceInputStream(new ByteArrayInputStream(new byte[] {(byte) first}), in));
+                        socket.getOutputStream().write(ok("done"));
+                    }
+                });
+            }
+        });
+    }
+
+    /** A task of a thread of its own, which ends with its socket. */
+    private interface Task {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private static void daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException | InterruptedException e) {
+                return; // the test has ended
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void answer(Held held, Message request, Socket socket) throws IOException, InterruptedException {
+        OutputStream out = socket.getOutputStream();
+        if (!request.startLine().contains("slow")) {
+            out.write(ok("done"));
+        } else if (held == Held.LONG_ANSWER) {
+            out.write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + LONG_BYTES + "\r\n\r\n"));
+            out.write(new byte[LONG_BYTES]);
+        } else if (held == Held.CHUNKED_ANSWER) {
+            out.write(bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+            for (int sent = 0; sent < LONG_BYTES; sent += PART_BYTES) {
+                out.write(bytes(Integer.toHexString(PART_BYTES) + "\r\n"));
+                out.write(new byte[PART_BYTES]);
+                out.write(bytes("\r\n"));
+            }
+            out.write(bytes("0\r\n\r\n"));
+        } else {
+            if (held == Held.SHORT_BODY) {
+                released.await();
+            }
+            out.write(ok("y".repeat(SHORT_BYTES)));
+        }
+    }
+
+    private void start(String discovery) throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        String config = Sockets.config(discovery, "127.0.0.1:0").replace("127.0.0.1:0\", \"disc", "127.0.0.1:" + port + "\", \"disc");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-Xmx64m", "-XX:MaxDirectMemorySize=" + DIRECT_MEMORY, "-cp", System.getProperty("java.class.path"),
+                "marlford.gateway.Main", "serve");
+        builder.environment().put("NODE_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
+        process = builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectError(folder.resolve("log").toFile()).start();
+        Sockets.await(() -> Files.readString(folder.resolve("log")).contains("serves after"), "the process serves");
+    }
+
+    /** Starts a client that sends at once what its sockets take, and reads nothing yet. */
+    private Socket startSlowClient(Held held, int number) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        socket.setSoTimeout(Sockets.TIMEOUT_MS);
+        OutputStream out = socket.getOutputStream();
+        if (held == Held.LONG_BODY || held == Held.SHORT_BODY) {
+            int length = held == Held.LONG_BODY ? LONG_BYTES : SHORT_BYTES;
+            out.write(bytes("POST /order/slow HTTP/1.1\r\nHost: h\r\n" + Sockets.headers("slow" + number, Sockets.TIMEOUT_MS)
+                    + "Idempotency-Key: k" + number + "\r\nContent-Length: " + length + "\r\n\r\n"));
+            daemon(() -> out.write(new byte[length]));
+            return socket;
+        }
+        for (int i = 0; i < requests(held); i++) {
+            out.write(bytes(view("slow-" + number + "-" + i, Sockets.TIMEOUT_MS)));
+        }
+        return socket;
+    }
+
+    private static int requests(Held held) {
+        return held == Held.PIPELINED_SHORT_ANSWERS ? PIPELINED : 1;
+    }
+
+    private void assertOthersAreServed() throws Exception {
+        for (int i = 0; i < OTHER_REQUESTS; i++) {
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                long sentNanos = System.nanoTime();
+                socket.setSoTimeout(Sockets.TIMEOUT_MS);
+                socket.getOutputStream().write(bytes(view("other" + i, Sockets.TIMEOUT_MS)));
+                Message answer = Sockets.read(socket.getInputStream());
+                long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+                assertTrue(answer != null && tookMs <= MAX_ANSWER_MS, "another client waited for " + tookMs + " ms");
+            }
+            Thread.sleep(OTHER_GAP_MS);
+        }
+        for (Matcher late = LATE.matcher(Files.readString(folder.resolve("log"))); late.find();) {
+            assertTrue(Integer.parseInt(late.group(1)) < MAX_ANSWER_MS, "the event loop was late by " + late.group(1) + " ms");
+        }
+    }
+
+    /** All slow clients go on at the same time. */
+    private void assertAllServed(Held held) throws Exception {
+        ExecutorService readers = Executors.newFixedThreadPool(SLOW_CLIENTS);
+        try {
+            List<Future<?>> results = new ArrayList<>();
+            for (Socket client : slowClients) {
+                results.add(readers.submit(() -> {
+                    assertServed(held, client);
+                    return null;
+                }));
+            }
+            for (Future<?> result : results) {
+                result.get();
+            }
+        } finally {
+            readers.shutdownNow();
+        }
+    }
+
+    /** The client gets its answers whole. */
+    private static void assertServed(Held held, Socket client) throws IOException {
+        if (held == Held.CHUNKED_ANSWER) {
+            InputStream in = client.getInputStream();
+            for (int last4 = 0; last4 != ('\r' << 24 | '\n' << 16 | '\r' << 8 | '\n');) {
+                last4 = last4 << 8 | in.read();
+            }
+            assertEquals(LONG_BYTES, LongResponseTest.readChunks(in).length);
+            return;
+        }
+        for (int i = 0; i < requests(held); i++) {
+            Message answer = Sockets.read(client.getInputStream());
+            assertTrue(answer != null, "an answer was cut off");
+            assertEquals(200, answer.status());
+        }
+    }
+}
