--- a/gateway/src/main/java/marlford/gateway/net/Attempt.java
+++ b/gateway/src/main/java/marlford/gateway/net/Attempt.java
@@ -52,6 +52,7 @@
             sentAtMs = node.clock.now();
         }
         node.metrics.attemptSent();
+        node.eventLog.attemptWritten(owner.request.id(), number);
     }
 
     @Override
--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -275,7 +275,11 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof RequestReader.BodyReceived) { // deferred, because this call is made while the socket is being read
+        if (event instanceof RequestReader.BodyReceived) {
+            if (current != null && ((RequestReader.BodyReceived) event).body() == upload) {
+                node.eventLog.bodyReceived(current.request.id(), current.request.deadlineMs() - node.clock.now());
+            }
+            // deferred, because this call is made while the socket is being read
             node.loop.execute(() -> confirmBody(((RequestReader.BodyReceived) event).body()));
             return;
         }
@@ -475,7 +479,7 @@
             sendStatus(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
         } else {
             engineRequests++;
-            node.eventLog.requestReceived(number, parsed.id());
+            node.eventLog.requestReceived(number, parsed.id(), parsed.deadlineMs() - now);
             node.onRequestReceived(parsed, request, this);
         }
     }
--- a/gateway/src/main/java/marlford/gateway/net/EventLog.java
+++ b/gateway/src/main/java/marlford/gateway/net/EventLog.java
@@ -55,10 +55,28 @@
         }
     }
 
-    /** Records that a request was passed to the decision engine. */
-    void requestReceived(long connection, String request) {
+    /**
+     * Records that a request was passed to the decision engine.
+     *
+     * @param remainingMs time until its deadline
+     */
+    void requestReceived(long connection, String request, double remainingMs) {
         if (trace != null) {
-            writeLine("taken request=" + request + " client=" + connection);
+            writeLine("taken request=" + request + " client=" + connection + " remaining_ms=" + (long) remainingMs);
+        }
+    }
+
+    /** Records that the last byte of a request's streamed body was read. */
+    void bodyReceived(String request, double remainingMs) {
+        if (trace != null) {
+            writeLine("body-received request=" + request + " remaining_ms=" + (long) remainingMs);
+        }
+    }
+
+    /** Records that the last byte of an attempt was written. */
+    void attemptWritten(String request, int number) {
+        if (trace != null) {
+            writeLine("attempt-written request=" + request + " number=" + number);
         }
     }
 
--- a/gateway/src/test/java/marlford/gateway/net/EventLogTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/EventLogTest.java
@@ -27,11 +27,11 @@
     void tracedProcessWritesEachEventWithItsRequestId() {
         List<String> lines = new ArrayList<>();
         EventLog log = new EventLog(ManualClock.stopped(), lines::add);
-        log.requestReceived(7, "a");
+        log.requestReceived(7, "a", 1500);
         log.attemptEnded("a", 1, Outcome.RESET);
         log.closed(7, CloseReason.BY_CLIENT, "a");
         assertEquals(3, lines.size());
-        assertTrue(lines.get(0).endsWith(" taken request=a client=7"), lines.get(0));
+        assertTrue(lines.get(0).endsWith(" taken request=a client=7 remaining_ms=1500"), lines.get(0));
         assertTrue(lines.get(1).endsWith(" attempt-ended request=a number=1 outcome=reset"), lines.get(1));
         assertTrue(lines.get(2).endsWith(" closed client=7 reason=by_client request=a"), lines.get(2));
     }
