Count a long request's time from its last byte, and notice hosts that hang behind it

Cause: RequestParser.parse added the time that the whole body might take, at 64 kB a second, to the deadline when the first 64 KiB had been read, and nothing set it anew; such attempts had no slot, so they were never overdue.

Change: RequestDeadline, which every request has: its time counts from the latest moment at which the client certainly had not sent the last byte. The engine learns it when an attempt is written completely; that attempt then takes a slot and can be overdue. Short answers that are passed on early for want of memory keep their deadline and their limit for a pause.

SlowPeersProcessTest: 24 names of its host in place of one. With slots for long bodies its 80 held orders filled the 48 places of the gateway (out=74 places=48, late=0, buffers_kb=1173 in its log), so others waited for a slot, which is not what the test is about.

--- a/gateway/src/main/java/marlford/gateway/DecisionEngine.java
+++ b/gateway/src/main/java/marlford/gateway/DecisionEngine.java
@@ -418,6 +418,25 @@
         release(now);
     }
 
+    @Override public void onBodySent(double now, String id, int number, double deadlineMs) {
+        ActiveRequest active = activeRequests.get(id);
+        if (active == null || number < 0 || number >= active.attempts.size()) return;
+        active.request = active.request.withDeadline(deadlineMs);
+        Attempt attempt = active.attempts.get(number);
+        if (!attempt.inFlight || attempt.holdsSlot) return;
+        attempt.awaitedSince = now;
+        attempt.stallMsBefore = totalStallMs;
+        takeSlot(attempt);
+    }
+
+    private void takeSlot(Attempt attempt) {
+        attempt.holdsSlot = true;
+        attempt.host.attempts.add(attempt);
+        attempt.host.workInFlightMs += attempt.expectedMs;
+        busyHosts.add(attempt.host);
+        attemptsInFlight++;
+    }
+
     /**
      * Frees the concurrency slot that an attempt holds at its host. The attempt itself may still be in
      * flight.
@@ -1233,11 +1252,7 @@
         }
         active.attempts.add(attempt);
         if (active.request.bodyTimeMs() == 0) { // a host starts no request before its last byte has arrived
-            attempt.holdsSlot = true;
-            host.attempts.add(attempt);
-            host.workInFlightMs += attempt.expectedMs;
-            busyHosts.add(host);
-            attemptsInFlight++;
+            takeSlot(attempt);
         }
         counters.increment(Item.SENT);
         if (warmth(host, now) < 1) counters.increment(Item.TO_COLD);
@@ -1647,14 +1662,16 @@
         for (HostRecord host : new ArrayList<>(busyHosts)) {
             for (Attempt a : new ArrayList<>(host.attempts)) {
                 double expected = a.expectedMs * Math.max(1, host.slowness.factor(now, SLOWNESS_FADE_MS));
-                double waited = now - a.sentAt - ownStallMs(now, a);
+                double waited = now - a.awaitedSince - ownStallMs(now, a);
                 if (a.overdue || a.active.streaming
                         || waited <= OVERDUE_LATENCY_FACTOR * expected + OVERDUE_MARGIN_MS) continue;
                 a.overdue = true;
                 host.slownessOf(a.active.cls).update(now, MAX_SLOWNESS, FAILURE_SAMPLE_WEIGHT,
                         SLOWNESS_FADE_MS);
                 boolean useful = !a.active.closed && now + a.expectedMs < giveUpAt(a.active);
-                boolean safe = a.active.cls.spec.effect() != Effect.ONCE && settings.limits().cancel();
+                // The body of a streamed request is gone, so no other attempt could follow.
+                boolean safe = a.active.cls.spec.effect() != Effect.ONCE && settings.limits().cancel()
+                        && a.active.request.bodyTimeMs() == 0;
                 if (useful && safe && retryTokens >= 1) actions.cancel(a.active.request.id(), a.number);
             }
         }
--- a/gateway/src/main/java/marlford/gateway/EngineApi.java
+++ b/gateway/src/main/java/marlford/gateway/EngineApi.java
@@ -172,7 +172,8 @@
      * @param retry the client has sent the request before
      * @param units of the customer's quota that the request uses
      * @param bodyTimeMs time in milliseconds that the client may take for the rest of the body, which is sent on to the host
-     *     as it arrives; 0 if the request was received completely. The engine gives attempts a slot only for 0.
+     *     as it arrives; 0 if the request was received completely. An attempt of another request gets its slot once it is
+     *     written completely.
      */
     public record Request(String id, double deadlineMs, double arrivedMs, boolean retry, String requestClass, long customer,
             String plan, double units, int first, int spread, double bodyTimeMs) {
@@ -181,6 +182,11 @@
                 long customer, String plan, double units, int first, int spread) {
             this(id, deadlineMs, arrivedMs, retry, requestClass, customer, plan, units, first, spread, 0);
         }
+
+        /** Returns this request with another deadline. */
+        Request withDeadline(double otherDeadlineMs) {
+            return new Request(id, otherDeadlineMs, arrivedMs, retry, requestClass, customer, plan, units, first, spread, bodyTimeMs);
+        }
     }
 
     /**
@@ -205,6 +211,14 @@
 
         void onRequest(double now, Request request);
 
+        /**
+         * An attempt has been written to its host completely. Sent for requests whose body was not received completely when they
+         * arrived: the host can begin only now.
+         *
+         * @param deadlineMs the request's deadline, which counts from the last byte of its body
+         */
+        default void onBodySent(double now, String id, int attempt, double deadlineMs) { }
+
         /** The response of an attempt has begun to arrive. */
         void onStreamStarted(double now, String id, int attempt);
 
--- a/gateway/src/main/java/marlford/gateway/EngineState.java
+++ b/gateway/src/main/java/marlford/gateway/EngineState.java
@@ -350,8 +350,9 @@
         final int number; // among the request's attempts, from 0
         final HostRecord host;
         final double sentAt;
+        double awaitedSince; // the host can work on it since then
         final double expectedMs; // latency expected when it was sent
-        final double stallMsBefore; // total of this gateway's own stalls before it was sent
+        double stallMsBefore; // total of this gateway's own stalls before the host could work on it
         boolean inFlight = true;
         boolean holdsSlot; // counts as work of its host
         boolean neverRan;
@@ -363,6 +364,7 @@
             this.number = active.attempts.size();
             this.host = host;
             this.sentAt = sentAt;
+            this.awaitedSince = sentAt;
             this.expectedMs = expectedMs;
             this.stallMsBefore = stallMsBefore;
         }
@@ -370,7 +372,7 @@
 
     /** A client's request from its arrival until it is answered and its last attempt has ended. */
     static final class ActiveRequest {
-        final Request request;
+        Request request; // the deadline of one with a streamed body is known when the body is complete
         final ClassState cls;
         final Customer customer; // null where there is no quota to apply
         final double arrivedAt;
--- a/gateway/src/main/java/marlford/gateway/net/Attempt.java
+++ b/gateway/src/main/java/marlford/gateway/net/Attempt.java
@@ -50,6 +50,7 @@
     void onRequestWritten() {
         if (owner.message instanceof StreamedRequest) {
             sentAtMs = node.clock.now();
+            node.onBodySent(this);
         }
         node.metrics.attemptSent();
         node.eventLog.attemptWritten(owner.request.id(), number);
--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -30,6 +30,7 @@
 import marlford.gateway.console.ServiceMetrics;
 import marlford.gateway.guard.ClientProgress;
 import marlford.gateway.guard.ClientProgress.Stall;
+import marlford.gateway.guard.RequestDeadline;
 import marlford.gateway.guard.Rule;
 import marlford.gateway.shutdown.LingeringClose;
 
@@ -49,7 +50,6 @@
     private static final int BAD_REQUEST_LIMIT = 2; // from this number on, each bad request pauses reading
     private static final long BAD_REQUEST_PAUSE_MS = 200;
     private static final double MIN_UPLOAD_BYTES_PER_MS = 64; // upload speed of the slowest client that the tier's client protocol allows
-    private static final double ASSUMED_BODY_BYTES = 1 << 20; // for a long body without a declared length
     private static final double MS_PER_SECOND = 1000;
     private static final String HEALTH_PATH = "/healthz";
 
@@ -103,7 +103,7 @@
         this.requestParser = requestParser;
         this.channel = channel;
         this.lastSeenMs = this.idleSinceMs = node.clock.now();
-        this.reader = new RequestReader(node.clock, node.buffers, this::updateReading);
+        this.reader = new RequestReader(node.clock, () -> node.clock.now() - node.lag.ms(), node.buffers, this::updateReading);
     }
 
     void addTo(ChannelPipeline pipeline) {
@@ -276,11 +276,12 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event instanceof RequestReader.BodyReceived) {
-            if (current != null && ((RequestReader.BodyReceived) event).body() == upload) {
-                node.eventLog.bodyReceived(current.request.id(), current.request.deadlineMs() - node.clock.now());
+            RequestBodyStream received = ((RequestReader.BodyReceived) event).body();
+            if (current != null && received == upload) {
+                node.eventLog.bodyReceived(current.request.id(), current.deadlineMs() - node.clock.now());
             }
             // deferred, because this call is made while the socket is being read
-            node.loop.execute(() -> confirmBody(((RequestReader.BodyReceived) event).body()));
+            node.loop.execute(() -> confirmBody(received));
             return;
         }
         if (event == RequestReader.ClientSignal.EXPECTS_CONTINUE) {
@@ -446,12 +447,19 @@
         }
     }
 
-    /** Returns how long the rest of the body may take at the minimum client speed, in milliseconds; 0 when it is complete. */
-    private double remainingUploadMs() {
-        if (upload == null || upload.isComplete()) {
+    /** Returns how long the rest of the body may take at the minimum client speed, in milliseconds; 0 when there is none. */
+    private double maxUploadMs() {
+        if (upload == null) {
             return 0;
         }
-        return (upload.length() < 0 ? ASSUMED_BODY_BYTES : upload.length()) / MIN_UPLOAD_BYTES_PER_MS;
+        return (upload.length() < 0 ? RequestReader.MAX_BODY_BYTES : upload.length()) / MIN_UPLOAD_BYTES_PER_MS;
+    }
+
+    /** Records up to when the current request was certainly incomplete. */
+    void recordArrival(RequestDeadline deadline) {
+        if (upload != null) {
+            deadline.recordIncomplete(reader.incompleteUntilMs(upload));
+        }
     }
 
     private void handle(FullHttpRequest request, double arrivedMs) {
@@ -466,7 +474,7 @@
         // The time for which the engine holds the request begins when it is the first one on this connection, less the event loop lag.
         // The time that it has waited behind other requests of the connection does not count.
         double turnMs = now - node.lag.ms();
-        Request parsed = requestParser.parse(request, now, arrivedMs, Math.max(arrivedMs, turnMs), remainingUploadMs());
+        Request parsed = requestParser.parse(request, now, arrivedMs, Math.max(arrivedMs, turnMs), maxUploadMs());
         if (parsed == null || node.isRequestOpen(parsed.id())) {
             boolean withoutId = !request.headers().contains(RequestParser.TRACE_ID);
             StreamedRequest.discard(request);
@@ -480,7 +488,8 @@
         } else {
             engineRequests++;
             node.eventLog.requestReceived(number, parsed.id(), parsed.deadlineMs() - now);
-            node.onRequestReceived(parsed, request, this);
+            RequestDeadline deadline = new RequestDeadline(Math.min(now, arrivedMs), parsed.deadlineMs(), parsed.bodyTimeMs());
+            node.onRequestReceived(parsed, deadline, request, this);
         }
     }
 
--- a/gateway/src/main/java/marlford/gateway/net/HostClient.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostClient.java
@@ -242,7 +242,7 @@
         headers.set(HttpHeaderNames.HOST, HOST_HEADER_VALUE);
         headers.set(RequestParser.TRACE_ID, attempt.owner.request.id());
         headers.set(RequestParser.EXPIRES_IN_MS,
-                Long.toString((long) Math.max(1, attempt.owner.request.deadlineMs() - node.clock.now())));
+                Long.toString((long) Math.max(1, attempt.owner.deadlineMs() - node.clock.now())));
         String key = received.headers().get(RequestParser.IDEMPOTENCY_KEY);
         if (key != null) {
             headers.set(RequestParser.IDEMPOTENCY_KEY, key);
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -119,6 +119,15 @@
             return connection != null && connection.requestWritten;
         }
 
+        /**
+         * Returns whether its response may go on past the request's deadline: the time of a long one is that of its first bytes, and
+         * a short one that waits for its client to read is not late through its host.
+         */
+        final boolean mayOutlastDeadline() {
+            HostConnection carrier = connection;
+            return carrier != null && carrier.sink != null && (carrier.isLongResponse() || !carrier.channel.config().isAutoRead());
+        }
+
         /**
          * Reads bytes that are already in the socket. To be called when a timeout fires: if the response is already in the
          * socket, this event loop was late and not the host. The exchange may end in this call.
@@ -408,6 +417,11 @@
         }
     }
 
+    /** Whether the response is too long to be buffered however much memory is free. */
+    private boolean isLongResponse() {
+        return sink != null && Math.max(streamedBytes, HttpUtil.getContentLength(head, -1L)) > ConnectionBuffers.MAX_WINDOW_BYTES;
+    }
+
     /** Returns up to which length the response is buffered. Only a 200 is streamed earlier where memory is short. */
     private int maxBufferedBytes() {
         return head.status().equals(HttpResponseStatus.OK) ? buffers.windowBytes() : ConnectionBuffers.MAX_WINDOW_BYTES;
@@ -526,7 +540,7 @@
         }
         Exchange target = exchange;
         boolean paused = !channel.config().isAutoRead(); // the client is slow then, not the host
-        double remainingMs = lastReadAt + (sink == null ? RESPONSE_STALL_TIMEOUT_MS : STREAM_STALL_TIMEOUT_MS) - clock.now();
+        double remainingMs = lastReadAt + (isLongResponse() ? STREAM_STALL_TIMEOUT_MS : RESPONSE_STALL_TIMEOUT_MS) - clock.now();
         if (remainingMs <= 0 && !paused) {
             failInvalidResponse();
             return;
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -31,6 +31,7 @@
 import marlford.gateway.console.Console;
 import marlford.gateway.console.ServiceMetrics;
 import marlford.gateway.guard.AttemptGuard;
+import marlford.gateway.guard.RequestDeadline;
 import marlford.gateway.guard.Rule;
 import marlford.gateway.guard.RuleCounter;
 import marlford.gateway.shutdown.ShutdownSchedule;
@@ -546,16 +547,34 @@
     }
 
     /** Adds a request of a client to the table and passes it to the engine; the entry owns the message from here on. */
-    void onRequestReceived(Request request, FullHttpRequest message, ClientConnection client) {
-        OpenRequest entry = new OpenRequest(request, message, client);
+    void onRequestReceived(Request request, RequestDeadline deadline, FullHttpRequest message, ClientConnection client) {
+        OpenRequest entry = new OpenRequest(request, deadline, message, client);
         openRequests.put(request.id(), entry);
         metrics.requestAccepted();
         client.setCurrentRequest(entry);
-        double remainingMs = request.deadlineMs() - clock.now();
-        entry.deadlineTimer = loop.schedule(() -> onDeadline(request.id()), toMicros(remainingMs), TimeUnit.MICROSECONDS);
+        startDeadlineTimer(entry);
         deliver((now, events) -> events.onRequest(now, request));
     }
 
+    /** Starts a timer for the deadline, which is started again if the deadline has moved meanwhile. */
+    private void startDeadlineTimer(OpenRequest entry) {
+        double startedForMs = entry.deadlineMs();
+        entry.deadlineTimer = loop.schedule(() -> {
+            if (entry.deadlineMs() > startedForMs) {
+                startDeadlineTimer(entry);
+            } else {
+                onDeadline(entry.request.id());
+            }
+        }, toMicros(startedForMs - clock.now()), TimeUnit.MICROSECONDS);
+    }
+
+    /** Reports to the engine that an attempt of a request with a streamed body was written completely. */
+    void onBodySent(Attempt attempt) {
+        OpenRequest entry = attempt.owner;
+        double deadlineMs = entry.deadlineMs();
+        deliver((now, events) -> events.onBodySent(now, entry.request.id(), attempt.number, deadlineMs));
+    }
+
     private static long toMicros(double ms) {
         return (long) (Math.max(0, ms) * MICROS_PER_MS);
     }
@@ -604,8 +623,8 @@
 
     private void timeOut(Attempt attempt) {
         attempt.readPending();
-        // An answer that is being streamed may continue past the deadline.
-        if (!attempt.ended && attempt != attempt.owner.streamingAttempt) {
+        boolean outlasts = attempt == attempt.owner.streamingAttempt && attempt.mayOutlastDeadline();
+        if (!attempt.ended && !outlasts) {
             abandonAttempt(attempt, Outcome.TIMEOUT);
         }
     }
@@ -668,7 +687,6 @@
         }
         entry.close();
         entry.streamingAttempt = attempt;
-        entry.deadlineTimer.cancel(false);
         attempt.streamedAtMs = clock.now();
         attempt.stopTimer();
         deliver((now, events) -> events.onStreamStarted(now, entry.request.id(), attempt.number));
@@ -720,7 +738,7 @@
     private ClientConnection closeRequest(OpenRequest entry) {
         if (!entry.isClosed()) {
             metrics.requestClosed();
-            if (entry.client() != null && clock.now() > entry.request.deadlineMs() + LATE_ANSWER_LIMIT_MS) {
+            if (entry.client() != null && clock.now() > entry.deadlineMs() + LATE_ANSWER_LIMIT_MS) {
                 ruleCounter.countBreach(Rule.ANSWERED_LATE);
             }
         }
@@ -767,7 +785,7 @@
         RequestBodyStream bodyStream = StreamedRequest.bodyStreamOf(entry.message);
         // A body that a host has begun to receive can't be sent to another one.
         boolean bodyPartlySent = bodyStream != null && !bodyStream.isUnclaimed();
-        if (bodyPartlySent || sendingStopped || entry.isClosed() || now >= entry.request.deadlineMs()
+        if (bodyPartlySent || sendingStopped || entry.isClosed() || now >= entry.deadlineMs()
                 || attempt.number >= config.settings().limits().maxAttempts() || violatesRule(attempt, now)) {
             attemptEnded(attempt, Outcome.MOOT, null);
             return;
@@ -818,7 +836,7 @@
         double grace = config.settings().rules().drainGraceMs();
         boolean drained = grace > 0
                 && AttemptGuard.isDrained(now, hostStates.state(attempt.host), hostStates.sinceMs(attempt.host), grace);
-        return !drained && now < attempt.owner.request.deadlineMs()
+        return !drained && now < attempt.owner.deadlineMs()
                 && (!attempt.owner.isClosed() || attempt.owner.streamingAttempt == attempt);
     }
 
@@ -905,7 +923,7 @@
         if (grace > 0 && AttemptGuard.isDrained(now, hostStates.state(attempt.host), hostStates.sinceMs(attempt.host), grace)) {
             ruleCounter.countBreach(Rule.SENT_TO_DRAINING);
         }
-        if (now > attempt.owner.request.deadlineMs()) {
+        if (now > attempt.owner.deadlineMs()) {
             ruleCounter.countBreach(Rule.SENT_AFTER_DEADLINE);
         }
         if (attempt.owner.isClosed()) {
--- a/gateway/src/main/java/marlford/gateway/net/OpenRequest.java
+++ b/gateway/src/main/java/marlford/gateway/net/OpenRequest.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import marlford.gateway.EngineApi.Request;
+import marlford.gateway.guard.RequestDeadline;
 
 /** An entry in the table of open requests, with its attempts and the client that waits for the answer. */
 final class OpenRequest {
     final Request request;
+    private final RequestDeadline deadline;
     final FullHttpRequest message; // owned by this entry until it is removed from the table
     final List<Attempt> attempts = new ArrayList<>(2);
     private ClientConnection client;
@@ -18,12 +20,22 @@
     int attemptsInFlight;
     Future<?> deadlineTimer;
 
-    OpenRequest(Request request, FullHttpRequest message, ClientConnection client) {
+    /** @param deadline of the request, which moves while its body arrives */
+    OpenRequest(Request request, RequestDeadline deadline, FullHttpRequest message, ClientConnection client) {
         this.request = request;
+        this.deadline = deadline;
         this.message = message;
         this.client = client;
     }
 
+    /** Returns the deadline as far as it is known now, in milliseconds on the node's clock. */
+    double deadlineMs() {
+        if (client != null) {
+            client.recordArrival(deadline);
+        }
+        return deadline.atMs();
+    }
+
     boolean isClosed() {
         return closed;
     }
--- a/gateway/src/main/java/marlford/gateway/net/RequestBodyStream.java
+++ b/gateway/src/main/java/marlford/gateway/net/RequestBodyStream.java
@@ -32,6 +32,7 @@
     private long bufferedBytes;
     private boolean full; // more than the window was buffered, and has not been forwarded since
     private ByteBuf lastPart; // received, but held back until confirmed; null otherwise
+    private double incompleteUntilMs = Double.NEGATIVE_INFINITY; // the client had certainly not sent the last byte then
     private boolean complete; // the last byte has been received from the client
     private boolean confirmed; // the client was still connected after the last byte
     private boolean forwardingStarted; // at least one part was given to a host
@@ -59,6 +60,16 @@
         return full;
     }
 
+    /** Records that the client had not sent the last byte at the given time. */
+    void recordIncomplete(double timeMs) {
+        incompleteUntilMs = Math.max(incompleteUntilMs, timeMs);
+    }
+
+    /** Returns the latest recorded time at which the client had not sent the last byte; negative infinity if there is none. */
+    double incompleteUntilMs() {
+        return incompleteUntilMs;
+    }
+
     /** Whether the client has sent the whole body. */
     boolean isComplete() {
         return complete;
--- a/gateway/src/main/java/marlford/gateway/net/RequestParser.java
+++ b/gateway/src/main/java/marlford/gateway/net/RequestParser.java
@@ -54,7 +54,7 @@
      *
      * @param arrivedMs when the request arrived, from which the time limit counts
      * @param turnMs when its turn came on its connection, from which the decision engine holds it
-     * @param restMs how long the rest of its body may still take; the time limit counts from its last byte
+     * @param restMs how long the rest of its body may take at the most; 0 when it has arrived completely
      */
     Request parse(FullHttpRequest message, double now, double arrivedMs, double turnMs, double restMs) {
         HttpHeaders headers = message.headers();
@@ -76,7 +76,7 @@
         boolean valid = units > 0 && units <= settings.sharing().maxUnits() && spread >= 1 && spread <= gateways
                 && first >= 0 && first < gateways && Math.floorMod(settings.me() - (int) first, gateways) < spread;
         double waitsMs = Math.min(limitMs, requestClass.deadlineMs()); // no client of this class waits longer than the deadline
-        return !valid ? null : new Request(id, Math.max(now + 1, arrivedMs + restMs + waitsMs - DELIVERY_MARGIN_MS), turnMs,
+        return !valid ? null : new Request(id, Math.max(now + 1, arrivedMs + waitsMs - DELIVERY_MARGIN_MS), turnMs,
                 headers.contains(SECOND_TRY), requestClass.name(), customer, plan, units, (int) first, (int) spread, restMs);
     }
 
--- a/gateway/src/main/java/marlford/gateway/net/RequestReader.java
+++ b/gateway/src/main/java/marlford/gateway/net/RequestReader.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.function.DoubleSupplier;
 import java.util.function.IntConsumer;
 import marlford.gateway.guard.ClientProgress;
 import marlford.gateway.guard.ClientProgress.Part;
@@ -34,7 +35,8 @@
 final class RequestReader extends ChannelInboundHandlerAdapter {
     private static final HttpHeadersFactory HEADERS = StrictHeaders.ofRequests(RequestParser.SINGLE);
     private static final double NONE = -1;
-    private static final long MAX_BODY_BYTES = 48 << 20;
+    static final long MAX_BODY_BYTES = 48 << 20;
+    private static final long MAX_UNREAD_BYTES = 8 << 20; // of input that may wait in the sockets between client and gateway
 
     /** Passed on in place of a request; the connection is closed after an answer with this status. */
     record UnreadableRequest(HttpResponseStatus status) { }
@@ -49,6 +51,7 @@
     }
 
     private final Clock clock;
+    private final DoubleSupplier earliestArrivalMs;
     private final ConnectionBuffers buffers;
     private final Runnable updateReading;
     private final Decoder decoder = new Decoder();
@@ -69,9 +72,13 @@
     private double pauseBeforeLastReadMs;
     private boolean reading; // the latest input is still being passed on
 
-    /** @param updateReading called when reading may have to pause or resume */
-    RequestReader(Clock clock, ConnectionBuffers buffers, Runnable updateReading) {
+    /**
+     * @param earliestArrivalMs supplies the earliest time at which input that is read now can have arrived, if reading has not paused
+     * @param updateReading called when reading may have to pause or resume
+     */
+    RequestReader(Clock clock, DoubleSupplier earliestArrivalMs, ConnectionBuffers buffers, Runnable updateReading) {
         this.clock = clock;
+        this.earliestArrivalMs = earliestArrivalMs;
         this.buffers = buffers;
         this.updateReading = updateReading;
     }
@@ -136,12 +143,28 @@
     /** Records that reading pauses: from now on the socket may hold input that is not known here. */
     void pause() {
         if (drained) {
+            recordIncompleteBody();
             drained = false;
             pausedSinceMs = clock.now();
             receivedBytesAtPause = receivedBytes;
         }
     }
 
+    /** Records that a body is incomplete, unless its end may wait unread in the socket. */
+    private void recordIncompleteBody() {
+        if (bodyStream != null && (drained || bodyStream.length() - bodyBytes > MAX_UNREAD_BYTES)) {
+            bodyStream.recordIncomplete(earliestArrivalMs.getAsDouble());
+        }
+    }
+
+    /** Returns the latest time at which the client had certainly not sent the last byte of a body. */
+    double incompleteUntilMs(RequestBodyStream body) {
+        if (body == bodyStream) {
+            recordIncompleteBody();
+        }
+        return body.incompleteUntilMs();
+    }
+
     /** Whether the client waits for 100 Continue before it sends the body. */
     boolean expectsContinue() {
         return expectsContinue && bodyBytes == 0 && head != null;
@@ -234,6 +257,7 @@
             ctx.fireChannelRead(new StreamedRequest(head, bufferedBody, bodyStream));
         }
         if (bodyStream != null && !inputEnded) {
+            recordIncompleteBody();
             if (!(content instanceof LastHttpContent)) {
                 bodyStream.add(content.content().retain());
                 return;
--- a/gateway/src/test/java/marlford/gateway/net/SlowPeersProcessTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SlowPeersProcessTest.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import marlford.gateway.net.Sockets.DiscoveryAgent;
 import marlford.gateway.net.Sockets.Message;
 import marlford.gateway.net.Sockets.RecordingServer;
@@ -48,6 +49,7 @@
     private static final int SMALL_BUFFER_BYTES = 4096; // of sockets
     private static final int PART_BYTES = 1 << 16;
     private static final int PIPELINED = 16;
+    private static final int HOSTS = 24; // so that the held requests leave others a slot
     private static final int OTHER_REQUESTS = 40;
     private static final long OTHER_GAP_MS = 50;
     private static final long MAX_ANSWER_MS = 1000; // of other requests, whose hosts answer at once
@@ -78,7 +80,7 @@
                 ServerSocket slow = listenWithSmallBuffer()) {
             serveSlowly(slow);
             String address = held == Held.LONG_BODY ? "127.0.0.1:" + slow.getLocalPort() : fast.address();
-            try (DiscoveryAgent agent = new DiscoveryAgent(list(1, true, entry("h0", address, "ready")))) {
+            try (DiscoveryAgent agent = new DiscoveryAgent(list(1, true, hosts(address)))) {
                 start(agent.server.address());
                 for (int i = 0; i < SLOW_CLIENTS; i++) {
                     slowClients.add(startSlowClient(held, i));
@@ -90,6 +92,11 @@
         }
     }
 
+    /** Several names of one host. */
+    private static String[] hosts(String address) {
+        return IntStream.range(0, HOSTS).mapToObj(i -> entry("h" + i, address, "ready")).toArray(String[]::new);
+    }
+
     private static ServerSocket listenWithSmallBuffer() throws IOException {
         ServerSocket listener = new ServerSocket();
         listener.setReceiveBufferSize(SMALL_BUFFER_BYTES);
