Trace what a stalled client has left unread, and count the output of a channel

Change: "stalled" trace lines; ChannelOutput, one for each channel, bounds its output as before and counts what the socket has taken.

--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -63,6 +62,7 @@
     private final ClientConnectionRegistry registry;
     private final RequestParser requestParser;
     private final Channel channel;
+    private final ChannelOutput output;
     private final long number;
     private final double waitedMs;
     private final RequestReader reader;
@@ -94,8 +94,9 @@
      * @param number of the connection, counted from the start of the process
      * @param waitedMs for how long the connection may have waited to be accepted, in milliseconds
      */
-    ClientConnection(Node node, ClientConnectionRegistry registry, RequestParser requestParser, Channel channel, long number,
-            double waitedMs) {
+    ClientConnection(Node node, ClientConnectionRegistry registry, RequestParser requestParser, Channel channel, ChannelOutput output,
+            long number, double waitedMs) {
+        this.output = output;
         this.waitedMs = waitedMs;
         this.number = number;
         this.node = node;
@@ -248,8 +249,7 @@
 
     /** Records whether output has been written to the socket since the last check. */
     private void recordOutputProgress() {
-        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-        long pendingBytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        long pendingBytes = output.pendingBytes();
         if (pendingBytes != unsentBytes || pendingBytes == 0) {
             outputProgressMs = node.clock.now();
         }
@@ -257,7 +257,9 @@
     }
 
     private void endStopped(Stall stopped) {
-        node.ruleCounter.stalledClientEnded(ClientProgress.stalledMs(node.clock.now(), stopped, progress()));
+        double stalledMs = ClientProgress.stalledMs(node.clock.now(), stopped, progress());
+        node.ruleCounter.stalledClientEnded(stalledMs);
+        node.eventLog.stalled(number, stopped, stalledMs, output.leftBytes(), output.pendingBytes());
         keepAlive = false;
         if (stopped == Stall.READING) { // not a switch, whose helper class might have to be loaded with no descriptor left
             channel.config().setOption(ChannelOption.SO_LINGER, 0); // discards unread output, which would precede the close
--- a/gateway/src/main/java/marlford/gateway/net/ClientServer.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientServer.java
@@ -38,8 +38,9 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        node.buffers.attach(ch);
-                        new ClientConnection(node, connections, requestParser, ch, ++acceptedCount, retry.backlogWaitMs())
+                        ChannelOutput output = node.buffers.attach(ch);
+                        new ClientConnection(node, connections, requestParser, ch, output, ++acceptedCount,
+                                retry.backlogWaitMs())
                                 .addTo(ch.pipeline());
                     }
                 }).bind(node.transport.socketAddress(node.config.listen()));
--- a/gateway/src/main/java/marlford/gateway/net/ConnectionBuffers.java
+++ b/gateway/src/main/java/marlford/gateway/net/ConnectionBuffers.java
@@ -6,12 +6,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundHandlerAdapter;
-import io.netty.channel.ChannelPromise;
 import io.netty.channel.RecvByteBufAllocator;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.util.internal.PlatformDependent;
 
 /**
@@ -43,7 +38,6 @@
     private final int minWindowBytes;
     private final CountingAllocator allocator;
     private final ReadAllocator readAllocator = new ReadAllocator();
-    private final OutputLimiter outputLimiter = new OutputLimiter();
 
     /** @param directBytes limit of the direct memory of the process */
     ConnectionBuffers(long directBytes) {
@@ -58,10 +52,12 @@
     }
 
     /** Counts and bounds the buffers of a new channel from now on. To be called before other handlers are added. */
-    void attach(Channel channel) {
+    ChannelOutput attach(Channel channel) {
         channel.config().setAllocator(allocator);
         channel.config().setRecvByteBufAllocator(readAllocator);
-        channel.pipeline().addFirst(outputLimiter);
+        ChannelOutput output = new ChannelOutput(channel, this);
+        channel.pipeline().addFirst(output);
+        return output;
     }
 
     /** Returns the size of all buffers in bytes. */
@@ -137,17 +133,4 @@
             return Math.min(super.guess(), windowBytes());
         }
     }
-
-    /** Makes a channel unwritable once it holds more output than the window. */
-    @ChannelHandler.Sharable
-    private final class OutputLimiter extends ChannelOutboundHandlerAdapter {
-        @Override
-        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-            int window = windowBytes();
-            if (context.channel().config().getWriteBufferHighWaterMark() != window) {
-                context.channel().config().setWriteBufferWaterMark(new WriteBufferWaterMark(window / 2, window));
-            }
-            context.write(message, promise);
-        }
-    }
 }
--- a/gateway/src/main/java/marlford/gateway/net/EventLog.java
+++ b/gateway/src/main/java/marlford/gateway/net/EventLog.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.function.Consumer;
 import marlford.gateway.EngineApi.Outcome;
+import marlford.gateway.guard.ClientProgress.Stall;
 
 /**
  * Records events of requests and connections: it counts them by reason for the activity line of each second and, when the
@@ -47,6 +48,21 @@
         }
     }
 
+    /**
+     * Records that a client that has stalled is ended.
+     *
+     * @param where it has stalled
+     * @param stalledMs time without progress
+     * @param leftBytes output that has left this process since the request's turn came
+     * @param pendingBytes output that has not
+     */
+    void stalled(long connection, Stall where, double stalledMs, long leftBytes, long pendingBytes) {
+        if (trace != null) {
+            writeLine("stalled client=" + connection + " where=" + lowerCaseName(where) + " for_ms=" + (long) stalledMs + " left_bytes="
+                    + leftBytes + " pending_bytes=" + pendingBytes);
+        }
+    }
+
     /** @param request id of the request that is left unanswered; null when there is none */
     void closed(long connection, CloseReason reason, String request) {
         closed[reason.ordinal()]++;
