Keep slow readers' long answers: judge clients by what has left, and allow for the sockets

Cause: a client counted as stopped when what was pending here had not changed for 5 s, 2.5 s behind a last answer or with another request behind it. What a client reads from the sockets changes nothing here until they have room. Evidence: "where=reading for_ms=5037 left_bytes=4001804 pending_bytes=91168" where the client had read 1,048,576 bytes (docs/incidents/2026-12-04-slow-readers-cut-off.md).

Change: TransferProgress, in one place for output towards clients and hosts and for pauses of hosts: progress is what has left; a client has a pause of 5 s and the time that 64 kB a second need for up to 1 MiB that has left. A client that may have stopped within a request keeps 2.5 s. Long transfers bound the send buffer, so that progress is seen earlier. A connection with pending output is not idle.

--- a/gateway/src/main/java/marlford/gateway/DecisionEngine.java
+++ b/gateway/src/main/java/marlford/gateway/DecisionEngine.java
@@ -423,7 +423,7 @@
         if (active == null || number < 0 || number >= active.attempts.size()) return;
         active.request = active.request.withDeadline(deadlineMs);
         Attempt attempt = active.attempts.get(number);
-        if (!attempt.inFlight || attempt.holdsSlot) return;
+        if (!attempt.inFlight || attempt.holdsSlot || active.streaming) return;
         attempt.awaitedSince = now;
         attempt.stallMsBefore = totalStallMs;
         takeSlot(attempt);
--- a/gateway/src/main/java/marlford/gateway/guard/ClientProgress.java
+++ b/gateway/src/main/java/marlford/gateway/guard/ClientProgress.java
@@ -2,17 +2,14 @@
 
 /**
  * Decides whether a client has stalled. At any time a connection waits either for its client or for this gateway; while it waits
- * for the client a time limit applies, whatever else happens. All limits on a time without progress, except the one for a single
- * unread answer, are below {@link #STALLED_CLIENT_LIMIT_MS} by the time that the periodic check of connections and a delayed event
- * loop may add.
+ * for the client a time limit applies, whatever else happens. A client that may have stopped within a request is ended within
+ * {@link #STALLED_CLIENT_LIMIT_MS}: the limits are below that by the time that the periodic check of connections and a delayed event
+ * loop may add. A client that has sent its requests whole and reads the answers slowly has the limits of {@link TransferProgress}.
  *
  * <p>Pure: no clock and no I/O. Times are milliseconds on the caller's clock.
  */
 public final class ClientProgress {
-    /**
-     * A stalled client gets an error or a close within this time, unless it leaves a single answer unread: then after
-     * {@link #LAST_OUTPUT_TIMEOUT_MS}.
-     */
+    /** A client that has stalled within a request gets an error or a close within this time. */
     public static final double STALLED_CLIENT_LIMIT_MS = 3000;
 
     private static final double FIRST_REQUEST_TIMEOUT_MS = 2000; // from the connection's start
@@ -26,8 +23,7 @@
     public static final double CHARGED_WAIT_MS = BODY_PAUSE_TIMEOUT_MS - RESUMED_READ_TIMEOUT_MS;
     private static final double BODY_RATE_GRACE_MS = 3500; // from the request's start, before its mean rate is checked
     private static final double MIN_BODY_BYTES_PER_MS = 16; // mean rate
-    private static final double OUTPUT_TIMEOUT_MS = 2500; // for unread output, except a single unread answer
-    private static final double LAST_OUTPUT_TIMEOUT_MS = 5000; // for one unread answer on an open connection without further input
+    private static final double UNREAD_OUTPUT_TIMEOUT_MS = 2500; // of a client that may have stalled within a request as well
 
     private ClientProgress() { }
 
@@ -55,18 +51,23 @@
      * @param queued whether whole requests or unread input are queued behind the one being answered
      * @param answerDue whether a request has been received whole and its answer is pending
      * @param finished whether the last answer was given
-     * @param outputPending whether output has not left this process
-     * @param outputProgressMs when output last left, or began to wait
+     * @param output the progress of its answers
      */
     public record Connection(double openedMs, boolean hadRequest, Input input, boolean queued, boolean answerDue, boolean finished,
-            boolean outputPending, double outputProgressMs) { }
+            TransferProgress output) {
+        /** Whether the client has sent a request in part, or may have, as input waits unread. */
+        public boolean mayBeWithinRequest() {
+            return !finished && (input.part() != Part.NONE || !input.drained());
+        }
+    }
 
     /** Where a client has stalled: not at all, before its first request, while sending a request, or while reading answers. */
     public enum Stall { NO, BEFORE_FIRST_REQUEST, IN_REQUEST, READING }
 
     /** Whether the client has been stalled for longer than the limit, and where. */
     public static Stall findStall(double now, Connection c) {
-        if (c.outputPending() && now - c.outputProgressMs() > outputTimeoutMs(c)) {
+        boolean overdue = c.mayBeWithinRequest() && c.output().idleMs(now) > UNREAD_OUTPUT_TIMEOUT_MS;
+        if (overdue || c.output().isStalled(now)) {
             return Stall.READING;
         }
         if (c.finished() || c.answerDue() || c.queued() || !c.input().drained()) {
@@ -78,11 +79,6 @@
         return isLate(now, c.input()) ? Stall.IN_REQUEST : Stall.NO;
     }
 
-    private static double outputTimeoutMs(Connection c) {
-        boolean more = c.queued() || c.finished() || c.input().part() != Part.NONE;
-        return more ? OUTPUT_TIMEOUT_MS : LAST_OUTPUT_TIMEOUT_MS;
-    }
-
     private static boolean isLate(double now, Input input) {
         double sinceStart = now - input.sinceMs();
         if (input.part() == Part.HEAD) {
@@ -96,11 +92,11 @@
 
     /**
      * How long a stalled client has made no progress, in milliseconds. It should be below
-     * {@link #STALLED_CLIENT_LIMIT_MS}, except for a single unread answer.
+     * {@link #STALLED_CLIENT_LIMIT_MS}, unless the client has sent its requests whole.
      */
     public static double stalledMs(double now, Stall how, Connection c) {
         if (how == Stall.READING) {
-            return now - c.outputProgressMs();
+            return c.output().idleMs(now);
         }
         if (how == Stall.BEFORE_FIRST_REQUEST) {
             return now - c.openedMs();
--- a/gateway/src/main/java/marlford/gateway/guard/RuleCounter.java
+++ b/gateway/src/main/java/marlford/gateway/guard/RuleCounter.java
@@ -17,8 +17,8 @@
     }
 
     /**
-     * Counts a breach if the connection of a stalled client was ended later than {@link ClientProgress#OWED_MS}. This includes
-     * clients that left a single answer unread, although their timeout is longer than that.
+     * Counts a breach if the connection of a client that stalled within a request was ended later than
+     * {@link ClientProgress#STALLED_CLIENT_LIMIT_MS}.
      *
      * @param stoppedMs how long the client had made no progress when its connection was ended, in milliseconds
      */
--- a/gateway/src/main/java/marlford/gateway/net/ChannelOutput.java
+++ b/gateway/src/main/java/marlford/gateway/net/ChannelOutput.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
@@ -13,6 +15,9 @@
  * what has been handed to the socket. The first handler of its pipeline, so that all output passes it encoded.
  */
 final class ChannelOutput extends ChannelOutboundHandlerAdapter {
+    /** Bound on what the socket takes of a long transfer. More would hide for long how much of it the peer reads. */
+    private static final int LONG_TRANSFER_SEND_BUFFER_BYTES = 256 * 1024;
+
     private final Channel channel;
     private final ConnectionBuffers buffers;
     private long writtenBytes;
@@ -32,6 +37,15 @@
         context.write(message, promise);
     }
 
+    /** Bounds what the socket takes, so that the progress of the peer can be seen. */
+    void beginLongTransfer() {
+        try {
+            channel.config().setOption(ChannelOption.SO_SNDBUF, LONG_TRANSFER_SEND_BUFFER_BYTES);
+        } catch (ChannelException e) { // the peer's progress is then seen later, which its time limit allows for
+            Node.log("cannot bound the send buffer of a connection: " + e.getMessage());
+        }
+    }
+
     /** Returns the output that the socket has not taken yet, in bytes; 0 once the channel is closed. */
     long pendingBytes() {
         ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -31,6 +31,7 @@
 import marlford.gateway.guard.ClientProgress.Stall;
 import marlford.gateway.guard.RequestDeadline;
 import marlford.gateway.guard.Rule;
+import marlford.gateway.guard.TransferProgress;
 import marlford.gateway.shutdown.LingeringClose;
 
 /**
@@ -71,8 +72,8 @@
     private long queuedBytes;
     private double lastSeenMs; // last time at which the client was certainly connected
     private boolean inputMayBeStale; // reading has paused since the socket was last read to its end, so input may have waited in it
-    private long unsentBytes; // output that was not yet written to the socket at the last check
-    private double outputProgressMs; // last time at which output was seen to be written
+    private final TransferProgress outputProgress;
+    private boolean idleOnceSent; // idle as soon as all output has left this process
     private boolean inputHidden; // more input is unread than may be read ahead
     private OpenRequest current; // the request being processed; null when none is open
     private boolean busy; // a request is being processed, until it is answered and its body has been read
@@ -104,6 +105,7 @@
         this.requestParser = requestParser;
         this.channel = channel;
         this.lastSeenMs = this.idleSinceMs = node.clock.now();
+        this.outputProgress = TransferProgress.towardsClient(lastSeenMs);
         this.reader = new RequestReader(node.clock, () -> node.clock.now() - node.lag.ms(), node.buffers, this::updateReading);
     }
 
@@ -143,11 +145,17 @@
         channel.config().setAutoRead(true);
     }
 
-    /** Registers the connection as idle, behind the other idle connections of its kind. Does nothing while it is in use. */
+    /**
+     * Registers the connection as idle, behind the other idle connections of its kind. Does nothing while it is in use. While its client
+     * is still reading, the connection is not idle: a close would cut off the answer.
+     */
     void markIdle() {
         if (!busy && !ended && queue.isEmpty()) {
-            idleSinceMs = node.clock.now();
-            registry.markIdle(this, engineRequests);
+            idleOnceSent = hasPendingOutput();
+            if (!idleOnceSent) {
+                idleSinceMs = node.clock.now();
+                registry.markIdle(this, engineRequests);
+            }
         }
     }
 
@@ -177,6 +185,11 @@
         discarded.forEach(queued -> StreamedRequest.discard(queued.message()));
     }
 
+    /** Whether output has not left this process. */
+    boolean hasPendingOutput() {
+        return output.pendingBytes() > 0;
+    }
+
     /** Returns since when the connection has been idle, in milliseconds on the node's clock. */
     double idleSinceMs() {
         return idleSinceMs;
@@ -213,7 +226,7 @@
         if (channel.isActive() && channel.config().isAutoRead()) {
             Transport.readNow(channel);
         }
-        return receivedMessages == receivedBefore && queue.isEmpty() && !hasIncompleteRequest(unused);
+        return receivedMessages == receivedBefore && queue.isEmpty() && !hasIncompleteRequest(unused) && !hasPendingOutput();
     }
 
     /** Whether an incomplete request has arrived on a connection that has carried a request before. */
@@ -223,6 +236,9 @@
 
     /** Ends the connection if the client has stopped sending or reading: with status 408 where one can be sent. */
     void endIfStopped() {
+        if (idleOnceSent) {
+            markIdle();
+        }
         if (!badRequestPause && !(channel.config().isAutoRead() && reader.isDrained())) {
             readToEnd(); // a client is not judged as stopped while its socket may hold unread input
         }
@@ -244,21 +260,19 @@
     private ClientProgress.Connection progress() {
         boolean answerDue = busy && (upload == null || upload.isComplete());
         return new ClientProgress.Connection(idleSinceMs, receivedMessages > 0, reader.input(), !queue.isEmpty(), answerDue, ended,
-                unsentBytes > 0, outputProgressMs);
+                outputProgress);
     }
 
     /** Records whether output has been written to the socket since the last check. */
     private void recordOutputProgress() {
-        long pendingBytes = output.pendingBytes();
-        if (pendingBytes != unsentBytes || pendingBytes == 0) {
-            outputProgressMs = node.clock.now();
-        }
-        unsentBytes = pendingBytes;
+        outputProgress.record(node.clock.now(), output.pendingBytes(), output.leftBytes());
     }
 
     private void endStopped(Stall stopped) {
         double stalledMs = ClientProgress.stalledMs(node.clock.now(), stopped, progress());
-        node.ruleCounter.stalledClientEnded(stalledMs);
+        if (stopped != Stall.READING || progress().mayBeWithinRequest()) {
+            node.ruleCounter.stalledClientEnded(stalledMs);
+        }
         node.eventLog.stalled(number, stopped, stalledMs, output.leftBytes(), output.pendingBytes());
         keepAlive = false;
         if (stopped == Stall.READING) { // not a switch, whose helper class might have to be loaded with no descriptor left
@@ -367,6 +381,11 @@
             answered = false;
             upload = StreamedRequest.bodyStreamOf(message);
             registry.markInUse(this);
+            idleOnceSent = false;
+            recordOutputProgress();
+            if (!outputProgress.isPending()) {
+                outputProgress.beginMessage();
+            }
             if (message instanceof RequestReader.UnreadableRequest) {
                 keepAlive = false; // the start of the next request is unknown
                 sendStatus(((RequestReader.UnreadableRequest) message).status(), 0);
@@ -550,6 +569,7 @@
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
+        output.beginLongTransfer();
         channel.write(response, channel.voidPromise());
         onWritable = whenReady;
         return new HostConnection.Sink() {
--- a/gateway/src/main/java/marlford/gateway/net/ClientServer.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientServer.java
@@ -131,6 +131,11 @@
         return connections.all().stream().anyMatch(connection -> !connection.channel().isWritable());
     }
 
+    /** Whether a connection has output that its socket has not taken. */
+    boolean hasPendingOutput() {
+        return connections.all().stream().anyMatch(ClientConnection::hasPendingOutput);
+    }
+
     /** Returns the listener; null while there is none. */
     Channel listener() {
         return listener;
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -28,6 +27,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import marlford.gateway.EngineApi.Outcome;
+import marlford.gateway.guard.TransferProgress;
 
 /**
  * A connection to one host, used on the event loop only. It carries one exchange at a time, aggregates the response, and
@@ -35,8 +35,6 @@
  */
 final class HostConnection extends ChannelInboundHandlerAdapter {
     private static final String NEVER_RAN_HEADER = "X-Never-Ran";
-    private static final long RESPONSE_STALL_TIMEOUT_MS = 250; // a started response without further bytes for this long has failed
-    private static final long STREAM_STALL_TIMEOUT_MS = 5000; // the same for streamed bodies, in either direction
     private static final long UPLOAD_CHECK_INTERVAL_MS = 250;
     private static final long MAX_RESPONSE_BYTES = 48 << 20; // a response that declares or sends more is invalid
     private static final int MAX_INTERIM_RESPONSES = 16; // 1xx responses ahead of the final one
@@ -64,8 +62,8 @@
     private HttpResponse head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private RequestBodyStream requestBody; // the unsent rest of the request's body; null if there is none
-    private long pendingUploadBytes; // bytes in the write buffer at the last check
-    private double uploadProgressAt; // when the write buffer was last seen to change or to be empty
+    private ChannelOutput output;
+    private TransferProgress uploadProgress; // of that rest
     private Sink sink; // receives a streamed response; null while the response is aggregated here
     private long streamedBytes; // bytes passed to the sink
     private double lastReadAt; // when bytes were last read, or reading was resumed
@@ -204,7 +202,7 @@
     /** Installs this connection's handlers on its channel. */
     void attach(Channel newChannel) {
         channel = newChannel;
-        buffers.attach(newChannel);
+        output = buffers.attach(newChannel);
         newChannel.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
     }
 
@@ -244,8 +242,8 @@
                     message.headers()), channel.voidPromise());
             channel.writeAndFlush(new DefaultHttpContent(message.content()), channel.voidPromise());
             requestBody = ((StreamedRequest) message).bodyStream;
-            uploadProgressAt = clock.now();
-            pendingUploadBytes = 0;
+            uploadProgress = TransferProgress.towardsHost(clock.now());
+            output.beginLongTransfer();
             requestBody.forwardTo(bodyTarget);
             watchUpload(target);
         } else {
@@ -254,19 +252,16 @@
     }
 
     /**
-     * Fails the exchange if the host accepts no bytes of a streamed body for {@value #STREAM_STALL_TIMEOUT_MS} ms. Otherwise such a
-     * host would delay the client until the time limit of the whole body.
+     * Fails the exchange if the host stops accepting a streamed body. Otherwise such a host would delay the client until the
+     * time limit of the whole body.
      */
     private void watchUpload(Exchange target) {
         channel.eventLoop().schedule(() -> {
             if (exchange != target || requestWritten) {
                 return;
             }
-            ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-            long pendingBytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
-            uploadProgressAt = pendingBytes == 0 || pendingBytes != pendingUploadBytes ? clock.now() : uploadProgressAt;
-            pendingUploadBytes = pendingBytes;
-            if (clock.now() - uploadProgressAt > STREAM_STALL_TIMEOUT_MS) {
+            uploadProgress.record(clock.now(), output.pendingBytes(), output.leftBytes());
+            if (uploadProgress.isStalled(clock.now())) {
                 fail();
             } else {
                 watchUpload(target);
@@ -540,7 +535,8 @@
         }
         Exchange target = exchange;
         boolean paused = !channel.config().isAutoRead(); // the client is slow then, not the host
-        double remainingMs = lastReadAt + (isLongResponse() ? STREAM_STALL_TIMEOUT_MS : RESPONSE_STALL_TIMEOUT_MS) - clock.now();
+        double pauseLimitMs = isLongResponse() ? TransferProgress.PAUSE_LIMIT_MS : TransferProgress.SHORT_RESPONSE_PAUSE_LIMIT_MS;
+        double remainingMs = lastReadAt + pauseLimitMs - clock.now();
         if (remainingMs <= 0 && !paused) {
             failInvalidResponse();
             return;
@@ -553,7 +549,7 @@
             if (exchange == target) {
                 watchForStall();
             }
-        }, paused ? STREAM_STALL_TIMEOUT_MS : (long) remainingMs + 1, TimeUnit.MILLISECONDS);
+        }, (long) (paused ? pauseLimitMs : remainingMs) + 1, TimeUnit.MILLISECONDS);
     }
 
     /** A 503 or 504 that the host marks as never run is FULL; any other status but 200 is an error. */
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -1078,6 +1078,11 @@
         return clientServer.hasUnsentOutput();
     }
 
+    /** Whether a client connection has output that has not left this process. */
+    boolean hasPendingOutput() {
+        return clientServer.hasPendingOutput();
+    }
+
     /** Returns the address of the console, for configurations that let the system choose the port. */
     InetSocketAddress consoleAddress() {
         return console.address();
--- a/gateway/src/test/java/marlford/gateway/net/SlowPeersProcessTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SlowPeersProcessTest.java
@@ -46,7 +46,8 @@
     private static final String DIRECT_MEMORY = "4m";
     private static final int LONG_BYTES = 12 << 20; // more than the socket buffers of a connection take
     private static final int SHORT_BYTES = 60_000; // short enough to be buffered
-    private static final int SMALL_BUFFER_BYTES = 4096; // of sockets
+    private static final int SMALL_BUFFER_BYTES = 4096; // of a client's socket
+    private static final int HOST_BUFFER_BYTES = 256 * 1024; // more than a segment, or the host's system would not tell that it reads again
     private static final int PART_BYTES = 1 << 16;
     private static final int PIPELINED = 16;
     private static final int HOSTS = 24; // so that the held requests leave others a slot
@@ -77,7 +78,7 @@
     @EnumSource
     void slowPeersDoNotStopTheEventLoop(Held held) throws Exception {
         try (RecordingServer fast = new RecordingServer((m, s) -> answer(held, m, s));
-                ServerSocket slow = listenWithSmallBuffer()) {
+                ServerSocket slow = listen()) {
             serveSlowly(slow);
             String address = held == Held.LONG_BODY ? "127.0.0.1:" + slow.getLocalPort() : fast.address();
             try (DiscoveryAgent agent = new DiscoveryAgent(list(1, true, hosts(address)))) {
@@ -97,9 +98,9 @@
         return IntStream.range(0, HOSTS).mapToObj(i -> entry("h" + i, address, "ready")).toArray(String[]::new);
     }
 
-    private static ServerSocket listenWithSmallBuffer() throws IOException {
+    private static ServerSocket listen() throws IOException {
         ServerSocket listener = new ServerSocket();
-        listener.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        listener.setReceiveBufferSize(HOST_BUFFER_BYTES);
         listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2 * SLOW_CLIENTS);
         return listener;
     }
