Soak: slow readers and writers of long messages, and crowds of them

Change: for each process a client that reads 6 MB in pieces over up to 8 s or sends a long body, at once or in pieces; a crowd of 140 clients that ask for long answers and read nothing; slow hosts read and write long bodies slowly.

--- a/storm/src/main/java/marlford/storm/soak/HttpText.java
+++ b/storm/src/main/java/marlford/storm/soak/HttpText.java
@@ -27,6 +27,16 @@
 
     /** The next message, its body read and dropped; null where the connection ends first. */
     static Message read(InputStream in) throws IOException {
+        Message message = readHead(in);
+        if (message == null) {
+            return null;
+        }
+        int length = Integer.parseInt(message.headers().getOrDefault("content-length", "0"));
+        return in.readNBytes(length).length < length ? null : message;
+    }
+
+    /** The head of the next message; null where the connection ends first. */
+    static Message readHead(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.ISO_8859_1).endsWith(END_OF_HEAD)) {
             int next = in.read();
@@ -43,8 +53,7 @@
                     lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
                     lines[i].substring(colon + 1).trim());
         }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        return in.readNBytes(length).length < length ? null : new Message(lines[0], headers);
+        return new Message(lines[0], headers);
     }
 
     static byte[] bytes(String text) {
--- a/storm/src/main/java/marlford/storm/soak/RequestLedger.java
+++ b/storm/src/main/java/marlford/storm/soak/RequestLedger.java
@@ -14,6 +14,8 @@
         final long deadlineMs;
         final boolean keyed;
         volatile long leftNanos;
+        volatile boolean hostFailed; // a host cut its answer off
+        volatile boolean bodyOnTheWay; // its body is long, and its time counts from a later moment
         private String zone;
         private boolean ran;
 
--- a/storm/src/main/java/marlford/storm/soak/SoakClient.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakClient.java
@@ -68,7 +68,15 @@
     }
 
     static Socket connect(SoakProcess process) throws IOException {
+        return connect(process, 0);
+    }
+
+    /** Connects with a receive buffer of this size; 0 for the usual one. */
+    static Socket connect(SoakProcess process, int receiveBufferBytes) throws IOException {
         Socket socket = new Socket();
+        if (receiveBufferBytes > 0) {
+            socket.setReceiveBufferSize(receiveBufferBytes);
+        }
         socket.setTcpNoDelay(true);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), process.port), CONNECT_MS);
         return socket;
--- a/storm/src/main/java/marlford/storm/soak/SoakFindings.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFindings.java
@@ -13,6 +13,7 @@
     /** What was counted. */
     enum Count {
         SERVED,
+        LONG_SERVED,
         REFUSED,
         FAILED,
         LATE,
--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -106,6 +106,10 @@
         for (int i = 0; i < processes.size() * CLIENTS_EACH; i++) {
             Threads.start("client", new SoakClient(this, (int) (seed % 100_000) * 1000 + i, seed * 31 + i));
         }
+        for (int i = 0; i < processes.size(); i++) {
+            Threads.start("slow", new SlowClient(this, (int) (seed % 100_000) * 1000 + i, seed * 41 + i));
+        }
+        Threads.start("slow crowd", new SlowCrowd(this, (int) (seed % 100_000) * 1000, seed * 43));
         for (int i = 0; i < processes.size(); i++) {
             Threads.start("stopping", new StoppingClient(this, (int) (seed % 100_000) * 1000 + i, seed * 37 + i));
         }
--- a/storm/src/main/java/marlford/storm/soak/SoakHosts.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakHosts.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedInputStream;
 import java.io.Closeable;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -15,6 +16,14 @@
 /** Hosts that hang, reset, answer late or drain when told to, and hold each attempt against what its client knows. */
 final class SoakHosts implements Closeable {
     static final long DRAIN_GRACE_MS = 2000;
+    /** Path of requests with a long answer, behind the class. */
+    static final String LONG = "long-";
+
+    static final int LONG_BYTES = 6_000_000; // more than the sockets on the way hold
+    private static final int PIECES = 4; // of a long answer
+    private static final byte[] PIECE = new byte[LONG_BYTES / PIECES];
+    private static final int INPUT_BYTES = 64 * 1024;
+    private static final long SLOW_READ_MS = 20; // for each piece of input of a slow host
     private static final long SLACK_MS = 50; // of each time limit, by the protocol
     private static final long DEADLINE_SLACK_MS = 150;
     private static final long LEFT_MS = 100;
@@ -66,13 +75,13 @@
 
         private void serve(Socket socket) {
             try (socket) {
-                InputStream in = new BufferedInputStream(socket.getInputStream());
+                InputStream in = new BufferedInputStream(new SlowInput(socket.getInputStream()), INPUT_BYTES);
                 for (HttpText.Message m = HttpText.read(in); m != null; m = HttpText.read(in)) {
                     String id = m.header("X-Trace-Id");
                     if (id != null) {
                         judge(id, m);
                     }
-                    if (!answer(socket)) {
+                    if (!answer(socket, m)) {
                         return;
                     }
                 }
@@ -81,11 +90,31 @@
             }
         }
 
-        private boolean answer(Socket socket) throws IOException, InterruptedException {
+        /** Input that a slow host takes its time to read. */
+        private final class SlowInput extends FilterInputStream {
+            SlowInput(InputStream in) {
+                super(in);
+            }
+
+            @Override
+            public int read(byte[] buffer, int offset, int length) throws IOException {
+                if (mood == Mood.SLOW) {
+                    pause(SLOW_READ_MS);
+                }
+                return super.read(buffer, offset, length);
+            }
+        }
+
+        private boolean answer(Socket socket, HttpText.Message request) throws IOException, InterruptedException {
             while (mood == Mood.HANGS) {
                 Thread.sleep(LOOK_MS);
             }
             Thread.sleep(mood == Mood.SLOW ? SLOW_MS : random.nextLong(LONGEST_WORK_MS));
+            String id = request.header("X-Trace-Id"); // probes have none
+            RequestLedger.Entry entry = id == null ? null : ledger.of(id);
+            if (entry != null && (mood == Mood.RESETS || mood == Mood.CUTS_ANSWERS)) {
+                entry.hostFailed = true;
+            }
             if (mood == Mood.RESETS) {
                 socket.setSoLinger(true, 0);
                 return false;
@@ -94,10 +123,25 @@
                 socket.getOutputStream().write(HttpText.bytes("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"));
                 return false;
             }
-            socket.getOutputStream().write(HttpText.bytes("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+            if (request.start().contains("/" + LONG)) {
+                answerAtLength(socket);
+            } else {
+                socket.getOutputStream().write(HttpText.bytes("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+            }
             return true;
         }
 
+        private void answerAtLength(Socket socket) throws IOException {
+            socket.getOutputStream()
+                    .write(HttpText.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + LONG_BYTES + "\r\n\r\n"));
+            for (int i = 0; i < PIECES; i++) {
+                socket.getOutputStream().write(PIECE);
+                if (mood == Mood.SLOW) {
+                    pause(SLOW_MS);
+                }
+            }
+        }
+
         private void judge(String request, HttpText.Message m) {
             RequestLedger.Entry entry = ledger.of(request);
             if (entry == null) {
@@ -105,7 +149,8 @@
                 return;
             }
             long now = System.nanoTime();
-            double left = entry.deadlineMs - (now - entry.sentNanos) / NANOS_PER_MS;
+            double elapsed = entry.bodyOnTheWay ? 0 : (now - entry.sentNanos) / NANOS_PER_MS;
+            double left = entry.deadlineMs - elapsed;
             long told = Long.parseLong(m.header("X-Expires-In-Ms"));
             // The attempt was written some time before it is read here, and more was left then.
             if (told > left + DEADLINE_SLACK_MS + lateness.ms() + SLACK_MS) {
@@ -136,6 +181,15 @@
         }
     }
 
+    private static void pause(long ms) throws IOException {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
     private final RequestLedger ledger;
     private final SoakFindings findings;
     private final Lateness lateness;
--- a/storm/src/main/java/marlford/storm/soak/SoakProcess.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -20,6 +20,7 @@
     private static final String PROGRAM = "java"; // its name once the shell has become it
     private static final String STARTS = "deckfall: SIGHUP is ignored"; // the first line of each process
     private static final int LAST_LINES = 5;
+    private static final long ENDS_WITHIN_MS = 5000; // from SIGTERM to the end
     private static final String LOOP = "nioEventLoop"; // how the system calls the thread
     private static final double NANOS_PER_MS = 1e6;
     private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
@@ -39,6 +40,7 @@
     private Process predecessor; // in an upgrade
     private volatile long upSince; // of the present life, in nanoseconds; 0 while it is not up
     private volatile int lives;
+    private volatile long toldToEndNanos; // the latest of its processes; 0 for none
     private long waitedNanos; // of its event loop for a core, at the last look
 
     SoakProcess(int number, int port, Path folder, String classPath, FailingCalls calls, long seed) {
@@ -114,6 +116,7 @@
 
     /** The process of before the upgrade gets SIGTERM, and SIGKILL where it has not ended within this time. */
     void endPredecessor(long ms) throws InterruptedException {
+        toldToEndNanos = System.nanoTime();
         predecessor.destroy();
         if (!predecessor.waitFor(ms, TimeUnit.MILLISECONDS)) {
             predecessor.destroyForcibly();
@@ -152,9 +155,15 @@
 
     /** SIGTERM; clients go on over what they have open. */
     void terminate() {
+        toldToEndNanos = System.nanoTime();
         process.destroy();
     }
 
+    /** Whether one of its processes was told to end after this time, or shortly before it. */
+    boolean wasToldToEndSince(long nanos) {
+        return toldToEndNanos != 0 && toldToEndNanos - nanos > -TimeUnit.MILLISECONDS.toNanos(ENDS_WITHIN_MS);
+    }
+
     /** Whether it has ended by itself within this time. */
     boolean hasEndedWithin(long ms) throws InterruptedException {
         return process.waitFor(ms, TimeUnit.MILLISECONDS);
