--- a/storm/src/main/java/marlford/storm/soak/SlowClient.java
+++ b/storm/src/main/java/marlford/storm/soak/SlowClient.java
@@ -4,7 +4,6 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import marlford.storm.soak.SoakFindings.Count;
 
@@ -12,7 +11,7 @@
  * A client with long messages: it reads a long answer in pieces, with pauses of seconds, or sends a long body, at once or in pieces. A
  * long answer that has begun must come whole, and a long order gets its final answer in time from its last byte on.
  */
-final class SlowClient implements Runnable {
+final class SlowClient extends SoakVisitor {
     private static final int PAUSES_MS = 8000; // of one reader in all, so that it ends before the judgement
     private static final int MAX_PAUSES = 3;
     private static final int FIRST_PIECE_BYTES = 64 * 1024;
@@ -25,38 +24,26 @@
     private static final int REST_MS = 500;
     private static final int OK = 200;
 
-    private final SoakFleet fleet;
-    private final int number;
-    private final Random random;
-    private int asked;
-
     SlowClient(SoakFleet fleet, int number, long seed) {
-        this.fleet = fleet;
-        this.number = number;
-        this.random = new Random(seed);
+        super(fleet, number, seed);
     }
 
     @Override
-    public void run() {
-        while (fleet.plays()) {
-            SoakProcess process = fleet.anyUp(random);
-            try {
-                Thread.sleep(random.nextInt(REST_MS));
-                if (process != null && random.nextBoolean()) {
-                    read(process);
-                } else if (process != null) {
-                    order(process);
-                }
-            } catch (IOException e) {
-                // the connection could not be made
-            } catch (InterruptedException e) {
-                return;
-            }
+    void visit(SoakProcess process) throws IOException, InterruptedException {
+        if (random.nextBoolean()) {
+            read(process);
+        } else {
+            order(process);
         }
     }
 
+    @Override
+    int restMs() {
+        return random.nextInt(REST_MS);
+    }
+
     private void read(SoakProcess process) throws IOException, InterruptedException {
-        String id = "l" + number + "-" + ++asked;
+        String id = nextId("l");
         long began = System.nanoTime();
         int life = process.life();
         RequestLedger.Entry entry = fleet.ledger().sent(id, SoakClient.VIEW_DEADLINE_MS, false);
@@ -100,7 +87,7 @@
     }
 
     private void order(SoakProcess process) throws IOException, InterruptedException {
-        String id = "w" + number + "-" + ++asked;
+        String id = nextId("w");
         int length = BODY_LEAST_BYTES + random.nextInt(BODY_BYTES);
         int life = process.life();
         RequestLedger.Entry entry = fleet.ledger().sent(id, SoakClient.ORDER_DEADLINE_MS, true);
--- a/storm/src/main/java/marlford/storm/soak/SlowCrowd.java
+++ b/storm/src/main/java/marlford/storm/soak/SlowCrowd.java
@@ -4,43 +4,30 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 
 /**
  * Many clients at one gateway that ask for long answers, read nothing for seconds and leave: together they would hold more than a
  * gateway's memory. The other clients show whether it goes on.
  */
-final class SlowCrowd implements Runnable {
+final class SlowCrowd extends SoakVisitor {
     private static final int CLIENTS = 140; // as many as a gateway may have connections to hosts
     private static final int SMALL_BUFFER_BYTES = 4096; // so that the sockets take little
     private static final int STAY_MS = 3000;
     private static final int GAP_MS = 1500;
 
-    private final SoakFleet fleet;
-    private final int number;
-    private final Random random;
-    private int asked;
-
     SlowCrowd(SoakFleet fleet, int number, long seed) {
-        this.fleet = fleet;
-        this.number = number;
-        this.random = new Random(seed);
+        super(fleet, number, seed);
     }
 
     @Override
-    public void run() {
-        while (fleet.plays()) {
-            try {
-                Thread.sleep(random.nextInt(GAP_MS));
-                SoakProcess process = fleet.anyUp(random);
-                if (process != null) {
-                    fleet.findings().count(SoakFindings.Count.FAULTS);
-                    crowd(process);
-                }
-            } catch (InterruptedException e) {
-                return;
-            }
-        }
+    void visit(SoakProcess process) throws InterruptedException {
+        fleet.findings().count(SoakFindings.Count.FAULTS);
+        crowd(process);
+    }
+
+    @Override
+    int restMs() {
+        return random.nextInt(GAP_MS);
     }
 
     private void crowd(SoakProcess process) throws InterruptedException {
@@ -48,7 +35,7 @@
         List<RequestLedger.Entry> entries = new ArrayList<>();
         try {
             for (int i = 0; i < CLIENTS && process.isUp(); i++) {
-                String id = "d" + number + "-" + ++asked;
+                String id = nextId("d");
                 entries.add(fleet.ledger().sent(id, SoakClient.VIEW_DEADLINE_MS, false));
                 Socket socket = SoakClient.connect(process, SMALL_BUFFER_BYTES);
                 sockets.add(socket);
--- a/storm/src/main/java/marlford/storm/soak/SoakCommand.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakCommand.java
@@ -18,7 +18,8 @@
                 "Random, overlapping faults over a few dozen real gateways, judged by what clients and hosts saw.")
 public final class SoakCommand implements Callable<Integer> {
     private static final int CROWD_ONE_IN = 3; // of the seeds
-    private static final long SETTLE_MS = 10_000; // the longest deadline and an answer that is late, and the slowest reader
+    private static final long SETTLE_MS =
+            10_000; // the longest deadline and an answer that is late, and the slowest reader
     private static final double MB = 1 << 20;
 
     @Option(names = "--seed", defaultValue = "1", description = "the first one (${DEFAULT-VALUE})")
--- a/storm/src/main/java/marlford/storm/soak/StoppingClient.java
+++ b/storm/src/main/java/marlford/storm/soak/StoppingClient.java
@@ -7,11 +7,10 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.Random;
 import marlford.storm.soak.SoakFindings.Count;
 
 /** A client that stops somewhere inside a request and stays: it is owed an error or a close within 3 s. */
-final class StoppingClient implements Runnable {
+final class StoppingClient extends SoakVisitor {
     private static final long OWED_MS = 3000;
     private static final int PATIENCE_MS = 8000;
     private static final int PAUSE_MS = 500;
@@ -34,32 +33,18 @@
         EXPECT
     }
 
-    private final SoakFleet fleet;
-    private final int number;
-    private final Random random;
-    private int asked;
-
     StoppingClient(SoakFleet fleet, int number, long seed) {
-        this.fleet = fleet;
-        this.number = number;
-        this.random = new Random(seed);
+        super(fleet, number, seed);
     }
 
     @Override
-    public void run() {
-        while (fleet.plays()) {
-            try {
-                SoakProcess process = fleet.anyUp(random);
-                if (process != null) {
-                    stop(process, Position.values()[random.nextInt(Position.values().length)]);
-                }
-                Thread.sleep(random.nextInt(PAUSE_MS));
-            } catch (IOException e) {
-                // it could not connect, or was cut while it got there
-            } catch (InterruptedException e) {
-                return;
-            }
-        }
+    void visit(SoakProcess process) throws IOException {
+        stop(process, Position.values()[random.nextInt(Position.values().length)]);
+    }
+
+    @Override
+    int restMs() {
+        return random.nextInt(PAUSE_MS);
     }
 
     private void stop(SoakProcess process, Position position) throws IOException {
@@ -121,7 +106,7 @@
     }
 
     private String sent(SoakProcess process, boolean order) {
-        String id = "s" + number + "-" + ++asked;
+        String id = nextId("s");
         fleet.ledger().sent(id, order ? SoakClient.ORDER_DEADLINE_MS : DEADLINE_MS, order);
         return order
                 ? SoakClient.order(id, SoakClient.ORDER_DEADLINE_MS, process.number)
