Test that the engine avoids a host that hangs behind a streamed body

Need: LongBodyDeadlineTest shows it by chance of draws over 40 orders; the engine's part had no test of its own.

Change: EngineRulesTest.hostThatHangsBehindAStreamedBodyIsAvoidedAndItsAttemptIsNotCancelled.

Measured: fails (the next order goes to the hanging host) with the slot taken out of DecisionEngine.onBodySent, passes with it.

--- a/gateway/src/test/java/marlford/gateway/EngineRulesTest.java
+++ b/gateway/src/test/java/marlford/gateway/EngineRulesTest.java
@@ -65,6 +65,26 @@
         }
     }
 
+    /** Guards against hosts that hang behind long bodies: such attempts were never overdue, so the host was not avoided. */
+    @Test
+    void hostThatHangsBehindAStreamedBodyIsAvoidedAndItsAttemptIsNotCancelled() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1", "a2");
+        g.engine.onRequest(g.now, new Request("o", g.now + 3000, g.now, false, "order", 1, "free", 1, 0, 1, 500));
+        String hanging = g.hostOf("o");
+        g.advance(500);
+        g.engine.onBodySent(g.now, "o", 0, g.now + 3000);
+        g.advance(2000);
+        assertEquals(List.of(), g.cancelled); // no other attempt could follow
+        for (int i = 0; i < 10; i++) {
+            String id = "next" + i;
+            g.request(id, "order");
+            assertNotEquals(hanging, g.hostOf(id));
+            g.endAttempt(id, 0, Outcome.OK, 10);
+        }
+        g.endAttempt("o", 0, Outcome.TIMEOUT, 3000);
+        assertEquals(List.of("o"), g.failed);
+    }
+
     @Test
     void requestThatNeverRanIsSentToAnotherHost() {
         for (Outcome outcome : List.of(Outcome.FULL, Outcome.CONNECT_FAILED)) {
