Review case 6: the gateway was told of the host at the reused address

Change: discovery tells of the new host after 0.5 s, the orders follow, and the end of the old host is told after 3 s. The gateway still takes the new host for the old one, so an order runs twice.

--- a/review/6/OrderAtReusedAddress.java
+++ b/review/6/OrderAtReusedAddress.java
@@ -9,15 +9,18 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A tile server is replaced by one of another cell at the same address, and discovery tells so two seconds later. Meanwhile orders are
- * sent, and the server at that address resets connections under requests that it has run. No order may run twice.
+ * A tile server dies, and one of another cell comes up at its address. Discovery tells of the new one after 0.5 s and of the end of the old
+ * one after 3 s. In between orders are sent, and the server at that address resets connections under requests that it has run. No order may
+ * run twice.
  */
 final class OrderAtReusedAddress {
     private static final int ORDERS = 6;
     private static final int OLD_CELL = 1;
     private static final int NEW_CELL = 2;
     private static final int WORK_MS = 150;
-    private static final int TOLD_AFTER_MS = 2000;
+    private static final int NEW_TOLD_AFTER_MS = 500;
+    private static final int ORDERS_AFTER_MS = 500; // after the gateway was told of the new server
+    private static final int OLD_TOLD_AFTER_MS = 2000; // after the orders
     private static final int EXPIRES_MS = 8000;
     private static final int ANSWER_SLACK_MS = 500;
 
@@ -48,10 +51,9 @@
         for (int i = 0; i < ORDERS; i++) {
             clients.add(Threads.start(() -> order(gateway)));
         }
-        Thread.sleep(TOLD_AFTER_MS);
+        Thread.sleep(OLD_TOLD_AFTER_MS);
         if (run.trouble) {
             discovery.set("a1", first.address(), "room-a", OLD_CELL, "gone");
-            discovery.set("b1", first.address(), "room-a", NEW_CELL, "ready");
         }
         for (Thread client : clients) {
             client.join();
@@ -59,12 +61,16 @@
         return noEffectTwice();
     }
 
-    /** The process of a1 dies, and b1 comes up at its address. */
-    private void replace(TileServer first) throws IOException {
+    /** The process of a1 dies, b1 comes up at its address, and discovery tells of b1. */
+    private void replace(TileServer first) throws IOException, InterruptedException {
         int port = first.port();
         first.die();
         new TileServer(port, (request, connection, input) -> runThenReset("b1", NEW_CELL, request, connection));
+        long startedMs = System.currentTimeMillis();
         run.recorder.event("platform", "a1 has died, b1 of cell " + NEW_CELL + " listens at its address");
+        Thread.sleep(NEW_TOLD_AFTER_MS);
+        discovery.set("b1", first.address(), "room-a", NEW_CELL, "ready", startedMs);
+        Thread.sleep(ORDERS_AFTER_MS);
     }
 
     private boolean noEffectTwice() {
