--- a/review/stand-2/CaseRun.java
+++ b/review/stand-2/CaseRun.java
@@ -22,14 +22,14 @@
     final Path folder;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
-    private CaseRun(Path root, Path caseFolder) throws IOException {
+    private CaseRun(Path root, Path record) throws IOException {
         this.root = root.toAbsolutePath().normalize();
-        this.recorder = new Recorder(caseFolder.resolve("record.txt"));
+        this.recorder = new Recorder(record);
         this.folder = Files.createTempDirectory("case");
         Runtime.getRuntime().addShutdownHook(new Thread(this::removeFolder));
     }
 
-    /** @param arguments the root of the repository and the folder of the case */
+    /** @param arguments the root of the repository and the file of the record */
     static void main(String[] arguments, Body body) {
         Thread limit = new Thread(CaseRun::endLate);
         limit.setDaemon(true);
