--- a/review/8/SlowReaderAtRestart.java
+++ b/review/8/SlowReaderAtRestart.java
@@ -14,9 +14,9 @@
  * all; SIGTERM is sent so that the process ends by itself soon after all servers have given all, which is while the clients pause.
  */
 final class SlowReaderAtRestart {
-    private static final int CLIENTS = 10;
+    private static final int CLIENTS = 20;
     private static final int SHORTEST_ANSWER_BYTES = 1_100_000;
-    private static final int LENGTH_STEP_BYTES = 17_000;
+    private static final int LENGTH_STEP_BYTES = 8_500;
     private static final int PIECE_BYTES = 16_000;
     private static final int PIECE_INTERVAL_MS = 100;
     private static final int BYTES_PER_MS = PIECE_BYTES / PIECE_INTERVAL_MS;
