End answers whose hosts go on to give a little for ever

Cause: past its request's deadline a response had one limit, on the time since its last byte (HostConnection.pauseLimitMs). Any byte met it, also one of a chunk extension or a trailer. Excluded by the test: heads, 1xx responses, told short lengths and errors, which end at the deadline.

Change: ResponseProgress holds both limits of a response, for every framing: the pause as before, and past the request's time the pace of its body. What is longer than 64 KiB, or on the way there at 8 kB a second, goes on.

--- /dev/null
+++ b/gateway/src/main/java/marlford/gateway/guard/ResponseProgress.java
@@ -0,0 +1,96 @@
+package marlford.gateway.guard;
+
+/**
+ * The progress of a host within a response, and the time at which it counts as stopped. Two limits hold, and the earlier one ends the
+ * response:
+ *
+ * <ul>
+ *   <li>a pause in which nothing of the message is read;
+ *   <li>past the time of its request, the pace of the body. Only a long body may come later than that, so what has come must show that
+ *       the body is long or is becoming long. Bytes outside the body (chunk sizes and extensions, trailers) do not count.
+ * </ul>
+ *
+ * <p>The pace is kept as credit: each byte of the body allows for some time, and a host that has given much may pause for as long as any
+ * host may. Neither limit runs while the gateway itself reads nothing because the client is slow.
+ *
+ * <p>No clock and no I/O. Times are milliseconds on the caller's clock. Used on the event loop.
+ */
+public final class ResponseProgress {
+    /** A response that may be long is not judged by its pace before this time past its request's deadline. */
+    public static final double LATE_RESPONSE_LIMIT_MS = 400;
+
+    private static final double START_ALLOWANCE_MS = 2000; // from its head until a body of unknown length must have begun
+    private static final double MIN_BODY_BYTES_PER_MS = 8;
+
+    /** What is known of the length of a body: short enough to be buffered, not known, or longer than that. */
+    public enum Length { SHORT, UNKNOWN, LONG }
+
+    private double lastReadMs;
+    private double paceUntilMs; // until then the body has been fast enough
+    private double pausedSinceMs = Double.NaN; // since when nothing is read; NaN while reading
+
+    /** @param now when the request was written */
+    public ResponseProgress(double now) {
+        lastReadMs = now;
+        paceUntilMs = now + START_ALLOWANCE_MS;
+    }
+
+    /** Records that bytes of the response were read. */
+    public void recordRead(double now) {
+        lastReadMs = now;
+    }
+
+    /** Records that the head of a response was read whole, and what it says about the length of the body. */
+    public void recordHead(double now, Length length) {
+        paceUntilMs = now + (length == Length.LONG ? TransferProgress.PAUSE_LIMIT_MS : START_ALLOWANCE_MS);
+    }
+
+    /** Records that bytes of the body were read. */
+    public void recordBody(double now, long bytes) {
+        double allowedMs = Math.max(now, paceUntilMs) + bytes / MIN_BODY_BYTES_PER_MS;
+        paceUntilMs = Math.max(paceUntilMs, Math.min(allowedMs, now + TransferProgress.PAUSE_LIMIT_MS));
+    }
+
+    /** Records that the gateway stops reading, because the client does not take more. */
+    public void pause(double now) {
+        if (!isPaused()) {
+            pausedSinceMs = now;
+        }
+    }
+
+    /** Records that the gateway reads again. */
+    public void resume(double now) {
+        if (isPaused()) {
+            paceUntilMs += now - pausedSinceMs;
+            pausedSinceMs = Double.NaN;
+            lastReadMs = now;
+        }
+    }
+
+    /** Whether the gateway reads nothing, so that no limit runs. */
+    public boolean isPaused() {
+        return !Double.isNaN(pausedSinceMs);
+    }
+
+    /**
+     * Returns when the host counts as stopped if nothing more is read.
+     *
+     * @param length as far as it is known now
+     * @param deadlineMs of the request; infinite if it has none
+     */
+    public double endMs(Length length, double deadlineMs) {
+        double paceEndMs = Math.max(deadlineMs + LATE_RESPONSE_LIMIT_MS, paceUntilMs);
+        return Math.min(pauseEndMs(length, deadlineMs), paceEndMs);
+    }
+
+    private double pauseEndMs(Length length, double deadlineMs) {
+        if (length == Length.SHORT) {
+            return lastReadMs + TransferProgress.SHORT_RESPONSE_PAUSE_LIMIT_MS;
+        }
+        double longEndMs = lastReadMs + TransferProgress.PAUSE_LIMIT_MS;
+        if (length == Length.LONG) {
+            return longEndMs;
+        }
+        return Math.min(longEndMs, Math.max(deadlineMs, lastReadMs + TransferProgress.OVERDUE_PAUSE_LIMIT_MS));
+    }
+}
--- a/gateway/src/main/java/marlford/gateway/net/Attempt.java
+++ b/gateway/src/main/java/marlford/gateway/net/Attempt.java
@@ -61,8 +61,8 @@
     }
 
     @Override
-    boolean isOverdue() {
-        return node.clock.now() > owner.deadlineMs();
+    double deadlineMs() {
+        return owner.deadlineMs();
     }
 
     @Override
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -30,6 +30,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import marlford.gateway.EngineApi.Outcome;
+import marlford.gateway.guard.ResponseProgress;
+import marlford.gateway.guard.ResponseProgress.Length;
 import marlford.gateway.guard.TransferProgress;
 
 /**
@@ -42,6 +44,7 @@
             List.of(HttpHeaderNames.CONTENT_TYPE, NEVER_RAN_HEADER, HostClient.LOAD_REPORT_HEADER));
     private static final HttpHeadersFactory TRAILERS = StrictHeaders.ofAnswers(List.of());
     private static final long UPLOAD_CHECK_INTERVAL_MS = 250;
+    private static final long RESPONSE_CHECK_INTERVAL_MS = 250;
     /** A 200 of unknown length that takes longer than this, from its head, is passed on as it comes. */
     private static final long MAX_BUFFERING_MS = 250;
     private static final long MAX_RESPONSE_BYTES = 48 << 20; // a response that declares or sends more is invalid
@@ -78,7 +81,7 @@
     private TransferProgress uploadProgress; // of that rest
     private Sink sink; // receives a streamed response; null while the response is aggregated here
     private long streamedBytes; // bytes passed to the sink
-    private double lastReadAt; // when bytes were last read, or reading was resumed
+    private ResponseProgress progress; // of the response to the present exchange
     private int interimResponses;
     private boolean endsWithConnection; // the end of the connection is the end of the response; a reset is not
     private boolean reusable; // the response is complete and no bytes followed it
@@ -91,6 +94,7 @@
         this.buffers = buffers;
         this.owner = owner;
         this.clock = clock;
+        this.progress = new ResponseProgress(clock.now());
     }
 
     /**
@@ -138,9 +142,9 @@
             return connection != null && connection.requestWritten;
         }
 
-        /** Returns whether its response may no longer come late, because its request's deadline has passed. */
-        boolean isOverdue() {
-            return false;
+        /** Returns the deadline of its request, in milliseconds of the clock; infinite if it has none. */
+        double deadlineMs() {
+            return Double.POSITIVE_INFINITY;
         }
 
         /**
@@ -213,7 +217,7 @@
                 return;
             }
             responseStarted = true;
-            lastReadAt = clock.now();
+            progress.recordRead(clock.now());
             input.measure(((ByteBuf) bytes).readableBytes(), () -> {
                 super.channelRead(ctx, bytes);
                 if (sink != null) { // all parts of one read together, so that tiny chunks need no write each
@@ -285,6 +289,7 @@
         assign(target);
         requestWritten = responseStarted = reusable = false;
         interimResponses = 0;
+        progress = new ResponseProgress(clock.now());
         if (message instanceof StreamedRequest) {
             channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, message.method(), message.uri(),
                     message.headers()), channel.voidPromise());
@@ -452,6 +457,7 @@
         boolean chunked = HttpUtil.isTransferEncodingChunked(response);
         long length = HttpUtil.getContentLength(response, -1L);
         endsWithConnection = !interimHead && !empty && !chunked && length < 0;
+        progress.recordHead(clock.now(), bodyLength());
         if (length > MAX_RESPONSE_BYTES || interimHead && ++interimResponses > MAX_INTERIM_RESPONSES
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             failInvalidResponse();
@@ -478,6 +484,13 @@
         return mayBeLong() && Math.max(streamedBytes, HttpUtil.getContentLength(head, -1L)) > ConnectionBuffers.MAX_WINDOW_BYTES;
     }
 
+    private Length bodyLength() {
+        if (!mayBeLong()) {
+            return Length.SHORT;
+        }
+        return isLong() ? Length.LONG : Length.UNKNOWN;
+    }
+
     private void streamIfPossiblyLong() {
         if (sink == null && mayBeLong()) {
             openSink();
@@ -511,7 +524,7 @@
     /** Resumes reading once the sink can take more. */
     private void resumeReading() {
         if (sink != null && sink.isWritable() && !channel.config().isAutoRead()) {
-            lastReadAt = clock.now();
+            progress.resume(clock.now());
             channel.config().setAutoRead(true);
         }
     }
@@ -531,6 +544,7 @@
                 return;
             }
         }
+        progress.recordBody(clock.now(), content.content().readableBytes());
         body = BodyParts.append(ctx.alloc(), body, content.content());
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -576,6 +590,7 @@
         } else if (part.isReadable()) {
             sink.write(part);
             if (sink != null && !sink.isWritable()) {
+                progress.pause(clock.now());
                 channel.config().setAutoRead(false);
             }
         }
@@ -613,14 +628,13 @@
             return;
         }
         Exchange target = exchange;
-        boolean paused = !channel.config().isAutoRead(); // the client is slow then, not the host
-        double remainingMs = lastReadAt + pauseLimitMs() - clock.now();
-        if (remainingMs <= 0 && !paused) {
+        double remainingMs = progress.endMs(bodyLength(), exchange.deadlineMs()) - clock.now();
+        if (remainingMs <= 0 && !progress.isPaused()) {
             failInvalidResponse();
             return;
         }
-        // The limit of a response of unknown length changes with time, so it is checked at the interval of the shortest one.
-        double checkAfterMs = mayBeLong() && !isLong() ? TransferProgress.SHORT_RESPONSE_PAUSE_LIMIT_MS : pauseLimitMs();
+        // The limits change while the response is read, and the deadline while the request's body is sent.
+        double checkAfterMs = progress.isPaused() ? RESPONSE_CHECK_INTERVAL_MS : Math.min(RESPONSE_CHECK_INTERVAL_MS, remainingMs);
         stallTimer = channel.eventLoop().schedule(() -> {
             stallTimer = null;
             if (exchange == target) {
@@ -629,16 +643,7 @@
             if (exchange == target) {
                 watchForStall();
             }
-        }, (long) (paused ? checkAfterMs : Math.min(checkAfterMs, remainingMs)) + 1, TimeUnit.MILLISECONDS);
-    }
-
-    /** Returns how long the host may pause within its response. */
-    private double pauseLimitMs() {
-        if (!mayBeLong()) {
-            return TransferProgress.SHORT_RESPONSE_PAUSE_LIMIT_MS;
-        }
-        boolean lateIfShort = !isLong() && exchange.isOverdue();
-        return lateIfShort ? TransferProgress.OVERDUE_PAUSE_LIMIT_MS : TransferProgress.PAUSE_LIMIT_MS;
+        }, (long) checkAfterMs + 1, TimeUnit.MILLISECONDS);
     }
 
     /** A 503 or 504 that the host marks as never run is FULL; any other status but 200 is an error. */
--- /dev/null
+++ b/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
@@ -0,0 +1,221 @@
+package marlford.gateway.net;
+
+import static marlford.gateway.net.Sockets.bytes;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Future;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import marlford.gateway.net.Sockets.Client;
+import marlford.gateway.net.Sockets.RecordingServer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against requests without an end, whose host goes on to give a little of its answer for ever. */
+class EndlessResponseTest extends SocketTest {
+    private static final int WAIT_MS = 2500;
+    /** A final answer comes at most half a second after the client's time, and limits are 50 ms longer on sockets. */
+    private static final long ANSWER_LIMIT_MS = WAIT_MS + 500 + 50;
+    /** A host of a long answer may pause for 5 s; the rest is for checks and a busy machine. */
+    private static final long LONG_ANSWER_LIMIT_MS = 8000;
+
+    private static final long GIVE_UP_MS = 1000; // after the limit
+    private static final int SHORT_WAIT_MS = 600;
+    private static final int PAUSE_AT_BYTES = 80_000;
+    private static final int LONG_BYTES = 100_000;
+    private static final int SHORT_BYTES = 50_000;
+    private static final int BURST_BYTES = 70_000; // known to be long from then on
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String BURST = "x".repeat(BURST_BYTES);
+    private static final String BURST_CHUNK = Integer.toHexString(BURST_BYTES) + "\r\n" + BURST + "\r\n";
+    private static final String PIECE = "piece of it ";
+    private static final String CHUNK = "c\r\n" + PIECE + "\r\n";
+
+    /** Where in its answer the host is when it begins to give only a little: what it sends first, and then for ever. */
+    enum State {
+        WITHIN_START_LINE("HTTP/1.1 200 O", "K"),
+        WITHIN_HEADER(OK + "X-Long: ", "a"),
+        HEADERS(OK, "X-Header: a\r\n"),
+        INTERIM_RESPONSES("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        WITHIN_INTERIM_HEAD("HTTP/1.1 103 Early Hints\r\n", "Link: a\r\n"),
+        HEAD_BEHIND_INTERIM_RESPONSE("HTTP/1.1 100 Continue\r\n\r\n" + OK, "X-Header: a\r\n"),
+        CHUNKS(OK + CHUNKED, CHUNK),
+        CHUNKS_OF_ONE_BYTE(OK + CHUNKED, "1\r\nx\r\n"),
+        WITHIN_CHUNK(OK + CHUNKED + "ffffff\r\n", "x"),
+        CHUNK_EXTENSION(OK + CHUNKED + "c;", "e"),
+        TRAILERS(OK + CHUNKED + CHUNK + "0\r\n", "X-Trailer: a\r\n"),
+        END_OF_CONNECTION(OK + "\r\n", PIECE),
+        END_OF_CONNECTION_HTTP_1_0("HTTP/1.0 200 OK\r\n\r\n", PIECE),
+        SHORT_LENGTH(OK + "Content-Length: " + SHORT_BYTES + "\r\n\r\n", PIECE),
+        ERROR_CHUNKS("HTTP/1.1 500 Oops\r\n" + CHUNKED, CHUNK),
+        ERROR_LENGTH("HTTP/1.1 503 Busy\r\nContent-Length: " + SHORT_BYTES + "\r\n\r\n", PIECE),
+
+        LONG_LENGTH(OK + "Content-Length: " + LONG_BYTES + "\r\n\r\n", PIECE),
+        LONG_LENGTH_AFTER_BURST(OK + "Content-Length: " + LONG_BYTES + "\r\n\r\n" + BURST, PIECE),
+        CHUNKS_AFTER_BURST(OK + CHUNKED + BURST_CHUNK, CHUNK),
+        CHUNK_EXTENSION_AFTER_BURST(OK + CHUNKED + BURST_CHUNK + "c;", "e"),
+        TRAILERS_AFTER_BURST(OK + CHUNKED + BURST_CHUNK + "0\r\n", "X-Trailer: a\r\n"),
+        END_OF_CONNECTION_AFTER_BURST(OK + "\r\n" + BURST, PIECE);
+
+        final String start;
+        final String piece;
+
+        State(String start, String piece) {
+            this.start = start;
+            this.piece = piece;
+        }
+
+        boolean mayBeLong() {
+            return name().contains("LONG") || name().contains("BURST");
+        }
+    }
+
+    /** How often the host gives a piece: within the shortest limit on pauses, and just within that of a short overdue answer. */
+    enum Interval {
+        OFTEN(100), SELDOM(500);
+
+        final long ms;
+
+        Interval(long ms) {
+            this.ms = ms;
+        }
+    }
+
+    /** Each state has a gateway and a host of its own, and all run at once. */
+    @ParameterizedTest
+    @EnumSource
+    void aHostThatGivesALittleGetsAnEnd(Interval interval) throws Exception {
+        Map<State, Future<Long>> endsMs = new EnumMap<>(State.class);
+        for (State state : State.values()) {
+            Client client = connectClient(startNodeWithHosts(startEndlessHost(state, interval)));
+            endsMs.put(state, startThread(() -> timeToEndMs(client.socket, limitMs(state))));
+        }
+        List<String> withoutEnd = new ArrayList<>();
+        for (State state : State.values()) {
+            long endMs = endsMs.get(state).get();
+            if (endMs > limitMs(state)) {
+                withoutEnd.add(state + " after " + endMs + " ms");
+            }
+        }
+        assertEquals(List.of(), withoutEnd);
+    }
+
+    private static long limitMs(State state) {
+        return state.mayBeLong() ? LONG_ANSWER_LIMIT_MS : ANSWER_LIMIT_MS;
+    }
+
+    private RecordingServer startEndlessHost(State state, Interval interval) throws IOException {
+        return startHost((m, s) -> {
+            OutputStream out = s.getOutputStream();
+            out.write(bytes(state.start));
+            while (true) {
+                out.write(bytes(state.piece));
+                Thread.sleep(interval.ms);
+            }
+        });
+    }
+
+    private static <T> Future<T> startThread(Callable<T> work) {
+        FutureTask<T> task = new FutureTask<>(work);
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        thread.start();
+        return task;
+    }
+
+    /** Sends a request and returns the time to its end, or the time at which waiting for one was given up, in milliseconds. */
+    private static long timeToEndMs(Socket socket, long limitMs) throws IOException {
+        long sentNanos = System.nanoTime();
+        socket.getOutputStream().write(bytes(Sockets.view("endless", WAIT_MS)));
+        awaitEnd(socket, limitMs + GIVE_UP_MS);
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+    }
+
+    /** Reads up to the end of an answer without a body, or of the connection, or up to the first input after the given time. */
+    private static void awaitEnd(Socket socket, long limitMs) throws IOException {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs);
+        socket.setSoTimeout((int) limitMs);
+        InputStream in = socket.getInputStream();
+        StringBuilder head = new StringBuilder();
+        boolean inHead = true;
+        try {
+            for (int next = in.read(); next >= 0 && System.nanoTime() < untilNanos; next = in.read()) {
+                if (inHead) {
+                    head.append((char) next);
+                    inHead = !head.toString().endsWith("\r\n\r\n");
+                }
+                if (!inHead && head.toString().contains("content-length: 0\r\n")) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            return; // a reset, or nothing came in time
+        }
+    }
+
+    /** Long answers whose host takes its time: they come whole, however long after the client's time. */
+    enum Pace {
+        SIXTEEN_KB_A_SECOND(4000, 250, 0),
+        LUMPS(40_000, 1500, 0),
+        ONE_LONG_PAUSE(20_000, 100, 3500);
+
+        final int partBytes;
+        final long intervalMs;
+        final long pauseMs; // once, before byte PAUSE_AT_BYTES
+
+        Pace(int partBytes, long intervalMs, long pauseMs) {
+            this.partBytes = partBytes;
+            this.intervalMs = intervalMs;
+            this.pauseMs = pauseMs;
+        }
+    }
+
+    /** How the end of a long answer is told. */
+    enum Framing {
+        END_OF_CONNECTION(OK + "\r\n"), LENGTH(OK + "Content-Length: " + LONG_BYTES + "\r\n\r\n");
+
+        final String head;
+
+        Framing(String head) {
+            this.head = head;
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aSlowLongAnswerComesWhole(Framing framing) throws Exception {
+        Map<Pace, Future<Integer>> lengths = new EnumMap<>(Pace.class);
+        for (Pace pace : Pace.values()) {
+            Client client = connectClient(startNodeWithHosts(startSlowHost(framing, pace)));
+            lengths.put(pace, startThread(() -> {
+                InputStream in = client.send(Sockets.view("slow", SHORT_WAIT_MS)).socket.getInputStream();
+                return UnknownLengthAnswerTest.readBody(UnknownLengthAnswerTest.readHead(in), in);
+            }));
+        }
+        for (Pace pace : Pace.values()) {
+            assertEquals(LONG_BYTES, lengths.get(pace).get(), pace.toString());
+        }
+    }
+
+    private RecordingServer startSlowHost(Framing framing, Pace pace) throws IOException {
+        return startHost((m, s) -> {
+            OutputStream out = s.getOutputStream();
+            out.write(bytes(framing.head));
+            for (int sent = 0; sent < LONG_BYTES; sent += pace.partBytes) {
+                Thread.sleep(sent == PAUSE_AT_BYTES ? Math.max(pace.intervalMs, pace.pauseMs) : pace.intervalMs);
+                out.write(new byte[Math.min(pace.partBytes, LONG_BYTES - sent)]);
+            }
+            s.close();
+        });
+    }
+}
--- a/gateway/src/test/java/marlford/gateway/net/UnknownLengthAnswerTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/UnknownLengthAnswerTest.java
@@ -150,7 +150,7 @@
         out.write(part.toByteArray());
     }
 
-    private static String readHead(InputStream in) throws IOException {
+    static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.length() < HEAD_END.length || !head.toString().endsWith("\r\n\r\n")) {
             int next = in.read();
@@ -163,7 +163,7 @@
     }
 
     /** Returns the length of a body; fails if it is not whole. */
-    private static int readBody(String head, InputStream in) throws IOException {
+    static int readBody(String head, InputStream in) throws IOException {
         if (!head.contains("chunked")) {
             int length = Integer.parseInt(head.replaceAll("(?s).*content-length: (\\d+).*", "$1"));
             return in.readNBytes(length).length;
