Send no long order whole for a client whose end stands behind unread input

Cause: the last part of a long body is held back until the client was looked for by reading on. Where more was unread than is read ahead the presence is unknown, and ClientConnection.confirmBody released the part then; elsewhere an unknown presence ends the request. The check also ran when the part came, not when it could be written. Excluded: a presence check of up to 40 ms ago (0.5 s), a late loop (late=0), retries.

Change: the part is released only where the client was seen connected, right before it is written (RequestBodyStream asks when all earlier parts have left). Where that can't be told the request is answered, with 429 if no host can have run it; refused_presence_unknown counts these. Up to 1 MiB of long bodies behind the order is read ahead for the check, an eighth of the free buffers at most.

--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -255,12 +255,12 @@
             markIdle();
         }
         if (!badRequestPause && !(channel.config().isAutoRead() && reader.isDrained())) {
-            readToEnd(); // a client is not judged as stopped while its socket may hold unread input
+            readToEnd(node.buffers.windowBytes()); // a client is not judged as stopped while its socket may hold unread input
         }
         if (judge() == Stall.NO) {
             return;
         }
-        readToEnd(); // input that already waits in the socket is late only because of this event loop
+        readToEnd(node.buffers.windowBytes()); // input that already waits in the socket is late only because of this event loop
         Stall stopped = judge();
         if (stopped != Stall.NO && channel.isActive()) {
             endStopped(stopped);
@@ -312,8 +312,6 @@
             if (current != null && received == upload) {
                 node.eventLog.bodyReceived(current.request.id(), current.deadlineMs() - node.clock.now());
             }
-            // deferred, because this call is made while the socket is being read
-            node.loop.execute(() -> confirmBody(received));
             return;
         }
         if (event == RequestReader.ClientSignal.EXPECTS_CONTINUE) {
@@ -426,6 +424,11 @@
         busy = true;
         answered = false;
         upload = StreamedRequest.bodyStreamOf(message);
+        if (upload != null) {
+            RequestBodyStream body = upload;
+            // deferred, because this may be called while the client's socket is being read
+            body.onConfirmationNeeded(() -> node.loop.execute(() -> confirmBody(body)));
+        }
         registry.markInUse(this);
         idleOnceSent = false;
         recordOutputProgress();
@@ -470,15 +473,19 @@
         if (channel.isActive() && (bodyIncomplete || reader.isReading() || !isPresenceOutdated())) {
             return Presence.CONNECTED;
         }
-        return readToEnd();
+        return readToEnd(node.buffers.readAheadBytes());
     }
 
-    /** Reads what the socket holds, as far as the bounds on reading ahead and the time for input in this iteration allow. */
-    private Presence readToEnd() {
+    /**
+     * Reads what the socket holds, as far as the bounds on reading ahead and the time for input in this iteration allow.
+     *
+     * @param maxBodyBytes bound on what is held of the long bodies of queued requests
+     */
+    private Presence readToEnd(int maxBodyBytes) {
         long receivedAtStart = reader.receivedBytes();
         double startedMs = node.clock.now();
         while (channel.isActive()) {
-            boolean full = hasReadAheadEnough();
+            boolean full = hasReadAheadEnough(maxBodyBytes);
             if (full && inputHidden) {
                 return Presence.UNKNOWN;
             }
@@ -503,25 +510,40 @@
         return Presence.DISCONNECTED;
     }
 
-    private boolean hasReadAheadEnough() {
+    private boolean hasReadAheadEnough(int maxBodyBytes) {
         boolean fullBody = upload != null && !upload.isComplete() && upload.isFull();
-        return fullBody || isLongBodyAhead() || queuedBytes >= MAX_READ_AHEAD_BYTES
+        return fullBody || queuedBodyBytes() >= maxBodyBytes || queuedBytes >= MAX_READ_AHEAD_BYTES
                 || registry.heldRequests().isFull();
     }
 
+    /** Returns how much is held of the long bodies of queued requests, beyond what is counted with the requests themselves. */
+    private long queuedBodyBytes() {
+        long bytes = 0;
+        for (QueuedMessage queued : queue) {
+            RequestBodyStream bodyStream = StreamedRequest.bodyStreamOf(queued.message());
+            bytes += bodyStream == null ? 0 : bodyStream.bufferedBytes();
+        }
+        return bytes;
+    }
+
     /** Whether the last queued request has a long body of which as much as fits has been read. */
     private boolean isLongBodyAhead() {
         RequestBodyStream bodyStream = queue.isEmpty() ? null : StreamedRequest.bodyStreamOf(queue.peekLast().message());
         return bodyStream != null && bodyStream.isFull();
     }
 
-    /** Releases the last part of a completely received body, unless the client disconnected right after it. */
+    /**
+     * Releases the last part of a completely received body, unless the client has disconnected. If there is too much unread input to find
+     * that out, the request gets its final answer, and no host receives it whole.
+     */
     private void confirmBody(RequestBodyStream body) {
-        Presence presence = readToEnd();
-        if (presence == Presence.UNKNOWN && !inputHidden) { // the rest is read in the next iteration
-            node.loop.schedule(() -> confirmBody(body), Node.LOOP_ITERATION_MS, TimeUnit.MILLISECONDS);
-        } else if (presence != Presence.DISCONNECTED) {
+        Presence presence = readToEnd(node.buffers.readAheadBytes());
+        if (presence == Presence.CONNECTED) {
             body.confirm();
+        } else if (presence == Presence.UNKNOWN && !inputHidden) { // the rest is read in the next iteration
+            node.loop.schedule(() -> confirmBody(body), Node.LOOP_ITERATION_MS, TimeUnit.MILLISECONDS);
+        } else if (presence == Presence.UNKNOWN && body == upload && current != null) {
+            node.endWithUnknownPresence(current);
         }
     }
 
--- a/gateway/src/main/java/marlford/gateway/net/ConnectionBuffers.java
+++ b/gateway/src/main/java/marlford/gateway/net/ConnectionBuffers.java
@@ -29,6 +29,9 @@
     private static final long SMALLEST_WINDOWS = 2048;
     /** Part of the free bytes that one window may take. */
     private static final long FREE_WINDOWS = 64;
+    private static final int MAX_READ_AHEAD_BYTES = 1 << 20;
+    /** Part of the free bytes that may be read ahead on one connection. */
+    private static final long FREE_READ_AHEADS = 8;
     private static final double TARGET_SHARE = 0.5; // of the direct memory; the smallest windows may go beyond it
     private static final double DIRECT_SHARE = 0.85; // of the direct memory; the JDK's own temporary buffers need the rest
     private static final int READS_PER_LOOP = 1; // of one channel, before the event loop serves the next one
@@ -106,6 +109,15 @@
         return (int) Math.max(minWindowBytes, Math.min(MAX_WINDOW_BYTES, freeBytes / FREE_WINDOWS));
     }
 
+    /**
+     * Returns how much of long bodies may be held that one client has sent behind the request being processed, in bytes, where they have
+     * to be read to find out whether it is still connected.
+     */
+    int readAheadBytes() {
+        long freeBytes = targetBytes - usedBytes();
+        return (int) Math.max(windowBytes(), Math.min(MAX_READ_AHEAD_BYTES, freeBytes / FREE_READ_AHEADS));
+    }
+
     /** Allocates each buffer by itself: in direct memory up to a limit, and on the heap beyond it. */
     private static final class CountingAllocator extends AbstractByteBufAllocator {
         private final UnpooledByteBufAllocator unpooled = new UnpooledByteBufAllocator(PlatformDependent.directBufferPreferred());
--- a/gateway/src/main/java/marlford/gateway/net/EventLog.java
+++ b/gateway/src/main/java/marlford/gateway/net/EventLog.java
@@ -24,8 +24,10 @@
         ID_SENT_BEFORE,
         /** The decision engine refused it. */
         DECIDED,
-        /** It was held without an attempt when the process stopped sending, or its client could not be seen to be connected. */
-        NEVER_SENT
+        /** It was held, and no attempt had been written whole, when the process stopped sending. */
+        NEVER_SENT,
+        /** It could not be told whether its client was still connected, as too much input waited unread. */
+        PRESENCE_UNKNOWN
     }
 
     private final Clock clock;
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -347,6 +347,15 @@
             channel.writeAndFlush(new DefaultHttpContent(part), channel.voidPromise());
         }
 
+        @Override
+        public void afterWrites(Runnable task) {
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+                if (f.isSuccess()) {
+                    task.run();
+                }
+            });
+        }
+
         @Override
         public void finish() {
             Exchange target = exchange;
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -687,14 +687,17 @@
         }
         switch (client.checkPresence()) {
             case DISCONNECTED -> onClientDisconnected(entry);
-            case UNKNOWN -> {
-                answerHeldRequest(entry);
-                cancelUnwritten(entry);
-            }
+            case UNKNOWN -> endWithUnknownPresence(entry);
             case CONNECTED -> { }
         }
     }
 
+    /** Answers a request of which it can't be told whether its client is still connected; no attempt that is not written whole goes on. */
+    void endWithUnknownPresence(OpenRequest entry) {
+        answerHeldRequest(entry, EventLog.Refusal.PRESENCE_UNKNOWN);
+        cancelUnwritten(entry);
+    }
+
     /**
      * Starts to stream an answer that is too long to be buffered. It becomes the final answer and all other attempts are
      * cancelled. Returns null when no client waits for it.
@@ -1058,18 +1061,18 @@
         }
         for (OpenRequest entry : List.copyOf(openRequests.values())) {
             if (!entry.isClosed()) {
-                answerHeldRequest(entry);
+                answerHeldRequest(entry, EventLog.Refusal.NEVER_SENT);
             }
         }
     }
 
-    /** Sends the final answer to a request that is held without an attempt in flight and gets no further one. */
-    private void answerHeldRequest(OpenRequest entry) {
-        if (entry.attempts.isEmpty()) { // never sent, so another gateway may run it safely
-            eventLog.refused(entry.request.id(), EventLog.Refusal.NEVER_SENT);
-            answer(entry, HttpResponseStatus.TOO_MANY_REQUESTS, config.settings().limits().maxRetryAfterMs());
-        } else { // an earlier attempt may have run
+    /** Sends the final answer to a request that gets no further attempt and of which no attempt in flight is written whole. */
+    private void answerHeldRequest(OpenRequest entry, EventLog.Refusal reason) {
+        if (entry.mayHaveRun()) {
             answer(entry, HttpResponseStatus.BAD_GATEWAY, 0);
+        } else { // another gateway may run it safely
+            eventLog.refused(entry.request.id(), reason);
+            answer(entry, HttpResponseStatus.TOO_MANY_REQUESTS, config.settings().limits().maxRetryAfterMs());
         }
     }
 
--- a/gateway/src/main/java/marlford/gateway/net/OpenRequest.java
+++ b/gateway/src/main/java/marlford/gateway/net/OpenRequest.java
@@ -37,6 +37,11 @@
         return deadline.atMs();
     }
 
+    /** Whether a host may have run it: an attempt was written whole, and its outcome does not prove the contrary. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(attempt -> attempt.ended ? attempt.mayHaveRun() : attempt.isRequestWritten());
+    }
+
     boolean isClosed() {
         return closed;
     }
--- a/gateway/src/main/java/marlford/gateway/net/RequestBodyStream.java
+++ b/gateway/src/main/java/marlford/gateway/net/RequestBodyStream.java
@@ -5,9 +5,9 @@
 
 /**
  * The rest of a long request body, of which only the first part is buffered. It is read from the client no faster than a
- * host receives it, forwarded once, and discarded when no host needs it. The last part is held back until the client was
- * seen to be still connected: the end of a client's connection follows the body, and a host starts to process a request
- * once it is complete. Runs on the event loop that client and host connections share.
+ * host receives it, forwarded once, and discarded when no host needs it. The last part is held back until everything before it has
+ * been written to the host and the client was then seen to be still connected: the end of a client's connection follows the body, and a
+ * host starts to process a request once it is complete. Runs on the event loop that client and host connections share.
  *
  * <p>Ownership: an added part belongs to this object until it is forwarded or discarded. At most the window of
  * {@link ConnectionBuffers} and the result of one socket read are buffered; {@link #isFull} then requests a pause.
@@ -21,6 +21,9 @@
         /** Writes a part and takes ownership of it. */
         void write(ByteBuf part);
 
+        /** Runs the task once everything that was written before has left this process; does not if the connection ends first. */
+        void afterWrites(Runnable task);
+
         /** Called after the last part. */
         void finish();
     }
@@ -38,7 +41,9 @@
     private ByteBuf lastPart; // received, but held back until confirmed; null otherwise
     private double incompleteUntilMs = Double.NEGATIVE_INFINITY; // the client had certainly not sent the last byte then
     private boolean complete; // the last byte has been received from the client
-    private boolean confirmed; // the client was still connected after the last byte
+    private boolean confirmed; // the client was still connected when the last part could be written at once
+    private Runnable confirmationNeeded = () -> { };
+    private boolean confirmationRequested; // for the present receiver
     private boolean forwardingStarted; // at least one part was given to a host
     private boolean forwarding; // a call of forward is in progress
     private boolean dropped; // no host needs the body any more
@@ -65,6 +70,16 @@
         return full;
     }
 
+    /** @param task called when only the last part is left to be written; {@link #confirm} then releases it */
+    void onConfirmationNeeded(Runnable task) {
+        confirmationNeeded = task;
+    }
+
+    /** Returns the number of bytes that are held here. */
+    long bufferedBytes() {
+        return bufferedBytes;
+    }
+
     /** Records that the client had not sent the last byte at the given time. */
     void recordIncomplete(double timeMs) {
         incompleteUntilMs = Math.max(incompleteUntilMs, timeMs);
@@ -120,13 +135,14 @@
         } else {
             lastPart = part;
             bufferedBytes += part.readableBytes();
+            forward();
         }
         onChange.run();
     }
 
-    /** Releases the last part, because the client is still connected after sending the complete body. */
+    /** Releases the last part, because the client is still connected now. Has no effect when no host waits for it. */
     void confirm() {
-        if (dropped || confirmed) {
+        if (dropped || confirmed || receiver == null || !confirmationRequested) {
             return;
         }
         confirmed = true;
@@ -139,6 +155,7 @@
     /** Starts to forward the body to a host. */
     void forwardTo(Receiver host) {
         receiver = host;
+        confirmationRequested = false;
         forward();
     }
 
@@ -179,6 +196,9 @@
             forwardingStarted = true;
             receiver.write(part);
         }
+        if (receiver != null && lastPart != null && parts.isEmpty() && !confirmationRequested) {
+            requestConfirmation(receiver);
+        }
         if (receiver != null && confirmed && parts.isEmpty()) {
             Receiver completed = receiver;
             receiver = null;
@@ -187,6 +207,15 @@
         }
     }
 
+    private void requestConfirmation(Receiver host) {
+        confirmationRequested = true;
+        host.afterWrites(() -> {
+            if (receiver == host) {
+                confirmationNeeded.run();
+            }
+        });
+    }
+
     /** Discards the buffered parts and all that follow. */
     void drop() {
         dropped = true;
--- a/gateway/src/test/java/marlford/gateway/net/DisconnectedClientTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/DisconnectedClientTest.java
@@ -19,15 +19,11 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import marlford.gateway.EngineApi.Actions;
-import marlford.gateway.EngineApi.AttemptResult;
 import marlford.gateway.EngineApi.Outcome;
-import marlford.gateway.EngineApi.Request;
 import marlford.gateway.net.Sockets.Client;
 import marlford.gateway.net.Sockets.DiscoveryAgent;
 import marlford.gateway.net.Sockets.Message;
@@ -50,64 +46,6 @@
     // more than is read before a host accepts the request
     private static final int LONG_BODY_BYTES = 4 * ConnectionBuffers.MAX_WINDOW_BYTES;
 
-    /** How a client disconnects. */
-    private enum Disconnect {
-        CLOSE, RESET, END_OF_OUTPUT;
-
-        void apply(Client c) throws IOException {
-            switch (this) {
-                case CLOSE -> c.close();
-                case RESET -> {
-                    c.socket.setSoLinger(true, 0);
-                    c.close();
-                }
-                case END_OF_OUTPUT -> c.socket.shutdownOutput();
-            }
-        }
-    }
-
-    /** Holds every request until the test sends it on; requests whose id starts with {@code now} are sent at once. */
-    private static final class HoldingEngine implements NoOpEngine {
-        private static final String SEND_AT_ONCE_PREFIX = "now";
-        private final Actions actions;
-        private final BlockingQueue<String> heldIds = new LinkedBlockingQueue<>();
-        private final BlockingQueue<AttemptResult> endedAttempts = new LinkedBlockingQueue<>();
-        private final List<String> disconnectedIds = new CopyOnWriteArrayList<>();
-
-        HoldingEngine(Actions actions) {
-            this.actions = actions;
-        }
-
-        @Override
-        public void onRequest(double now, Request r) {
-            if (r.id().startsWith(SEND_AT_ONCE_PREFIX)) {
-                actions.send(r.id(), "h0", 0);
-            } else {
-                heldIds.add(r.id());
-            }
-        }
-
-        @Override
-        public void onAttemptEnded(double now, AttemptResult r) {
-            endedAttempts.add(r);
-        }
-
-        @Override
-        public void onClientLeft(double now, String id) {
-            disconnectedIds.add(id);
-        }
-
-        void awaitHeld(String id) throws InterruptedException {
-            assertEquals(id, heldIds.poll(Sockets.TIMEOUT_MS, TimeUnit.MILLISECONDS));
-        }
-
-        Outcome awaitEnd() throws InterruptedException {
-            AttemptResult r = endedAttempts.poll(Sockets.TIMEOUT_MS, TimeUnit.MILLISECONDS);
-            assertNotNull(r, "no attempt ended in time");
-            return r.outcome();
-        }
-    }
-
     /** Connections to the host are established, but the gateway is notified only when the test completes the promise. */
     private static final class DelayedConnectTransport extends ForwardingTransport {
         private final BlockingQueue<ChannelPromise> establishedPromises = new LinkedBlockingQueue<>();
--- a/gateway/src/test/java/marlford/gateway/net/RequestBodyStreamTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/RequestBodyStreamTest.java
@@ -1,6 +1,7 @@
 package marlford.gateway.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -17,6 +18,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -56,7 +61,34 @@
         host.checkException();
     }
 
+    /** The client may leave while earlier parts wait for a slow host, so its presence is checked after them. */
+    @Test
+    void theLastPartIsHeldUntilTheOthersAreWritten() {
+        RequestBodyStream body = new RequestBodyStream(LAST_PART.length() + 1, new ConnectionBuffers(DIRECT_BYTES), () -> { });
+        EmbeddedChannel host = new EmbeddedChannel(new HttpRequestEncoder());
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/order/x");
+        HttpUtil.setContentLength(head, LAST_PART.length() + 1);
+        host.writeOutbound(head);
+        List<Runnable> afterWrites = new ArrayList<>();
+        List<String> confirmations = new ArrayList<>();
+        body.onConfirmationNeeded(() -> confirmations.add("needed"));
+        body.forwardTo(receiver(host, afterWrites::add));
+        body.add(Unpooled.copiedBuffer("p", StandardCharsets.US_ASCII));
+        body.onReadComplete();
+        body.end(Unpooled.copiedBuffer(LAST_PART, StandardCharsets.US_ASCII));
+        assertEquals(List.of(), confirmations);
+        afterWrites.forEach(Runnable::run);
+        assertEquals(List.of("needed"), confirmations);
+        assertFalse(body.isUnclaimed());
+        body.drop();
+        host.releaseOutbound();
+    }
+
     private static RequestBodyStream.Receiver receiver(EmbeddedChannel host) {
+        return receiver(host, Runnable::run);
+    }
+
+    private static RequestBodyStream.Receiver receiver(EmbeddedChannel host, Consumer<Runnable> afterWrites) {
         return new RequestBodyStream.Receiver() {
             @Override
             public boolean isReady() {
@@ -68,6 +100,11 @@
                 host.write(new DefaultHttpContent(part));
             }
 
+            @Override
+            public void afterWrites(Runnable task) {
+                afterWrites.accept(task);
+            }
+
             @Override
             public void finish() {
                 host.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
