Stay after SIGTERM for answers that the process still holds for slow clients

Cause: at the exit time Node.drainAndHalt stayed only while a host still gave (isStreaming). An open request ends with its host's last byte, when up to a window of the answer waits in the output of its connection. Excluded: stopped or idle clients (limits of 5 s and more; isClosable looks at the output), resets; a trial in which other hosts still gave cut nothing.

Change: ProcessShutdown, taken out of Node, stays while a client is owed anything: a streamed answer, an open or queued request, output that has not left. 60 s at most, as before; clients that read nothing are reset before that by their own limits.

--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -193,6 +193,11 @@
         return output.pendingBytes() > 0;
     }
 
+    /** Whether an answer has not left this process whole, to a request that was read whole. */
+    boolean owesAnswer() {
+        return current != null || !ended && !queue.isEmpty() || hasPendingOutput();
+    }
+
     /** Returns how many bytes may be read from this client at once. */
     private int maxReadBytes() {
         return reader.maxReadBytes(registry.heldRequests().maxReadBytes());
--- a/gateway/src/main/java/marlford/gateway/net/ClientServer.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientServer.java
@@ -136,6 +136,11 @@
         return connections.all().stream().anyMatch(ClientConnection::hasPendingOutput);
     }
 
+    /** Whether a client has sent a request whose answer has not left this process whole. */
+    boolean owesAnswers() {
+        return connections.all().stream().anyMatch(ClientConnection::owesAnswer);
+    }
+
     /** Returns the listener; null while there is none. */
     Channel listener() {
         return listener;
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -52,7 +52,6 @@
     private static final long ACTIVITY_LOG_INTERVAL_MS = 1000;
     static final long LOOP_ITERATION_MS = 2; // a timer of this length fires only after the event loop has run at least once
     private static final long LISTEN_RETRY_DELAY_MS = 50;
-    private static final long STREAM_COMPLETION_MS = 60_000; // for which a shutdown waits for answers that are being streamed
     private static final double LATE_ANSWER_LIMIT_MS = 500; // a final answer sent later than this after its deadline breaks ANSWERED_LATE
     private static final double MICROS_PER_MS = 1000;
     private static final long BYTES_PER_KB = 1024;
@@ -103,7 +102,7 @@
     private boolean draining;
     private boolean releasingClients; // the drain has reached the point from which every answer closes its connection
     private boolean quiesced;
-    private boolean replaced; // another process accepts clients instead of this one
+    private volatile boolean replaced; // another process accepts clients instead of this one
     private double releasingSinceMs = Double.POSITIVE_INFINITY; // when client connections began to be closed after an answer
     private boolean sendingStopped; // the drain has run out of time and no further attempt is sent
     private volatile boolean endedBeforeServing; // the shutdown began before the listener was open
@@ -227,7 +226,7 @@
         }
         reloader.follow(newest, node::reload);
         // Created in a training run for the class-data-sharing archive too, so that the classes needed here get into the archive.
-        Thread drain = new Thread(node::drainAndHalt);
+        Thread drain = new Thread(new ProcessShutdown(node));
         if (ownsProcess) {
             Runtime.getRuntime().addShutdownHook(drain);
             node.group.terminationFuture().addListener(ended -> FatalErrors.end("its event loop has ended"));
@@ -975,34 +974,16 @@
 
     // ---- shutdown
 
-    /**
-     * Answers the open requests and halts the process. A gateway that has received messages from other gateways stays until its
-     * exit time even when its last client has disconnected: it holds the quota ledgers of customers that the other gateways
-     * serve, and the platform waits that long before it starts a replacement. The log line is also written when the exit time
-     * has come with requests still open; the process then exits at once, unless answers are still being streamed.
-     */
-    private void drainAndHalt() {
-        long exitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos((long) shutdownSchedule.exitMs());
-        loop.execute(this::drain);
-        try {
-            boolean empty = awaitDrained((long) shutdownSchedule.exitMs());
-            if (!empty && isStreaming()) { // an answer that has begun is owed whole, as long as nobody kills the process
-                awaitDrained(STREAM_COMPLETION_MS);
-            }
-            if (hasHeardFromPeers() && !replaced && !endedBeforeServing) {
-                log("drained: the process stays until its scheduled exit time, because it holds quota ledgers for other gateways");
-                TimeUnit.NANOSECONDS.sleep(exitNanos - System.nanoTime());
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        Runtime.getRuntime().halt(0);
+    /** Whether a client is still owed something: an answer that its host still gives, or that has not left this process whole. */
+    boolean owesAnswers() {
+        boolean streaming = openRequests.values().stream()
+                .anyMatch(entry -> entry.streamingAttempt != null && !entry.streamingAttempt.ended);
+        return streaming || clientServer.owesAnswers();
     }
 
-    /** Whether an answer is being streamed to a client. Must not be called on the event loop. */
-    private boolean isStreaming() throws InterruptedException {
-        return loop.submit(() -> openRequests.values().stream()
-                .anyMatch(entry -> entry.streamingAttempt != null && !entry.streamingAttempt.ended)).await().getNow();
+    /** Whether the other gateways may still use the quota ledgers of this process. May be called from any thread. */
+    boolean holdsLedgersForPeers() {
+        return hasHeardFromPeers() && !replaced && !endedBeforeServing;
     }
 
     /**
