Soak: answers without an end, leaving clients, and answers held at a planned end

Change: EndlessAnswerClient asks for answers of which hosts give a little for ever, in eight states. LeavingClient sends long orders and more behind them at once and leaves, on half of its visits while it keeps all places busy. HeldAnswerReader pauses when the hosts have given all. An answer that is cut counts unless its process was killed; before, a planned end or a restart excused it. The writers of long answers moved out of SoakHosts. A slow host's time to read a long body is allowed for; before, no client with a long body left early, so nothing that was judged is excused.

--- a/storm/src/main/java/marlford/storm/soak/HttpText.java
+++ b/storm/src/main/java/marlford/storm/soak/HttpText.java
@@ -33,6 +33,10 @@
         if (message == null) {
             return null;
         }
+        if ("chunked".equals(message.header("Transfer-Encoding"))) {
+            readBody(message, in);
+            return message;
+        }
         int length = Integer.parseInt(message.headers().getOrDefault("content-length", "0"));
         return in.readNBytes(length).length < length ? null : message;
     }
--- a/storm/src/main/java/marlford/storm/soak/LumpReader.java
+++ b/storm/src/main/java/marlford/storm/soak/LumpReader.java
@@ -21,7 +21,6 @@
     void visit(SoakProcess process) throws IOException {
         String id = nextId("u");
         long began = System.nanoTime();
-        int life = process.life();
         String form = random.nextBoolean() ? SoakHosts.LUMPS_CHUNKED : SoakHosts.LUMPS_UNBOUNDED;
         RequestLedger.Entry entry = fleet.ledger().sent(id, SoakClient.VIEW_DEADLINE_MS, Effect.REPEATABLE);
         try (Socket socket = SoakClient.connect(process)) {
@@ -43,7 +42,7 @@
         } finally {
             entry.leftNanos = System.nanoTime();
         }
-        SlowClient.cutOff(fleet, process, life, began, id, entry);
+        SlowClient.cutOff(fleet, process, began, id, entry);
     }
 
     @Override
--- a/storm/src/main/java/marlford/storm/soak/RequestLedger.java
+++ b/storm/src/main/java/marlford/storm/soak/RequestLedger.java
@@ -30,6 +30,7 @@
         final Effect effect;
         volatile long leftNanos;
         volatile boolean hostFailed; // a host cut its answer off
+        volatile boolean answerTaken; // the gateway has taken its whole answer from the host
         volatile boolean bodyOnTheWay; // its body is long, and its time counts from a later moment
         private String zone;
         private boolean ranUnlisted;
--- a/storm/src/main/java/marlford/storm/soak/SlowClient.java
+++ b/storm/src/main/java/marlford/storm/soak/SlowClient.java
@@ -46,7 +46,6 @@
     private void read(SoakProcess process) throws IOException, InterruptedException {
         String id = nextId("l");
         long began = System.nanoTime();
-        int life = process.life();
         RequestLedger.Entry entry = fleet.ledger().sent(id, SoakClient.VIEW_DEADLINE_MS, Effect.REPEATABLE);
         try (Socket socket = SoakClient.connect(process)) {
             entry.written();
@@ -67,7 +66,7 @@
         } finally {
             entry.leftNanos = System.nanoTime();
         }
-        cutOff(fleet, process, life, began, id, entry);
+        cutOff(fleet, process, began, id, entry);
     }
 
     private int readInPieces(InputStream in) throws IOException, InterruptedException {
@@ -81,10 +80,9 @@
     }
 
     /** Judges an answer that has begun and has not come whole. */
-    static void cutOff(
-            SoakFleet fleet, SoakProcess process, int life, long began, String id, RequestLedger.Entry entry) {
-        if (process.life() != life || process.wasToldToEndSince(began)) {
-            fleet.findings().count(Count.CUT_BY_KILL); // a planned end cuts long answers, too
+    static void cutOff(SoakFleet fleet, SoakProcess process, long began, String id, RequestLedger.Entry entry) {
+        if (process.wasKilledSince(began)) {
+            fleet.findings().count(Count.CUT_BY_KILL);
         } else if (!entry.hostFailed) {
             fleet.findings().broken("cut off: the answer of " + id + " at process " + process.number);
         }
--- a/storm/src/main/java/marlford/storm/soak/SoakFaults.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFaults.java
@@ -158,7 +158,7 @@
             process.terminate();
         }
         if (!process.hasEndedWithin(KILLED_AFTER_TERM_MS - COMES_ON_MS)) {
-            process.signal("KILL"); // what it had not answered by then is lost, so its life goes on for the judge
+            process.killIfAlive();
             process.hasEndedWithin(KILLED_AFTER_TERM_MS);
         }
         Thread.sleep(2 * AWAY_LEAST_MS);
--- a/storm/src/main/java/marlford/storm/soak/SoakFindings.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFindings.java
@@ -21,6 +21,7 @@
         CUT_BY_KILL,
         STOPPED_ENDED,
         STOPPED_CUT,
+        ENDLESS_ENDED,
         FAULTS,
         VOID,
         KNOWN_RED
--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -117,6 +117,11 @@
             Threads.start("repeating", new RepeatingClient(this, (int) (seed % 100_000) * 1000 + i, seed * 47 + i));
             Threads.start("lumps", new LumpReader(this, (int) (seed % 100_000) * 1000 + i, seed * 53 + i));
         }
+        for (int i = 0; i < processes.size(); i += REPEATING_EACH) {
+            Threads.start("leaving", new LeavingClient(this, (int) (seed % 100_000) * 1000 + i, seed * 61 + i));
+            Threads.start("held", new HeldAnswerReader(this, (int) (seed % 100_000) * 1000 + i, seed * 67 + i));
+        }
+        Threads.start("endless", new EndlessAnswerClient(this, (int) (seed % 100_000) * 1000, seed * 71));
         Threads.start("flood", new FloodClient(this, (int) (seed % 100_000) * 1000, seed * 59));
         Threads.start("slow crowd", new SlowCrowd(this, (int) (seed % 100_000) * 1000, seed * 43));
         for (int i = 0; i < processes.size(); i++) {
--- a/storm/src/main/java/marlford/storm/soak/SoakHosts.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakHosts.java
@@ -1,7 +1,6 @@
 package marlford.storm.soak;
 
 import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.FilterInputStream;
 import java.io.IOException;
@@ -27,25 +26,29 @@
     /** Path of requests with a long answer, behind the class. */
     static final String LONG = "long-";
 
+    /** Path of requests that a host works on for longer than on others. */
+    static final String WORK = "work-";
+
+    static final long WORK_MS = 500;
+
+    /** Path of requests with a long answer, behind the class, and the number of its bytes behind it. */
+    static final String SIZED = "sized-";
+
     /** The same with an answer of unknown length, in chunks or up to the end of its connection, written with pauses. */
     static final String LUMPS_CHUNKED = "lumps-c-";
 
     static final String LUMPS_UNBOUNDED = "lumps-e-";
     static final int LUMPS_BYTES = 160_000;
     static final double KEY_WINDOW_MS = 1500;
-    private static final int LUMP_BYTES = 40_000;
-    private static final int FIRST_LUMP_BYTES = 5;
-    private static final long LUMP_PAUSE_MS = 300;
     private static final long DROP_MS = 30;
     private static final long NEWS_MS = 6000; // the longest that a list may take
     private static final int BACKLOG = 64;
     private static final int QUEUE_FULL_MS = 50; // a connect that takes longer finds the accept queue full
     static final int LONG_BYTES = 6_000_000; // more than the sockets on the way hold
     private static final int ZONES = 2;
-    private static final int PIECES = 4; // of a long answer
-    private static final byte[] PIECE = new byte[LONG_BYTES / PIECES];
     private static final int INPUT_BYTES = 64 * 1024;
     private static final long SLOW_READ_MS = 20; // for each piece of input of a slow host
+    private static final long SLOW_BODY_MS = 500; // in which a slow host reads the longest body of a client that leaves
     private static final long SLACK_MS = 50; // of each time limit, by the protocol
     private static final long DEADLINE_SLACK_MS = 150;
     private static final long LEFT_MS = 100;
@@ -150,7 +153,7 @@
 
         private void awaitAccepting() throws IOException {
             while (mood == HostMood.ACCEPTS_LATE) {
-                pause(LOOK_MS);
+                Threads.pause(LOOK_MS);
             }
         }
 
@@ -186,7 +189,7 @@
             @Override
             public int read(byte[] buffer, int offset, int length) throws IOException {
                 if (mood == HostMood.SLOW) {
-                    pause(SLOW_READ_MS);
+                    Threads.pause(SLOW_READ_MS);
                 }
                 return super.read(buffer, offset, length);
             }
@@ -212,8 +215,20 @@
                 socket.getOutputStream().write(HttpText.bytes("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"));
                 return false;
             }
+            if (request.start().contains("/" + WORK)) {
+                Thread.sleep(WORK_MS);
+            }
+            EndlessAnswer endless = EndlessAnswer.askedFor(request.start());
+            if (endless != null) {
+                endless.give(socket.getOutputStream(), random);
+            }
             if (request.start().contains("/" + LONG)) {
-                answerAtLength(socket);
+                LongAnswer.writeAtLength(
+                        socket.getOutputStream(), LONG_BYTES, () -> mood == HostMood.SLOW ? SLOW_MS : 0);
+            } else if (request.start().contains("/" + SIZED)) {
+                LongAnswer.writeAsLast(socket, LongAnswer.sizeOf(request.start()));
+                entry.answerTaken = true;
+                return false;
             } else if (request.start().contains("/" + LUMPS_CHUNKED)) {
                 answerInLumps(socket, entry, true);
             } else if (request.start().contains("/" + LUMPS_UNBOUNDED)) {
@@ -228,45 +243,13 @@
         private void answerInLumps(Socket socket, RequestLedger.Entry entry, boolean chunked) throws IOException {
             OutputStream out = socket.getOutputStream();
             try {
-                out.write(HttpText.bytes(
-                        "HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n")));
-                writeLump(out, FIRST_LUMP_BYTES, chunked);
-                for (int sent = FIRST_LUMP_BYTES; sent < LUMPS_BYTES; sent += LUMP_BYTES) {
-                    pause(LUMP_PAUSE_MS);
-                    writeLump(out, Math.min(LUMP_BYTES, LUMPS_BYTES - sent), chunked);
-                }
-                if (chunked) {
-                    out.write(HttpText.bytes("0\r\n\r\n"));
-                }
+                LongAnswer.writeLumps(out, chunked);
             } catch (IOException e) {
                 entry.hostFailed |= ended || mood == HostMood.ACCEPTS_LATE;
                 throw e;
             }
         }
 
-        private void writeLump(OutputStream out, int length, boolean chunked) throws IOException {
-            ByteArrayOutputStream lump = new ByteArrayOutputStream();
-            if (chunked) {
-                lump.writeBytes(HttpText.bytes(Integer.toHexString(length) + "\r\n"));
-            }
-            lump.write(PIECE, 0, length);
-            if (chunked) {
-                lump.writeBytes(HttpText.bytes("\r\n"));
-            }
-            out.write(lump.toByteArray());
-        }
-
-        private void answerAtLength(Socket socket) throws IOException {
-            socket.getOutputStream()
-                    .write(HttpText.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + LONG_BYTES + "\r\n\r\n"));
-            for (int i = 0; i < PIECES; i++) {
-                socket.getOutputStream().write(PIECE);
-                if (mood == HostMood.SLOW) {
-                    pause(SLOW_MS);
-                }
-            }
-        }
-
         private void judge(String request, HttpText.Message m) {
             RequestLedger.Entry entry = ledger.of(request);
             if (entry == null) {
@@ -284,7 +267,8 @@
                         "deadline: " + request + " told " + told + " ms, left " + Math.round(left));
             }
             double since = (now - entry.leftNanos) / NANOS_PER_MS;
-            if (entry.leftNanos != 0 && since > LEFT_MS + SLACK_MS + lateness.ms()) {
+            double readMs = entry.bodyOnTheWay && mood == HostMood.SLOW ? SLOW_BODY_MS : 0;
+            if (entry.leftNanos != 0 && since > LEFT_MS + SLACK_MS + readMs + lateness.ms()) {
                 findings.timed(
                         lateness.isMachineBusy(),
                         "lost: " + request + " came " + Math.round(since) + " ms after its client had left");
@@ -317,15 +301,6 @@
         }
     }
 
-    private static void pause(long ms) throws IOException {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException(e);
-        }
-    }
-
     private final RequestLedger ledger;
     private final SoakFindings findings;
     private final Lateness lateness;
@@ -363,7 +338,7 @@
             try {
                 return new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
             } catch (BindException e) {
-                pause(LOOK_MS);
+                Threads.pause(LOOK_MS);
             }
         }
     }
--- a/storm/src/main/java/marlford/storm/soak/SoakProcess.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakProcess.java
@@ -20,7 +20,6 @@
     private static final String PROGRAM = "java"; // its name once the shell has become it
     private static final String STARTS = "deckfall: SIGHUP is ignored"; // the first line of each process
     private static final int LAST_LINES = 5;
-    private static final long ENDS_WITHIN_MS = 5000; // from SIGTERM to the end
     private static final String LOOP = "nioEventLoop"; // how the system calls the thread
     private static final double NANOS_PER_MS = 1e6;
     private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
@@ -40,7 +39,7 @@
     private Process predecessor; // in an upgrade
     private volatile long upSince; // of the present life, in nanoseconds; 0 while it is not up
     private volatile int lives;
-    private volatile long toldToEndNanos; // the latest of its processes; 0 for none
+    private volatile long killedNanos; // the latest of its processes; 0 for none
     private long waitedNanos; // of its event loop for a core, at the last look
 
     SoakProcess(int number, int port, Path folder, String classPath, FailingCalls calls, long seed) {
@@ -110,6 +109,7 @@
 
     /** The successor has ended; the process before it serves on. */
     void keepPredecessor() {
+        killedNanos = System.nanoTime();
         process.destroyForcibly();
         process = predecessor;
         predecessor = null;
@@ -117,9 +117,9 @@
 
     /** The process of before the upgrade gets SIGTERM, and SIGKILL where it has not ended within this time. */
     void endPredecessor(long ms) throws InterruptedException {
-        toldToEndNanos = System.nanoTime();
         predecessor.destroy();
         if (!predecessor.waitFor(ms, TimeUnit.MILLISECONDS)) {
+            killedNanos = System.nanoTime();
             predecessor.destroyForcibly();
         }
         predecessor = null;
@@ -150,19 +150,25 @@
 
     void kill() throws InterruptedException {
         lives++; // ahead of the signal: what it holds is lost from here on
+        killedNanos = System.nanoTime();
         setUp(false);
         process.destroyForcibly().waitFor();
     }
 
     /** SIGTERM; clients go on over what they have open. */
     void terminate() {
-        toldToEndNanos = System.nanoTime();
         process.destroy();
     }
 
-    /** Whether one of its processes was told to end after this time, or shortly before it. */
-    boolean wasToldToEndSince(long nanos) {
-        return toldToEndNanos != 0 && toldToEndNanos - nanos > -TimeUnit.MILLISECONDS.toNanos(ENDS_WITHIN_MS);
+    /** SIGKILL where it has not ended by itself; what it had not answered by then is lost, so its life goes on for the judge. */
+    void killIfAlive() throws IOException, InterruptedException {
+        killedNanos = System.nanoTime();
+        signal("KILL");
+    }
+
+    /** Whether one of its processes was killed after this time. */
+    boolean wasKilledSince(long nanos) {
+        return killedNanos != 0 && killedNanos - nanos > 0;
     }
 
     /** Whether it has ended by itself within this time. */
--- a/storm/src/main/java/marlford/storm/soak/Threads.java
+++ b/storm/src/main/java/marlford/storm/soak/Threads.java
@@ -1,5 +1,7 @@
 package marlford.storm.soak;
 
+import java.io.IOException;
+
 /** Threads that end with the program. */
 final class Threads {
     private static final int STACK_BYTES = 256 * 1024;
@@ -12,4 +14,14 @@
         thread.start();
         return thread;
     }
+
+    /** Sleeps within input or output; an interrupt ends it as an error of that. */
+    static void pause(long ms) throws IOException {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
 }
