End answers without an end in their time where little time was left, too

Cause: a body of unknown length had 2 s from its head to begin, also where its host had already gone on to give a little.

Change: a host that has given twice behind the head is not waited for; its pace is judged from 0.4 s past the deadline on. One that has given nothing, or one piece, keeps the 2 s, as a long body may begin late (UnknownLengthAnswerTest).

--- a/gateway/src/main/java/marlford/gateway/guard/ResponseProgress.java
+++ b/gateway/src/main/java/marlford/gateway/guard/ResponseProgress.java
@@ -11,7 +11,8 @@
  * </ul>
  *
  * <p>The pace is kept as credit: each byte of the body allows for some time, and a host that has given much may pause for as long as any
- * host may. Neither limit runs while the gateway itself reads nothing because the client is slow.
+ * host may. A host that has given hardly anything since the head may still begin with a long body; one that goes on to give a little is not
+ * waited for. Neither limit runs while the gateway itself reads nothing because the client is slow.
  *
  * <p>No clock and no I/O. Times are milliseconds on the caller's clock. Used on the event loop.
  */
@@ -20,29 +21,37 @@
     public static final double LATE_RESPONSE_LIMIT_MS = 400;
 
     private static final double START_ALLOWANCE_MS = 2000; // from its head until a body of unknown length must have begun
+    private static final int GOES_ON_READS = 2; // behind the head; a host that has given so often is not about to begin
     private static final double MIN_BODY_BYTES_PER_MS = 8;
 
     /** What is known of the length of a body: short enough to be buffered, not known, or longer than that. */
     public enum Length { SHORT, UNKNOWN, LONG }
 
     private double lastReadMs;
+    private int readsSinceHead;
+    private Length announced = Length.SHORT; // by the head
+    private double startUntilMs; // until then the body may begin
     private double paceUntilMs; // until then the body has been fast enough
     private double pausedSinceMs = Double.NaN; // since when nothing is read; NaN while reading
 
     /** @param now when the request was written */
     public ResponseProgress(double now) {
         lastReadMs = now;
-        paceUntilMs = now + START_ALLOWANCE_MS;
+        recordHead(now, Length.UNKNOWN);
     }
 
-    /** Records that bytes of the response were read. */
+    /** Records that bytes of the response were read, before what they contain is recorded. */
     public void recordRead(double now) {
         lastReadMs = now;
+        readsSinceHead++;
     }
 
     /** Records that the head of a response was read whole, and what it says about the length of the body. */
     public void recordHead(double now, Length length) {
-        paceUntilMs = now + (length == Length.LONG ? TransferProgress.PAUSE_LIMIT_MS : START_ALLOWANCE_MS);
+        announced = length;
+        readsSinceHead = 0;
+        startUntilMs = now + (length == Length.LONG ? TransferProgress.PAUSE_LIMIT_MS : START_ALLOWANCE_MS);
+        paceUntilMs = now;
     }
 
     /** Records that bytes of the body were read. */
@@ -61,6 +70,7 @@
     /** Records that the gateway reads again. */
     public void resume(double now) {
         if (isPaused()) {
+            startUntilMs += now - pausedSinceMs;
             paceUntilMs += now - pausedSinceMs;
             pausedSinceMs = Double.NaN;
             lastReadMs = now;
@@ -79,7 +89,9 @@
      * @param deadlineMs of the request; infinite if it has none
      */
     public double endMs(Length length, double deadlineMs) {
-        double paceEndMs = Math.max(deadlineMs + LATE_RESPONSE_LIMIT_MS, paceUntilMs);
+        boolean mayBegin = announced == Length.LONG || readsSinceHead < GOES_ON_READS;
+        double allowedMs = mayBegin ? Math.max(startUntilMs, paceUntilMs) : paceUntilMs;
+        double paceEndMs = Math.max(deadlineMs + LATE_RESPONSE_LIMIT_MS, allowedMs);
         return Math.min(pauseEndMs(length, deadlineMs), paceEndMs);
     }
 
--- a/gateway/src/test/java/marlford/gateway/guard/ResponseProgressTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/ResponseProgressTest.java
@@ -13,6 +13,7 @@
 /** Guards against responses without an end: a host that goes on to give a little counts as stopped, whatever it gives. */
 class ResponseProgressTest {
     private static final double LATE_MS = ResponseProgress.LATE_RESPONSE_LIMIT_MS;
+    private static final double ANSWER_SLACK_MS = 550; // half a second, and 50 ms of each limit on sockets
     private static final double DEADLINE_MS = 2500;
     private static final double CHECK_INTERVAL_MS = 250;
     private static final double HOUR_MS = 3_600_000;
@@ -24,11 +25,15 @@
         progress.recordBody(now, bytes);
     }
 
-    /** Returns when a host that gives pieces at an interval counts as stopped; infinite if it does not within an hour. */
     private double timeToEnd(Length length, double intervalMs, long bytes) {
+        return timeToEnd(length, intervalMs, bytes, DEADLINE_MS);
+    }
+
+    /** Returns when a host that gives pieces at an interval counts as stopped; infinite if it does not within an hour. */
+    private double timeToEnd(Length length, double intervalMs, long bytes, double deadlineMs) {
         progress.recordHead(0, length);
         for (double now = intervalMs; now < HOUR_MS; now += intervalMs) {
-            double endMs = progress.endMs(length, DEADLINE_MS);
+            double endMs = progress.endMs(length, deadlineMs);
             if (endMs < now) {
                 return endMs;
             }
@@ -43,6 +48,27 @@
         assertTrue(timeToEnd(Length.UNKNOWN, intervalMs, bytes) <= DEADLINE_MS + LATE_MS + CHECK_INTERVAL_MS);
     }
 
+    /** However short the client's time is: what goes on to come shows that the body is short. */
+    @ParameterizedTest
+    @CsvSource({"500, 12", "100, 1", "100, 0", "200, 1000"})
+    void aShortTimeIsNotExceededEither(double intervalMs, long bytes) {
+        double deadlineMs = 1000;
+        assertTrue(timeToEnd(Length.UNKNOWN, intervalMs, bytes, deadlineMs) <= deadlineMs + ANSWER_SLACK_MS);
+    }
+
+    /** A host that has given nothing, or one small piece, may begin late with a long body. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 5})
+    void aLongBodyMayBeginLate(long firstBytes) {
+        progress.recordHead(0, Length.UNKNOWN);
+        if (firstBytes > 0) {
+            read(10, firstBytes);
+        }
+        assertTrue(progress.endMs(Length.UNKNOWN, 500) >= 2000);
+        read(1900, 40_000);
+        assertTrue(progress.endMs(Length.UNKNOWN, 500) >= 3900);
+    }
+
     @ParameterizedTest
     @EnumSource
     void bytesOutsideTheBodyAreNoProgress(Length length) {
--- a/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
@@ -18,13 +18,13 @@
 import marlford.gateway.net.Sockets.Client;
 import marlford.gateway.net.Sockets.RecordingServer;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against requests without an end, whose host goes on to give a little of its answer for ever. */
 class EndlessResponseTest extends SocketTest {
-    private static final int WAIT_MS = 2500;
     /** A final answer comes at most half a second after the client's time, and limits are 50 ms longer on sockets. */
-    private static final long ANSWER_LIMIT_MS = WAIT_MS + 500 + 50;
+    private static final long ANSWER_SLACK_MS = 500 + 50;
     /** A host of a long answer may pause for 5 s; the rest is for checks and a busy machine. */
     private static final long LONG_ANSWER_LIMIT_MS = 8000;
 
@@ -93,25 +93,25 @@
 
     /** Each state has a gateway and a host of its own, and all run at once. */
     @ParameterizedTest
-    @EnumSource
-    void aHostThatGivesALittleGetsAnEnd(Interval interval) throws Exception {
+    @CsvSource({"OFTEN, 2500", "SELDOM, 2500", "OFTEN, 1000", "SELDOM, 1000"})
+    void aHostThatGivesALittleGetsAnEnd(Interval interval, int waitMs) throws Exception {
         Map<State, Future<Long>> endsMs = new EnumMap<>(State.class);
         for (State state : State.values()) {
             Client client = connectClient(startNodeWithHosts(startEndlessHost(state, interval)));
-            endsMs.put(state, startThread(() -> timeToEndMs(client.socket, limitMs(state))));
+            endsMs.put(state, startThread(() -> timeToEndMs(client.socket, waitMs, limitMs(state, waitMs))));
         }
         List<String> withoutEnd = new ArrayList<>();
         for (State state : State.values()) {
             long endMs = endsMs.get(state).get();
-            if (endMs > limitMs(state)) {
+            if (endMs > limitMs(state, waitMs)) {
                 withoutEnd.add(state + " after " + endMs + " ms");
             }
         }
         assertEquals(List.of(), withoutEnd);
     }
 
-    private static long limitMs(State state) {
-        return state.mayBeLong() ? LONG_ANSWER_LIMIT_MS : ANSWER_LIMIT_MS;
+    private static long limitMs(State state, int waitMs) {
+        return state.mayBeLong() ? LONG_ANSWER_LIMIT_MS : waitMs + ANSWER_SLACK_MS;
     }
 
     private RecordingServer startEndlessHost(State state, Interval interval) throws IOException {
@@ -134,9 +134,9 @@
     }
 
     /** Sends a request and returns the time to its end, or the time at which waiting for one was given up, in milliseconds. */
-    private static long timeToEndMs(Socket socket, long limitMs) throws IOException {
+    private static long timeToEndMs(Socket socket, int waitMs, long limitMs) throws IOException {
         long sentNanos = System.nanoTime();
-        socket.getOutputStream().write(bytes(Sockets.view("endless", WAIT_MS)));
+        socket.getOutputStream().write(bytes(Sockets.view("endless", waitMs)));
         awaitEnd(socket, limitMs + GIVE_UP_MS);
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
     }
