--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -1,7 +1,6 @@
 package marlford.gateway.net;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -22,8 +21,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.util.ArrayDeque;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import marlford.gateway.EngineApi.Request;
 import marlford.gateway.console.ServiceMetrics;
@@ -40,7 +37,6 @@
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final int MAX_QUEUED_REQUESTS = 16; // read ahead on one connection before reading pauses
-    private static final int QUEUED_HEAD_BYTES = 1024; // counted for a queued request in addition to its body
     private static final int MAX_READ_AHEAD_BYTES = 256 * 1024; // read on one connection to find out whether its client is connected
     /** A presence check is not repeated within this time, which is less than half of {@link ClientDepartureCounters#SEND_GRACE_MS}. */
     private static final double PRESENCE_VALID_MS = 40;
@@ -54,9 +50,6 @@
     /** Result of a presence check. UNKNOWN: there is more unread input than may be read now to find the end of the connection. */
     enum Presence { CONNECTED, DISCONNECTED, UNKNOWN }
 
-    /** A message that was read and waits in the queue; the client's time limit counts from its arrival. */
-    private record QueuedMessage(Object message, double arrivedMs, long heapBytes) { }
-
     private final Node node;
     private final ClientConnectionRegistry registry;
     private final RequestParser requestParser;
@@ -65,10 +58,9 @@
     private final long number;
     private final double waitedMs;
     private final RequestReader reader;
-    private final ArrayDeque<QueuedMessage> queue = new ArrayDeque<>(); // requests, then possibly an UnreadableRequest
+    private final RequestQueue queue;
     private final Runnable takeTurn = this::takeTurn;
     private boolean turnTaken; // a request was processed in this turn of the connection, and the next turn is due
-    private long queuedBytes;
     private double lastSeenMs; // last time at which the client was certainly connected
     private boolean inputMayBeStale; // reading has paused since the socket was last read to its end, so input may have waited in it
     private final TransferProgress outputProgress;
@@ -102,6 +94,7 @@
         this.number = number;
         this.node = node;
         this.registry = registry;
+        this.queue = new RequestQueue(registry.heldRequests());
         this.requestParser = requestParser;
         this.channel = channel;
         this.lastSeenMs = this.idleSinceMs = node.clock.now();
@@ -136,7 +129,7 @@
         }
         lingeringClose = new LingeringClose(node.clock.now());
         registry.addLingering(this);
-        discardQueue();
+        queue.discard();
         reader.discardInput(bytes -> {
             if (!lingeringClose.discard(bytes)) {
                 close(CloseReason.LAST_ANSWER);
@@ -164,7 +157,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         registry.remove(this);
         ended = true;
-        discardQueue();
+        queue.discard();
         if (upload != null) {
             upload.drop();
         }
@@ -177,17 +170,6 @@
         }
     }
 
-    /** Discards the queued requests, which get no answer any more. */
-    private void discardQueue() {
-        List<QueuedMessage> discarded = List.copyOf(queue);
-        queue.clear(); // before the messages are released, because releasing a body may call back into this connection
-        queuedBytes = 0;
-        for (QueuedMessage queued : discarded) {
-            registry.heldRequests().remove(queued.heapBytes());
-            StreamedRequest.discard(queued.message());
-        }
-    }
-
     /** Whether output has not left this process. */
     boolean hasPendingOutput() {
         return output.pendingBytes() > 0;
@@ -345,7 +327,7 @@
         }
         receivedMessages++;
         double earliestMs = node.clock.now() - maxWaitMs();
-        enqueue(message, earliestMs);
+        queue.add(message, earliestMs);
         if (!inputMayBeStale) {
             lastSeenMs = isFirstOfNewConnection() ? Double.NEGATIVE_INFINITY : earliestMs;
         }
@@ -384,24 +366,6 @@
         return receivedMessages == 1 && node.clock.now() - idleSinceMs < JUST_OPENED_MS;
     }
 
-    private void enqueue(Object message, double arrivedMs) {
-        long heapBytes = HeldRequests.heapBytes(message);
-        queue.add(new QueuedMessage(message, arrivedMs, heapBytes));
-        queuedBytes += sizeInQueue(message);
-        registry.heldRequests().add(heapBytes);
-    }
-
-    private QueuedMessage dequeue() {
-        QueuedMessage next = queue.poll();
-        queuedBytes -= sizeInQueue(next.message());
-        registry.heldRequests().remove(next.heapBytes());
-        return next;
-    }
-
-    private static int sizeInQueue(Object message) {
-        return QUEUED_HEAD_BYTES + (message instanceof ByteBufHolder ? ((ByteBufHolder) message).content().readableBytes() : 0);
-    }
-
     private boolean isPresenceOutdated() {
         return node.clock.now() - lastSeenMs > PRESENCE_VALID_MS;
     }
@@ -423,7 +387,7 @@
             return;
         }
         scheduleTurn();
-        QueuedMessage first = dequeue();
+        RequestQueue.Entry first = queue.poll();
         Object message = first.message();
         updateReading();
         busy = true;
@@ -454,7 +418,7 @@
      * faster than its host takes it.
      */
     private void updateReading() {
-        boolean bodyTooFast = upload != null && upload.isFull() || isLongBodyAhead();
+        boolean bodyTooFast = upload != null && upload.isFull() || queue.endsWithFullBody();
         boolean queueFull = queue.size() >= MAX_QUEUED_REQUESTS || !queue.isEmpty() && registry.heldRequests().isFull();
         boolean mayRead = !badRequestPause && !bodyTooFast && !queueFull;
         if (!mayRead && channel.config().isAutoRead()) {
@@ -517,26 +481,10 @@
 
     private boolean hasReadAheadEnough(int maxBodyBytes) {
         boolean fullBody = upload != null && !upload.isComplete() && upload.isFull();
-        return fullBody || queuedBodyBytes() >= maxBodyBytes || queuedBytes >= MAX_READ_AHEAD_BYTES
+        return fullBody || queue.streamedBodyBytes() >= maxBodyBytes || queue.bufferedBytes() >= MAX_READ_AHEAD_BYTES
                 || registry.heldRequests().isFull();
     }
 
-    /** Returns how much is held of the long bodies of queued requests, beyond what is counted with the requests themselves. */
-    private long queuedBodyBytes() {
-        long bytes = 0;
-        for (QueuedMessage queued : queue) {
-            RequestBodyStream bodyStream = StreamedRequest.bodyStreamOf(queued.message());
-            bytes += bodyStream == null ? 0 : bodyStream.bufferedBytes();
-        }
-        return bytes;
-    }
-
-    /** Whether the last queued request has a long body of which as much as fits has been read. */
-    private boolean isLongBodyAhead() {
-        RequestBodyStream bodyStream = queue.isEmpty() ? null : StreamedRequest.bodyStreamOf(queue.peekLast().message());
-        return bodyStream != null && bodyStream.isFull();
-    }
-
     /**
      * Releases the last part of a completely received body, unless the client has disconnected. If there is too much unread input to find
      * that out, the request gets its final answer, and no host receives it whole.
