--- a/gateway/src/test/java/marlford/gateway/net/AcceptFailureTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/AcceptFailureTest.java
@@ -1,15 +1,12 @@
 package marlford.gateway.net;
 
 import static marlford.gateway.net.Sockets.entry;
-import static marlford.gateway.net.Sockets.list;
 import static marlford.gateway.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -22,7 +19,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import marlford.gateway.DecisionEngine;
 import marlford.gateway.net.Sockets.Client;
-import marlford.gateway.net.Sockets.DiscoveryAgent;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -78,10 +74,8 @@
     }
 
     private Node node(String error, Clock clock) throws Exception {
-        registry = closeAfterTest(new DiscoveryAgent(list(1, true, entry("h0", startHost(SocketTest::echo).address(), "ready"))));
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))),
-                DecisionEngine::new, failingTransport(error), new NioEventLoopGroup(1), clock);
-        resources.push(node::stop);
+        Node node = createNode(DecisionEngine::new, failingTransport(error), clock, ConnectionBuffers.ofProcess(),
+                entry("h0", startHost(SocketTest::echo).address(), "ready"));
         node.start();
         port = node.port();
         return node;
--- a/gateway/src/test/java/marlford/gateway/net/DisconnectedClientTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/DisconnectedClientTest.java
@@ -1,18 +1,15 @@
 package marlford.gateway.net;
 
 import static marlford.gateway.net.Sockets.entry;
-import static marlford.gateway.net.Sockets.list;
 import static marlford.gateway.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -25,7 +22,6 @@
 import java.util.stream.IntStream;
 import marlford.gateway.EngineApi.Outcome;
 import marlford.gateway.net.Sockets.Client;
-import marlford.gateway.net.Sockets.DiscoveryAgent;
 import marlford.gateway.net.Sockets.Message;
 import marlford.gateway.net.Sockets.RecordingServer;
 import org.junit.jupiter.api.BeforeEach;
@@ -88,11 +84,8 @@
     }
 
     private void startNode(Transport transport) throws IOException {
-        registry = closeAfterTest(new DiscoveryAgent(list(1, true, entry("h0", host.address(), "ready"))));
-        String config = Sockets.config(registry.server.address(), "127.0.0.1:0");
-        node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)), actions -> engine = new HoldingEngine(actions), transport,
-                new NioEventLoopGroup(1), clock);
-        resources.push(node::stop);
+        node = createNode(actions -> engine = new HoldingEngine(actions), transport, clock, ConnectionBuffers.ofProcess(),
+                entry("h0", host.address(), "ready"));
         node.start();
     }
 
--- a/gateway/src/test/java/marlford/gateway/net/LocalConnectFailureTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/LocalConnectFailureTest.java
@@ -1,17 +1,14 @@
 package marlford.gateway.net;
 
 import static marlford.gateway.net.Sockets.entry;
-import static marlford.gateway.net.Sockets.list;
 import static marlford.gateway.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.BindException;
@@ -22,7 +19,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import marlford.gateway.DecisionEngine;
 import marlford.gateway.net.Sockets.Client;
-import marlford.gateway.net.Sockets.DiscoveryAgent;
 import marlford.gateway.net.Sockets.RecordingServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -92,10 +88,7 @@
     }
 
     private Node startNode(Failure failure, String... hosts) throws Exception {
-        registry = closeAfterTest(new DiscoveryAgent(list(1, true, hosts)));
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))),
-                DecisionEngine::new, new FailingTransport(failure), new NioEventLoopGroup(1));
-        resources.push(node::stop);
+        Node node = createNode(DecisionEngine::new, new FailingTransport(failure), new Clock(), ConnectionBuffers.ofProcess(), hosts);
         node.start();
         return node;
     }
--- a/gateway/src/test/java/marlford/gateway/net/SocketTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SocketTest.java
@@ -115,6 +115,16 @@
         return node;
     }
 
+    /** Creates a node whose discovery lists these entries, with test doubles in place of usual parts; the test starts it. */
+    Node createNode(Function<Actions, Events> engine, Transport transport, Clock clock, ConnectionBuffers buffers, String... entries)
+            throws IOException {
+        registry = closeAfterTest(new DiscoveryAgent(list(1, true, entries)));
+        String config = Sockets.config(registry.server.address(), "127.0.0.1:0");
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)), engine, transport, new NioEventLoopGroup(1), clock, buffers);
+        resources.push(node::stop);
+        return node;
+    }
+
     /** Starts a node with one host and a test clock. */
     Node startNodeWithHosts(RecordingServer host, ManualClock clock) throws IOException {
         return startNodeWithClock(configFor(host), clock);
--- a/gateway/src/test/java/marlford/gateway/net/StartSocketFailureTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/StartSocketFailureTest.java
@@ -1,17 +1,14 @@
 package marlford.gateway.net;
 
 import static marlford.gateway.net.Sockets.entry;
-import static marlford.gateway.net.Sockets.list;
 import static marlford.gateway.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.BindException;
@@ -20,7 +17,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import marlford.gateway.DecisionEngine;
 import marlford.gateway.net.Sockets.Client;
-import marlford.gateway.net.Sockets.DiscoveryAgent;
 import org.junit.jupiter.api.Test;
 
 /** A temporary lack of descriptors does not fail a start; an address that another process uses does. */
@@ -52,11 +48,8 @@
     };
 
     private Node node() throws Exception {
-        registry = closeAfterTest(new DiscoveryAgent(list(1, true, entry("h0", startHost(SocketTest::echo).address(), "ready"))));
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))),
-                DecisionEngine::new, transport, new NioEventLoopGroup(1));
-        resources.push(node::stop);
-        return node;
+        return createNode(DecisionEngine::new, transport, new Clock(), ConnectionBuffers.ofProcess(),
+                entry("h0", startHost(SocketTest::echo).address(), "ready"));
     }
 
     private void assertServesAfterStart() throws Exception {
--- a/gateway/src/test/java/marlford/gateway/net/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/UnreadDisconnectTest.java
@@ -2,13 +2,10 @@
 
 import static marlford.gateway.net.Sockets.bytes;
 import static marlford.gateway.net.Sockets.entry;
-import static marlford.gateway.net.Sockets.list;
 import static marlford.gateway.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -19,7 +16,6 @@
 import java.util.stream.Stream;
 import marlford.gateway.EngineApi.Outcome;
 import marlford.gateway.net.Sockets.Client;
-import marlford.gateway.net.Sockets.DiscoveryAgent;
 import marlford.gateway.net.Sockets.Message;
 import marlford.gateway.net.Sockets.RecordingServer;
 import org.junit.jupiter.api.BeforeEach;
@@ -71,12 +67,8 @@
         try (ServerSocket closed = new ServerSocket(0)) {
             closedPort = closed.getLocalPort();
         }
-        registry = closeAfterTest(new DiscoveryAgent(list(1, true, entry("h0", host.address(), "ready"),
-                entry("closed", "127.0.0.1:" + closedPort, "ready"))));
-        String config = Sockets.config(registry.server.address(), "127.0.0.1:0");
-        node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)), actions -> engine = new HoldingEngine(actions), Transport.TCP,
-                new NioEventLoopGroup(1), clock, new ConnectionBuffers(memoryBytes));
-        resources.push(node::stop);
+        node = createNode(actions -> engine = new HoldingEngine(actions), Transport.TCP, clock, new ConnectionBuffers(memoryBytes),
+                entry("h0", host.address(), "ready"), entry("closed", "127.0.0.1:" + closedPort, "ready"));
         node.start();
     }
 
