Count a piece of a response once, however its host writes it

A host that writes a chunk's size, content and end by themselves and then pauses past the deadline would count as one that gives a little for ever, and its long answer would be cut.

Change: what is read within 20 ms of the begin of a piece belongs to it.

Measured: ResponseProgressTest has that host; EndlessResponseTest, UnknownLengthAnswerTest and LongResponseTest green as before (arm64).

--- a/gateway/src/main/java/marlford/gateway/guard/ResponseProgress.java
+++ b/gateway/src/main/java/marlford/gateway/guard/ResponseProgress.java
@@ -21,14 +21,16 @@
     public static final double LATE_RESPONSE_LIMIT_MS = 400;
 
     private static final double START_ALLOWANCE_MS = 2000; // from its head until a body of unknown length must have begun
-    private static final int GOES_ON_READS = 2; // behind the head; a host that has given so often is not about to begin
+    private static final int GOES_ON_PIECES = 2; // behind the head; a host that has given so often is not about to begin
+    private static final double PIECE_INTERVAL_MS = 20; // what is read within this time may come from one piece, written in parts
     private static final double MIN_BODY_BYTES_PER_MS = 8;
 
     /** What is known of the length of a body: short enough to be buffered, not known, or longer than that. */
     public enum Length { SHORT, UNKNOWN, LONG }
 
     private double lastReadMs;
-    private int readsSinceHead;
+    private int piecesSinceHead;
+    private double lastPieceMs; // when the latest piece, or the head, began to be read
     private Length announced = Length.SHORT; // by the head
     private double startUntilMs; // until then the body may begin
     private double paceUntilMs; // until then the body has been fast enough
@@ -43,13 +45,17 @@
     /** Records that bytes of the response were read, before what they contain is recorded. */
     public void recordRead(double now) {
         lastReadMs = now;
-        readsSinceHead++;
+        if (now - lastPieceMs >= PIECE_INTERVAL_MS) {
+            lastPieceMs = now;
+            piecesSinceHead++;
+        }
     }
 
     /** Records that the head of a response was read whole, and what it says about the length of the body. */
     public void recordHead(double now, Length length) {
         announced = length;
-        readsSinceHead = 0;
+        piecesSinceHead = 0;
+        lastPieceMs = now;
         startUntilMs = now + (length == Length.LONG ? TransferProgress.PAUSE_LIMIT_MS : START_ALLOWANCE_MS);
         paceUntilMs = now;
     }
@@ -89,7 +95,7 @@
      * @param deadlineMs of the request; infinite if it has none
      */
     public double endMs(Length length, double deadlineMs) {
-        boolean mayBegin = announced == Length.LONG || readsSinceHead < GOES_ON_READS;
+        boolean mayBegin = announced == Length.LONG || piecesSinceHead < GOES_ON_PIECES;
         double allowedMs = mayBegin ? Math.max(startUntilMs, paceUntilMs) : paceUntilMs;
         double paceEndMs = Math.max(deadlineMs + LATE_RESPONSE_LIMIT_MS, allowedMs);
         return Math.min(pauseEndMs(length, deadlineMs), paceEndMs);
--- a/gateway/src/test/java/marlford/gateway/guard/ResponseProgressTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/ResponseProgressTest.java
@@ -69,6 +69,16 @@
         assertTrue(progress.endMs(Length.UNKNOWN, 500) >= 3900);
     }
 
+    /** Guards against long answers that were cut because their host writes a chunk in parts: its size, its content and its end. */
+    @Test
+    void aPieceThatIsWrittenInPartsIsOnePiece() {
+        progress.recordHead(0, Length.UNKNOWN);
+        for (double now = 300; now < 310; now++) {
+            read(now, 1);
+        }
+        assertTrue(progress.endMs(Length.UNKNOWN, 500) >= 2000);
+    }
+
     @ParameterizedTest
     @EnumSource
     void bytesOutsideTheBodyAreNoProgress(Length length) {
