--- a/storm/src/main/java/marlford/storm/soak/SoakHosts.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakHosts.java
@@ -215,6 +215,12 @@
                 socket.getOutputStream().write(HttpText.bytes("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"));
                 return false;
             }
+            return answerInForm(socket, request, entry);
+        }
+
+        /** Gives the answer that the request's path asks for; returns whether the connection may carry another one. */
+        private boolean answerInForm(Socket socket, HttpText.Message request, RequestLedger.Entry entry)
+                throws IOException, InterruptedException {
             if (request.start().contains("/" + WORK)) {
                 Thread.sleep(WORK_MS);
             }
