Judge a response by its own length, not by an earlier one on its connection

Found on reading the whole change once more.

On a kept connection that had carried a long answer, an answer of unknown length so counted as long and had 5 s from its head.

Change: the count begins anew with each request, with the rest of the state of an exchange.

--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -289,6 +289,7 @@
         assign(target);
         requestWritten = responseStarted = reusable = false;
         interimResponses = 0;
+        streamedBytes = 0;
         progress = new ResponseProgress(clock.now());
         if (message instanceof StreamedRequest) {
             channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, message.method(), message.uri(),
@@ -523,7 +524,6 @@
 
     /** Opens the sink and passes on what has been read; leaves it null when the response is not wanted, or not at unknown length. */
     private void openSink() {
-        streamedBytes = 0;
         sink = exchange.onLongResponse(head, this::resumeReading);
         if (sink != null) {
             passToSink();
--- a/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
@@ -2,6 +2,7 @@
 
 import static marlford.gateway.net.Sockets.bytes;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -11,12 +12,15 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import marlford.gateway.net.Sockets.Client;
 import marlford.gateway.net.Sockets.RecordingServer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -30,6 +34,8 @@
 
     private static final long GIVE_UP_MS = 1000; // after the limit
     private static final int SHORT_WAIT_MS = 600;
+    private static final int LONG_WAIT_MS = 10_000;
+    private static final long REST_MS = 200; // after which a connection is used again
     private static final int PAUSE_AT_BYTES = 80_000;
     private static final int LONG_BYTES = 100_000;
     private static final int SHORT_BYTES = 50_000;
@@ -110,19 +116,41 @@
         assertEquals(List.of(), withoutEnd);
     }
 
+    /** Guards against a response that counted as long because an earlier one on its connection was. */
+    @Test
+    void anEndlessResponseBehindALongOneGetsAnEnd() throws Exception {
+        Set<Integer> gatewayPorts = ConcurrentHashMap.newKeySet();
+        RecordingServer host = startHost((m, s) -> {
+            gatewayPorts.add(s.getPort());
+            if (m.header("X-Trace-Id").equals("long")) {
+                s.getOutputStream().write(bytes(State.LONG_LENGTH.start + "x".repeat(LONG_BYTES)));
+            } else {
+                giveForEver(State.CHUNKS, Interval.OFTEN, s.getOutputStream());
+            }
+        });
+        Client client = connectClient(startNodeWithHosts(host));
+        assertEquals(LONG_BYTES, client.send(Sockets.view("long", LONG_WAIT_MS)).receive().body().length);
+        Thread.sleep(REST_MS);
+        long limitMs = limitMs(State.CHUNKS, SHORT_WAIT_MS);
+        long endMs = timeToEndMs(client.socket, SHORT_WAIT_MS, limitMs);
+        assertTrue(endMs <= limitMs, "no end within " + limitMs + " ms");
+        assertEquals(1, gatewayPorts.size(), "both came over one connection");
+    }
+
     private static long limitMs(State state, int waitMs) {
         return state.mayBeLong() ? LONG_ANSWER_LIMIT_MS : waitMs + ANSWER_SLACK_MS;
     }
 
     private RecordingServer startEndlessHost(State state, Interval interval) throws IOException {
-        return startHost((m, s) -> {
-            OutputStream out = s.getOutputStream();
-            out.write(bytes(state.start));
-            while (true) {
-                out.write(bytes(state.piece));
-                Thread.sleep(interval.ms);
-            }
-        });
+        return startHost((m, s) -> giveForEver(state, interval, s.getOutputStream()));
+    }
+
+    private static void giveForEver(State state, Interval interval, OutputStream out) throws IOException, InterruptedException {
+        out.write(bytes(state.start));
+        while (true) {
+            out.write(bytes(state.piece));
+            Thread.sleep(interval.ms);
+        }
     }
 
     private static <T> Future<T> startThread(Callable<T> work) {
