--- a/gateway/src/main/java/marlford/gateway/net/ClientServer.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientServer.java
@@ -136,7 +136,7 @@
         return connections.all().stream().anyMatch(ClientConnection::hasPendingOutput);
     }
 
-    /** Whether a client has sent a request whose answer has not left this process whole. */
+    /** Whether a client has sent a request whose answer has not left this process whole, also as its host still gives it. */
     boolean owesAnswers() {
         return connections.all().stream().anyMatch(ClientConnection::owesAnswer);
     }
--- a/gateway/src/main/java/marlford/gateway/net/ConnectionBuffers.java
+++ b/gateway/src/main/java/marlford/gateway/net/ConnectionBuffers.java
@@ -105,8 +105,7 @@
      * all connections hold.
      */
     int windowBytes() {
-        long freeBytes = targetBytes - usedBytes();
-        return (int) Math.max(minWindowBytes, Math.min(MAX_WINDOW_BYTES, freeBytes / FREE_WINDOWS));
+        return (int) Math.max(minWindowBytes, Math.min(MAX_WINDOW_BYTES, freeBytes() / FREE_WINDOWS));
     }
 
     /**
@@ -114,8 +113,11 @@
      * to be read to find out whether it is still connected.
      */
     int readAheadBytes() {
-        long freeBytes = targetBytes - usedBytes();
-        return (int) Math.max(windowBytes(), Math.min(MAX_READ_AHEAD_BYTES, freeBytes / FREE_READ_AHEADS));
+        return (int) Math.max(windowBytes(), Math.min(MAX_READ_AHEAD_BYTES, freeBytes() / FREE_READ_AHEADS));
+    }
+
+    private long freeBytes() {
+        return targetBytes - usedBytes();
     }
 
     /** Allocates each buffer by itself: in direct memory up to a limit, and on the heap beyond it. */
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -974,13 +974,6 @@
 
     // ---- shutdown
 
-    /** Whether a client is still owed something: an answer that its host still gives, or that has not left this process whole. */
-    boolean owesAnswers() {
-        boolean streaming = openRequests.values().stream()
-                .anyMatch(entry -> entry.streamingAttempt != null && !entry.streamingAttempt.ended);
-        return streaming || clientServer.owesAnswers();
-    }
-
     /** Whether the other gateways may still use the quota ledgers of this process. May be called from any thread. */
     boolean holdsLedgersForPeers() {
         return hasHeardFromPeers() && !replaced && !endedBeforeServing;
--- a/gateway/src/main/java/marlford/gateway/net/ProcessShutdown.java
+++ b/gateway/src/main/java/marlford/gateway/net/ProcessShutdown.java
@@ -54,7 +54,7 @@
     }
 
     private boolean owesAnswers() throws InterruptedException {
-        Boolean owes = node.loop.submit(node::owesAnswers).await().getNow();
+        Boolean owes = node.loop.submit(node.clientServer::owesAnswers).await().getNow();
         return Boolean.TRUE.equals(owes);
     }
 }
