--- a/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
@@ -227,7 +227,7 @@
             Client client = connectClient(startNodeWithHosts(startSlowHost(framing, pace)));
             lengths.put(pace, startThread(() -> {
                 InputStream in = client.send(Sockets.view("slow", SHORT_WAIT_MS)).socket.getInputStream();
-                return UnknownLengthAnswerTest.readBody(UnknownLengthAnswerTest.readHead(in), in);
+                return Sockets.readBody(Sockets.readHead(in), in);
             }));
         }
         for (Pace pace : Pace.values()) {
--- a/gateway/src/test/java/marlford/gateway/net/HeldAnswerShutdownTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/HeldAnswerShutdownTest.java
@@ -113,26 +113,12 @@
         String framing = form == Form.CHUNKED ? "Transfer-Encoding: chunked\r\n"
                 : form == Form.END_OF_CONNECTION ? "" : "Content-Length: " + lengthOf(client) + "\r\n";
         out.write(bytes("HTTP/1.1 200 OK\r\nConnection: close\r\n" + framing + "\r\n"));
-        if (form == Form.CHUNKED) {
-            writeChunks(out, lengthOf(client));
-        } else {
-            out.write(new byte[lengthOf(client)]);
-        }
+        out.write(form == Form.CHUNKED ? Sockets.chunked(lengthOf(client), CHUNK_BYTES) : new byte[lengthOf(client)]);
         socket.shutdownOutput();
         socket.getInputStream().read();
         given.set(client, 1);
     }
 
-    private static void writeChunks(OutputStream out, int bodyBytes) throws IOException {
-        for (int sent = 0; sent < bodyBytes; sent += CHUNK_BYTES) {
-            int length = Math.min(CHUNK_BYTES, bodyBytes - sent);
-            out.write(bytes(Integer.toHexString(length) + "\r\n"));
-            out.write(new byte[length]);
-            out.write(bytes("\r\n"));
-        }
-        out.write(bytes("0\r\n\r\n"));
-    }
-
     /** A client and what it has read. */
     private final class SlowReader {
         final int number;
@@ -166,7 +152,7 @@
             try (socket) {
                 InputStream in = new SequenceInputStream(new ByteArrayInputStream(received.toByteArray()),
                         new BufferedInputStream(socket.getInputStream()));
-                return UnknownLengthAnswerTest.readBody(UnknownLengthAnswerTest.readHead(in), in);
+                return Sockets.readBody(Sockets.readHead(in), in);
             } catch (IOException e) {
                 return -1;
             }
--- a/gateway/src/test/java/marlford/gateway/net/SlowReaderTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SlowReaderTest.java
@@ -49,13 +49,7 @@
             out.write(ok("short"));
         } else if (form == Form.CHUNKED) {
             out.write(bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
-            for (int sent = 0; sent < ANSWER_BYTES; sent += PART_BYTES) {
-                int length = Math.min(PART_BYTES, ANSWER_BYTES - sent);
-                out.write(bytes(Integer.toHexString(length) + "\r\n"));
-                out.write(new byte[length]);
-                out.write(bytes("\r\n"));
-            }
-            out.write(bytes("0\r\n\r\n"));
+            out.write(Sockets.chunked(ANSWER_BYTES, PART_BYTES));
         } else {
             out.write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + ANSWER_BYTES + "\r\n\r\n"));
             out.write(new byte[ANSWER_BYTES]);
@@ -84,11 +78,8 @@
     }
 
     private static void readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (!head.toString().endsWith("\r\n\r\n")) {
-            head.append((char) in.read());
-        }
-        assertTrue(head.toString().startsWith("HTTP/1.1 200"), head.toString());
+        String head = Sockets.readHead(in);
+        assertTrue(head.startsWith("HTTP/1.1 200"), head);
     }
 
     @ParameterizedTest
--- a/gateway/src/test/java/marlford/gateway/net/Sockets.java
+++ b/gateway/src/test/java/marlford/gateway/net/Sockets.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -72,6 +73,53 @@
         return body.length < length ? null : new Message(lines[0], headers, body);
     }
 
+    /** Reads a head up to its empty line; fails if it is not whole. */
+    static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                throw new EOFException("no whole head: " + head);
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
+    /** Returns the length of a body; fails if it is not whole. */
+    static int readBody(String head, InputStream in) throws IOException {
+        if (!head.contains("chunked")) {
+            int length = Integer.parseInt(head.replaceAll("(?s).*content-length: (\\d+).*", "$1"));
+            return in.readNBytes(length).length;
+        }
+        int total = 0;
+        while (true) {
+            String line = readLine(in);
+            int length = Integer.parseInt(line, 16);
+            if (in.readNBytes(length).length < length) {
+                throw new EOFException("cut within a chunk");
+            }
+            readLine(in);
+            if (length == 0) {
+                return total;
+            }
+            total += length;
+        }
+    }
+
+    private static String readLine(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new EOFException("cut within a line");
+            }
+            if (next != '\r') {
+                line.append((char) next);
+            }
+        }
+        return line.toString();
+    }
+
     static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
@@ -81,6 +129,19 @@
         return bytes("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
+    /** A body of zero bytes in chunks, with the last one, as bytes on the wire. */
+    static byte[] chunked(int bodyBytes, int chunkBytes) {
+        ByteArrayOutputStream chunks = new ByteArrayOutputStream();
+        for (int sent = 0; sent < bodyBytes; sent += chunkBytes) {
+            int length = Math.min(chunkBytes, bodyBytes - sent);
+            chunks.writeBytes(bytes(Integer.toHexString(length) + "\r\n"));
+            chunks.writeBytes(new byte[length]);
+            chunks.writeBytes(bytes("\r\n"));
+        }
+        chunks.writeBytes(bytes("0\r\n\r\n"));
+        return chunks.toByteArray();
+    }
+
     /** Handles a request that a server received; it may keep the socket open, write to it or close it. */
     interface RequestHandler {
         void handle(Message request, Socket socket) throws IOException, InterruptedException;
--- a/gateway/src/test/java/marlford/gateway/net/UnknownLengthAnswerTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/UnknownLengthAnswerTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
-import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -32,7 +31,6 @@
     private static final int SHORT_BYTES = 3000;
     private static final double ANSWER_SLACK_MS = 50;
     private static final long CUT_WITHIN_MS = 3500; // a pause of 2 s past the deadline, and the interval of the checks
-    private static final byte[] HEAD_END = bytes("\r\n\r\n");
 
     /** What marks the end of the answer. */
     enum Framing { CHUNKED, END_OF_CONNECTION, LENGTH }
@@ -52,11 +50,11 @@
         long sentNanos = System.nanoTime();
         client.send(Sockets.view("long", WAIT_MS));
         InputStream in = client.socket.getInputStream();
-        String head = readHead(in);
+        String head = Sockets.readHead(in);
         double firstMs = (System.nanoTime() - sentNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
         assertTrue(head.startsWith("HTTP/1.1 200"), head);
         assertTrue(firstMs <= WAIT_MS + ANSWER_SLACK_MS, "the first bytes came after " + firstMs + " ms");
-        assertEquals(LONG_BYTES, readBody(head, in));
+        assertEquals(LONG_BYTES, Sockets.readBody(head, in));
         assertEquals(1, host.requests.size());
     }
 
@@ -101,10 +99,10 @@
     }
 
     private static void assertCut(InputStream in) throws IOException {
-        String head = readHead(in);
+        String head = Sockets.readHead(in);
         assertTrue(head.contains("chunked"), head);
         try {
-            readBody(head, in);
+            Sockets.readBody(head, in);
             throw new AssertionError("the answer seems whole");
         } catch (IOException e) {
             return; // ended within the answer
@@ -149,50 +147,4 @@
         }
         out.write(part.toByteArray());
     }
-
-    static String readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.length() < HEAD_END.length || !head.toString().endsWith("\r\n\r\n")) {
-            int next = in.read();
-            if (next < 0) {
-                throw new EOFException("no whole head: " + head);
-            }
-            head.append((char) next);
-        }
-        return head.toString();
-    }
-
-    /** Returns the length of a body; fails if it is not whole. */
-    static int readBody(String head, InputStream in) throws IOException {
-        if (!head.contains("chunked")) {
-            int length = Integer.parseInt(head.replaceAll("(?s).*content-length: (\\d+).*", "$1"));
-            return in.readNBytes(length).length;
-        }
-        int total = 0;
-        while (true) {
-            String line = readLine(in);
-            int length = Integer.parseInt(line, 16);
-            if (in.readNBytes(length).length < length) {
-                throw new EOFException("cut within a chunk");
-            }
-            readLine(in);
-            if (length == 0) {
-                return total;
-            }
-            total += length;
-        }
-    }
-
-    private static String readLine(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int next = in.read(); next != '\n'; next = in.read()) {
-            if (next < 0) {
-                throw new EOFException("cut within a line");
-            }
-            if (next != '\r') {
-                line.append((char) next);
-            }
-        }
-        return line.toString();
-    }
 }
--- a/gateway/src/test/java/marlford/gateway/net/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/UnreadDisconnectTest.java
@@ -72,17 +72,11 @@
         node.start();
     }
 
-    private static byte[] order(String id, Framing framing, int bodyBytes) throws IOException {
+    private static byte[] order(String id, Framing framing, int bodyBytes) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(bytes("POST /order/x HTTP/1.1\r\nHost: h\r\n" + Sockets.headers(id, CLIENT_TIME_MS) + "Idempotency-Key: key-" + id
                 + "\r\n" + (framing == Framing.CHUNKED ? "Transfer-Encoding: chunked" : "Content-Length: " + bodyBytes) + "\r\n\r\n"));
-        for (int sent = 0; sent < bodyBytes; sent += CHUNK_BYTES) {
-            int length = Math.min(CHUNK_BYTES, bodyBytes - sent);
-            out.writeBytes(framing == Framing.CHUNKED ? bytes(Integer.toHexString(length) + "\r\n") : new byte[0]);
-            out.writeBytes(new byte[length]);
-            out.writeBytes(framing == Framing.CHUNKED ? bytes("\r\n") : new byte[0]);
-        }
-        out.writeBytes(framing == Framing.CHUNKED ? bytes("0\r\n\r\n") : new byte[0]);
+        out.writeBytes(framing == Framing.CHUNKED ? Sockets.chunked(bodyBytes, CHUNK_BYTES) : new byte[bodyBytes]);
         return out.toByteArray();
     }
 
