Soak: no buffer for each long answer, and repetitions of the new clients taken together

Chunks, the slack of an answer and a loop stood twice.

Change: LongAnswer writes from one shared array, as before the move; HttpText.chunk, SoakClient.ANSWER_SLACK_MS and one loop in SoakFleet; EndlessAnswerClient compares the time once.

--- a/storm/src/main/java/marlford/storm/soak/EndlessAnswerClient.java
+++ b/storm/src/main/java/marlford/storm/soak/EndlessAnswerClient.java
@@ -10,7 +10,6 @@
 /** A client of answers that their hosts never end: it gets a final answer, or an end of its connection, in its time all the same. */
 final class EndlessAnswerClient extends SoakVisitor {
     private static final long DEADLINE_MS = 2500;
-    private static final long ANSWER_SLACK_MS = 550; // half a second, and 50 ms of each limit
     private static final int REST_LEAST_MS = 500;
     private static final int REST_MS = 2000;
 
@@ -28,9 +27,13 @@
             entry.written();
             String request = SoakClient.view(id, DEADLINE_MS, process.number);
             socket.getOutputStream().write(HttpText.bytes(request.replace("/view/", "/view" + form.prefix())));
-            long limitMs =
-                    DEADLINE_MS + ANSWER_SLACK_MS + (long) fleet.lateness().ms();
-            boolean ended = endsWithin(socket, limitMs);
+            long limitMs = DEADLINE_MS
+                    + SoakClient.ANSWER_SLACK_MS
+                    + (long) fleet.lateness().ms();
+            long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs);
+            socket.setSoTimeout((int) limitMs);
+            awaitEnd(socket.getInputStream(), untilNanos);
+            boolean ended = System.nanoTime() <= untilNanos;
             if (ended || process.life() != life) {
                 fleet.findings().count(ended ? Count.ENDLESS_ENDED : Count.CUT_BY_KILL);
             } else {
@@ -41,23 +44,18 @@
         }
     }
 
-    /** Reads up to the end of a final answer without a body, or of the connection; whether it comes within this time. */
-    private static boolean endsWithin(Socket socket, long limitMs) throws IOException {
-        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs);
-        socket.setSoTimeout((int) limitMs);
+    /** Reads up to the end of a final answer without a body, or of the connection, or up to the first input after the given time. */
+    private static void awaitEnd(InputStream in, long untilNanos) {
         try {
-            InputStream in = socket.getInputStream();
             HttpText.Message head = HttpText.readHead(in);
-            if (head != null && "0".equals(head.header("Content-Length"))) {
-                return System.nanoTime() <= untilNanos;
+            if (head == null || "0".equals(head.header("Content-Length"))) {
+                return;
             }
-            int next = head == null ? -1 : 0;
-            while (next >= 0 && System.nanoTime() <= untilNanos) {
-                next = in.read();
+            while (in.read() >= 0 && System.nanoTime() <= untilNanos) {
+                continue;
             }
-            return System.nanoTime() <= untilNanos;
         } catch (IOException e) {
-            return System.nanoTime() <= untilNanos; // a reset is an end; so late, nothing came any more
+            // a reset is an end, and a time-out comes no sooner than the given time
         }
     }
 
--- a/storm/src/main/java/marlford/storm/soak/HttpText.java
+++ b/storm/src/main/java/marlford/storm/soak/HttpText.java
@@ -95,6 +95,15 @@
         return new Message(lines[0], headers);
     }
 
+    /** A chunk of zero bytes, as bytes on the wire. */
+    static byte[] chunk(int length) {
+        ByteArrayOutputStream chunk = new ByteArrayOutputStream();
+        chunk.writeBytes(bytes(Integer.toHexString(length) + "\r\n"));
+        chunk.writeBytes(new byte[length]);
+        chunk.writeBytes(bytes("\r\n"));
+        return chunk.toByteArray();
+    }
+
     static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
--- a/storm/src/main/java/marlford/storm/soak/LeavingClient.java
+++ b/storm/src/main/java/marlford/storm/soak/LeavingClient.java
@@ -94,10 +94,7 @@
         }
         message.writeBytes(HttpText.bytes(head + "Transfer-Encoding: chunked\r\n\r\n"));
         for (int written = 0; written < length; written += CHUNK_BYTES) {
-            int chunk = Math.min(CHUNK_BYTES, length - written);
-            message.writeBytes(HttpText.bytes(Integer.toHexString(chunk) + "\r\n"));
-            message.writeBytes(new byte[chunk]);
-            message.writeBytes(HttpText.bytes("\r\n"));
+            message.writeBytes(HttpText.chunk(Math.min(CHUNK_BYTES, length - written)));
         }
         message.writeBytes(HttpText.bytes("0\r\n\r\n"));
         return message.toByteArray();
--- a/storm/src/main/java/marlford/storm/soak/LongAnswer.java
+++ b/storm/src/main/java/marlford/storm/soak/LongAnswer.java
@@ -1,6 +1,5 @@
 package marlford.storm.soak;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
@@ -12,11 +11,12 @@
 final class LongAnswer {
     private static final String HEAD = "HTTP/1.1 200 OK\r\n";
     private static final String HEAD_END = "\r\n\r\n";
-    private static final int PIECES = 4; // of an answer of told length
+    private static final int PIECES = 4; // of the longest answer
+    private static final byte[] PIECE =
+            new byte[SoakHosts.LONG_BYTES / PIECES]; // shared, as many answers are written at once
     private static final int LUMP_BYTES = 40_000;
     private static final int FIRST_LUMP_BYTES = 5;
     private static final long LUMP_PAUSE_MS = 300;
-    private static final byte[] LUMP = new byte[LUMP_BYTES];
     private static final Pattern SIZE = Pattern.compile("/" + SoakHosts.SIZED + "(\\d+)-");
 
     private LongAnswer() {}
@@ -31,15 +31,14 @@
     }
 
     /**
-     * Writes an answer of told length in pieces.
+     * Writes the longest answer, in pieces.
      *
      * @param pauseMs supplies the pause after each piece, in milliseconds
      */
-    static void writeAtLength(OutputStream out, int bytes, LongSupplier pauseMs) throws IOException {
-        out.write(HttpText.bytes(HEAD + "Content-Length: " + bytes + HEAD_END));
-        int piece = bytes / PIECES;
+    static void writeLongest(OutputStream out, LongSupplier pauseMs) throws IOException {
+        out.write(HttpText.bytes(HEAD + "Content-Length: " + SoakHosts.LONG_BYTES + HEAD_END));
         for (int i = 0; i < PIECES; i++) {
-            out.write(new byte[i < PIECES - 1 ? piece : bytes - i * piece]);
+            out.write(PIECE);
             Threads.pause(pauseMs.getAsLong());
         }
     }
@@ -48,7 +47,7 @@
     static void writeAsLast(Socket socket, int bytes) throws IOException {
         socket.getOutputStream()
                 .write(HttpText.bytes(HEAD + "Connection: close\r\n" + "Content-Length: " + bytes + HEAD_END));
-        socket.getOutputStream().write(new byte[bytes]);
+        socket.getOutputStream().write(PIECE, 0, bytes);
         socket.shutdownOutput();
         socket.getInputStream().read(); // the gateway ends the connection then
     }
@@ -67,14 +66,6 @@
     }
 
     private static void writeLump(OutputStream out, int length, boolean chunked) throws IOException {
-        ByteArrayOutputStream lump = new ByteArrayOutputStream();
-        if (chunked) {
-            lump.writeBytes(HttpText.bytes(Integer.toHexString(length) + "\r\n"));
-        }
-        lump.write(LUMP, 0, length);
-        if (chunked) {
-            lump.writeBytes(HttpText.bytes("\r\n"));
-        }
-        out.write(lump.toByteArray());
+        out.write(chunked ? HttpText.chunk(length) : new byte[length]);
     }
 }
--- a/storm/src/main/java/marlford/storm/soak/SlowClient.java
+++ b/storm/src/main/java/marlford/storm/soak/SlowClient.java
@@ -20,7 +20,6 @@
     private static final int BODY_BYTES = 300_000;
     private static final int BODY_PIECES = 4;
     private static final int BODY_PAUSE_MS = 300;
-    private static final long ANSWER_SLACK_MS = 550; // half a second, and 50 ms of each limit
     private static final int GIVE_UP_MS = 8000;
     private static final int REST_MS = 500;
     private static final int OK = 200;
@@ -103,7 +102,7 @@
             writeInPieces(socket, length);
             whole = true;
             long answerMs = SoakClient.ORDER_DEADLINE_MS
-                    + ANSWER_SLACK_MS
+                    + SoakClient.ANSWER_SLACK_MS
                     + (long) fleet.lateness().ms();
             socket.setSoTimeout((int) answerMs);
             long written = System.nanoTime();
--- a/storm/src/main/java/marlford/storm/soak/SoakClient.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakClient.java
@@ -17,8 +17,7 @@
     static final String CUSTOMER = "00000000b4d65521";
     static final long VIEW_DEADLINE_MS = 1500;
     static final long ORDER_DEADLINE_MS = 2500;
-    private static final long ANSWER_SLACK_MS =
-            550; // an answer this late still is one: half a second, and 50 ms of each limit
+    static final long ANSWER_SLACK_MS = 550; // an answer this late still is one: half a second, and 50 ms of each limit
     private static final int CONNECT_MS = 2000;
     private static final int THINK_MS = 250;
     private static final int REST_MS = 3000;
--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -22,7 +22,9 @@
 final class SoakFleet implements Closeable {
     private static final int HOSTS = 8;
     private static final int CLIENTS_EACH = 3;
-    private static final int REPEATING_EACH = 2; // processes for each client that repeats ids, or reads lumps
+    /** Processes for each client that repeats ids, reads lumps or held answers, or leaves. */
+    private static final int REPEATING_EACH = 2;
+
     private static final String SETTINGS = """
                 {"name": "gNUMBER", "listen": "127.0.0.1:PORT", "discovery": "DISCOVERY", "seed": "8c1f30d27a5be9NUMBER",
                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 400}, "peer_listen": PEER, "peers": [PEERS],
@@ -116,8 +118,6 @@
         for (int i = 0; i < processes.size(); i += REPEATING_EACH) {
             Threads.start("repeating", new RepeatingClient(this, (int) (seed % 100_000) * 1000 + i, seed * 47 + i));
             Threads.start("lumps", new LumpReader(this, (int) (seed % 100_000) * 1000 + i, seed * 53 + i));
-        }
-        for (int i = 0; i < processes.size(); i += REPEATING_EACH) {
             Threads.start("leaving", new LeavingClient(this, (int) (seed % 100_000) * 1000 + i, seed * 61 + i));
             Threads.start("held", new HeldAnswerReader(this, (int) (seed % 100_000) * 1000 + i, seed * 67 + i));
         }
--- a/storm/src/main/java/marlford/storm/soak/SoakHosts.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakHosts.java
@@ -229,8 +229,7 @@
                 endless.give(socket.getOutputStream(), random);
             }
             if (request.start().contains("/" + LONG)) {
-                LongAnswer.writeAtLength(
-                        socket.getOutputStream(), LONG_BYTES, () -> mood == HostMood.SLOW ? SLOW_MS : 0);
+                LongAnswer.writeLongest(socket.getOutputStream(), () -> mood == HostMood.SLOW ? SLOW_MS : 0);
             } else if (request.start().contains("/" + SIZED)) {
                 LongAnswer.writeAsLast(socket, LongAnswer.sizeOf(request.start()));
                 entry.answerTaken = true;
