Tests: show the log of a gateway process that does not start; the case that needed it

Its log was deleted with the test's folder, so the cause can't be told.

The limits and what is awaited stay.

--- a/gateway/src/test/java/marlford/gateway/net/GatewayProcess.java
+++ b/gateway/src/test/java/marlford/gateway/net/GatewayProcess.java
@@ -49,7 +49,7 @@
     GatewayProcess startSuccessor(String config) throws Exception {
         GatewayProcess successor = new GatewayProcess(this);
         successor.launch(config);
-        Sockets.await(() -> log().contains("the new process serves clients"), "the successor serves");
+        awaitLog("the new process serves clients");
         return successor;
     }
 
@@ -71,7 +71,16 @@
     /** Starts the process and waits until it serves. */
     void start(String config) throws Exception {
         launch(config);
-        Sockets.await(() -> log().contains("serves after"), "the process serves");
+        awaitLog("serves after");
+    }
+
+    /** Waits until the log has this text; a failure shows the log, which is deleted with the test's folder. */
+    private void awaitLog(String text) throws Exception {
+        try {
+            Sockets.await(() -> log().contains(text), "the log has: " + text);
+        } catch (AssertionError e) {
+            throw new AssertionError("the process did not say \"" + text + "\" in time; its log: " + log(), e);
+        }
     }
 
     /** The options of the virtual machine in the deploy file, without the class archive, which is built from other files. */
