End short answers that begin at once and then go on for ever in their time

Seen: a host that gives 50 kB of an answer of unknown length at once, and then a little for ever, held its client up to 5 s from the burst: 3.6 to 4.5 s and more after a request with 2.5 s or 1 s, in all five framings, at both intervals.

Cause: each byte of a body is credit against the pace, up to the 5 s that a long body may pause, also where the body is not known to be long. Such a body may pause for 2 s past its time, and the credit did not follow that.

Change: ResponseProgress keeps two credits (Pace), of 5 s for a body that is known to be long, and of 2 s for any other. The burst joins the soak's endless answers.

Measured: EndlessResponseTest, five new states at two intervals and two times: 20 of 20 beyond their limits before, none after; ResponseProgressTest: 2 of 2 new cases failed before.

--- a/gateway/src/main/java/marlford/gateway/guard/ResponseProgress.java
+++ b/gateway/src/main/java/marlford/gateway/guard/ResponseProgress.java
@@ -11,7 +11,7 @@
  * </ul>
  *
  * <p>The pace is kept as credit: each byte of the body allows for some time, and a host that has given much may pause for as long as any
- * host may. A host that has given hardly anything since the head may still begin with a long body; one that goes on to give a little is not
+ * host may: a body that is not known to be long for as long as one may pause past its request's time. A host that has given hardly anything since the head may still begin with a long body; one that goes on to give a little is not
  * waited for. Neither limit runs while the gateway itself reads nothing because the client is slow.
  *
  * <p>No clock and no I/O. Times are milliseconds on the caller's clock. Used on the event loop.
@@ -33,7 +33,8 @@
     private double lastPieceMs; // when the latest piece, or the head, began to be read
     private Length announced = Length.SHORT; // by the head
     private double startUntilMs; // until then the body may begin
-    private double paceUntilMs; // until then the body has been fast enough
+    private final Pace longPace = new Pace(TransferProgress.PAUSE_LIMIT_MS);
+    private final Pace unknownPace = new Pace(TransferProgress.OVERDUE_PAUSE_LIMIT_MS); // of a body that is not known to be long
     private double pausedSinceMs = Double.NaN; // since when nothing is read; NaN while reading
 
     /** @param now when the request was written */
@@ -57,13 +58,14 @@
         piecesSinceHead = 0;
         lastPieceMs = now;
         startUntilMs = now + (length == Length.LONG ? TransferProgress.PAUSE_LIMIT_MS : START_ALLOWANCE_MS);
-        paceUntilMs = now;
+        longPace.begin(now);
+        unknownPace.begin(now);
     }
 
     /** Records that bytes of the body were read. */
     public void recordBody(double now, long bytes) {
-        double allowedMs = Math.max(now, paceUntilMs) + bytes / MIN_BODY_BYTES_PER_MS;
-        paceUntilMs = Math.max(paceUntilMs, Math.min(allowedMs, now + TransferProgress.PAUSE_LIMIT_MS));
+        longPace.add(now, bytes);
+        unknownPace.add(now, bytes);
     }
 
     /** Records that the gateway stops reading, because the client does not take more. */
@@ -77,7 +79,8 @@
     public void resume(double now) {
         if (isPaused()) {
             startUntilMs += now - pausedSinceMs;
-            paceUntilMs += now - pausedSinceMs;
+            longPace.extend(now - pausedSinceMs);
+            unknownPace.extend(now - pausedSinceMs);
             pausedSinceMs = Double.NaN;
             lastReadMs = now;
         }
@@ -95,6 +98,7 @@
      * @param deadlineMs of the request; infinite if it has none
      */
     public double endMs(Length length, double deadlineMs) {
+        double paceUntilMs = (length == Length.LONG ? longPace : unknownPace).untilMs;
         boolean mayBegin = announced == Length.LONG || piecesSinceHead < GOES_ON_PIECES;
         double allowedMs = mayBegin ? Math.max(startUntilMs, paceUntilMs) : paceUntilMs;
         double paceEndMs = Math.max(deadlineMs + LATE_RESPONSE_LIMIT_MS, allowedMs);
@@ -111,4 +115,27 @@
         }
         return Math.min(longEndMs, Math.max(deadlineMs, lastReadMs + TransferProgress.OVERDUE_PAUSE_LIMIT_MS));
     }
+
+    /** The time until which a body has been fast enough, as credit that each of its bytes adds to. */
+    private static final class Pace {
+        private final double maxCreditMs;
+        private double untilMs;
+
+        Pace(double maxCreditMs) {
+            this.maxCreditMs = maxCreditMs;
+        }
+
+        void begin(double now) {
+            untilMs = now;
+        }
+
+        void add(double now, long bytes) {
+            double earnedUntilMs = Math.max(now, untilMs) + bytes / MIN_BODY_BYTES_PER_MS;
+            untilMs = Math.max(untilMs, Math.min(earnedUntilMs, now + maxCreditMs));
+        }
+
+        void extend(double byMs) {
+            untilMs += byMs;
+        }
+    }
 }
--- a/gateway/src/test/java/marlford/gateway/guard/ResponseProgressTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/ResponseProgressTest.java
@@ -32,6 +32,11 @@
     /** Returns when a host that gives pieces at an interval counts as stopped; infinite if it does not within an hour. */
     private double timeToEnd(Length length, double intervalMs, long bytes, double deadlineMs) {
         progress.recordHead(0, length);
+        return timeToEndOfBody(length, intervalMs, bytes, deadlineMs);
+    }
+
+    /** The same for a response whose head, and perhaps a part of its body, has been read. */
+    private double timeToEndOfBody(Length length, double intervalMs, long bytes, double deadlineMs) {
         for (double now = intervalMs; now < HOUR_MS; now += intervalMs) {
             double endMs = progress.endMs(length, deadlineMs);
             if (endMs < now) {
@@ -48,6 +53,15 @@
         assertTrue(timeToEnd(Length.UNKNOWN, intervalMs, bytes) <= DEADLINE_MS + LATE_MS + CHECK_INTERVAL_MS);
     }
 
+    /** Guards against short bodies that came late since their first part had come at once: it allowed for the pause of a long body. */
+    @ParameterizedTest
+    @EnumSource(names = "LONG", mode = EnumSource.Mode.EXCLUDE)
+    void aShortBodyThatBeganAtOnceEndsAtItsTime(Length length) {
+        progress.recordHead(0, length);
+        read(0, 60_000);
+        assertTrue(timeToEndOfBody(length, 200, 12, DEADLINE_MS) <= DEADLINE_MS + LATE_MS + CHECK_INTERVAL_MS);
+    }
+
     /** However short the client's time is: what goes on to come shows that the body is short. */
     @ParameterizedTest
     @CsvSource({"500, 12", "100, 1", "100, 0", "200, 1000"})
--- a/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/EndlessResponseTest.java
@@ -40,10 +40,15 @@
     private static final int LONG_BYTES = 100_000;
     private static final int SHORT_BYTES = 50_000;
     private static final int BURST_BYTES = 70_000; // known to be long from then on
+    private static final int SHORT_BURST_BYTES = 50_000; // short, if its end is told by what follows
+    /** An answer of unknown length may pause for 2 s past its time; the rest is for checks and a busy machine. */
+    private static final long UNKNOWN_LENGTH_LIMIT_MS = 2000 + 550;
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
     private static final String BURST = "x".repeat(BURST_BYTES);
-    private static final String BURST_CHUNK = Integer.toHexString(BURST_BYTES) + "\r\n" + BURST + "\r\n";
+    private static final String BURST_CHUNK = chunk(BURST);
+    private static final String SHORT_BURST = "x".repeat(SHORT_BURST_BYTES);
+    private static final String SHORT_BURST_CHUNK = chunk(SHORT_BURST);
     private static final String PIECE = "piece of it ";
     private static final String CHUNK = "c\r\n" + PIECE + "\r\n";
 
@@ -71,7 +76,13 @@
         CHUNKS_AFTER_BURST(OK + CHUNKED + BURST_CHUNK, CHUNK),
         CHUNK_EXTENSION_AFTER_BURST(OK + CHUNKED + BURST_CHUNK + "c;", "e"),
         TRAILERS_AFTER_BURST(OK + CHUNKED + BURST_CHUNK + "0\r\n", "X-Trailer: a\r\n"),
-        END_OF_CONNECTION_AFTER_BURST(OK + "\r\n" + BURST, PIECE);
+        END_OF_CONNECTION_AFTER_BURST(OK + "\r\n" + BURST, PIECE),
+
+        CHUNKS_AFTER_SHORT_BURST(OK + CHUNKED + SHORT_BURST_CHUNK, CHUNK),
+        WITHIN_CHUNK_AFTER_SHORT_BURST(OK + CHUNKED + SHORT_BURST_CHUNK + "ffffff\r\n", "x"),
+        CHUNK_EXTENSION_AFTER_SHORT_BURST(OK + CHUNKED + SHORT_BURST_CHUNK + "c;", "e"),
+        TRAILERS_AFTER_SHORT_BURST(OK + CHUNKED + SHORT_BURST_CHUNK + "0\r\n", "X-Trailer: a\r\n"),
+        END_OF_CONNECTION_AFTER_SHORT_BURST(OK + "\r\n" + SHORT_BURST, PIECE);
 
         final String start;
         final String piece;
@@ -82,10 +93,18 @@
         }
 
         boolean mayBeLong() {
-            return name().contains("LONG") || name().contains("BURST");
+            return name().contains("LONG") || name().contains("BURST") && !hasShortBurst();
+        }
+
+        boolean hasShortBurst() {
+            return name().endsWith("SHORT_BURST");
         }
     }
 
+    private static String chunk(String content) {
+        return Integer.toHexString(content.length()) + "\r\n" + content + "\r\n";
+    }
+
     /** How often the host gives a piece: within the shortest limit on pauses, and just within that of a short overdue answer. */
     enum Interval {
         OFTEN(100), SELDOM(500);
@@ -138,7 +157,10 @@
     }
 
     private static long limitMs(State state, int waitMs) {
-        return state.mayBeLong() ? LONG_ANSWER_LIMIT_MS : waitMs + ANSWER_SLACK_MS;
+        if (state.mayBeLong()) {
+            return LONG_ANSWER_LIMIT_MS;
+        }
+        return state.hasShortBurst() ? Math.max(UNKNOWN_LENGTH_LIMIT_MS, waitMs + ANSWER_SLACK_MS) : waitMs + ANSWER_SLACK_MS;
     }
 
     private RecordingServer startEndlessHost(State state, Interval interval) throws IOException {
--- a/storm/src/main/java/marlford/storm/soak/EndlessAnswer.java
+++ b/storm/src/main/java/marlford/storm/soak/EndlessAnswer.java
@@ -14,12 +14,15 @@
     TRAILERS(EndlessAnswer.CHUNKED_HEAD + "1\r\nx\r\n0\r\n", "X-Trailer: a\r\n"),
     END_OF_CONNECTION("HTTP/1.1 200 OK\r\n\r\n", "x"),
     SHORT_LENGTH("HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n", "x"),
-    ERROR_CHUNKS("HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n");
+    ERROR_CHUNKS("HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+    CHUNKS_AFTER_BURST(EndlessAnswer.CHUNKED_HEAD + "c350\r\n" + "x".repeat(0xc350) + "\r\n", "1\r\nx\r\n");
 
     private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String PATH = "/endless-";
     private static final int INTERVAL_LEAST_MS = 50;
     private static final int INTERVAL_MS = 500;
+    /** Behind a burst an answer of unknown length may pause for so long, as a long one may come in bursts. */
+    private static final long PAUSE_AFTER_BURST_MS = 2000;
 
     private final String start;
     private final String piece;
@@ -34,6 +37,11 @@
         return PATH + name().toLowerCase(Locale.ROOT) + "-";
     }
 
+    /** Returns how long beyond the limit of a short answer it may go on, in milliseconds. */
+    long extraTimeMs() {
+        return this == CHUNKS_AFTER_BURST ? PAUSE_AFTER_BURST_MS : 0;
+    }
+
     /** Returns the answer that a request asks for; null if it is another one. */
     static EndlessAnswer askedFor(String startLine) {
         for (EndlessAnswer each : values()) {
--- a/storm/src/main/java/marlford/storm/soak/EndlessAnswerClient.java
+++ b/storm/src/main/java/marlford/storm/soak/EndlessAnswerClient.java
@@ -29,6 +29,7 @@
             socket.getOutputStream().write(HttpText.bytes(request.replace("/view/", "/view" + form.prefix())));
             long limitMs = DEADLINE_MS
                     + SoakClient.ANSWER_SLACK_MS
+                    + form.extraTimeMs()
                     + (long) fleet.lateness().ms();
             long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs);
             socket.setSoTimeout((int) limitMs);
