Send no last part of an order that has waited for its host while its client left

Seen: a client sends a long order to a host that reads slowly, sends on and goes. The gateway had released the last part of the body while the client was there; it waited in the process until the host read on, 0.5 s and more after the close, and then went out.

Cause: the presence of the client is checked right before the last part is written, and a write may end much later. The end of the client's connection stands behind input that is not read meanwhile, so no event tells of it.

Change: while the last write of an attempt is pending, for bodies of any length, its client's presence is checked again every 40 ms (Node.watchPresence), by the same check as before an attempt. A client that has gone, or of which that can't be told, ends the attempt before its last byte.

--- a/gateway/src/main/java/marlford/gateway/net/Attempt.java
+++ b/gateway/src/main/java/marlford/gateway/net/Attempt.java
@@ -49,6 +49,11 @@
         return outcome == null ? writeStarted : writtenWhole && !outcome.neverRan();
     }
 
+    @Override
+    void onLastWritePending() {
+        node.watchPresence(this);
+    }
+
     @Override
     void onRequestWritten() {
         writtenWhole = true;
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -113,6 +114,9 @@
             return true;
         }
 
+        /** Its whole request was given to the connection, but a part of it waits until the host has read more. */
+        void onLastWritePending() { }
+
         /** The last byte of its request was written to the socket. */
         void onRequestWritten() { }
 
@@ -301,7 +305,16 @@
             requestBody.forwardTo(bodyTarget);
             watchUpload(target);
         } else {
-            channel.writeAndFlush(message).addListener(f -> onWriteCompleted(target, f.cause()));
+            writeLast(target, message);
+        }
+    }
+
+    /** Writes the last message of a request, of which a part may wait in this process until the host has read more. */
+    private void writeLast(Exchange target, Object message) {
+        ChannelFuture written = channel.writeAndFlush(message);
+        written.addListener(f -> onWriteCompleted(target, f.cause()));
+        if (exchange == target && !written.isDone()) {
+            target.onLastWritePending();
         }
     }
 
@@ -359,9 +372,8 @@
 
         @Override
         public void finish() {
-            Exchange target = exchange;
             requestBody = null;
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> onWriteCompleted(target, f.cause()));
+            writeLast(exchange, LastHttpContent.EMPTY_LAST_CONTENT);
         }
     };
 
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -50,6 +50,7 @@
     private static final long DRAIN_POLL_MS = 20; // interval at which a drain checks whether every request is answered
     private static final long HOST_COUNT_INTERVAL_MS = 250; // interval at which host counts are published to the console
     private static final long ACTIVITY_LOG_INTERVAL_MS = 1000;
+    private static final long PRESENCE_CHECK_INTERVAL_MS = 40; // less than half of ClientDepartureCounters.SEND_GRACE_MS
     static final long LOOP_ITERATION_MS = 2; // a timer of this length fires only after the event loop has run at least once
     private static final long LISTEN_RETRY_DELAY_MS = 50;
     private static final double LATE_ANSWER_LIMIT_MS = 500; // a final answer sent later than this after its deadline breaks ANSWERED_LATE
@@ -860,6 +861,22 @@
         return false;
     }
 
+    /**
+     * Checks again and again whether the client of an attempt is still connected, until the attempt is written whole: its host begins with
+     * the last byte, which waits here until the host has read more.
+     */
+    void watchPresence(Attempt attempt) {
+        loop.schedule(() -> {
+            if (attempt.ended || attempt.isRequestWritten()) {
+                return;
+            }
+            endIfClientDisconnected(attempt.owner);
+            if (!attempt.ended) {
+                watchPresence(attempt);
+            }
+        }, PRESENCE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void cancel(String id, int number) {
         OpenRequest entry = openRequests.get(id);
--- a/gateway/src/test/java/marlford/gateway/net/HoldingEngine.java
+++ b/gateway/src/test/java/marlford/gateway/net/HoldingEngine.java
@@ -20,6 +20,7 @@
     private final BlockingQueue<String> heldIds = new LinkedBlockingQueue<>();
     private final BlockingQueue<AttemptResult> endedAttempts = new LinkedBlockingQueue<>();
     final List<String> disconnectedIds = new CopyOnWriteArrayList<>();
+    final List<String> sentBodyIds = new CopyOnWriteArrayList<>(); // of requests with long bodies that were written whole
 
     HoldingEngine(Actions actions) {
         this.actions = actions;
@@ -39,6 +40,11 @@
         endedAttempts.add(r);
     }
 
+    @Override
+    public void onBodySent(double now, String id, int attempt, double deadlineMs) {
+        sentBodyIds.add(id);
+    }
+
     @Override
     public void onClientLeft(double now, String id) {
         disconnectedIds.add(id);
--- a/gateway/src/test/java/marlford/gateway/net/SlowPeersProcessTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SlowPeersProcessTest.java
@@ -8,14 +8,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.io.SequenceInputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -82,9 +77,8 @@
 
     private void assertOthersAreServedMeanwhile(Held held) throws Exception {
         try (RecordingServer fast = new RecordingServer((m, s) -> answer(held, m, s));
-                ServerSocket slow = listen()) {
-            serveSlowly(slow);
-            String address = held == Held.LONG_BODY ? "127.0.0.1:" + slow.getLocalPort() : fast.address();
+                SlowServer slow = new SlowServer(HOST_BUFFER_BYTES, released)) {
+            String address = held == Held.LONG_BODY ? slow.address() : fast.address();
             try (DiscoveryAgent agent = new DiscoveryAgent(list(1, true, entries(HOSTS, address)))) {
                 start(agent.server.address());
                 for (int i = 0; i < SLOW_CLIENTS; i++) {
@@ -97,50 +91,6 @@
         }
     }
 
-    private static ServerSocket listen() throws IOException {
-        ServerSocket listener = new ServerSocket();
-        listener.setReceiveBufferSize(HOST_BUFFER_BYTES);
-        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2 * SLOW_CLIENTS);
-        return listener;
-    }
-
-    /** Reads a request's head at once, and the body of an order only once it is released. */
-    private void serveSlowly(ServerSocket listener) {
-        daemon(() -> {
-            while (true) {
-                Socket socket = listener.accept();
-                daemon(() -> {
-                    InputStream in = socket.getInputStream();
-                    while (true) {
-                        int first = in.read();
-                        if (first == 'P') {
-                            released.await();
-                        }
-                        Sockets.read(new SequenceInputStream(new ByteArrayInputStream(new byte[] {(byte) first}), in));
-                        socket.getOutputStream().write(ok("done"));
-                    }
-                });
-            }
-        });
-    }
-
-    /** A task of a thread of its own, which ends with its socket. */
-    private interface Task {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static void daemon(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                return; // the test has ended
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void answer(Held held, Message request, Socket socket) throws IOException, InterruptedException {
         OutputStream out = socket.getOutputStream();
         if (!request.startLine().contains("slow")) {
@@ -177,7 +127,7 @@
             int length = held == Held.LONG_BODY ? LONG_BYTES : SHORT_BYTES;
             out.write(bytes("POST /order/slow HTTP/1.1\r\nHost: h\r\n" + Sockets.headers("slow" + number, Sockets.TIMEOUT_MS)
                     + "Idempotency-Key: k" + number + "\r\nContent-Length: " + length + "\r\n\r\n"));
-            daemon(() -> out.write(new byte[length]));
+            SlowServer.startDaemon(() -> out.write(new byte[length]));
             return socket;
         }
         for (int i = 0; i < requests(held); i++) {
