Let short answers that have begun go on after SIGTERM up to their time

Seen: where memory is short, an answer of told length up to 64 KiB is passed on as its host gives it. 3 s after SIGTERM the gateway cut it, 47,500 of 52,000 bytes in the test, though its client had 25 s left and its host went on. "An answer that the api gateway has begun to pass on and can't finish through no fault of its own has failed and is not lost" (PROTOCOL): here the gateway ended it.

Cause: the end of all requests at that time used the rule for the deadline, by which a short answer is late. The deadline had not come.

Change: Node.endAllRequests ends each attempt but one whose answer is being streamed, as its comment said before. Such an answer still ends at its deadline, or when its host pauses, and the process waits for it within its bound.

--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -642,14 +642,19 @@
     }
 
     private void timeOut(Attempt attempt) {
-        attempt.readPending();
-        attempt.streamIfPossiblyLong(); // the time of a long answer is that of its first bytes
+        passOnPending(attempt);
         boolean outlasts = attempt == attempt.owner.streamingAttempt && attempt.mayOutlastDeadline();
         if (!attempt.ended && !outlasts) {
             abandonAttempt(attempt, Outcome.TIMEOUT);
         }
     }
 
+    /** Reads what has come of an answer, and begins to pass it on if it may be long: the time of a long answer is that of its first bytes. */
+    private static void passOnPending(Attempt attempt) {
+        attempt.readPending();
+        attempt.streamIfPossiblyLong();
+    }
+
     /** Ends a request whose client has disconnected, including an answer that is being streamed. */
     void onClientDisconnected(OpenRequest entry) {
         if (entry.streamingAttempt != null && !entry.streamingAttempt.ended) {
@@ -1048,7 +1053,7 @@
         eventLog.state("over");
         sendingStopped = true;
         for (OpenRequest entry : List.copyOf(openRequests.values())) {
-            timeOutAttempts(entry); // the engine refuses or fails the request, because its further attempts end at once
+            endUnstreamedAttempts(entry); // the engine refuses or fails the request, because its further attempts end at once
         }
         for (OpenRequest entry : List.copyOf(openRequests.values())) {
             if (!entry.isClosed()) {
@@ -1057,6 +1062,16 @@
         }
     }
 
+    /** Ends the attempts of a request, except one whose answer is being streamed: however short, that has its time up to the deadline. */
+    private void endUnstreamedAttempts(OpenRequest entry) {
+        for (Attempt attempt : List.copyOf(entry.attempts)) {
+            passOnPending(attempt);
+            if (!attempt.ended && attempt != entry.streamingAttempt) {
+                abandonAttempt(attempt, Outcome.TIMEOUT);
+            }
+        }
+    }
+
     /** Sends the final answer to a request that gets no further attempt and of which no attempt in flight is written whole. */
     private void answerHeldRequest(OpenRequest entry, EventLog.Refusal reason) {
         if (entry.mayHaveRun()) {
