Stay after SIGTERM until the slowest permitted client has read its answer

Seen: a client that reads 5.5 MB at 64 kB a second had 4,475,690 bytes when the process ended by itself, 63.4 s after SIGTERM and with status 0, though nobody had killed it.

A client that reads nothing is still reset by the limits of its progress, after 5 to 21.4 s.

--- a/gateway/src/main/java/marlford/gateway/guard/TransferProgress.java
+++ b/gateway/src/main/java/marlford/gateway/guard/TransferProgress.java
@@ -20,7 +20,9 @@
     /** The same within a response whose length is unknown and which would be late, past its request's deadline, if it were short. */
     public static final double OVERDUE_PAUSE_LIMIT_MS = 2000;
 
-    private static final double SLOWEST_BYTES_PER_MS = 64;
+    /** The rate of the slowest permitted peer. */
+    public static final double SLOWEST_BYTES_PER_MS = 64;
+
     private static final long MAX_UNSEEN_BYTES = 1 << 20; // bound on what is taken to stand in the sockets
 
     private final long maxUnseenBytes;
--- a/gateway/src/main/java/marlford/gateway/net/ProcessShutdown.java
+++ b/gateway/src/main/java/marlford/gateway/net/ProcessShutdown.java
@@ -1,6 +1,7 @@
 package marlford.gateway.net;
 
 import java.util.concurrent.TimeUnit;
+import marlford.gateway.guard.TransferProgress;
 
 /**
  * Ends the process: drains the node, waits and halts. The process ends as soon as every request is answered and every client connection is
@@ -16,7 +17,10 @@
  * <p>Runs on the thread of the shutdown hook. A further signal has no effect while it runs.
  */
 final class ProcessShutdown implements Runnable {
-    private static final long ANSWER_COMPLETION_MS = 60_000;
+    private static final long LONGEST_ANSWER_BYTES = 32_000_000;
+    /** The time that the slowest permitted client needs for the longest answer. */
+    private static final long ANSWER_COMPLETION_MS = (long) (LONGEST_ANSWER_BYTES / TransferProgress.SLOWEST_BYTES_PER_MS);
+
     private static final long POLL_MS = 20;
 
     private final Node node;
