--- a/gateway/src/test/java/marlford/gateway/net/UnknownLengthAnswerTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/UnknownLengthAnswerTest.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 import marlford.gateway.net.Sockets.Client;
 import marlford.gateway.net.Sockets.RecordingServer;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -20,6 +21,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against answers of unknown length that were cut off, or held back, while their hosts still wrote them. */
+@Tag("exclusive") // its limits of time allow for no other work on the machine
 class UnknownLengthAnswerTest extends SocketTest {
     private static final int WAIT_MS = 900;
     private static final int LONG_BYTES = 160_000;
