Count the time of a request that took many turns to read from when it may have come

Seen: of forty clients that sent 8 kB in chunks of one byte at once, hosts were told 3.9 to 4.2 s more than their clients had left.

Change: reads that follow one another closely, each but the last with its buffer filled, are one run. What they bring may have come with the first of them, and the time of a request counts from there. A gap of more than 100 ms beyond the lag of the loop ends a run, as the socket was empty then.

Measured: SlowlyReadDeadlineTest failed before as above, passes now. Green after: SlowlyReadDisconnectTest, QueuedRequestDeadlineTest, LongBodyDeadlineTest, DisconnectedClientTest, FloodProcessTest, InputBudgetTest, StalledClientTest, EventOrderTest, LongRequestBodyTest, NodeTest, InvalidClientInputTest, UnreadDisconnectTest, HeapBoundProcessTest.

--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -354,7 +354,7 @@
 
     /** Returns the longest time that the message being read may have waited in its socket, or there in the queue to be accepted. */
     private double maxWaitMs() {
-        double waitMs = Math.max(node.lag.ms(), reader.currentPauseMs());
+        double waitMs = Math.max(Math.max(node.lag.ms(), reader.behindMs()), reader.currentPauseMs());
         return isFirstOfNewConnection() ? Math.max(waitMs, waitedMs + node.clock.now() - idleSinceMs) : waitMs;
     }
 
--- a/gateway/src/main/java/marlford/gateway/net/RequestReader.java
+++ b/gateway/src/main/java/marlford/gateway/net/RequestReader.java
@@ -38,6 +38,7 @@
     private static final HttpHeadersFactory TRAILERS = StrictHeaders.ofRequests(List.of(), List.of());
     private static final double NONE = -1;
     static final long MAX_BODY_BYTES = 48 << 20;
+    private static final double MAX_READ_GAP_MS = 100; // between reads of a socket that holds more, beyond the lag of the event loop
     private static final long MAX_UNREAD_BYTES = 8 << 20; // of input that may wait in the sockets between client and gateway
 
     /** Passed on in place of a request; the connection is closed after an answer with this status. */
@@ -75,7 +76,8 @@
     private double pauseBeforeLastReadMs;
     private boolean reading; // the latest input is still being passed on
     private boolean bufferFilled; // by the latest read, so that more input may have waited in the socket
-    private boolean behind; // the same of the read before it, so that the latest input may have waited, too
+    private boolean behind; // the latest input may have waited, too, as the read before it filled its buffer
+    private double runSinceMs; // earliest arrival of what was read first of the input that goes on without a gap
 
     /**
      * @param earliestArrivalMs supplies the earliest time at which input that is read now can have arrived, if reading has not paused
@@ -103,13 +105,15 @@
                 ReferenceCountUtil.release(bytes);
                 return;
             }
+            double earliestMs = earliestArrivalMs.getAsDouble();
+            behind = bufferFilled && earliestMs - lastReadMs <= MAX_READ_GAP_MS;
+            runSinceMs = behind ? runSinceMs : earliestMs;
+            bufferFilled = !((ByteBuf) bytes).isWritable();
             lastReadMs = clock.now();
             pauseBeforeLastReadMs = drained ? 0 : pauseBeforeLastReadMs;
             if (requestSinceMs == NONE) {
                 requestSinceMs = lastReadMs;
             }
-            behind = bufferFilled;
-            bufferFilled = !((ByteBuf) bytes).isWritable();
             reading = true;
             try {
                 input.measure(((ByteBuf) bytes).readableBytes(), () -> super.channelRead(ctx, bytes));
@@ -161,6 +165,11 @@
         return behind;
     }
 
+    /** Returns how long the input being read may have waited behind earlier input, in milliseconds; 0 if it has not. */
+    double behindMs() {
+        return behind ? clock.now() - runSinceMs : 0;
+    }
+
     /** Whether a request has arrived in part. */
     boolean hasIncompleteRequest() {
         return requestSinceMs != NONE;
--- a/gateway/src/test/java/marlford/gateway/net/SlowlyReadDisconnectTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SlowlyReadDisconnectTest.java
@@ -1,9 +1,7 @@
 package marlford.gateway.net;
 
-import static marlford.gateway.net.Sockets.bytes;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,14 +25,6 @@
     private static final long ALLOWED_MS = 150; // 100 ms, and 50 ms by which each limit is longer on sockets
     private static final long WATCHED_MS = 5000;
 
-    private static byte[] order(String id) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        out.writeBytes(bytes("POST /order/x HTTP/1.1\r\nHost: h\r\n" + Sockets.headers(id, CLIENT_TIME_MS) + "Idempotency-Key: key-" + id
-                + "\r\nTransfer-Encoding: chunked\r\n\r\n"));
-        out.writeBytes(Sockets.chunked(BODY_BYTES, 1));
-        return out.toByteArray();
-    }
-
     @ParameterizedTest
     @EnumSource
     void noAttemptBeginsLate(Disconnect disconnect) throws Exception {
@@ -71,7 +61,7 @@
             clients.put("now-" + i, connectClient(node));
         }
         for (Map.Entry<String, Client> client : clients.entrySet()) {
-            client.getValue().socket.getOutputStream().write(order(client.getKey()));
+            client.getValue().socket.getOutputStream().write(Sockets.chunkedOrder(client.getKey(), CLIENT_TIME_MS, BODY_BYTES, 1));
         }
         return clients;
     }
--- a/gateway/src/test/java/marlford/gateway/net/Sockets.java
+++ b/gateway/src/test/java/marlford/gateway/net/Sockets.java
@@ -293,6 +293,15 @@
                 + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** A POST request of the class {@code order} whose body has chunks of this length. */
+    static byte[] chunkedOrder(String id, int expiresMs, int bodyBytes, int chunkBytes) {
+        ByteArrayOutputStream order = new ByteArrayOutputStream();
+        order.writeBytes(bytes("POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers(id, expiresMs) + "Idempotency-Key: key-" + id
+                + "\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        order.writeBytes(chunked(bodyBytes, chunkBytes));
+        return order.toByteArray();
+    }
+
     /** The gateway's request headers: trace id, plan, customer, remaining time and quota. */
     static String headers(String id, int expiresMs) {
         return "X-Trace-Id: " + id + "\r\nX-Plan: free\r\nX-Customer: " + CUSTOMER + "\r\nX-Expires-In-Ms: "
