Tests: write the head of an order in one place

Four tests wrote the same head by themselves. Sockets.orderHead has it now, with the header that tells the length of the body. UnreadDisconnectTest, WaitingBodyDisconnectTest, LongRequestBodyTest and SlowlyReadDeadlineTest green after.

--- a/gateway/src/test/java/marlford/gateway/net/LongRequestBodyTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/LongRequestBodyTest.java
@@ -41,8 +41,7 @@
     }
 
     private static String head(String id, String framing) {
-        return "POST /order/x HTTP/1.1\r\nHost: h\r\n" + Sockets.headers(id, Sockets.TIMEOUT_MS)
-                + "Idempotency-Key: key-" + id + "\r\n" + framing + "\r\n\r\n";
+        return Sockets.orderHead(id, Sockets.TIMEOUT_MS, framing);
     }
 
     private static void sendOrder(Client c, String id, byte[] body) throws IOException {
--- a/gateway/src/test/java/marlford/gateway/net/Sockets.java
+++ b/gateway/src/test/java/marlford/gateway/net/Sockets.java
@@ -289,15 +289,23 @@
 
     /** A POST request of the class {@code order}, with an idempotency key. */
     static String order(String id, String body) {
-        return "POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers(id, TIMEOUT_MS) + "Idempotency-Key: key-" + id
-                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        return orderHead(id, TIMEOUT_MS, "Content-Length: " + body.length()) + body;
+    }
+
+    /**
+     * The head of a POST request of the class {@code order}, with an idempotency key.
+     *
+     * @param framing the header that tells the length of the body
+     */
+    static String orderHead(String id, int expiresMs, String framing) {
+        return "POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers(id, expiresMs) + "Idempotency-Key: key-" + id + "\r\n" + framing
+                + "\r\n\r\n";
     }
 
     /** A POST request of the class {@code order} whose body has chunks of this length. */
     static byte[] chunkedOrder(String id, int expiresMs, int bodyBytes, int chunkBytes) {
         ByteArrayOutputStream order = new ByteArrayOutputStream();
-        order.writeBytes(bytes("POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers(id, expiresMs) + "Idempotency-Key: key-" + id
-                + "\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        order.writeBytes(bytes(orderHead(id, expiresMs, "Transfer-Encoding: chunked")));
         order.writeBytes(chunked(bodyBytes, chunkBytes));
         return order.toByteArray();
     }
--- a/gateway/src/test/java/marlford/gateway/net/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/UnreadDisconnectTest.java
@@ -73,10 +73,12 @@
     }
 
     private static byte[] order(String id, Framing framing, int bodyBytes) {
+        if (framing == Framing.CHUNKED) {
+            return Sockets.chunkedOrder(id, CLIENT_TIME_MS, bodyBytes, CHUNK_BYTES);
+        }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        out.writeBytes(bytes("POST /order/x HTTP/1.1\r\nHost: h\r\n" + Sockets.headers(id, CLIENT_TIME_MS) + "Idempotency-Key: key-" + id
-                + "\r\n" + (framing == Framing.CHUNKED ? "Transfer-Encoding: chunked" : "Content-Length: " + bodyBytes) + "\r\n\r\n"));
-        out.writeBytes(framing == Framing.CHUNKED ? Sockets.chunked(bodyBytes, CHUNK_BYTES) : new byte[bodyBytes]);
+        out.writeBytes(bytes(Sockets.orderHead(id, CLIENT_TIME_MS, "Content-Length: " + bodyBytes)));
+        out.writeBytes(new byte[bodyBytes]);
         return out.toByteArray();
     }
 
--- a/gateway/src/test/java/marlford/gateway/net/WaitingBodyDisconnectTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/WaitingBodyDisconnectTest.java
@@ -36,8 +36,7 @@
     private final CountDownLatch released = new CountDownLatch(1);
 
     private static void writeOrder(OutputStream out, String id, int bodyBytes) throws IOException {
-        out.write(bytes("POST /order/x HTTP/1.1\r\nHost: h\r\n" + Sockets.headers(id, CLIENT_TIME_MS) + "Idempotency-Key: key-" + id
-                + "\r\nContent-Length: " + bodyBytes + "\r\n\r\n"));
+        out.write(bytes(Sockets.orderHead(id, CLIENT_TIME_MS, "Content-Length: " + bodyBytes)));
         out.write(new byte[bodyBytes]);
     }
 
