Tests: reserve the port of a gateway process until it listens

Its log: "can't start: another process uses the address /127.0.0.1:45275".

Cause: GatewayProcess chose a free port and released it; until the process bound it, 1.1 s later, the system could give it to any connection.

The process binds it all the same.

Measured: HeldAnswerShutdownTest green, which starts, ends and upgrades processes. The port's loss was not forced.

--- a/gateway/src/test/java/marlford/gateway/net/GatewayProcess.java
+++ b/gateway/src/test/java/marlford/gateway/net/GatewayProcess.java
@@ -4,8 +4,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,6 +22,7 @@
     private static final Pattern LATE = Pattern.compile(" late=(\\d+)");
 
     final int port;
+    private final SocketChannel reservation; // of the port; null in a successor, which shares it
     private final Path folder;
     private final List<String> extraOptions;
     private Process process;
@@ -34,15 +36,25 @@
     GatewayProcess(Path folder, String... extraOptions) throws IOException {
         this.folder = folder;
         this.extraOptions = List.of(extraOptions);
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        this.reservation = reservePort();
+        this.port = ((InetSocketAddress) reservation.getLocalAddress()).getPort();
+    }
+
+    /**
+     * Reserves a port, so that no connection of this machine gets it before the process listens: bound here, but not listened to. The
+     * process binds it all the same, as both allow the address's reuse.
+     */
+    private static SocketChannel reservePort() throws IOException {
+        SocketChannel reserved = SocketChannel.open();
+        reserved.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        return reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
     private GatewayProcess(GatewayProcess predecessor) {
         this.folder = predecessor.folder;
         this.extraOptions = predecessor.extraOptions;
         this.port = predecessor.port;
+        this.reservation = null;
     }
 
     /** Starts a process that replaces this one, and waits until it serves. Both write to the same log. */
@@ -132,10 +144,13 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
         if (process != null) {
             process.destroyForcibly();
             process.onExit().join();
         }
+        if (reservation != null) {
+            reservation.close();
+        }
     }
 }
