Ask which listed host has an address before a keyed order goes out, and before its repeat

Keyed orders ran at the new host, were reset, and were repeated in the old host's group: two effects and a 200.

Cause, by trace: all attempts after the news still named the old host; none named the new one. Each host had a pool by its id, nothing asked who else is listed at its address, and an attempt under way when a list replaced its host counted as certain for good, as the doubt was kept with the pool.

Change: HostAddresses knows which listed host has an address and since when. One that is told of at another's address takes it over, and the other counts as gone whatever the list says. An attempt keeps its AddressTenure and the time of its connection; both are asked at the first byte, and again of each attempt written earlier when a repeat is decided and when it is written. Responses on older connections prove more. The group of an attempt is that of its host when it was sent, not as listed now.

--- a/gateway/src/main/java/marlford/gateway/DecisionEngine.java
+++ b/gateway/src/main/java/marlford/gateway/DecisionEngine.java
@@ -1600,7 +1600,7 @@
     /** Rule 2: once an attempt may have run, a request goes only to hosts where a repeat does no harm. */
     private boolean mayRunOn(double now, ActiveRequest active, Attempt ran, HostRecord host) {
         return repeatable(now, active, ran) && (ran == null || active.cls.spec.effect() != Effect.KEYED
-                || active.cls.spec.scope().sharesKeys(host.info, ran.host.info));
+                || active.cls.spec.scope().sharesKeys(host.info, ran.hostInfo));
     }
 
     private static boolean repeatable(double now, ActiveRequest active, Attempt ran) {
--- a/gateway/src/main/java/marlford/gateway/EngineState.java
+++ b/gateway/src/main/java/marlford/gateway/EngineState.java
@@ -372,6 +372,7 @@
         final ActiveRequest active;
         final int number; // among the request's attempts, from 0
         final HostRecord host;
+        final Host hostInfo; // as listed when it was sent
         final double sentAt;
         double awaitedSince; // the host can work on it since then
         final double expectedMs; // latency expected when it was sent
@@ -386,6 +387,7 @@
             this.active = active;
             this.number = active.attempts.size();
             this.host = host;
+            this.hostInfo = host.info;
             this.sentAt = sentAt;
             this.awaitedSince = sentAt;
             this.expectedMs = expectedMs;
--- /dev/null
+++ b/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
@@ -0,0 +1,97 @@
+package marlford.gateway.guard;
+
+import java.util.ArrayList;
+import java.util.List;
+import marlford.gateway.EngineApi.Host;
+import marlford.gateway.EngineApi.Scope;
+
+/**
+ * The time during which one listed host has an address, and what is known of the processes that may have answered there under its name.
+ * Discovery tells of an end and of a new host late, in either order, and a connection that was opened since the change leads to another
+ * process than the listed host. Which side of the change a connection is on follows from when it was opened:
+ *
+ * <ul>
+ * <li>A change that is told now happened after the last time the list was confirmed, less the longest delay of discovery.
+ * <li>A response on a connection shows that its process was alive all the time since that was opened, so other connections that were
+ * opened in between lead to the same process.
+ * </ul>
+ *
+ * <p>No clock and no I/O. Times are milliseconds on the caller's clock.
+ */
+public final class AddressTenure {
+    /** A host that was told of at the address later, and the earliest time at which its process can have come up. */
+    private record Successor(Host host, double earliestMs) { }
+
+    private final Host host;
+    private HostIdentity losses; // null until the first one, as lists may be long and most hosts have none
+    private List<Successor> successors = List.of();
+    private double aliveSinceMs = Double.NEGATIVE_INFINITY; // one process had the address from here
+    private double aliveUntilMs = Double.NEGATIVE_INFINITY; // to here, by its responses
+    private double endToldAtMs = Double.POSITIVE_INFINITY;
+    private double endedAfterMs = Double.POSITIVE_INFINITY; // another process can have the address from here on
+
+    AddressTenure(Host host) {
+        this.host = host;
+    }
+
+    /** Records that the host reset, ended or refused a connection. */
+    public void recordLoss(double now) {
+        losses = losses == null ? new HostIdentity() : losses;
+        losses.recordLoss(now);
+    }
+
+    /**
+     * Records a response.
+     *
+     * @param openedAtMs when its connection was opened
+     * @param aliveAtMs when the process was alive at the latest: the time of the response, less the time for which it may have waited
+     */
+    public void recordResponse(double openedAtMs, double aliveAtMs) {
+        if (openedAtMs <= aliveUntilMs) {
+            aliveSinceMs = Math.min(aliveSinceMs, openedAtMs);
+            aliveUntilMs = Math.max(aliveUntilMs, aliveAtMs);
+        } else {
+            aliveSinceMs = openedAtMs;
+            aliveUntilMs = Math.max(openedAtMs, aliveAtMs);
+        }
+    }
+
+    /** Records that discovery has told of the end of the host, or of a host that has taken over its address. */
+    void recordEnd(double now, double earliestMs) {
+        endToldAtMs = now;
+        endedAfterMs = aliveSinceMs < earliestMs ? Math.max(earliestMs, aliveUntilMs) : earliestMs;
+    }
+
+    /** Records a host that discovery has told of at this address, in place of this one or beside it. */
+    void recordSuccessor(Host successor, double earliestMs) {
+        double sinceMs = endToldAtMs < Double.POSITIVE_INFINITY ? Math.max(earliestMs, endedAfterMs) : earliestMs;
+        successors = new ArrayList<>(successors);
+        successors.add(new Successor(successor, sinceMs));
+    }
+
+    double endToldAtMs() {
+        return endToldAtMs;
+    }
+
+    /** Whether no connection was lost that leaves it in doubt which process a newer one, opened at this time, leads to. */
+    boolean isUndisturbed(double now, double openedAtMs) {
+        return losses == null || losses.isCertain(now, openedAtMs);
+    }
+
+    /**
+     * Whether by all that discovery has told a connection that was opened at this time leads to a host that drops the repeats of this
+     * host: to this one, or to one that shares its idempotency keys.
+     */
+    boolean leadsToHost(double now, double openedAtMs, Scope scope) {
+        if (scope == Scope.ALL) {
+            return true;
+        }
+        for (Successor successor : successors) {
+            if (openedAtMs >= successor.earliestMs() && !scope.sharesKeys(host, successor.host())) {
+                return false;
+            }
+        }
+        boolean successorsAreTold = !successors.isEmpty() || now - endToldAtMs > HostIdentity.TOLD_WITHIN_MS;
+        return openedAtMs < endedAfterMs || successorsAreTold;
+    }
+}
--- a/gateway/src/main/java/marlford/gateway/net/Attempt.java
+++ b/gateway/src/main/java/marlford/gateway/net/Attempt.java
@@ -3,28 +3,34 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
+import marlford.gateway.EngineApi.Host;
 import marlford.gateway.EngineApi.Outcome;
+import marlford.gateway.EngineApi.Scope;
+import marlford.gateway.guard.ReachedProcess;
 
 /** One attempt of an open request, sent to one host. Used on the event loop. */
 final class Attempt extends HostConnection.Exchange {
     final OpenRequest owner;
     final int number;
     final String host;
+    final Host listedHost; // as listed when the attempt was decided; null if it was not on the list
     double sentAtMs; // start of the attempt; for a long body, when its last byte was written
     private final Node node;
     boolean writeStarted;
     private boolean writtenWhole;
-    boolean hostCertain = true; // it was written to a process that certainly was the listed host
+    private ReachedProcess reached; // null until the first byte
+    private boolean reachedListedHost = true; // by what was known at the first byte
     boolean ended;
     Outcome outcome; // null until ended
     double streamedAtMs; // when the answer began to be streamed to the client; 0 if it is not streamed
     private Future<?> timeoutTimer;
 
-    Attempt(Node node, OpenRequest owner, String host, double sentAtMs) {
+    Attempt(Node node, OpenRequest owner, String host, Host listedHost, double sentAtMs) {
         this.node = node;
         this.owner = owner;
         this.number = owner.attempts.size();
         this.host = host;
+        this.listedHost = listedHost;
         this.sentAtMs = sentAtMs;
     }
 
@@ -40,8 +46,23 @@
     }
 
     @Override
-    boolean mayBeWritten(boolean hostCertain) {
-        return node.mayWrite(this, hostCertain);
+    boolean mayBeWritten(ReachedProcess process) {
+        return node.mayWrite(this, process);
+    }
+
+    /**
+     * Records where its first byte is written.
+     *
+     * @param isListedHost whether that certainly is the listed host, by what is known now
+     */
+    void recordReached(ReachedProcess process, boolean isListedHost) {
+        reached = process;
+        reachedListedHost = isListedHost;
+    }
+
+    /** Whether it was written to the listed host and no other process, by what was known then and by what is known now. */
+    boolean certainlyReachedListedHost(double now, Scope scope) {
+        return reachedListedHost && (reached == null || reached.wasListedHost(now, scope));
     }
 
     /** Whether a host may have run the request by this attempt, or may yet. */
--- a/gateway/src/main/java/marlford/gateway/net/Discovery.java
+++ b/gateway/src/main/java/marlford/gateway/net/Discovery.java
@@ -71,6 +71,7 @@
     private boolean tooLongLogged; // whether a list that is too long was logged in the current series of failures
     private boolean started;
     private boolean ageLogged; // whether it was logged that the list is too old; false again once it is not
+    private double confirmedAtMs = Double.NEGATIVE_INFINITY; // when an agent last sent an update that was accepted
     private boolean hasList; // whether a list is held, from an agent or from the configuration
     private boolean waitsForList; // the gateway is unhealthy until it has a list
 
@@ -97,7 +98,8 @@
             return;
         }
         hasList = !entries.isEmpty();
-        notifyNode(list.loadCached(hosts(entries), cached.path("version").asLong(HostList.NO_VERSION)), entries);
+        HostList.Update update = list.loadCached(hosts(entries), cached.path("version").asLong(HostList.NO_VERSION));
+        node.onHostsUpdated(update.kind(), update.hosts(), addresses(entries), confirmedAtMs);
     }
 
     /**
@@ -139,7 +141,7 @@
     void setExcludedHosts(Set<String> ids) {
         List<Host> changes = list.setExcluded(node.clock.now(), ids);
         if (!changes.isEmpty()) {
-            node.onHostsUpdated(ListKind.CHANGES, withAddresses(changes, Map.of()));
+            node.onHostsUpdated(ListKind.CHANGES, changes, Map.of(), node.clock.now());
         }
     }
 
@@ -346,13 +348,15 @@
             throw new ListTooLongException(hostLimit.hosts());
         }
         HostList.Update result = list.receive(node.clock.now(), sender, update.version(), update.full(), hosts);
+        double confirmedBeforeMs = confirmedAtMs;
+        confirmedAtMs = result.accepted() ? node.clock.now() : confirmedAtMs;
         hasList |= result.accepted();
         if (result.accepted() && (result.kind() == ListKind.FULL || !result.hosts().isEmpty())) {
             if (result.kind() == ListKind.FULL) {
                 Node.log("discovery: agent " + sender + " lists " + result.hosts().size() + " hosts, version " + update.version());
             }
             try {
-                notifyNode(result, entries);
+                node.onHostsUpdated(result.kind(), result.hosts(), addresses(entries), confirmedBeforeMs);
             } catch (RuntimeException e) { // otherwise these changes would never reach the node
                 list.requireFullList();
                 throw e;
@@ -373,6 +377,7 @@
     /** Periodically checks the age of the list; while it is old, hosts without a recent response get no new requests. */
     private void checkAge() {
         node.loop.schedule(this::checkAge, AGE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        node.reviewHostAddresses();
         double now = node.clock.now();
         List<Host> changes = list.review(now);
         boolean stale = list.ageMs(now) > HostList.Limits.DEFAULT.staleAfterMs();
@@ -382,25 +387,15 @@
         }
         ageLogged = stale;
         if (!changes.isEmpty()) {
-            node.onHostsUpdated(ListKind.CHANGES, withAddresses(changes, Map.of()));
+            node.onHostsUpdated(ListKind.CHANGES, changes, Map.of(), node.clock.now());
         }
     }
 
-    /** Passes the result of an update to the node, with the addresses of its entries. */
-    private void notifyNode(HostList.Update result, List<Entry> from) {
+    /** Returns the addresses of entries by the ids of their hosts. */
+    static Map<String, InetSocketAddress> addresses(List<Entry> entries) {
         Map<String, InetSocketAddress> addresses = new HashMap<>();
-        for (Entry e : from) {
-            addresses.put(e.host().id(), e.address());
-        }
-        node.onHostsUpdated(result.kind(), withAddresses(result.hosts(), addresses));
-    }
-
-    private static List<Entry> withAddresses(List<Host> hosts, Map<String, InetSocketAddress> addresses) {
-        List<Entry> entries = new ArrayList<>(hosts.size());
-        for (Host h : hosts) {
-            entries.add(new Entry(h, addresses.get(h.id())));
-        }
-        return entries;
+        entries.forEach(entry -> addresses.put(entry.host().id(), entry.address()));
+        return addresses;
     }
 
     /** Returns the hosts of entries, in their order. */
--- a/gateway/src/main/java/marlford/gateway/net/EventLog.java
+++ b/gateway/src/main/java/marlford/gateway/net/EventLog.java
@@ -95,6 +95,26 @@
         }
     }
 
+    /**
+     * Records that the first byte of an attempt is written.
+     *
+     * @param openedAgoMs age of its connection
+     * @param isListedHost whether that certainly leads to the listed host, or to one that drops its repeats
+     */
+    void attemptBegun(String request, int number, double openedAgoMs, boolean isListedHost) {
+        if (trace != null) {
+            writeLine("attempt-begun request=" + request + " number=" + number + " opened_ago_ms=" + (long) openedAgoMs + " certain="
+                    + isListedHost);
+        }
+    }
+
+    /** Records that a list has ended the tenure of a host's address, so that its connections are no longer used. */
+    void tenureEnded(String host) {
+        if (trace != null) {
+            writeLine("tenure-ended host=" + host);
+        }
+    }
+
     /** Records that the last byte of an attempt was written. */
     void attemptWritten(String request, int number) {
         if (trace != null) {
--- a/gateway/src/main/java/marlford/gateway/net/HostClient.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostClient.java
@@ -26,7 +26,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -34,11 +33,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import marlford.gateway.EngineApi.Host;
 import marlford.gateway.EngineApi.HostState;
-import marlford.gateway.EngineApi.ListKind;
 import marlford.gateway.EngineApi.Outcome;
 import marlford.gateway.accept.Backoff;
-import marlford.gateway.guard.HostIdentity;
+import marlford.gateway.guard.AddressTenure;
+import marlford.gateway.guard.HostAddresses;
+import marlford.gateway.guard.ReachedProcess;
 
 /**
  * Sends attempts and probes to hosts over pooled connections, one pool per host. Not thread-safe; runs on the node's event
@@ -66,18 +67,21 @@
     private static final double LOCAL_FAILURE_RETRY_MS = 500; // how long a connect that fails on this machine is retried for a request
     private static final long MIN_CONNECT_RETRY_DELAY_MS = 1; // between these retries
     private static final long MAX_CONNECT_RETRY_DELAY_MS = 50;
+    private static final double UNREAD_RESPONSE_MS = 50; // for which a response may wait in its socket while the loop is in time
     private static final double PROBE_TIMEOUT_MS = 250; // required by the platform, the same for every deployment
 
     private final Node node;
-    private final Map<String, Pool> pools = new LinkedHashMap<>();
+    private final HostAddresses<InetSocketAddress> addresses;
+    private final Map<String, Pool> pools = new LinkedHashMap<>(); // of the hosts that were used
     private final List<Pool> retiredPools = new ArrayList<>(); // closed, but their pending connects are not failed yet
     private final Bootstrap bootstrap;
     private final int maxConnections;
     private final long idleCheckIntervalMs;
     private int connections;
 
-    HostClient(Node node) {
+    HostClient(Node node, HostAddresses<InetSocketAddress> addresses) {
         this.node = node;
+        this.addresses = addresses;
         this.maxConnections = (int) (node.config.maxDescriptors() * HOST_CONNECTION_SHARE);
         this.bootstrap = node.transport.client(node.loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, node.config.connectTimeoutMs()));
@@ -86,18 +90,19 @@
         node.loop.schedule(this::closeIdle, idleCheckIntervalMs, TimeUnit.MILLISECONDS);
     }
 
-    /** The connections to one host at one address and in one incarnation of its process. */
+    /** The connections to one host during one tenure of its address. */
     private static final class Pool implements HostConnection.Owner {
         final InetSocketAddress address;
-        final double startedMs;
         final ArrayDeque<HostConnection> idle = new ArrayDeque<>(); // the most recently used last
         final Set<HostConnection> connecting = new LinkedHashSet<>(); // not established yet
-        final HostIdentity identity = new HostIdentity();
+        final AddressTenure tenure;
+        private final EventLoopLag lag;
         boolean closed;
 
-        Pool(InetSocketAddress address, double startedMs) {
+        Pool(InetSocketAddress address, AddressTenure tenure, EventLoopLag lag) {
             this.address = address;
-            this.startedMs = startedMs;
+            this.tenure = tenure;
+            this.lag = lag;
         }
 
         /**
@@ -137,46 +142,37 @@
 
         @Override
         public void onLost(double now) {
-            identity.recordLoss(now);
+            tenure.recordLoss(now);
         }
 
-        /** Whether the process at the other end of a connection is certainly the listed host. */
-        boolean isCertain(HostConnection connection, double now) {
-            return identity.isCertain(now, connection.openedAtMs());
+        @Override
+        public void onRead(HostConnection connection, double now) {
+            tenure.recordResponse(connection.openedAtMs(), now - lag.ms() - UNREAD_RESPONSE_MS);
+        }
+
+        /** Reads what has come on idle connections: the end of one shows that the process may have changed. */
+        void readIdle() {
+            List.copyOf(idle).forEach(HostConnection::readAndCheckActive);
         }
     }
 
     // ---- the list of hosts
 
-    /**
-     * Brings the pools in line with a list of hosts. A pool is closed if its host is gone or absent from a whole list; it is
-     * replaced if the host's address or incarnation has changed.
-     */
-    void updateHosts(ListKind kind, List<Discovery.Entry> entries) {
-        Set<String> listedIds = new HashSet<>();
-        for (Discovery.Entry e : entries) {
-            String id = e.host().id();
-            listedIds.add(id);
-            Pool previous = pools.get(id);
-            boolean same = previous != null && previous.address.equals(e.address())
-                    && previous.startedMs == e.host().startedMs();
-            if (e.host().state() == HostState.GONE) {
-                pools.remove(id);
-                close(previous);
-            } else if (!same && e.address() != null) {
-                pools.put(id, new Pool(e.address(), e.host().startedMs()));
-                close(previous);
+    /** Closes the pools of hosts that are no longer listed, or whose tenure of their address has changed. */
+    void closeEndedPools() {
+        pools.entrySet().removeIf(entry -> {
+            boolean ended = addresses.tenure(entry.getKey()) != entry.getValue().tenure;
+            if (ended) {
+                retire(entry.getKey(), entry.getValue());
             }
-        }
-        if (kind != ListKind.CHANGES) {
-            pools.entrySet().removeIf(p -> {
-                boolean absent = !listedIds.contains(p.getKey());
-                if (absent) {
-                    close(p.getValue());
-                }
-                return absent;
-            });
-        }
+            return ended;
+        });
+    }
+
+    /** Returns the pool of a host; null if the host is not listed, or its address not known. */
+    private Pool poolOf(String host) {
+        AddressTenure tenure = addresses.tenure(host);
+        return tenure == null ? null : pools.computeIfAbsent(host, id -> new Pool(addresses.address(id), tenure, node.lag));
     }
 
     /**
@@ -184,10 +180,10 @@
      * connection may come up only after the drain's grace period. To be called after the decision engine has received
      * the list, or it would choose the same host again.
      */
-    void failPendingConnects(List<Discovery.Entry> entries) {
-        for (Discovery.Entry e : entries) {
-            Pool pool = pools.get(e.host().id());
-            if (pool != null && e.host().state() != HostState.RUNNING) {
+    void failPendingConnects(List<Host> hosts) {
+        for (Host host : hosts) {
+            Pool pool = pools.get(host.id());
+            if (pool != null && host.state() != HostState.RUNNING) {
                 failPendingConnects(pool);
             }
         }
@@ -201,12 +197,11 @@
         List.copyOf(pool.connecting).forEach(HostConnection::fail);
     }
 
-    private void close(Pool pool) {
-        if (pool != null) {
-            retiredPools.add(pool);
-            pool.closed = true;
-            List.copyOf(pool.idle).forEach(HostConnection::close);
-        }
+    private void retire(String host, Pool pool) {
+        node.eventLog.tenureEnded(host);
+        retiredPools.add(pool);
+        pool.closed = true;
+        List.copyOf(pool.idle).forEach(HostConnection::close);
     }
 
     /** Periodically closes the connections that have been idle for too long. */
@@ -332,7 +327,7 @@
      * @param retryMs how long a connect that fails on this machine is retried
      */
     private void startExchange(String host, HostConnection.Exchange exchange, RequestFactory requestFactory, double retryMs) {
-        Pool pool = pools.get(host);
+        Pool pool = poolOf(host);
         if (pool == null) {
             exchange.onEnded(Outcome.CONNECT_FAILED, null); // the host is no longer on the list
             return;
@@ -350,7 +345,7 @@
     }
 
     private void writeOnKept(Pool pool, HostConnection connection, HostConnection.Exchange exchange, RequestFactory requestFactory) {
-        if (exchange.mayBeWritten(pool.isCertain(connection, node.clock.now()))) {
+        if (exchange.mayBeWritten(new ReachedProcess(pool.tenure, connection.openedAtMs()))) {
             connection.write(exchange, requestFactory.build());
         } else {
             pool.onIdle(connection);
@@ -422,10 +417,11 @@
 
         private void onConnected(Channel channel) {
             pool.connecting.remove(connection);
+            pool.readIdle();
             connection.markOpened();
             channel.closeFuture().addListener(closed -> connections--);
             boolean mayBeWritten = connection.carries(exchange)
-                    && exchange.mayBeWritten(pool.isCertain(connection, node.clock.now()));
+                    && exchange.mayBeWritten(new ReachedProcess(pool.tenure, connection.openedAtMs()));
             if (mayBeWritten) {
                 connection.write(exchange, requestFactory.build());
             } else {
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -31,6 +31,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import marlford.gateway.EngineApi.Outcome;
+import marlford.gateway.guard.ReachedProcess;
 import marlford.gateway.guard.ResponseProgress;
 import marlford.gateway.guard.ResponseProgress.Length;
 import marlford.gateway.guard.TransferProgress;
@@ -64,6 +65,9 @@
 
         /** The host reset the connection, or ended it within an exchange: its process may have ended. */
         void onLost(double now);
+
+        /** Bytes of a response were read. */
+        void onRead(HostConnection connection, double now);
     }
 
     private final Owner owner;
@@ -108,9 +112,9 @@
         /**
          * Returns whether its first byte may be written now, on a connection that is established; ends it otherwise.
          *
-         * @param hostCertain whether the process at the other end is certainly the listed host
+         * @param process the process at the other end
          */
-        boolean mayBeWritten(boolean hostCertain) {
+        boolean mayBeWritten(ReachedProcess process) {
             return true;
         }
 
@@ -222,6 +226,7 @@
             }
             responseStarted = true;
             progress.recordRead(clock.now());
+            owner.onRead(HostConnection.this, clock.now());
             input.measure(((ByteBuf) bytes).readableBytes(), () -> {
                 super.channelRead(ctx, bytes);
                 if (sink != null) { // all parts of one read together, so that tiny chunks need no write each
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -30,6 +30,8 @@
 import marlford.gateway.EngineApi.RequestClass;
 import marlford.gateway.console.Console;
 import marlford.gateway.console.ServiceMetrics;
+import marlford.gateway.guard.HostAddresses;
+import marlford.gateway.guard.ReachedProcess;
 import marlford.gateway.guard.RequestDeadline;
 import marlford.gateway.guard.Rule;
 import marlford.gateway.guard.RuleCounter;
@@ -91,6 +93,7 @@
     final ClientServer clientServer;
     private final HostClient hostClient;
     private final HostStateTracker hostStates;
+    private final HostAddresses<InetSocketAddress> hostAddresses = new HostAddresses<>();
     private final Discovery discovery;
     private final PeerLink peerLink;
     private PeerSender peerSender;
@@ -144,7 +147,7 @@
         this.engine = engineFactory.apply(this);
         this.metrics = new ServiceMetrics(config.settings().classes().stream().map(RequestClass::name).toList());
         this.clientServer = new ClientServer(this);
-        this.hostClient = new HostClient(this);
+        this.hostClient = new HostClient(this, hostAddresses);
         this.hostStates = new HostStateTracker(clock);
         this.sendRules = new SendRules(clock, config.settings(), hostStates, engine::isColdHost);
         this.discovery = new Discovery(this);
@@ -428,6 +431,20 @@
         });
     }
 
+    /** Returns the ids of the listed hosts, except those whose address belongs to another host. */
+    private Set<String> hostsInUse() {
+        Set<String> ids = discovery.listedHosts();
+        ids.removeIf(hostAddresses::isSuperseded);
+        return ids;
+    }
+
+    /** Updates the hosts if time alone changes which of them has an address. */
+    void reviewHostAddresses() {
+        if (hostAddresses.isRenewalDue(clock.now())) {
+            onHostsUpdated(ListKind.CHANGES, List.of(), Map.of(), clock.now());
+        }
+    }
+
     /** Publishes the host counts, which only the event loop can compute, to the console. */
     private void publishHostCounts() {
         loop.schedule(this::publishHostCounts, HOST_COUNT_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -783,14 +800,25 @@
         }
     }
 
-    /** Passes a host list, or changes to it, to the connection pools, the console and the decision engine. */
+    /** Passes a host list, or changes to it, on. It changes no more than what was current until now. */
     void onHostsUpdated(ListKind kind, List<Discovery.Entry> entries) {
-        hostClient.updateHosts(kind, entries);
+        onHostsUpdated(kind, Discovery.hosts(entries), Discovery.addresses(entries), clock.now());
+    }
+
+    /**
+     * Passes a host list, or changes to it, to the connection pools, the console and the decision engine. Of several hosts that are listed at
+     * one address, those that must have ended count as gone.
+     *
+     * @param addresses of the hosts by id; a host without one keeps the address that it has
+     * @param confirmedAtMs when discovery last confirmed the list that was held before
+     */
+    void onHostsUpdated(ListKind kind, List<Host> listed, Map<String, InetSocketAddress> addresses, double confirmedAtMs) {
+        List<Host> list = hostAddresses.update(clock.now(), confirmedAtMs, kind, listed, addresses);
+        hostClient.closeEndedPools();
         adminCommands.setListedHosts(discovery.listedHosts());
-        List<Host> list = Discovery.hosts(entries);
         hostStates.update(kind, list);
         deliver((now, events) -> events.onHosts(now, kind, list));
-        hostClient.failPendingConnects(entries);
+        hostClient.failPendingConnects(list);
     }
 
     /** Passes a message from another gateway to the decision engine. */
@@ -810,7 +838,7 @@
         }
         endIfClientDisconnected(entry);
         double now = clock.now();
-        Attempt attempt = new Attempt(this, entry, host, now);
+        Attempt attempt = new Attempt(this, entry, host, hostStates.host(host), now);
         entry.attempts.add(attempt);
         entry.attemptsInFlight++;
         RequestBodyStream bodyStream = StreamedRequest.bodyStreamOf(entry.message);
@@ -821,6 +849,11 @@
             attemptEnded(attempt, Outcome.MOOT, null);
             return;
         }
+        if (sendRules.repeatsAtUnknownHost(attempt)) {
+            eventLog.unsent(id, attempt.number, Staleness.REPEAT_FORBIDDEN);
+            attemptEnded(attempt, Staleness.REPEAT_FORBIDDEN.outcome(), null);
+            return;
+        }
         if (attempt.number == 0) {
             extensions.usageRecorder().admitted(entry.request.customer(), entry.request.units());
         }
@@ -847,15 +880,17 @@
      * Whether the first byte of an attempt may be written now. An attempt that may not is ended here, for the reason that is counted, so
      * this must be called right before each write.
      *
-     * @param hostCertain whether the process at the other end is certainly the listed host
+     * @param process the process to which it is to be written
      */
-    boolean mayWrite(Attempt attempt, boolean hostCertain) {
+    boolean mayWrite(Attempt attempt, ReachedProcess process) {
         endIfClientDisconnected(attempt.owner);
         if (attempt.ended) {
             return false;
         }
-        Staleness staleness = sendRules.findStaleness(attempt, hostCertain, sendingStopped);
+        Staleness staleness = sendRules.findStaleness(attempt, process, sendingStopped);
         if (staleness == null) {
+            boolean isListedHost = sendRules.isListedHost(attempt, process);
+            eventLog.attemptBegun(attempt.owner.request.id(), attempt.number, clock.now() - process.openedAtMs(), isListedHost);
             return true;
         }
         eventLog.unsent(attempt.owner.request.id(), attempt.number, staleness);
@@ -941,7 +976,7 @@
 
             @Override
             public void listHosts(Consumer<Set<String>> to) {
-                loop.execute(() -> to.accept(discovery.listedHosts()));
+                loop.execute(() -> to.accept(hostsInUse()));
             }
 
             @Override
--- a/gateway/src/main/java/marlford/gateway/net/SendRules.java
+++ b/gateway/src/main/java/marlford/gateway/net/SendRules.java
@@ -1,15 +1,16 @@
 package marlford.gateway.net;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import marlford.gateway.EngineApi.Effect;
 import marlford.gateway.EngineApi.Request;
 import marlford.gateway.EngineApi.RequestClass;
 import marlford.gateway.EngineApi.Scope;
 import marlford.gateway.EngineApi.Settings;
 import marlford.gateway.guard.AttemptGuard;
+import marlford.gateway.guard.ReachedProcess;
 import marlford.gateway.guard.Rule;
 import marlford.gateway.guard.Staleness;
 
@@ -70,16 +71,18 @@
 
     /** Returns the rule that a repeated attempt would break if it were written now; null if there is none. */
     Rule ruleBrokenByRepeat(Attempt attempt) {
-        List<AttemptGuard.EarlierAttempt> earlierAttempts = new ArrayList<>();
-        for (Attempt earlier : attempt.owner.attempts) {
-            if (earlier.number < attempt.number) {
-                earlierAttempts.add(new AttemptGuard.EarlierAttempt(earlier.outcome, earlier.sentAtMs, hostStates.host(earlier.host)));
-            }
-        }
+        List<AttemptGuard.EarlierAttempt> earlierAttempts = earlierAttempts(attempt)
+                .map(earlier -> new AttemptGuard.EarlierAttempt(earlier.outcome, earlier.sentAtMs, earlier.listedHost)).toList();
         return AttemptGuard.ruleBrokenByRepeat(clock.now(), classOf(attempt.owner.request), settings.limits(), earlierAttempts,
                 hostStates.host(attempt.host));
     }
 
+    /** Returns the attempts that this one repeats: those decided earlier, and those written earlier, as this one's connection came up late. */
+    private static Stream<Attempt> earlierAttempts(Attempt attempt) {
+        return attempt.owner.attempts.stream()
+                .filter(other -> other.number < attempt.number || other.number > attempt.number && other.mayHaveRun());
+    }
+
     /** Whether the drain grace of a host is over. */
     boolean isDrained(String host) {
         double grace = settings.rules().drainGraceMs();
@@ -90,10 +93,10 @@
      * Returns why an attempt may not be written now. If it may, it returns null, and from then on the attempt counts as written: its
      * request's id is claimed.
      *
-     * @param hostCertain whether the process at the other end is certainly the listed host
+     * @param process the process to which it is to be written
      * @param sendingStopped whether the process sends no further attempts
      */
-    Staleness findStaleness(Attempt attempt, boolean hostCertain, boolean sendingStopped) {
+    Staleness findStaleness(Attempt attempt, ReachedProcess process, boolean sendingStopped) {
         OpenRequest entry = attempt.owner;
         if (entry.isClosed()) {
             return Staleness.ANSWERED;
@@ -110,7 +113,8 @@
         if (ruleBrokenByRepeat(attempt) != null || repeatsAtUnknownHost(attempt)) {
             return Staleness.REPEAT_FORBIDDEN;
         }
-        if (!hostCertain && isRepeatBoundToHosts(attempt)) {
+        boolean isListedHost = isListedHost(attempt, process);
+        if (!isListedHost && isRepeatBoundToHosts(attempt)) {
             return Staleness.HOST_UNCERTAIN;
         }
         if (isColdHostDelayed(attempt)) {
@@ -119,21 +123,28 @@
         if (!claimId(entry)) {
             return Staleness.ID_SENT_BEFORE;
         }
-        attempt.hostCertain = hostCertain;
+        attempt.recordReached(process, isListedHost);
         return null;
     }
 
+    /** Whether the process at the other end of a connection certainly is the listed host, as far as an attempt's repeats depend on that. */
+    boolean isListedHost(Attempt attempt, ReachedProcess process) {
+        return process.isListedHost(clock.now(), classOf(attempt.owner.request).scope());
+    }
+
     /** Whether an earlier attempt may have run, so that only the hosts that know its key may get another one. */
     private boolean isRepeatBoundToHosts(Attempt attempt) {
         RequestClass requestClass = classOf(attempt.owner.request);
         boolean bound = requestClass.effect() == Effect.KEYED && requestClass.scope() != Scope.ALL;
-        return bound && attempt.owner.attempts.stream().anyMatch(earlier -> earlier.number < attempt.number && earlier.mayHaveRun());
+        return bound && earlierAttempts(attempt).anyMatch(Attempt::mayHaveRun);
     }
 
     /** Whether an earlier attempt may have run at another process than the listed host, so that no host is known to know its key. */
-    private boolean repeatsAtUnknownHost(Attempt attempt) {
-        return isRepeatBoundToHosts(attempt) && attempt.owner.attempts.stream()
-                .anyMatch(earlier -> earlier.number < attempt.number && earlier.mayHaveRun() && !earlier.hostCertain);
+    boolean repeatsAtUnknownHost(Attempt attempt) {
+        double now = clock.now();
+        Scope scope = classOf(attempt.owner.request).scope();
+        return isRepeatBoundToHosts(attempt) && earlierAttempts(attempt)
+                .anyMatch(earlier -> earlier.mayHaveRun() && !earlier.certainlyReachedListedHost(now, scope));
     }
 
     /** Attempts that were decided over a longer time than the slow start rule allows for may not be written together. */
--- /dev/null
+++ b/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
@@ -0,0 +1,218 @@
+package marlford.gateway.guard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import marlford.gateway.EngineApi.Host;
+import marlford.gateway.EngineApi.HostState;
+import marlford.gateway.EngineApi.ListKind;
+import marlford.gateway.EngineApi.Scope;
+import org.junit.jupiter.api.Test;
+
+/** Guards against taking the process of one host for another that is, or was, listed at the same address. */
+class HostAddressesTest {
+    private static final String ADDRESS = "10.1.0.18:5000";
+    private static final String OTHER_ADDRESS = "10.1.0.19:5000";
+    private static final double START_MS = 100_000;
+    private static final double TOLD_MS = 200_000;
+    private static final double DOUBT_MS = HostIdentity.TOLD_WITHIN_MS;
+
+    private final HostAddresses<String> addresses = new HostAddresses<>();
+
+    private static Host host(String id, int cell, HostState state, double startedMs) {
+        return new Host(id, "a", "k", cell, state, 1, startedMs);
+    }
+
+    private static Host old(HostState state) {
+        return host("old", 1, state, 0);
+    }
+
+    private static Host fresh(HostState state) {
+        return host("fresh", 2, state, 0);
+    }
+
+    /** Lists hosts, all at one address. The list before was confirmed right then. */
+    private List<Host> tell(double now, ListKind kind, Host... hosts) {
+        return tell(now, now, kind, hosts);
+    }
+
+    private List<Host> tell(double now, double confirmedAtMs, ListKind kind, Host... hosts) {
+        Map<String, String> at = new HashMap<>();
+        for (Host host : hosts) {
+            at.put(host.id(), ADDRESS);
+        }
+        return addresses.update(now, confirmedAtMs, kind, List.of(hosts), at);
+    }
+
+    private ReachedProcess oldHostReachedAt(double openedAtMs) {
+        return new ReachedProcess(addresses.tenure("old"), openedAtMs);
+    }
+
+    private static boolean isListedHost(ReachedProcess process) {
+        return process.wasListedHost(TOLD_MS + 1, Scope.CELL);
+    }
+
+    @Test
+    void aHostThatIsToldOfLaterHasTheAddressAndTheOtherOneIsGone() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        assertEquals(List.of(fresh(HostState.RUNNING), old(HostState.GONE)), tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING)));
+        assertTrue(addresses.isSuperseded("old"));
+        assertEquals(List.of(old(HostState.GONE)), tell(TOLD_MS + 1, ListKind.CHANGES, old(HostState.DRAINING)));
+        assertEquals(List.of(old(HostState.GONE), fresh(HostState.RUNNING)),
+                tell(TOLD_MS + 2, ListKind.FULL, old(HostState.RUNNING), fresh(HostState.RUNNING)));
+    }
+
+    @Test
+    void ofTwoHostsOfOneListTheOneThatStartedLastHasTheAddress() {
+        Host started = host("fresh", 2, HostState.RUNNING, 5);
+        assertEquals(List.of(started, old(HostState.GONE)), tell(START_MS, ListKind.FULL, started, old(HostState.RUNNING)));
+    }
+
+    @Test
+    void aHostThatStartedEarlierDoesNotTakeTheAddressThoughItIsToldOfLater() {
+        Host running = host("running", 1, HostState.RUNNING, 9);
+        tell(START_MS, ListKind.FULL, running);
+        assertEquals(List.of(host("late", 2, HostState.GONE, 5)), tell(TOLD_MS, ListKind.CHANGES, host("late", 2, HostState.RUNNING, 5)));
+        assertFalse(addresses.isSuperseded("running"));
+    }
+
+    @Test
+    void hostsOfOneListWithTheSameStartShareTheAddressUntilOneEnds() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING), fresh(HostState.RUNNING));
+        assertFalse(addresses.isSuperseded("old") || addresses.isSuperseded("fresh"));
+        ReachedProcess shared = oldHostReachedAt(START_MS + 1);
+        assertFalse(isListedHost(shared));
+        assertTrue(shared.wasListedHost(TOLD_MS, Scope.ZONE), "both are in one zone");
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.GONE));
+        assertFalse(isListedHost(shared));
+        assertNotSame(shared.tenure(), addresses.tenure("old"));
+        assertTrue(isListedHost(oldHostReachedAt(TOLD_MS)));
+    }
+
+    /** An attempt may still be under way on a connection of the time when two hosts of one group shared the address. */
+    @Test
+    void aSharedTenureLearnsOfAHostThatComesLater() {
+        Host same = host("same", 1, HostState.RUNNING, 0);
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING), same);
+        ReachedProcess shared = oldHostReachedAt(TOLD_MS - 1);
+        tell(TOLD_MS, ListKind.CHANGES, host("same", 1, HostState.GONE, 0));
+        assertTrue(isListedHost(shared));
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        assertFalse(isListedHost(shared));
+    }
+
+    @Test
+    void anEndAndANewHostLeaveTheConnectionsOfTheLastSecondsInDoubt() {
+        for (boolean endFirst : new boolean[] {true, false}) {
+            tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+            ReachedProcess before = oldHostReachedAt(TOLD_MS - DOUBT_MS - 1);
+            ReachedProcess within = oldHostReachedAt(TOLD_MS - DOUBT_MS + 1);
+            assertTrue(isListedHost(within));
+            tell(TOLD_MS, ListKind.CHANGES, endFirst ? old(HostState.GONE) : fresh(HostState.RUNNING));
+            assertTrue(isListedHost(before));
+            assertFalse(isListedHost(within));
+            tell(TOLD_MS, ListKind.CHANGES, endFirst ? fresh(HostState.RUNNING) : old(HostState.GONE));
+            assertTrue(isListedHost(before));
+            assertFalse(isListedHost(within));
+        }
+    }
+
+    @Test
+    void anEndWithoutANewHostLeavesNoDoubtOnceOneWouldHaveBeenToldOf() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        ReachedProcess within = oldHostReachedAt(TOLD_MS - 1);
+        tell(TOLD_MS, ListKind.CHANGES, old(HostState.GONE));
+        assertFalse(within.wasListedHost(TOLD_MS + DOUBT_MS, Scope.CELL));
+        assertTrue(within.wasListedHost(TOLD_MS + DOUBT_MS + 1, Scope.CELL));
+        tell(TOLD_MS + 3 * DOUBT_MS, ListKind.CHANGES, fresh(HostState.RUNNING)); // it can't have been there so early
+        assertTrue(within.wasListedHost(TOLD_MS + 3 * DOUBT_MS, Scope.CELL));
+    }
+
+    /** What the gateway had not heard of for long may have happened long ago. */
+    @Test
+    void theDoubtReachesBackToTheLastConfirmationOfTheList() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        ReachedProcess process = oldHostReachedAt(TOLD_MS - 2 * DOUBT_MS);
+        tell(TOLD_MS, TOLD_MS - 2 * DOUBT_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        assertFalse(isListedHost(process));
+    }
+
+    @Test
+    void aListOfUnknownAgeProvesNothingOfAnyConnection() {
+        tell(START_MS, ListKind.CACHED, old(HostState.RUNNING));
+        ReachedProcess process = oldHostReachedAt(START_MS + 1);
+        tell(TOLD_MS, Double.NEGATIVE_INFINITY, ListKind.FULL, fresh(HostState.RUNNING));
+        assertFalse(isListedHost(process));
+    }
+
+    /** Responses on a connection from before the doubt show that the old process lived on. */
+    @Test
+    void responsesOnOlderConnectionsRemoveTheDoubtUpToTheLastOfThem() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        ReachedProcess process = oldHostReachedAt(TOLD_MS - 2000);
+        ReachedProcess later = oldHostReachedAt(TOLD_MS - 900);
+        process.tenure().recordResponse(TOLD_MS - 2 * DOUBT_MS, TOLD_MS - 3000);
+        process.tenure().recordResponse(TOLD_MS - 2000, TOLD_MS - 1500); // alone, it could be another process
+        process.tenure().recordResponse(TOLD_MS - 2 * DOUBT_MS, TOLD_MS - 1000);
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        assertTrue(isListedHost(process));
+        assertFalse(isListedHost(later));
+    }
+
+    @Test
+    void aResponseOnAConnectionOfTheDoubtProvesNothing() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        ReachedProcess process = oldHostReachedAt(TOLD_MS - 2000);
+        process.tenure().recordResponse(TOLD_MS - 2000, TOLD_MS - 100);
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        assertFalse(isListedHost(process));
+    }
+
+    @Test
+    void aHostOfTheSameGroupAtTheAddressLeavesNoDoubt() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        ReachedProcess process = oldHostReachedAt(TOLD_MS - 1);
+        tell(TOLD_MS, ListKind.CHANGES, old(HostState.GONE), host("same", 1, HostState.RUNNING, 0));
+        assertTrue(isListedHost(process));
+    }
+
+    /** An operator's or an old list's word on a host's state names no address. */
+    @Test
+    void aChangeOfStateWithoutAnAddressKeepsTheTenure() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        AddressTenure tenure = addresses.tenure("old");
+        assertEquals(List.of(old(HostState.DRAINING)),
+                addresses.update(TOLD_MS, TOLD_MS, ListKind.CHANGES, List.of(old(HostState.DRAINING)), Map.of()));
+        assertSame(tenure, addresses.tenure("old"));
+        assertEquals(ADDRESS, addresses.address("old"));
+    }
+
+    @Test
+    void aHostThatMovesOrChangesItsGroupHasANewTenure() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        ReachedProcess process = oldHostReachedAt(TOLD_MS - 1);
+        tell(TOLD_MS, ListKind.CHANGES, host("old", 2, HostState.RUNNING, 0));
+        assertNotSame(process.tenure(), addresses.tenure("old"));
+        assertFalse(isListedHost(process));
+        addresses.update(TOLD_MS, TOLD_MS, ListKind.CHANGES, List.of(host("old", 2, HostState.RUNNING, 0)), Map.of("old", OTHER_ADDRESS));
+        assertEquals(OTHER_ADDRESS, addresses.address("old"));
+    }
+
+    /** A host must not stay out of use for ever because of one that came and went. */
+    @Test
+    void aHostThatStaysListedHasItsAddressAgainOnceTheOtherIsGone() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        tell(TOLD_MS + 1, ListKind.CHANGES, fresh(HostState.GONE));
+        assertFalse(addresses.isRenewalDue(TOLD_MS + DOUBT_MS));
+        assertTrue(addresses.isRenewalDue(TOLD_MS + DOUBT_MS + 1));
+        assertEquals(List.of(old(HostState.RUNNING)), tell(TOLD_MS + DOUBT_MS + 1, ListKind.CHANGES));
+        assertFalse(addresses.isSuperseded("old"));
+    }
+}
