Soak: tell of a new host before the end of the old one at its address

HOST_REPLACED always told of both changes with one list. In half of the cases discovery now tells of the new host alone, ahead of the old one in the list or behind it, with its start or without, and of the end 1 to 5 s later.

An order that ran in two zones, one of them that of a host not told of for 6 s, was passed over as known. It is a fault now where the gateway's trace shows that a list had ended its use of the first host's connections before the repeat was written (ToldRepeats).

--- a/storm/src/main/java/marlford/storm/soak/SoakDiscovery.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakDiscovery.java
@@ -50,7 +50,7 @@
     private static String entry(SoakHosts.Host host) {
         return "{\"id\":\"" + host.id + "\",\"addr\":\"" + host.address() + "\",\"zone\":\"" + host.zone
                 + "\",\"kind\":\"k\",\"cell\":0,\"state\":\"" + (host.draining ? "draining" : "ready")
-                + "\",\"weight\":1.0,\"started_ms\":0}";
+                + "\",\"weight\":1.0,\"started_ms\":" + host.startedMs + "}";
     }
 
     private void accept() {
--- a/storm/src/main/java/marlford/storm/soak/SoakFaults.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFaults.java
@@ -23,6 +23,8 @@
     private static final int PAUSE_MS = 120;
     private static final int DRAINS_MS = 4000;
     private static final long TOLD_LATE_MS = 6000; // the longest that a list may take where discovery is in trouble
+    private static final int END_TOLD_LEAST_MS = 1000; // after a host that has its address was told
+    private static final int END_TOLD_MS = 4000;
     private static final int CROWD = 500;
     private static final int CROWD_MS = 4000;
     private static final int SERIES = 3;
@@ -211,15 +213,26 @@
         }
     }
 
-    /** Discovery tells of the new host at once, or some time after it has come up at the old one's address. */
+    /** Discovery tells of the new host at once, or some time after it has come up at the old one's address, and of the old one's end with it or later. */
     private void replace(Random own) throws IOException, InterruptedException {
         SoakHosts.Host old = anyHost(own);
-        if (!old.draining && changing.add(old)) {
-            SoakHosts.Host fresh = fleet.hosts().replace(old);
-            Thread.sleep(own.nextBoolean() ? 0 : own.nextInt(AWAY_MS));
+        if (old.draining || !changing.add(old)) {
+            return;
+        }
+        SoakHosts.Host fresh = fleet.hosts().replace(old);
+        Thread.sleep(own.nextBoolean() ? 0 : own.nextInt(AWAY_MS));
+        if (own.nextBoolean()) {
             fleet.hosts().list(old, fresh);
+        } else {
+            fresh.startedMs = own.nextBoolean() ? 0 : System.currentTimeMillis();
+            changing.add(fresh);
+            fleet.hosts().listBeside(old, fresh, own.nextBoolean());
             changed();
+            Thread.sleep(END_TOLD_LEAST_MS + own.nextInt(END_TOLD_MS));
+            fleet.hosts().unlist(old);
+            changing.remove(fresh);
         }
+        changed();
     }
 
     private void drain(Random own) throws InterruptedException {
--- a/storm/src/main/java/marlford/storm/soak/SoakFleet.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFleet.java
@@ -12,8 +12,10 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -251,6 +253,7 @@
             }
         }
         suspects.clear();
+        judgeRepeats();
         for (int i = 0; i < processes.size(); i++) {
             if (processes.get(i).isUp() && !processes.get(i).isAlive()) {
                 findings.broken(
@@ -270,6 +273,22 @@
         }
     }
 
+    /** An order that ran in two zones, one of them that of a host that was not listed yet, is a fault where the gateway had been told. */
+    private void judgeRepeats() throws IOException {
+        Set<String> orders = hosts.takeRepeatsAtUnlisted();
+        Set<String> told = new HashSet<>();
+        for (SoakProcess process : orders.isEmpty() ? List.<SoakProcess>of() : processes) {
+            told.addAll(ToldRepeats.in(Files.readAllLines(process.log()), orders));
+        }
+        for (String order : orders) {
+            if (told.contains(order)) {
+                findings.broken("duplicate: " + order + ": RAN_IN_TWO_ZONES, and its gateway had been told");
+            } else {
+                findings.count(SoakFindings.Count.KNOWN_RED); // nobody could tell a gateway (KNOWN-RED.txt)
+            }
+        }
+    }
+
     @Override
     public void close() throws IOException {
         stop();
--- a/storm/src/main/java/marlford/storm/soak/SoakHosts.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakHosts.java
@@ -64,6 +64,7 @@
         volatile HostMood mood = HostMood.WELL;
         volatile boolean draining;
         volatile long drainingNanos; // since the list says so
+        volatile long startedMs; // wall clock time as the list tells it; 0 for long ago
         private final ServerSocket listener;
         private final Random random;
         private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -294,7 +295,7 @@
             if (finding == RequestLedger.Finding.AFTER_ITS_WINDOW) {
                 findings.timed(lateness.isMachineBusy(), what);
             } else if (finding == RequestLedger.Finding.RAN_IN_TWO_ZONES && entry.ranUnlisted()) {
-                findings.count(SoakFindings.Count.KNOWN_RED); // nobody could tell a gateway (KNOWN-RED.txt)
+                repeatsAtUnlisted.add(request);
             } else if (finding != RequestLedger.Finding.NONE) {
                 findings.broken(what);
             }
@@ -310,6 +311,9 @@
     private final SoakFindings findings;
     private final Lateness lateness;
     private final List<Host> hosts = new CopyOnWriteArrayList<>();
+    /** Ids of orders that ran in two zones, one of them that of a host that was not listed yet. */
+    private final Set<String> repeatsAtUnlisted = ConcurrentHashMap.newKeySet();
+
     private int started; // hosts that took the place of others
 
     SoakHosts(int count, long seed, RequestLedger ledger, SoakFindings findings, Lateness lateness) throws IOException {
@@ -364,6 +368,24 @@
         Threads.start("listed", () -> listLater(fresh));
     }
 
+    /** From now on the list names the new host too, ahead of the old one or behind it. */
+    synchronized void listBeside(Host old, Host fresh, boolean ahead) {
+        hosts.add(hosts.indexOf(old) + (ahead ? 0 : 1), fresh);
+        Threads.start("listed", () -> listLater(fresh));
+    }
+
+    /** From now on the list names the old host no more. */
+    synchronized void unlist(Host old) {
+        hosts.remove(old);
+    }
+
+    /** Removes and returns the ids of orders that ran in two zones, one of them that of a host that was not listed yet. */
+    Set<String> takeRepeatsAtUnlisted() {
+        Set<String> taken = Set.copyOf(repeatsAtUnlisted);
+        repeatsAtUnlisted.removeAll(taken);
+        return taken;
+    }
+
     List<Host> all() {
         return new ArrayList<>(hosts);
     }
