Keep the work for a host constant however many are listed at one address

The event loop of a node was in HostAddresses.share for 461 s of processor time, by two stack dumps: the test lists tens of thousands of names at one address, and each pair of them was told of each other.

Cause: hosts of one list with the same start were compared in pairs, and a removal walked over all hosts of its address.

Change: an address has one holder and, where several hosts are listed, their set; hosts that came together share one object with their groups (KeyGroups); earlier tenures learn of groups, not of each host. A host that has its address alone again tells the earlier tenures so.

--- a/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
+++ b/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
@@ -25,6 +25,7 @@
     private final Host host;
     private HostIdentity losses; // null until the first one, as lists may be long and most hosts have none
     private List<Successor> successors = List.of();
+    private KeyGroups sharedWith; // hosts that came to the address together with this one; null if there are none
     private double aliveSinceMs = Double.NEGATIVE_INFINITY; // one process had the address from here
     private double aliveUntilMs = Double.NEGATIVE_INFINITY; // to here, by its responses
     private double endToldAtMs = Double.POSITIVE_INFINITY;
@@ -62,11 +63,20 @@
         endedAfterMs = aliveSinceMs < earliestMs ? Math.max(earliestMs, aliveUntilMs) : earliestMs;
     }
 
-    /** Records a host that discovery has told of at this address, in place of this one or beside it. */
+    /** Records a host that discovery has told of at this address after the end. */
     void recordSuccessor(Host successor, double earliestMs) {
-        double sinceMs = endToldAtMs < Double.POSITIVE_INFINITY ? Math.max(earliestMs, endedAfterMs) : earliestMs;
-        successors = new ArrayList<>(successors);
-        successors.add(new Successor(successor, sinceMs));
+        double sinceMs = Math.max(earliestMs, endedAfterMs);
+        boolean known = successors.stream().anyMatch(
+                other -> other.earliestMs() <= sinceMs && Scope.CELL.sharesKeys(other.host(), successor));
+        if (!known) {
+            successors = new ArrayList<>(successors);
+            successors.add(new Successor(successor, sinceMs));
+        }
+    }
+
+    /** Records that the host came to the address together with others. */
+    void shareWith(KeyGroups others) {
+        sharedWith = others;
     }
 
     double endToldAtMs() {
@@ -86,6 +96,9 @@
         if (scope == Scope.ALL) {
             return true;
         }
+        if (sharedWith != null && !sharedWith.allShareKeysWith(host, scope)) {
+            return false;
+        }
         for (Successor successor : successors) {
             if (openedAtMs >= successor.earliestMs() && !scope.sharesKeys(host, successor.host())) {
                 return false;
--- a/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
@@ -29,7 +29,8 @@
     private static final double RETENTION_MS = 600_000;
 
     private final Map<String, Listing<A>> listings = new HashMap<>();
-    private final Map<A, Listing<A>> firstAtAddress = new HashMap<>(); // the others follow it
+    private final Map<A, Listing<A>> holders = new HashMap<>(); // of each address: the host that has it, or one of those
+    private final Map<A, Set<Listing<A>>> crowds = new HashMap<>(); // all hosts that are listed at an address, where there are several
     private final Map<A, List<AddressTenure>> endedTenures = new HashMap<>();
     private final Map<String, Listing<A>> superseded = new LinkedHashMap<>(); // listings that have lost their address to another host
     private int updates;
@@ -39,11 +40,10 @@
         final A address; // null if it is not known
         Host host;
         private AddressTenure tenure; // null until it is asked for
-        Listing<A> nextAtAddress;
         double supersededAtMs;
         final int addedInUpdate; // number of the update
         int lastUpdate; // that named the host
-        boolean contested; // shares its address with another host
+        boolean shares; // its address, with other hosts of the list that it came with
 
         Listing(Host host, A address, int update) {
             this.host = host;
@@ -69,8 +69,7 @@
         final double now;
         final double earliestMs; // a change that it tells of happened later
         final Set<String> changedIds = new LinkedHashSet<>(); // of hosts that another host's change has affected
-        final Set<Listing<A>> unsettled = new LinkedHashSet<>(); // added hosts whose address is, or lately was, another host's
-        final Set<Listing<A>> settled = new HashSet<>();
+        final Map<A, List<Listing<A>>> added = new LinkedHashMap<>(); // where the address is, or lately was, another host's
 
         Update(double now, double confirmedAtMs) {
             this.now = now;
@@ -105,7 +104,7 @@
                 list(update, host, addresses.get(host.id()));
             }
         }
-        update.unsettled.forEach(listing -> settle(update, listing));
+        update.added.forEach((address, added) -> settle(update, address, added));
         renewUnrivalled(update);
         forgetOldTenures(now);
         return result(update, hosts);
@@ -143,20 +142,21 @@
         Listing<A> added = new Listing<>(host, address, updates);
         listings.put(host.id(), added);
         if (address != null) {
-            added.nextAtAddress = firstAtAddress.put(address, added);
-            if (added.nextAtAddress != null || endedTenures.containsKey(address)) {
-                update.unsettled.add(added);
-            }
+            addAt(update, added);
         }
     }
 
-    /** Returns the hosts that are listed at an address, those that were added last first. */
-    private List<Listing<A>> listingsAt(A address) {
-        List<Listing<A>> all = new ArrayList<>();
-        for (Listing<A> each = firstAtAddress.get(address); each != null; each = each.nextAtAddress) {
-            all.add(each);
+    private void addAt(Update update, Listing<A> added) {
+        A address = added.address;
+        Listing<A> other = holders.putIfAbsent(address, added);
+        if (other != null) {
+            crowds.computeIfAbsent(address, key -> new LinkedHashSet<>(List.of(other))).add(added);
+        }
+        if (other != null && other.addedInUpdate == updates) {
+            update.added.computeIfAbsent(address, key -> new ArrayList<>(List.of(other))).add(added);
+        } else if (other != null || endedTenures.containsKey(address)) {
+            update.added.computeIfAbsent(address, key -> new ArrayList<>()).add(added);
         }
-        return all;
     }
 
     /** Removes a host that has ended or moved. */
@@ -168,15 +168,31 @@
         if (superseded.remove(listing.host.id()) == null) {
             end(update, listing);
         }
-        List<Listing<A>> others = listingsAt(listing.address);
-        others.remove(listing);
-        firstAtAddress.remove(listing.address);
-        for (int i = others.size() - 1; i >= 0; i--) {
-            others.get(i).nextAtAddress = firstAtAddress.put(listing.address, others.get(i));
+        Set<Listing<A>> crowd = crowds.get(listing.address);
+        if (crowd == null) {
+            holders.remove(listing.address);
+            return;
+        }
+        crowd.remove(listing);
+        if (holders.get(listing.address) == listing) {
+            holders.put(listing.address, nextHolder(crowd));
+        }
+        if (crowd.size() == 1) {
+            crowds.remove(listing.address);
+            endSharing(update, holders.get(listing.address));
         }
-        if (listing.contested && others.size() == 1) {
-            end(update, others.get(0));
-            renew(update, others.get(0));
+    }
+
+    private Listing<A> nextHolder(Set<Listing<A>> crowd) {
+        return crowd.stream().filter(listing -> !isSuperseded(listing.host.id())).findFirst().orElse(crowd.iterator().next());
+    }
+
+    /** From now on the last one of several hosts has the address alone. */
+    private void endSharing(Update update, Listing<A> last) {
+        if (last.shares) {
+            end(update, last);
+            renew(update, last);
+            tellSuccessors(update, last.address, List.of(last));
         }
     }
 
@@ -189,33 +205,30 @@
         endedTenures.computeIfAbsent(listing.address, key -> new ArrayList<>()).add(listing.tenure);
     }
 
-    /** Decides who has the address of a host that was added, and tells its earlier tenures of that host. */
-    private void settle(Update update, Listing<A> added) {
-        for (Listing<A> rival : listingsAt(added.address)) {
-            boolean decided = rival == added || update.settled.contains(rival) || superseded.containsKey(rival.host.id())
-                    || superseded.containsKey(added.host.id());
-            if (!decided) {
-                settle(update, added, rival);
-            }
-        }
-        update.settled.add(added);
-        if (!superseded.containsKey(added.host.id())) {
-            endedTenures.getOrDefault(added.address, List.of())
-                    .forEach(tenure -> tenure.recordSuccessor(added.host, update.earliestMs));
+    /** Decides who has the address of hosts that were added, and tells the earlier tenures of the address of them. */
+    private void settle(Update update, A address, List<Listing<A>> added) {
+        double lastStartMs = added.stream().mapToDouble(listing -> listing.host.startedMs()).max().orElse(0);
+        List<Listing<A>> started = added.stream().filter(listing -> listing.host.startedMs() == lastStartMs).toList();
+        added.stream().filter(listing -> listing.host.startedMs() < lastStartMs).forEach(listing -> supersede(update, listing));
+        List<Listing<A>> earlier = crowds.getOrDefault(address, Set.of()).stream()
+                .filter(listing -> listing.addedInUpdate != updates && !isSuperseded(listing.host.id())).toList();
+        boolean startedEarlier = lastStartMs > 0 && earlier.stream().anyMatch(listing -> listing.host.startedMs() > lastStartMs);
+        if (startedEarlier) {
+            started.forEach(listing -> supersede(update, listing));
+            return;
         }
+        earlier.forEach(listing -> supersede(update, listing));
+        holders.put(address, started.get(0));
+        share(started);
+        tellSuccessors(update, address, started);
     }
 
-    private void settle(Update update, Listing<A> added, Listing<A> rival) {
-        boolean toldTogether = rival.addedInUpdate == added.addedInUpdate;
-        double addedStartMs = added.host.startedMs();
-        double rivalStartMs = rival.host.startedMs();
-        boolean startsDecide = addedStartMs != rivalStartMs && (toldTogether || addedStartMs > 0);
-        if (startsDecide && addedStartMs < rivalStartMs) {
-            supersede(update, added);
-        } else if (startsDecide || !toldTogether) {
-            supersede(update, rival);
-        } else {
-            share(added, rival);
+    /** Tells the earlier tenures of an address of the hosts that have it now. */
+    private void tellSuccessors(Update update, A address, List<Listing<A>> successors) {
+        KeyGroups groups = new KeyGroups();
+        successors.forEach(listing -> groups.add(listing.host));
+        for (AddressTenure ended : endedTenures.getOrDefault(address, List.of())) {
+            groups.forEach(host -> ended.recordSuccessor(host, update.earliestMs));
         }
     }
 
@@ -226,36 +239,52 @@
         end(update, ended);
     }
 
-    /** Neither of two hosts at one address is known to have ended. */
-    private static <A> void share(Listing<A> one, Listing<A> other) {
-        one.contested = true;
-        other.contested = true;
-        one.tenure().recordSuccessor(other.host, Double.NEGATIVE_INFINITY);
-        other.tenure().recordSuccessor(one.host, Double.NEGATIVE_INFINITY);
+    /** None of several hosts that came to one address together is known to have ended. */
+    private static <A> void share(List<Listing<A>> together) {
+        if (together.size() > 1) {
+            KeyGroups groups = new KeyGroups();
+            for (Listing<A> listing : together) {
+                listing.shares = true;
+                groups.add(listing.host);
+                listing.tenure().shareWith(groups);
+            }
+        }
     }
 
     /** Gives a host its address anew. */
     private void renew(Update update, Listing<A> listing) {
         listing.tenure = null;
-        listing.contested = false;
+        listing.shares = false;
         update.changedIds.add(listing.host.id());
     }
 
     /** Whether a host has lost its address to one that is no longer listed, for longer than its own end would take to be told. */
     private boolean isUnrivalled(double now, Listing<A> listing) {
-        return now - listing.supersededAtMs > HostIdentity.TOLD_WITHIN_MS && listingsAt(listing.address).stream()
-                .allMatch(other -> superseded.containsKey(other.host.id()));
+        return now - listing.supersededAtMs > HostIdentity.TOLD_WITHIN_MS && isSuperseded(holders.get(listing.address).host.id());
     }
 
     private void renewUnrivalled(Update update) {
         for (Listing<A> listing : List.copyOf(superseded.values())) {
             if (isUnrivalled(update.now, listing)) {
-                superseded.remove(listing.host.id());
-                renew(update, listing);
+                renewAll(update, listing.address);
             }
         }
     }
 
+    /** Gives an address back to the hosts that have lost it last. */
+    private void renewAll(Update update, A address) {
+        Set<Listing<A>> crowd = crowds.getOrDefault(address, Set.of(holders.get(address)));
+        double lastMs = crowd.stream().mapToDouble(listing -> listing.supersededAtMs).max().orElse(0);
+        List<Listing<A>> last = crowd.stream().filter(listing -> listing.supersededAtMs == lastMs).toList();
+        holders.put(address, last.get(0));
+        for (Listing<A> listing : last) {
+            superseded.remove(listing.host.id());
+            renew(update, listing);
+        }
+        share(last);
+        tellSuccessors(update, address, last);
+    }
+
     private void forgetOldTenures(double now) {
         endedTenures.values().forEach(ended -> ended.removeIf(tenure -> now - tenure.endToldAtMs() > RETENTION_MS));
         endedTenures.values().removeIf(List::isEmpty);
--- a/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
@@ -4,11 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import marlford.gateway.EngineApi.Host;
 import marlford.gateway.EngineApi.HostState;
 import marlford.gateway.EngineApi.ListKind;
@@ -107,6 +110,22 @@
         assertFalse(isListedHost(shared));
     }
 
+    /** The work for each host does not grow with the number of hosts at its address. */
+    @Test
+    void veryManyHostsShareAnAddress() {
+        Host[] hosts = IntStream.range(0, 50_000).mapToObj(i -> host("h" + i, i % 2, HostState.RUNNING, 0)).toArray(Host[]::new);
+        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
+            assertEquals(hosts.length, tell(START_MS, ListKind.FULL, hosts).size());
+            assertEquals(hosts.length, tell(START_MS + 1, ListKind.FULL, hosts).size());
+            tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+            assertTrue(addresses.isSuperseded("h0") && addresses.isSuperseded("h49999"));
+            tell(TOLD_MS + 1, ListKind.CHANGES, fresh(HostState.GONE));
+            tell(TOLD_MS + DOUBT_MS + 1, ListKind.CHANGES);
+            assertFalse(addresses.isSuperseded("h0") || addresses.isSuperseded("h49999"));
+            tell(TOLD_MS + DOUBT_MS + 2, ListKind.FULL);
+        });
+    }
+
     @Test
     void anEndAndANewHostLeaveTheConnectionsOfTheLastSecondsInDoubt() {
         for (boolean endFirst : new boolean[] {true, false}) {
