Hold no attempt back from a cold host where the settings have no slow start rule

Seen: TwoEventRaceTest.aRequestAwaitingAConnectionToARemovedHostIsSentToAnother (ready) red on: three attempts in a row "unsent cold_host_delayed", and the request refused.

Cause: SendRules compared the time since the decision with a share of the window of the rule. Without rules.fall_ms that window is 0, so each attempt that needed a new connection was late.

Change: without a window there is no such rule.

--- a/gateway/src/main/java/marlford/gateway/net/SendRules.java
+++ b/gateway/src/main/java/marlford/gateway/net/SendRules.java
@@ -151,7 +151,8 @@
     private boolean isColdHostDelayed(Attempt attempt) {
         double now = clock.now();
         double delayMs = now - attempt.sentAtMs;
-        return delayMs > COLD_HOST_DELAY_SHARE * settings.rules().overloadWindowMs() && coldHosts.isCold(now, attempt.host);
+        double windowMs = settings.rules().overloadWindowMs(); // 0 where the settings have no such rule
+        return windowMs > 0 && delayMs > COLD_HOST_DELAY_SHARE * windowMs && coldHosts.isCold(now, attempt.host);
     }
 
     private boolean claimId(OpenRequest entry) {
