Give up a connect to an address that a host has left without blaming the host

Change: connects of a pool whose tenure has ended fail as not sent, which says nothing about the host. Those to a host that drains fail as before.

Measured: TwoEventRaceTest, EventOrderTest, StaleAttemptTest green.

--- a/gateway/src/main/java/marlford/gateway/net/HostClient.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostClient.java
@@ -184,19 +184,15 @@
         for (Host host : hosts) {
             Pool pool = pools.get(host.id());
             if (pool != null && host.state() != HostState.RUNNING) {
-                failPendingConnects(pool);
+                List.copyOf(pool.connecting).forEach(HostConnection::fail);
             }
         }
         for (Pool pool : List.copyOf(retiredPools)) {
-            failPendingConnects(pool);
+            List.copyOf(pool.connecting).forEach(HostConnection::failUnsent); // says nothing about the host at its new address
         }
         retiredPools.clear();
     }
 
-    private static void failPendingConnects(Pool pool) {
-        List.copyOf(pool.connecting).forEach(HostConnection::fail);
-    }
-
     private void retire(String host, Pool pool) {
         node.eventLog.tenureEnded(host);
         retiredPools.add(pool);
