Answer all requests that were sent ahead before a client has to move

Cause: writeAnswer closed behind the next answer whether or not requests waited in the connection's queue, and closeLingering discarded that.

Change: the connection closes with the answer behind which nothing waits in its queue or its socket. Ending a connection "with no whole answer loses the request" (PROTOCOL). After as long as a process sends attempts no more is read, so that a client that goes on to send ahead moves as well.

--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -70,6 +70,7 @@
     private boolean busy; // a request is being processed, until it is answered and its body has been read
     private boolean keepAlive = true;
     private boolean acceptsChunked; // the client can read answers of unknown length
+    private boolean readsNoMore; // the connection closes once the requests that were read are answered
     private boolean ended; // no further request is processed: the last answer was written, or the connection is closed
     private double idleSinceMs;
     private int receivedMessages; // complete or unreadable requests
@@ -420,7 +421,7 @@
     private void updateReading() {
         boolean bodyTooFast = upload != null && upload.isFull() || queue.endsWithFullBody();
         boolean queueFull = queue.size() >= MAX_QUEUED_REQUESTS || !queue.isEmpty() && registry.heldRequests().isFull();
-        boolean mayRead = !badRequestPause && !bodyTooFast && !queueFull;
+        boolean mayRead = !badRequestPause && !bodyTooFast && !queueFull && !readsNoMore;
         if (!mayRead && channel.config().isAutoRead()) {
             reader.pause();
         }
@@ -602,7 +603,7 @@
         } else {
             HttpUtil.setContentLength(response, length);
         }
-        if (!keepAlive || node.releasesClients()) {
+        if (isLastAnswer()) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -650,13 +651,29 @@
     private void writeAnswer(FullHttpResponse response) {
         ByteBuf body = response.content();
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        boolean last = !keepAlive || node.releasesClients();
+        boolean last = isLastAnswer();
         if (last) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         finishAnswer(response, last);
     }
 
+    /**
+     * Whether the connection closes with the present answer. A client that has to move to another gateway first gets the answers to all
+     * requests that it has sent; one that goes on to send ahead for longer than a shutdown sends attempts gets those to what has been read.
+     */
+    private boolean isLastAnswer() {
+        if (!keepAlive || !node.releasesClients()) {
+            return !keepAlive;
+        }
+        readsNoMore = node.clock.now() - node.releasingSinceMs() > node.shutdownSchedule.abandonMs();
+        updateReading();
+        if (queue.isEmpty() && channel.isActive() && channel.config().isAutoRead() && !reader.isReading()) {
+            Transport.readNow(channel);
+        }
+        return queue.isEmpty();
+    }
+
     /** Writes the end of an answer, then continues with the next request or closes the connection after the last one. */
     private void finishAnswer(Object end, boolean last) {
         current = null;
