--- a/gateway/src/main/java/marlford/gateway/net/HostClient.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostClient.java
@@ -19,19 +19,13 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.AsciiString;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import marlford.gateway.EngineApi.Host;
 import marlford.gateway.EngineApi.HostState;
@@ -47,19 +41,7 @@
  */
 final class HostClient {
     private static final String HOST_HEADER_VALUE = "backend.local";
-    static final AsciiString LOAD_REPORT_HEADER = AsciiString.cached("Endpoint-Load-Metrics");
     private static final double MAX_IDLE_SHARE = 0.6; // a connection is reused only until it was idle for this share of config.hostIdleMs()
-    /**
-     * How long a connection is not reused after a response. According to the platform, a host that sends a response twice
-     * sends the second one some milliseconds later; if the next request were already in flight, the duplicate could not be
-     * distinguished from its response. The value depends on how hosts fail and not on the traffic, so it is not configurable.
-     */
-    static final double MIN_REST_MS = 10;
-    /**
-     * A connection that was idle for this long is preferred. If there is none, the gateway does not wait for one: that would
-     * open more new connections, which may take long to come up.
-     */
-    static final double PREFERRED_REST_MS = 50;
     private static final double IDLE_CHECK_INTERVAL_SHARE = 0.1; // interval of the idle check, as a share of config.hostIdleMs()
     private static final long MIN_IDLE_CHECK_INTERVAL_MS = 20; // bounds the CPU use of the check if config.hostIdleMs() is short
     private static final long MAX_IDLE_CHECK_INTERVAL_MS = 500; // bounds how long unused connections to idle hosts hold descriptors
@@ -67,13 +49,12 @@
     private static final double LOCAL_FAILURE_RETRY_MS = 500; // how long a connect that fails on this machine is retried for a request
     private static final long MIN_CONNECT_RETRY_DELAY_MS = 1; // between these retries
     private static final long MAX_CONNECT_RETRY_DELAY_MS = 50;
-    private static final double UNREAD_RESPONSE_MS = 50; // for which a response may wait in its socket while the loop is in time
     private static final double PROBE_TIMEOUT_MS = 250; // required by the platform, the same for every deployment
 
     private final Node node;
     private final HostAddresses<InetSocketAddress> addresses;
-    private final Map<String, Pool> pools = new LinkedHashMap<>(); // of the hosts that were used
-    private final List<Pool> retiredPools = new ArrayList<>(); // closed, but their pending connects are not failed yet
+    private final Map<String, HostConnectionPool> pools = new LinkedHashMap<>(); // of the hosts that were used
+    private final List<HostConnectionPool> retiredPools = new ArrayList<>(); // closed, but their pending connects are not failed yet
     private final Bootstrap bootstrap;
     private final int maxConnections;
     private final long idleCheckIntervalMs;
@@ -90,72 +71,6 @@
         node.loop.schedule(this::closeIdle, idleCheckIntervalMs, TimeUnit.MILLISECONDS);
     }
 
-    /** The connections to one host during one tenure of its address. */
-    private static final class Pool implements HostConnection.Owner {
-        final InetSocketAddress address;
-        final ArrayDeque<HostConnection> idle = new ArrayDeque<>(); // the most recently used last
-        final Set<HostConnection> connecting = new LinkedHashSet<>(); // not established yet
-        final AddressTenure tenure;
-        private final EventLoopLag lag;
-        boolean closed;
-
-        Pool(InetSocketAddress address, AddressTenure tenure, EventLoopLag lag) {
-            this.address = address;
-            this.tenure = tenure;
-            this.lag = lag;
-        }
-
-        /**
-         * Removes and returns the most recently used connection that was idle for {@link #PREFERRED_REST_MS}, or else one that was
-         * idle for {@link #MIN_REST_MS}; null if there is none.
-         */
-        HostConnection pollRested(double now) {
-            HostConnection preferred = pollIdleSince(now - PREFERRED_REST_MS);
-            return preferred != null ? preferred : pollIdleSince(now - MIN_REST_MS);
-        }
-
-        private HostConnection pollIdleSince(double since) {
-            for (Iterator<HostConnection> all = idle.descendingIterator(); all.hasNext();) {
-                HostConnection connection = all.next();
-                if (connection.idleSince() <= since) {
-                    all.remove();
-                    return connection;
-                }
-            }
-            return null;
-        }
-
-        @Override
-        public boolean isClosed() {
-            return closed;
-        }
-
-        @Override
-        public void onIdle(HostConnection connection) {
-            idle.addLast(connection);
-        }
-
-        @Override
-        public void onClosed(HostConnection connection) {
-            idle.remove(connection);
-        }
-
-        @Override
-        public void onLost(double now) {
-            tenure.recordLoss(now);
-        }
-
-        @Override
-        public void onRead(HostConnection connection, double now) {
-            tenure.recordResponse(connection.openedAtMs(), now - lag.ms() - UNREAD_RESPONSE_MS);
-        }
-
-        /** Reads what has come on idle connections: the end of one shows that the process may have changed. */
-        void readIdle() {
-            List.copyOf(idle).forEach(HostConnection::readAndCheckActive);
-        }
-    }
-
     // ---- the list of hosts
 
     /** Closes the pools of hosts that are no longer listed, or whose tenure of their address has changed. */
@@ -170,9 +85,9 @@
     }
 
     /** Returns the pool of a host; null if the host is not listed, or its address not known. */
-    private Pool poolOf(String host) {
+    private HostConnectionPool poolOf(String host) {
         AddressTenure tenure = addresses.tenure(host);
-        return tenure == null ? null : pools.computeIfAbsent(host, id -> new Pool(addresses.address(id), tenure, node.lag));
+        return tenure == null ? null : pools.computeIfAbsent(host, id -> new HostConnectionPool(addresses.address(id), tenure, node.lag));
     }
 
     /**
@@ -182,18 +97,18 @@
      */
     void failPendingConnects(List<Host> hosts) {
         for (Host host : hosts) {
-            Pool pool = pools.get(host.id());
+            HostConnectionPool pool = pools.get(host.id());
             if (pool != null && host.state() != HostState.RUNNING) {
                 List.copyOf(pool.connecting).forEach(HostConnection::fail);
             }
         }
-        for (Pool pool : List.copyOf(retiredPools)) {
+        for (HostConnectionPool pool : List.copyOf(retiredPools)) {
             List.copyOf(pool.connecting).forEach(HostConnection::failUnsent); // says nothing about the host at its new address
         }
         retiredPools.clear();
     }
 
-    private void retire(String host, Pool pool) {
+    private void retire(String host, HostConnectionPool pool) {
         node.eventLog.tenureEnded(host);
         retiredPools.add(pool);
         pool.closed = true;
@@ -204,7 +119,7 @@
     private void closeIdle() {
         node.loop.schedule(this::closeIdle, idleCheckIntervalMs, TimeUnit.MILLISECONDS);
         double idleLimit = oldestUsableIdleTime();
-        for (Pool pool : pools.values()) {
+        for (HostConnectionPool pool : pools.values()) {
             while (!pool.idle.isEmpty() && pool.idle.peekFirst().idleSince() < idleLimit) {
                 pool.idle.pollFirst().close();
             }
@@ -221,7 +136,7 @@
         if (connections < maxConnections) {
             return true;
         }
-        for (Pool pool : pools.values()) {
+        for (HostConnectionPool pool : pools.values()) {
             HostConnection connection = pool.idle.pollFirst();
             if (connection != null) {
                 connection.close();
@@ -298,7 +213,7 @@
                 if (!reported) {
                     reported = true;
                     callback.probeEnded(outcome, node.clock.now() - sentAt, response == null ? new double[0]
-                            : parseReport(response.content().toString(StandardCharsets.US_ASCII)));
+                            : LoadReport.parse(response.content().toString(StandardCharsets.US_ASCII), names));
                 }
             }
         };
@@ -323,7 +238,7 @@
      * @param retryMs how long a connect that fails on this machine is retried
      */
     private void startExchange(String host, HostConnection.Exchange exchange, RequestFactory requestFactory, double retryMs) {
-        Pool pool = poolOf(host);
+        HostConnectionPool pool = poolOf(host);
         if (pool == null) {
             exchange.onEnded(Outcome.CONNECT_FAILED, null); // the host is no longer on the list
             return;
@@ -340,7 +255,7 @@
         new PendingConnection(pool, exchange, requestFactory, now + retryMs).start();
     }
 
-    private void writeOnKept(Pool pool, HostConnection connection, HostConnection.Exchange exchange, RequestFactory requestFactory) {
+    private void writeOnKept(HostConnectionPool pool, HostConnection connection, HostConnection.Exchange exchange, RequestFactory requestFactory) {
         if (exchange.mayBeWritten(new ReachedProcess(pool.tenure, connection.openedAtMs()))) {
             connection.write(exchange, requestFactory.build());
         } else {
@@ -358,14 +273,14 @@
      * retried after a short delay, within the same attempt.
      */
     private final class PendingConnection {
-        private final Pool pool;
+        private final HostConnectionPool pool;
         private final HostConnection.Exchange exchange;
         private final RequestFactory requestFactory;
         private final Backoff backoff = new Backoff(MIN_CONNECT_RETRY_DELAY_MS, MAX_CONNECT_RETRY_DELAY_MS);
         private final double retryUntil;
         private HostConnection connection;
 
-        PendingConnection(Pool pool, HostConnection.Exchange exchange, RequestFactory requestFactory, double retryUntil) {
+        PendingConnection(HostConnectionPool pool, HostConnection.Exchange exchange, RequestFactory requestFactory, double retryUntil) {
             this.pool = pool;
             this.exchange = exchange;
             this.requestFactory = requestFactory;
@@ -460,34 +375,4 @@
             node.loop.execute(task);
         }
     }
-
-    // ---- load reports
-
-    /** Returns the load figures in a response's header, in the order of the settings; empty if there are none. */
-    double[] parseLoadReport(FullHttpResponse response) {
-        String text = response.headers().get(LOAD_REPORT_HEADER);
-        return text == null ? new double[0] : parseReport(text);
-    }
-
-    /**
-     * Parses {@code TEXT a=1, b=2}. Returns the figures that the settings name, in their order; empty if one of them is
-     * missing or any value is not a finite number.
-     */
-    private double[] parseReport(String text) {
-        List<String> names = node.config.settings().reportNames();
-        Map<String, Double> values = new HashMap<>();
-        for (String part : text.substring(text.indexOf(' ') + 1).split(",")) {
-            int equals = part.indexOf('=');
-            try {
-                double value = Double.parseDouble(part.substring(equals + 1).trim());
-                if (!Double.isFinite(value)) {
-                    return new double[0];
-                }
-                values.put(part.substring(0, Math.max(0, equals)).trim(), value);
-            } catch (NumberFormatException e) {
-                return new double[0];
-            }
-        }
-        return values.keySet().containsAll(names) ? names.stream().mapToDouble(values::get).toArray() : new double[0];
-    }
 }
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -43,7 +43,7 @@
 final class HostConnection extends ChannelInboundHandlerAdapter {
     private static final AsciiString NEVER_RAN_HEADER = AsciiString.cached("X-Never-Ran");
     private static final HttpHeadersFactory HEADERS = StrictHeaders.ofAnswers(
-            List.of(HttpHeaderNames.CONTENT_TYPE, NEVER_RAN_HEADER, HostClient.LOAD_REPORT_HEADER));
+            List.of(HttpHeaderNames.CONTENT_TYPE, NEVER_RAN_HEADER, LoadReport.HEADER));
     private static final HttpHeadersFactory TRAILERS = StrictHeaders.ofAnswers(List.of());
     private static final long UPLOAD_CHECK_INTERVAL_MS = 250;
     private static final long RESPONSE_CHECK_INTERVAL_MS = 250;
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -776,7 +776,7 @@
         }
         boolean closed = entry.isClosed();
         double tookMs = (attempt.streamedAtMs > 0 ? attempt.streamedAtMs : clock.now()) - attempt.sentAtMs;
-        double[] report = response == null ? NO_LOAD_REPORT : hostClient.parseLoadReport(response);
+        double[] report = response == null ? NO_LOAD_REPORT : LoadReport.ofHeader(response, config.settings().reportNames());
         deliver((now, events) -> events.onAttemptEnded(now,
                 new AttemptResult(entry.request.id(), attempt.number, attempt.host, outcome, tookMs, closed, 0, 0, report)));
         removeIfFinished(entry);
--- a/gateway/src/test/java/marlford/gateway/net/TwoEventRaceTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/TwoEventRaceTest.java
@@ -312,7 +312,7 @@
 
     /**
      * A second response that a host sends while the next request is on its way was once served to the client of that
-     * request. Here less than {@link HostClient#MIN_REST_MS} passes between the first and the last request, so each
+     * request. Here less than {@link HostConnectionPool#MIN_REST_MS} passes between the first and the last request, so each
      * one needs a new connection. The test checks the text of each response and the number of requests that the host
      * received; it does not count distinct connections.
      */
@@ -331,7 +331,7 @@
         Client c = connectClient(node);
         for (int i = 0; i < 5; i++) {
             assertEquals("for v" + i + " ", c.send(view("v" + i, CLIENT_TIME_MS)).receive().text());
-            node.loop.submit(() -> clock.advance(HostClient.MIN_REST_MS / 10)).sync();
+            node.loop.submit(() -> clock.advance(HostConnectionPool.MIN_REST_MS / 10)).sync();
         }
         assertEquals(5, connections.size());
     }
@@ -346,7 +346,7 @@
         Client c = connectClient(node);
         for (int i = 0; i < 3; i++) {
             assertEquals(200, c.send(view("v" + i, CLIENT_TIME_MS)).receive().status());
-            node.loop.submit(() -> clock.advance(HostClient.MIN_REST_MS + 1)).sync(); // after the event loop task in which it became idle
+            node.loop.submit(() -> clock.advance(HostConnectionPool.MIN_REST_MS + 1)).sync(); // after the event loop task in which it became idle
         }
         assertEquals(1, connections.stream().distinct().count());
     }
