Leave a host that has lost a shared address gone when another one of it ends

By reading: where two hosts shared an address, both lost it to a third, and one of them ended, the other's tenure was ended a second time and its doubt moved to that later moment. Now only a host that has the address alone from then on gets a tenure of its own.

Measured: HostAddressesTest with the new case green. The case on the code before was not run.

--- a/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
@@ -189,7 +189,7 @@
 
     /** From now on the last one of several hosts has the address alone. */
     private void endSharing(Update update, Listing<A> last) {
-        if (last.shares) {
+        if (last.shares && !isSuperseded(last.host.id())) {
             end(update, last);
             renew(update, last);
             tellSuccessors(update, last.address, List.of(last));
--- a/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
@@ -110,6 +110,22 @@
         assertFalse(isListedHost(shared));
     }
 
+    /** Of two hosts that shared the address and have both lost it, one ends. */
+    @Test
+    void theLastOfSeveralThatHaveLostTheAddressStaysGone() {
+        Host same = host("same", 1, HostState.RUNNING, 0);
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING), same);
+        ReachedProcess process = oldHostReachedAt(TOLD_MS - 1);
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        tell(TOLD_MS + 1, ListKind.CHANGES, host("same", 1, HostState.GONE, 0));
+        assertTrue(addresses.isSuperseded("old"));
+        assertFalse(isListedHost(process));
+        tell(TOLD_MS + 2, ListKind.CHANGES, fresh(HostState.GONE));
+        tell(TOLD_MS + DOUBT_MS + 1, ListKind.CHANGES);
+        assertFalse(addresses.isSuperseded("old"));
+        assertFalse(isListedHost(process));
+    }
+
     /** The work for each host does not grow with the number of hosts at its address. */
     @Test
     void veryManyHostsShareAnAddress() {
