Ask once for each attempt whether its connection leads to the listed host

SendRules.findStaleness asked and recorded the result with the attempt; Node asked again for the trace, with or without one, on each attempt. The trace line takes the recorded result now. Behaviour as before.

Measured: SharedHostAddressTest, HostAddressesTest, StaleAttemptTest, ArchitectureTest green.

--- a/gateway/src/main/java/marlford/gateway/net/Attempt.java
+++ b/gateway/src/main/java/marlford/gateway/net/Attempt.java
@@ -60,6 +60,11 @@
         reachedListedHost = isListedHost;
     }
 
+    /** Whether its first byte certainly went to the listed host, by what was known then. */
+    boolean reachedListedHost() {
+        return reachedListedHost;
+    }
+
     /** Whether it was written to the listed host and no other process, by what was known then and by what is known now. */
     boolean certainlyReachedListedHost(double now, Scope scope) {
         return reachedListedHost && (reached == null || reached.wasListedHost(now, scope));
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -889,8 +889,7 @@
         }
         Staleness staleness = sendRules.findStaleness(attempt, process, sendingStopped);
         if (staleness == null) {
-            boolean isListedHost = sendRules.isListedHost(attempt, process);
-            eventLog.attemptBegun(attempt.owner.request.id(), attempt.number, clock.now() - process.openedAtMs(), isListedHost);
+            eventLog.attemptBegun(attempt.owner.request.id(), attempt.number, clock.now() - process.openedAtMs(), attempt.reachedListedHost());
             return true;
         }
         eventLog.unsent(attempt.owner.request.id(), attempt.number, staleness);
--- a/gateway/src/main/java/marlford/gateway/net/SendRules.java
+++ b/gateway/src/main/java/marlford/gateway/net/SendRules.java
@@ -113,7 +113,7 @@
         if (ruleBrokenByRepeat(attempt) != null || repeatsAtUnknownHost(attempt)) {
             return Staleness.REPEAT_FORBIDDEN;
         }
-        boolean isListedHost = isListedHost(attempt, process);
+        boolean isListedHost = process.isListedHost(clock.now(), classOf(entry.request).scope());
         if (!isListedHost && isRepeatBoundToHosts(attempt)) {
             return Staleness.HOST_UNCERTAIN;
         }
@@ -127,11 +127,6 @@
         return null;
     }
 
-    /** Whether the process at the other end of a connection certainly is the listed host, as far as an attempt's repeats depend on that. */
-    boolean isListedHost(Attempt attempt, ReachedProcess process) {
-        return process.isListedHost(clock.now(), classOf(attempt.owner.request).scope());
-    }
-
     /** Whether an earlier attempt may have run, so that only the hosts that know its key may get another one. */
     private boolean isRepeatBoundToHosts(Attempt attempt) {
         RequestClass requestClass = classOf(attempt.owner.request);
