Give a host another state in one place

HostAddresses copied a host into the state GONE by hand, as HostList.withState did for any state. Host.withState serves both. Behaviour as before.

Measured: HostListTest, HostAddressesTest, SharedHostAddressTest, DiscoveryTest, ArchitectureTest green.

--- a/gateway/src/main/java/marlford/gateway/EngineApi.java
+++ b/gateway/src/main/java/marlford/gateway/EngineApi.java
@@ -163,7 +163,12 @@
      * @param startedMs wall clock time of the host's start; 0 where that is long ago or not known
      */
     public record Host(String id, String zone, String kind, int cell, HostState state, double rating,
-            double startedMs) { }
+            double startedMs) {
+        /** Returns this host in another state. */
+        public Host withState(HostState other) {
+            return state == other ? this : new Host(id, zone, kind, cell, other, rating, startedMs);
+        }
+    }
 
     /**
      * A client's request, waiting since {@code arrivedMs}. The customer's requests may arrive at {@code spread} gateways of
--- a/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
@@ -306,8 +306,6 @@
     }
 
     private Host effective(Host host) {
-        return superseded.containsKey(host.id())
-                ? new Host(host.id(), host.zone(), host.kind(), host.cell(), HostState.GONE, host.rating(), host.startedMs())
-                : host;
+        return isSuperseded(host.id()) ? host.withState(HostState.GONE) : host;
     }
 }
--- a/gateway/src/main/java/marlford/gateway/list/HostList.java
+++ b/gateway/src/main/java/marlford/gateway/list/HostList.java
@@ -234,7 +234,7 @@
                 return false;
             }
             if (entry.host.state() != HostState.GONE) {
-                entry.host = withState(entry.host, HostState.GONE);
+                entry.host = entry.host.withState(HostState.GONE);
                 entry.reportedState = HostState.GONE;
                 entry.closedAtMs = now;
             }
@@ -247,16 +247,11 @@
         List<Host> hosts = new ArrayList<>();
         for (Entry e : which) {
             e.reportedState = e.state(now);
-            hosts.add(withState(e.host, e.reportedState));
+            hosts.add(e.host.withState(e.reportedState));
         }
         return hosts;
     }
 
-    private static Host withState(Host h, HostState state) {
-        return h.state() == state ? h
-                : new Host(h.id(), h.zone(), h.kind(), h.cell(), state, h.rating(), h.startedMs());
-    }
-
     /**
      * Replaces the set of hosts that operators exclude. Each of them counts as draining, whatever its agent reports and
      * however often it restarts, until a later call does not name it. Hosts that are not on the list may be named.
