--- a/storm/src/main/java/marlford/storm/soak/ToldRepeats.java
+++ b/storm/src/main/java/marlford/storm/soak/ToldRepeats.java
@@ -19,7 +19,7 @@
 
     private final Set<String> orders;
     private final Map<String, String> hostOfAttempt = new HashMap<>(); // by the request and the number
-    private final Map<String, Set<String>> hostsReached = new HashMap<>(); // by the request, since the last list
+    private final Map<String, Set<String>> hostsReached = new HashMap<>(); // by the request
     private final Set<String> inDoubt = new HashSet<>(); // orders that reached a host whose tenure has ended since
     private final Set<String> repeated = new HashSet<>();
 
