Hold connections in doubt while discovery is silent

Seen by callers: a host was replaced by one of another group while discovery's watch had fallen silent, and keyed orders that the new host had run and reset were repeated in the old host's group, however long discovery had been silent: two effects, and an answer 200.

Cause, by reading and by the new test: the doubt after a loss ended 6.5 s later by the clock alone, as discovery "would have told of a change", and a connection with no loss was certain for ever. Both take silence for word that nothing has changed.

Change: ListConfirmation says up to when the list covers changes. A loss is settled, an ended host has had no successor, and a host that lost its address has it again, once discovery has confirmed the list late enough, not once time has passed. Where it has confirmed nothing for 6 s, connections that the list does not cover are in doubt, at the first byte and when a repeat is decided or written. A list that another gateway has fetched confirms as of its age, and one that waited for a late event loop as of that. The bound is PROTOCOL's: "What discovery has to tell counts as told 6 s later at the latest [...], whether or not it arrived". Watches come back every 4 s, so a discovery that answers leaves no doubt.

Tests changed: HostIdentityTest and HostAddressesTest let discovery confirm the list where they let time pass; each bound stays as it was, and a later time without a confirmation now has to leave the doubt.

Measured: SharedHostAddressTest.ordersAreNotRepeatedWhileDiscoveryIsSilent failed before ("expected: <false> but was: <true>": repeated in the other zone) and is green, as are its case in which discovery answers again, HostAddressesTest, HostIdentityTest, ReusedHostAddressTest, DiscoveryTest, EventOrderTest, LongHostListTest and ArchitectureTest.

--- a/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
+++ b/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
@@ -23,6 +23,7 @@
     private record Successor(Host host, double earliestMs) { }
 
     private final Host host;
+    private final ListConfirmation confirmation;
     private HostIdentity losses; // null until the first one, as lists may be long and most hosts have none
     private List<Successor> successors = List.of();
     private KeyGroups sharedWith; // hosts that came to the address together with this one; null if there are none
@@ -31,13 +32,14 @@
     private double endToldAtMs = Double.POSITIVE_INFINITY;
     private double endedAfterMs = Double.POSITIVE_INFINITY; // another process can have the address from here on
 
-    AddressTenure(Host host) {
+    AddressTenure(Host host, ListConfirmation confirmation) {
         this.host = host;
+        this.confirmation = confirmation;
     }
 
     /** Records that the host reset, ended or refused a connection. */
     public void recordLoss(double now) {
-        losses = losses == null ? new HostIdentity() : losses;
+        losses = losses == null ? new HostIdentity(confirmation) : losses;
         losses.recordLoss(now);
     }
 
@@ -84,18 +86,21 @@
     }
 
     /** Whether no connection was lost that leaves it in doubt which process a newer one, opened at this time, leads to. */
-    boolean isUndisturbed(double now, double openedAtMs) {
-        return losses == null || losses.isCertain(now, openedAtMs);
+    boolean isUndisturbed(double openedAtMs) {
+        return losses == null || losses.isCertain(openedAtMs);
     }
 
     /**
-     * Whether by all that discovery has told a connection that was opened at this time leads to a host that drops the repeats of this
-     * host: to this one, or to one that shares its idempotency keys.
+     * Whether by all that discovery has told, or counts as having told, a connection that was opened at this time leads to a host that drops the
+     * repeats of this host: to this one, or to one that shares its idempotency keys.
      */
     boolean leadsToHost(double now, double openedAtMs, Scope scope) {
         if (scope == Scope.ALL) {
             return true;
         }
+        if (!confirmation.isCurrent(now) && !confirmation.covers(openedAtMs)) {
+            return false;
+        }
         if (sharedWith != null && !sharedWith.allShareKeysWith(host, scope)) {
             return false;
         }
@@ -104,7 +109,7 @@
                 return false;
             }
         }
-        boolean successorsAreTold = !successors.isEmpty() || now - endToldAtMs > HostIdentity.TOLD_WITHIN_MS;
+        boolean successorsAreTold = !successors.isEmpty() || confirmation.covers(endToldAtMs);
         return openedAtMs < endedAfterMs || successorsAreTold;
     }
 }
--- a/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -33,13 +32,14 @@
     private final Map<A, Set<Listing<A>>> crowds = new HashMap<>(); // all hosts that are listed at an address, where there are several
     private final Map<A, List<AddressTenure>> endedTenures = new HashMap<>();
     private final Map<String, Listing<A>> superseded = new LinkedHashMap<>(); // listings that have lost their address to another host
+    private final ListConfirmation confirmation = new ListConfirmation();
     private int updates;
 
     /** A host on the list, in any state but gone. */
     private static final class Listing<A> {
         final A address; // null if it is not known
         Host host;
-        private AddressTenure tenure; // null until it is asked for
+        AddressTenure tenure; // null until it is asked for
         double supersededAtMs;
         final int addedInUpdate; // number of the update
         int lastUpdate; // that named the host
@@ -52,11 +52,6 @@
             this.lastUpdate = update;
         }
 
-        AddressTenure tenure() {
-            tenure = tenure == null ? new AddressTenure(host) : tenure;
-            return tenure;
-        }
-
         /** Whether an entry of a list stands for the same process. */
         boolean isSame(Host other, A otherAddress) {
             return host.startedMs() == other.startedMs() && host.zone().equals(other.zone()) && host.cell() == other.cell()
@@ -71,21 +66,30 @@
         final Set<String> changedIds = new LinkedHashSet<>(); // of hosts that another host's change has affected
         final Map<A, List<Listing<A>>> added = new LinkedHashMap<>(); // where the address is, or lately was, another host's
 
-        Update(double now, double confirmedAtMs) {
+        Update(double now) {
             this.now = now;
-            this.earliestMs = Math.min(now, confirmedAtMs) - HostIdentity.TOLD_WITHIN_MS;
+            this.earliestMs = confirmation.coversUntilMs();
         }
     }
 
+    /**
+     * Records that discovery has confirmed the list that is held now. To be called after the update that it told of, which may have
+     * happened at any time since the confirmation before.
+     *
+     * @param atMs when the word left discovery at the earliest
+     */
+    public void recordConfirmation(double atMs) {
+        confirmation.record(atMs);
+    }
+
     /**
      * Takes over a list of hosts, or changes to it.
      *
-     * @param confirmedAtMs when discovery last confirmed the list that was held before
      * @param addresses of these hosts by id; a host without one keeps the address that it has
      * @return the hosts in the states that the gateway is to use, and those whose state is changed by another host's
      */
-    public List<Host> update(double now, double confirmedAtMs, ListKind kind, List<Host> hosts, Map<String, A> addresses) {
-        Update update = new Update(now, confirmedAtMs);
+    public List<Host> update(double now, ListKind kind, List<Host> hosts, Map<String, A> addresses) {
+        Update update = new Update(now);
         updates++;
         for (Host host : hosts) {
             Listing<A> listing = listings.get(host.id());
@@ -111,8 +115,8 @@
     }
 
     /** Whether a host that had lost its address has it again, so that an update is due although discovery has told of nothing. */
-    public boolean isRenewalDue(double now) {
-        return superseded.values().stream().anyMatch(listing -> isUnrivalled(now, listing));
+    public boolean isRenewalDue() {
+        return superseded.values().stream().anyMatch(this::isUnrivalled);
     }
 
     /** Whether the host is listed, but another one has its address. */
@@ -129,7 +133,14 @@
     /** Returns the tenure of a host at its present address; null if it has none. */
     public AddressTenure tenure(String id) {
         Listing<A> listing = listings.get(id);
-        return listing == null || listing.address == null || isSuperseded(id) ? null : listing.tenure();
+        return listing == null || listing.address == null || isSuperseded(id) ? null : tenureOf(listing);
+    }
+
+    private AddressTenure tenureOf(Listing<A> listing) {
+        if (listing.tenure == null) {
+            listing.tenure = new AddressTenure(listing.host, confirmation);
+        }
+        return listing.tenure;
     }
 
     /** Adds a host to the list, or takes over its state. */
@@ -240,13 +251,13 @@
     }
 
     /** None of several hosts that came to one address together is known to have ended. */
-    private static <A> void share(List<Listing<A>> together) {
+    private void share(List<Listing<A>> together) {
         if (together.size() > 1) {
             KeyGroups groups = new KeyGroups();
             for (Listing<A> listing : together) {
                 listing.shares = true;
                 groups.add(listing.host);
-                listing.tenure().shareWith(groups);
+                tenureOf(listing).shareWith(groups);
             }
         }
     }
@@ -258,14 +269,14 @@
         update.changedIds.add(listing.host.id());
     }
 
-    /** Whether a host has lost its address to one that is no longer listed, for longer than its own end would take to be told. */
-    private boolean isUnrivalled(double now, Listing<A> listing) {
-        return now - listing.supersededAtMs > HostIdentity.TOLD_WITHIN_MS && isSuperseded(holders.get(listing.address).host.id());
+    /** Whether a host has lost its address to one that is no longer listed, and discovery would have told of its own end by now. */
+    private boolean isUnrivalled(Listing<A> listing) {
+        return confirmation.covers(listing.supersededAtMs) && isSuperseded(holders.get(listing.address).host.id());
     }
 
     private void renewUnrivalled(Update update) {
         for (Listing<A> listing : List.copyOf(superseded.values())) {
-            if (isUnrivalled(update.now, listing)) {
+            if (isUnrivalled(listing)) {
                 renewAll(update, listing.address);
             }
         }
--- a/gateway/src/main/java/marlford/gateway/guard/ReachedProcess.java
+++ b/gateway/src/main/java/marlford/gateway/guard/ReachedProcess.java
@@ -14,7 +14,7 @@
      * attempt: a connection that is lost later may have been lost with this process.
      */
     public boolean isListedHost(double now, Scope scope) {
-        return scope == Scope.ALL || tenure.isUndisturbed(now, openedAtMs) && tenure.leadsToHost(now, openedAtMs, scope);
+        return scope == Scope.ALL || tenure.isUndisturbed(openedAtMs) && tenure.leadsToHost(now, openedAtMs, scope);
     }
 
     /**
--- a/gateway/src/main/java/marlford/gateway/net/Discovery.java
+++ b/gateway/src/main/java/marlford/gateway/net/Discovery.java
@@ -71,7 +71,6 @@
     private boolean tooLongLogged; // whether a list that is too long was logged in the current series of failures
     private boolean started;
     private boolean ageLogged; // whether it was logged that the list is too old; false again once it is not
-    private double confirmedAtMs = Double.NEGATIVE_INFINITY; // when an agent last sent an update that was accepted
     private boolean hasList; // whether a list is held, from an agent or from the configuration
     private boolean waitsForList; // the gateway is unhealthy until it has a list
 
@@ -99,7 +98,7 @@
         }
         hasList = !entries.isEmpty();
         HostList.Update update = list.loadCached(hosts(entries), cached.path("version").asLong(HostList.NO_VERSION));
-        node.onHostsUpdated(update.kind(), update.hosts(), addresses(entries), confirmedAtMs);
+        node.onHostsUpdated(update.kind(), update.hosts(), addresses(entries));
     }
 
     /**
@@ -141,7 +140,7 @@
     void setExcludedHosts(Set<String> ids) {
         List<Host> changes = list.setExcluded(node.clock.now(), ids);
         if (!changes.isEmpty()) {
-            node.onHostsUpdated(ListKind.CHANGES, changes, Map.of(), node.clock.now());
+            node.onHostsUpdated(ListKind.CHANGES, changes, Map.of());
         }
     }
 
@@ -330,7 +329,7 @@
         try {
             HostListParser parser = new HostListParser(hostLimit.hosts());
             parser.feed(fetched.text().getBytes(StandardCharsets.UTF_8));
-            return applyUpdate(sender, parser.end());
+            return applyUpdate(sender, parser.end(), fetched.ageMs());
         } catch (IOException | RuntimeException e) {
             Node.log("discovery: cannot use the list of agent " + sender + " that another gateway fetched: " + e.getMessage());
             return false;
@@ -340,28 +339,31 @@
     /**
      * Offers a response to the list and passes the resulting changes to the node. If the node fails, the whole list is fetched
      * again, so that no change is lost. Returns whether the response was accepted.
+     *
+     * @param ageMs upper bound of the time since the agent sent it, until it came to this process
      */
-    private boolean applyUpdate(InetSocketAddress sender, HostListUpdate update) throws ListTooLongException {
+    private boolean applyUpdate(InetSocketAddress sender, HostListUpdate update, double ageMs) throws ListTooLongException {
         List<Entry> entries = update.entries();
         List<Host> hosts = hosts(entries);
         if (!update.full() && list.listedCountAfter(hosts) > hostLimit.hosts()) {
             throw new ListTooLongException(hostLimit.hosts());
         }
         HostList.Update result = list.receive(node.clock.now(), sender, update.version(), update.full(), hosts);
-        double confirmedBeforeMs = confirmedAtMs;
-        confirmedAtMs = result.accepted() ? node.clock.now() : confirmedAtMs;
         hasList |= result.accepted();
         if (result.accepted() && (result.kind() == ListKind.FULL || !result.hosts().isEmpty())) {
             if (result.kind() == ListKind.FULL) {
                 Node.log("discovery: agent " + sender + " lists " + result.hosts().size() + " hosts, version " + update.version());
             }
             try {
-                node.onHostsUpdated(result.kind(), result.hosts(), addresses(entries), confirmedBeforeMs);
+                node.onHostsUpdated(result.kind(), result.hosts(), addresses(entries));
             } catch (RuntimeException e) { // otherwise these changes would never reach the node
                 list.requireFullList();
                 throw e;
             }
         }
+        if (result.accepted()) {
+            node.onHostsConfirmed(ageMs);
+        }
         return result.accepted();
     }
 
@@ -387,7 +389,7 @@
         }
         ageLogged = stale;
         if (!changes.isEmpty()) {
-            node.onHostsUpdated(ListKind.CHANGES, changes, Map.of(), node.clock.now());
+            node.onHostsUpdated(ListKind.CHANGES, changes, Map.of());
         }
     }
 
@@ -515,7 +517,7 @@
             }
             HostListUpdate update = response.list();
             long versionBefore = list.heldVersion(address);
-            boolean accepted = applyUpdate(address, update);
+            boolean accepted = applyUpdate(address, update, 0);
             if (holdsTurn) { // even if it was not accepted here: other gateways decide for themselves
                 setHoldsTurn(false);
                 node.sharedListFetch().reportResult(address.toString(), true, update.full() ? response.text() : null);
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -440,8 +440,8 @@
 
     /** Updates the hosts if time alone changes which of them has an address. */
     void reviewHostAddresses() {
-        if (hostAddresses.isRenewalDue(clock.now())) {
-            onHostsUpdated(ListKind.CHANGES, List.of(), Map.of(), clock.now());
+        if (hostAddresses.isRenewalDue()) {
+            onHostsUpdated(ListKind.CHANGES, List.of(), Map.of());
         }
     }
 
@@ -802,7 +802,17 @@
 
     /** Passes a host list, or changes to it, on. It changes no more than what was current until now. */
     void onHostsUpdated(ListKind kind, List<Discovery.Entry> entries) {
-        onHostsUpdated(kind, Discovery.hosts(entries), Discovery.addresses(entries), clock.now());
+        onHostsConfirmed(0);
+        onHostsUpdated(kind, Discovery.hosts(entries), Discovery.addresses(entries));
+    }
+
+    /**
+     * Records that discovery has confirmed the list of hosts, with the changes that were passed on before.
+     *
+     * @param ageMs upper bound of the time since its agent said so, until that came to this process
+     */
+    void onHostsConfirmed(double ageMs) {
+        hostAddresses.recordConfirmation(clock.now() - lag.ms() - ageMs);
     }
 
     /**
@@ -810,10 +820,9 @@
      * one address, those that must have ended count as gone.
      *
      * @param addresses of the hosts by id; a host without one keeps the address that it has
-     * @param confirmedAtMs when discovery last confirmed the list that was held before
      */
-    void onHostsUpdated(ListKind kind, List<Host> listed, Map<String, InetSocketAddress> addresses, double confirmedAtMs) {
-        List<Host> list = hostAddresses.update(clock.now(), confirmedAtMs, kind, listed, addresses);
+    void onHostsUpdated(ListKind kind, List<Host> listed, Map<String, InetSocketAddress> addresses) {
+        List<Host> list = hostAddresses.update(clock.now(), kind, listed, addresses);
         hostClient.closeEndedPools();
         adminCommands.setListedHosts(discovery.listedHosts());
         hostStates.update(kind, list);
--- a/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
@@ -24,7 +24,8 @@
     private static final String OTHER_ADDRESS = "10.1.0.19:5000";
     private static final double START_MS = 100_000;
     private static final double TOLD_MS = 200_000;
-    private static final double DOUBT_MS = HostIdentity.TOLD_WITHIN_MS;
+    private static final double COUNTS_AS_TOLD_MS = 6000;
+    private static final double DOUBT_MS = ListConfirmation.TOLD_WITHIN_MS;
 
     private final HostAddresses<String> addresses = new HostAddresses<>();
 
@@ -45,12 +46,16 @@
         return tell(now, now, kind, hosts);
     }
 
+    /** @param confirmedAtMs when discovery had confirmed the list before; minus infinity where it never had */
     private List<Host> tell(double now, double confirmedAtMs, ListKind kind, Host... hosts) {
+        addresses.recordConfirmation(confirmedAtMs);
         Map<String, String> at = new HashMap<>();
         for (Host host : hosts) {
             at.put(host.id(), ADDRESS);
         }
-        return addresses.update(now, confirmedAtMs, kind, List.of(hosts), at);
+        List<Host> result = addresses.update(now, kind, List.of(hosts), at);
+        addresses.recordConfirmation(now);
+        return result;
     }
 
     private ReachedProcess oldHostReachedAt(double openedAtMs) {
@@ -90,6 +95,7 @@
         tell(START_MS, ListKind.FULL, old(HostState.RUNNING), fresh(HostState.RUNNING));
         assertFalse(addresses.isSuperseded("old") || addresses.isSuperseded("fresh"));
         ReachedProcess shared = oldHostReachedAt(START_MS + 1);
+        addresses.recordConfirmation(TOLD_MS);
         assertFalse(isListedHost(shared));
         assertTrue(shared.wasListedHost(TOLD_MS, Scope.ZONE), "both are in one zone");
         tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.GONE));
@@ -148,6 +154,7 @@
             tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
             ReachedProcess before = oldHostReachedAt(TOLD_MS - DOUBT_MS - 1);
             ReachedProcess within = oldHostReachedAt(TOLD_MS - DOUBT_MS + 1);
+            addresses.recordConfirmation(TOLD_MS);
             assertTrue(isListedHost(within));
             tell(TOLD_MS, ListKind.CHANGES, endFirst ? old(HostState.GONE) : fresh(HostState.RUNNING));
             assertTrue(isListedHost(before));
@@ -163,7 +170,9 @@
         tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
         ReachedProcess within = oldHostReachedAt(TOLD_MS - 1);
         tell(TOLD_MS, ListKind.CHANGES, old(HostState.GONE));
+        addresses.recordConfirmation(TOLD_MS + DOUBT_MS);
         assertFalse(within.wasListedHost(TOLD_MS + DOUBT_MS, Scope.CELL));
+        addresses.recordConfirmation(TOLD_MS + DOUBT_MS + 1);
         assertTrue(within.wasListedHost(TOLD_MS + DOUBT_MS + 1, Scope.CELL));
         tell(TOLD_MS + 3 * DOUBT_MS, ListKind.CHANGES, fresh(HostState.RUNNING)); // it can't have been there so early
         assertTrue(within.wasListedHost(TOLD_MS + 3 * DOUBT_MS, Scope.CELL));
@@ -180,12 +189,29 @@
 
     @Test
     void aListOfUnknownAgeProvesNothingOfAnyConnection() {
-        tell(START_MS, ListKind.CACHED, old(HostState.RUNNING));
+        addresses.update(START_MS, ListKind.CACHED, List.of(old(HostState.RUNNING)), Map.of("old", ADDRESS));
         ReachedProcess process = oldHostReachedAt(START_MS + 1);
+        assertFalse(process.isListedHost(START_MS + 1, Scope.CELL));
         tell(TOLD_MS, Double.NEGATIVE_INFINITY, ListKind.FULL, fresh(HostState.RUNNING));
         assertFalse(isListedHost(process));
     }
 
+    /** "What discovery has to tell counts as told 6 s later at the latest, whether or not it arrived" (the platform's protocol). */
+    @Test
+    void whileDiscoveryIsSilentOnlyConnectionsThatTheListCoversAreCertain() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        addresses.recordConfirmation(TOLD_MS);
+        ReachedProcess covered = oldHostReachedAt(TOLD_MS - DOUBT_MS - 1);
+        ReachedProcess newer = oldHostReachedAt(TOLD_MS - DOUBT_MS);
+        assertTrue(newer.isListedHost(TOLD_MS + COUNTS_AS_TOLD_MS, Scope.CELL));
+        double silentMs = TOLD_MS + COUNTS_AS_TOLD_MS + 1;
+        assertFalse(newer.isListedHost(silentMs, Scope.CELL) || newer.wasListedHost(silentMs, Scope.CELL));
+        assertTrue(newer.isListedHost(silentMs, Scope.ALL));
+        assertTrue(covered.isListedHost(silentMs, Scope.CELL) && covered.wasListedHost(silentMs, Scope.CELL));
+        addresses.recordConfirmation(silentMs);
+        assertTrue(newer.isListedHost(silentMs, Scope.CELL) && newer.wasListedHost(silentMs, Scope.CELL));
+    }
+
     /** Responses on a connection from before the doubt show that the old process lived on. */
     @Test
     void responsesOnOlderConnectionsRemoveTheDoubtUpToTheLastOfThem() {
@@ -223,7 +249,7 @@
         tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
         AddressTenure tenure = addresses.tenure("old");
         assertEquals(List.of(old(HostState.DRAINING)),
-                addresses.update(TOLD_MS, TOLD_MS, ListKind.CHANGES, List.of(old(HostState.DRAINING)), Map.of()));
+                addresses.update(TOLD_MS, ListKind.CHANGES, List.of(old(HostState.DRAINING)), Map.of()));
         assertSame(tenure, addresses.tenure("old"));
         assertEquals(ADDRESS, addresses.address("old"));
     }
@@ -235,7 +261,7 @@
         tell(TOLD_MS, ListKind.CHANGES, host("old", 2, HostState.RUNNING, 0));
         assertNotSame(process.tenure(), addresses.tenure("old"));
         assertFalse(isListedHost(process));
-        addresses.update(TOLD_MS, TOLD_MS, ListKind.CHANGES, List.of(host("old", 2, HostState.RUNNING, 0)), Map.of("old", OTHER_ADDRESS));
+        addresses.update(TOLD_MS, ListKind.CHANGES, List.of(host("old", 2, HostState.RUNNING, 0)), Map.of("old", OTHER_ADDRESS));
         assertEquals(OTHER_ADDRESS, addresses.address("old"));
     }
 
@@ -245,8 +271,10 @@
         tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
         tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
         tell(TOLD_MS + 1, ListKind.CHANGES, fresh(HostState.GONE));
-        assertFalse(addresses.isRenewalDue(TOLD_MS + DOUBT_MS));
-        assertTrue(addresses.isRenewalDue(TOLD_MS + DOUBT_MS + 1));
+        addresses.recordConfirmation(TOLD_MS + DOUBT_MS);
+        assertFalse(addresses.isRenewalDue());
+        addresses.recordConfirmation(TOLD_MS + DOUBT_MS + 1);
+        assertTrue(addresses.isRenewalDue());
         assertEquals(List.of(old(HostState.RUNNING)), tell(TOLD_MS + DOUBT_MS + 1, ListKind.CHANGES));
         assertFalse(addresses.isSuperseded("old"));
     }
--- a/gateway/src/test/java/marlford/gateway/net/ReusedHostAddressTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/ReusedHostAddressTest.java
@@ -17,7 +17,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import marlford.gateway.guard.HostIdentity;
+import marlford.gateway.guard.ListConfirmation;
 import marlford.gateway.net.Sockets.Client;
 import marlford.gateway.net.Sockets.DiscoveryAgent;
 import marlford.gateway.net.Sockets.Message;
@@ -141,7 +141,7 @@
     /** The connections are older than any change of which discovery can tell now. */
     @Test
     void ordersOnConnectionsFromBeforeTheChangeAreRepeated() throws Exception {
-        play(News.BEFORE, Neighbour.SAME_ZONE, (long) HostIdentity.TOLD_WITHIN_MS + NEWS_MS, 200);
+        play(News.BEFORE, Neighbour.SAME_ZONE, (long) ListConfirmation.TOLD_WITHIN_MS + NEWS_MS, 200);
     }
 
     /** Lets discovery say again and again that nothing has changed. */
--- a/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against keyed orders that run twice where a host of another zone has come up at the address of one that has ended, and discovery tells of
@@ -31,6 +32,8 @@
 class SharedHostAddressTest extends SocketTest {
     private static final int ORDERS = 6;
     private static final int SHORT_TIME_MS = 2500;
+    private static final double SILENCE_MS = 6500; // longer than discovery takes to tell of a change
+    private static final long LOOP_SETTLES_MS = 100; // after a jump of the clock
     private static final long STARTED_LATELY_MS = 1_790_000_000_000L;
 
     /** What discovery tells once the orders are at the address. */
@@ -243,6 +246,32 @@
         assertEquals(List.of(), ids(reused));
     }
 
+    /**
+     * Discovery has been silent for longer than it takes to tell of a change, so that any host may have been replaced since. Once it has confirmed
+     * the list, orders are repeated again.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void ordersAreNotRepeatedWhileDiscoveryIsSilent(boolean confirmed) throws Exception {
+        failing.countDown();
+        registry = closeAfterTest(new DiscoveryAgent(list(1, true, with(others(), oldHost("ready")))));
+        ManualClock clock = new ManualClock();
+        Node node = startNodeWithClock(Sockets.config(registry.server.address(), "127.0.0.1:0"), clock);
+        awaitDiscoveryWatches(1);
+        clock.advance(SILENCE_MS);
+        Thread.sleep(LOOP_SETTLES_MS);
+        if (confirmed) {
+            registry.updates.add(list(1, false));
+            awaitDiscoveryWatches(2);
+        }
+        for (int i = 0; i < 10 * ORDERS && ids(reused).isEmpty(); i++) {
+            connectClient(node).send(order("o" + i, "body")).receive();
+        }
+        List<String> failed = ids(reused);
+        assertFalse(failed.isEmpty());
+        assertEquals(confirmed, ids(zoneA).containsAll(failed));
+    }
+
     /** A new host of the same zone drops the repeats of the old one's orders, so nothing stands in their way. */
     @Test
     void ordersAreRepeatedWhereTheNewHostIsOfTheSameZone() throws Exception {
