Date a response by its request when it shows that a host lived on

Seen by callers: a host ended while the gateway held back its long answer for a slow reader, and one of another group came up at its address. Orders that the new host ran and reset were repeated in the old host's group.

Cause, by the new test: a response showed that its process was alive 50 ms before it was read, at a connection that is read in time. What waits for a slow client, or for the gateway's turns of input, is read seconds after its process has ended, and made newer connections count as the old host's. And two spans of life were joined although the later connection was opened after the older one's process was last known to live.

Change: a response shows that its process was alive when the first byte of its request was written, which holds however late it is read. Spans are joined only where they overlap.

Measured: SharedHostAddressTest.bytesThatWaitedForTheirClientDoNotShowThatTheOldHostLivedOn (502 expected, 200 before) and HostAddressesTest.aResponseToARequestFromBeforeANewerConnectionDoesNotShowThatBothLeadToOneProcess failed before and are green, with the rest of both classes, ReusedHostAddressTest and ArchitectureTest.

--- a/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
+++ b/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
@@ -12,8 +12,8 @@
  *
  * <ul>
  * <li>A change that is told now happened after the last time the list was confirmed, less the longest delay of discovery.
- * <li>A response on a connection shows that its process was alive all the time since that was opened, so other connections that were
- * opened in between lead to the same process.
+ * <li>A response on a connection shows that its process was alive all the time from when that was opened up to the request, so other
+ * connections that were opened in between lead to the same process.
  * </ul>
  *
  * <p>No clock and no I/O. Times are milliseconds on the caller's clock.
@@ -47,15 +47,16 @@
      * Records a response.
      *
      * @param openedAtMs when its connection was opened
-     * @param aliveAtMs when the process was alive at the latest: the time of the response, less the time for which it may have waited
+     * @param aliveAtMs when the process was certainly alive: the time of the request, as the response may have waited to be read
      */
     public void recordResponse(double openedAtMs, double aliveAtMs) {
-        if (openedAtMs <= aliveUntilMs) {
-            aliveSinceMs = Math.min(aliveSinceMs, openedAtMs);
-            aliveUntilMs = Math.max(aliveUntilMs, aliveAtMs);
-        } else {
+        double untilMs = Math.max(openedAtMs, aliveAtMs);
+        if (openedAtMs > aliveUntilMs) {
             aliveSinceMs = openedAtMs;
-            aliveUntilMs = Math.max(openedAtMs, aliveAtMs);
+            aliveUntilMs = untilMs;
+        } else if (untilMs >= aliveSinceMs) {
+            aliveSinceMs = Math.min(aliveSinceMs, openedAtMs);
+            aliveUntilMs = Math.max(aliveUntilMs, untilMs);
         }
     }
 
--- a/gateway/src/main/java/marlford/gateway/net/HostConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnection.java
@@ -66,8 +66,12 @@
         /** The host reset the connection, or ended it within an exchange: its process may have ended. */
         void onLost(double now);
 
-        /** Bytes of a response were read. */
-        void onRead(HostConnection connection, double now);
+        /**
+         * A response has begun to be read. It may have waited for long since its host wrote it.
+         *
+         * @param requestBegunMs when the first byte of its request was written; the host was alive then
+         */
+        void onResponse(HostConnection connection, double requestBegunMs);
     }
 
     private final Owner owner;
@@ -77,6 +81,7 @@
     private final Decoder decoder = new Decoder();
     private Channel channel;
     private Exchange exchange;
+    private double requestBegunMs; // when the request's first byte was written
     private boolean requestWritten; // the request's last byte was written to the socket
     private boolean responseStarted; // some bytes of the response were read
     private HttpResponse head;
@@ -224,9 +229,11 @@
                 close();
                 return;
             }
-            responseStarted = true;
+            if (!responseStarted) {
+                responseStarted = true;
+                owner.onResponse(HostConnection.this, requestBegunMs);
+            }
             progress.recordRead(clock.now());
-            owner.onRead(HostConnection.this, clock.now());
             input.measure(((ByteBuf) bytes).readableBytes(), () -> {
                 super.channelRead(ctx, bytes);
                 if (sink != null) { // all parts of one read together, so that tiny chunks need no write each
@@ -299,7 +306,8 @@
         requestWritten = responseStarted = reusable = false;
         interimResponses = 0;
         streamedBytes = 0;
-        progress = new ResponseProgress(clock.now());
+        requestBegunMs = clock.now();
+        progress = new ResponseProgress(requestBegunMs);
         if (message instanceof StreamedRequest) {
             channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, message.method(), message.uri(),
                     message.headers()), channel.voidPromise());
--- a/gateway/src/main/java/marlford/gateway/net/HostConnectionPool.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnectionPool.java
@@ -21,19 +21,16 @@
      * open more new connections, which may take long to come up.
      */
     private static final double PREFERRED_REST_MS = 50;
-    private static final double UNREAD_RESPONSE_MS = 50; // for which a response may wait in its socket while the loop is in time
 
     final InetSocketAddress address;
     final ArrayDeque<HostConnection> idle = new ArrayDeque<>(); // the most recently used last
     final Set<HostConnection> connecting = new LinkedHashSet<>(); // not established yet
     final AddressTenure tenure;
-    private final EventLoopLag lag;
     boolean closed;
 
-    HostConnectionPool(InetSocketAddress address, AddressTenure tenure, EventLoopLag lag) {
+    HostConnectionPool(InetSocketAddress address, AddressTenure tenure) {
         this.address = address;
         this.tenure = tenure;
-        this.lag = lag;
     }
 
     /**
@@ -77,8 +74,8 @@
     }
 
     @Override
-    public void onRead(HostConnection connection, double now) {
-        tenure.recordResponse(connection.openedAtMs(), now - lag.ms() - UNREAD_RESPONSE_MS);
+    public void onResponse(HostConnection connection, double requestBegunMs) {
+        tenure.recordResponse(connection.openedAtMs(), requestBegunMs);
     }
 
     /** Reads what has come on idle connections: the end of one shows that the process may have changed. */
--- a/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
@@ -226,6 +226,17 @@
         assertFalse(isListedHost(later));
     }
 
+    /** The response was read late; its process may have ended before the newer connection was opened. */
+    @Test
+    void aResponseToARequestFromBeforeANewerConnectionDoesNotShowThatBothLeadToOneProcess() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        ReachedProcess process = oldHostReachedAt(TOLD_MS - 2000);
+        process.tenure().recordResponse(TOLD_MS - 2000, TOLD_MS - 100);
+        process.tenure().recordResponse(TOLD_MS - 2 * DOUBT_MS, TOLD_MS - 3000);
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        assertFalse(isListedHost(process));
+    }
+
     @Test
     void aResponseOnAConnectionOfTheDoubtProvesNothing() {
         tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
--- a/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
@@ -9,6 +9,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +34,8 @@
 class SharedHostAddressTest extends SocketTest {
     private static final int ORDERS = 6;
     private static final int SHORT_TIME_MS = 2500;
+    private static final int LONG_ANSWER_BYTES = 24 << 20; // more than the sockets on its way hold
+    private static final int SMALL_BUFFER_BYTES = 16 << 10;
     private static final double SILENCE_MS = 6500; // longer than discovery takes to tell of a change
     private static final long LOOP_SETTLES_MS = 100; // after a jump of the clock
     private static final long STARTED_LATELY_MS = 1_790_000_000_000L;
@@ -272,6 +276,55 @@
         assertEquals(confirmed, ids(zoneA).containsAll(failed));
     }
 
+    /**
+     * What is read late of a long answer, which waited for its client, may have come from a process that has ended since: it does not show that a
+     * newer connection leads to the same one.
+     */
+    @Test
+    void bytesThatWaitedForTheirClientDoNotShowThatTheOldHostLivedOn() throws Exception {
+        RecordingServer address = startHost((message, socket) -> {
+            if (message.startLine().contains("/order/")) {
+                failing.await();
+                fail(socket);
+            } else {
+                int bytes = message.startLine().contains("long") ? LONG_ANSWER_BYTES : 1;
+                socket.getOutputStream().write(Sockets.ok("x".repeat(bytes)));
+            }
+        });
+        reused = address;
+        registry = closeAfterTest(new DiscoveryAgent(list(1, true, oldHost("ready"))));
+        ManualClock clock = new ManualClock();
+        Node node = startNodeWithClock(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"connect_timeout_ms\": 5000", "\"connect_timeout_ms\": 5000, \"conn_idle_ms\": " + Sockets.TIMEOUT_MS), clock);
+        assertEquals(200, connectClient(node).send(Sockets.view("short", Sockets.TIMEOUT_MS)).receive().status());
+        clock.advance(SILENCE_MS + LOOP_SETTLES_MS); // the connection is older than any change that is told from now on
+        Thread.sleep(LOOP_SETTLES_MS);
+        registry.updates.add(list(1, false));
+        awaitDiscoveryWatches(2);
+        Client slow = sendLongView(node);
+        Sockets.await(() -> address.requests.size() == 2, "the host has the long request");
+        Thread.sleep(5 * LOOP_SETTLES_MS); // the sockets fill up, and the gateway pauses
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < ORDERS / 2; i++) {
+            clients.add(connectClient(node).send(order("o" + i, "body")));
+        }
+        Sockets.await(() -> address.requests.size() == 2 + ORDERS / 2, "the process at the address has all orders");
+        Thread.sleep(2 * LOOP_SETTLES_MS);
+        slow.socket.getInputStream().readNBytes(LONG_ANSWER_BYTES / 2);
+        Thread.sleep(LOOP_SETTLES_MS);
+        tell(News.NEW_HOST);
+        awaitDiscoveryWatches(3);
+        failing.countDown();
+        assertNotRepeated(clients);
+    }
+
+    private Client sendLongView(Node node) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), node.port()));
+        return closeAfterTest(new Client(socket)).send(Sockets.view("long", Sockets.TIMEOUT_MS));
+    }
+
     /** A new host of the same zone drops the repeats of the old one's orders, so nothing stands in their way. */
     @Test
     void ordersAreRepeatedWhereTheNewHostIsOfTheSameZone() throws Exception {
