Keep the losses at an address for whoever has it, not for one host's connections

Seen by callers: a host was replaced, and the new one ended soon after discovery had told of it. Orders sent to its address then ran at a third process, and were repeated in the new host's group, although the gateway had just lost connections there.

Cause, by the trace of the new test: the lost connections had been opened under the old host's name, so the loss was recorded with the old host's tenure, which had ended. The new one's connection of 444 ms counted as certain ("attempt-begun ... certain=true") and its order was repeated in zone b. In the same way a loss under one name left no doubt of another host that shares the address.

Change: HostAddresses keeps losses by address. They concern all hosts that have it, and end when another host takes it over, which explains those before; where one of several hosts that share it ends, they stay.

Measured: SharedHostAddressTest.ordersOfTheNewHostAreNotRepeatedOnceConnectionsFromBeforeTheNewsAreLost failed before (an order in two zones) and is green, with HostAddressesTest (three new cases), ReusedHostAddressTest, TwoEventRaceTest, LongHostListTest and ArchitectureTest.

--- a/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
+++ b/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
@@ -24,7 +24,7 @@
 
     private final Host host;
     private final ListConfirmation confirmation;
-    private HostIdentity losses; // null until the first one, as lists may be long and most hosts have none
+    private HostIdentity losses; // at the address; null until the first one, as lists may be long and most hosts have none
     private List<Successor> successors = List.of();
     private KeyGroups sharedWith; // hosts that came to the address together with this one; null if there are none
     private double aliveSinceMs = Double.NEGATIVE_INFINITY; // one process had the address from here
@@ -32,15 +32,16 @@
     private double endToldAtMs = Double.POSITIVE_INFINITY;
     private double endedAfterMs = Double.POSITIVE_INFINITY; // another process can have the address from here on
 
-    AddressTenure(Host host, ListConfirmation confirmation) {
+    /** @param losses at the address so far, which the tenure does not explain; null if there are none */
+    AddressTenure(Host host, ListConfirmation confirmation, HostIdentity losses) {
         this.host = host;
         this.confirmation = confirmation;
+        this.losses = losses;
     }
 
-    /** Records that the host reset, ended or refused a connection. */
-    public void recordLoss(double now) {
-        losses = losses == null ? new HostIdentity(confirmation) : losses;
-        losses.recordLoss(now);
+    /** Takes over the losses at the address, of which there were none before. */
+    void setLosses(HostIdentity first) {
+        losses = first;
     }
 
     /**
--- a/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
@@ -30,6 +30,7 @@
     private final Map<String, Listing<A>> listings = new HashMap<>();
     private final Map<A, Listing<A>> holders = new HashMap<>(); // of each address: the host that has it, or one of those
     private final Map<A, Set<Listing<A>>> crowds = new HashMap<>(); // all hosts that are listed at an address, where there are several
+    private final Map<A, HostIdentity> losses = new HashMap<>(); // at each address, since its present hosts have it
     private final Map<A, List<AddressTenure>> endedTenures = new HashMap<>();
     private final Map<String, Listing<A>> superseded = new LinkedHashMap<>(); // listings that have lost their address to another host
     private final ListConfirmation confirmation = new ListConfirmation();
@@ -124,6 +125,31 @@
         return superseded.containsKey(id);
     }
 
+    /**
+     * Records that a connection to an address was reset, ended or refused. The process there may have ended, whichever host's name the connection
+     * was opened under, so this concerns all hosts that have the address now.
+     */
+    public void recordLoss(A address, double now) {
+        HostIdentity identity = losses.get(address);
+        if (identity == null && holders.containsKey(address)) {
+            identity = new HostIdentity(confirmation);
+            losses.put(address, identity);
+            for (Listing<A> listing : hostsAt(address)) {
+                if (listing.tenure != null) {
+                    listing.tenure.setLosses(identity);
+                }
+            }
+        }
+        if (identity != null) {
+            identity.recordLoss(now);
+        }
+    }
+
+    /** Returns the hosts that are listed at an address, also those that have lost it. */
+    private Set<Listing<A>> hostsAt(A address) {
+        return crowds.getOrDefault(address, Set.of(holders.get(address)));
+    }
+
     /** Returns the address of a host; null if it is not known, or the host is not listed. */
     public A address(String id) {
         Listing<A> listing = listings.get(id);
@@ -138,7 +164,7 @@
 
     private AddressTenure tenureOf(Listing<A> listing) {
         if (listing.tenure == null) {
-            listing.tenure = new AddressTenure(listing.host, confirmation);
+            listing.tenure = new AddressTenure(listing.host, confirmation, losses.get(listing.address));
         }
         return listing.tenure;
     }
@@ -182,6 +208,7 @@
         Set<Listing<A>> crowd = crowds.get(listing.address);
         if (crowd == null) {
             holders.remove(listing.address);
+            losses.remove(listing.address);
             return;
         }
         crowd.remove(listing);
@@ -229,6 +256,7 @@
             return;
         }
         earlier.forEach(listing -> supersede(update, listing));
+        losses.remove(address); // the change explains them
         holders.put(address, started.get(0));
         share(started);
         tellSuccessors(update, address, started);
@@ -284,7 +312,7 @@
 
     /** Gives an address back to the hosts that have lost it last. */
     private void renewAll(Update update, A address) {
-        Set<Listing<A>> crowd = crowds.getOrDefault(address, Set.of(holders.get(address)));
+        Set<Listing<A>> crowd = hostsAt(address);
         double lastMs = crowd.stream().mapToDouble(listing -> listing.supersededAtMs).max().orElse(0);
         List<Listing<A>> last = crowd.stream().filter(listing -> listing.supersededAtMs == lastMs).toList();
         holders.put(address, last.get(0));
--- a/gateway/src/main/java/marlford/gateway/net/HostClient.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostClient.java
@@ -87,7 +87,7 @@
     /** Returns the pool of a host; null if the host is not listed, or its address not known. */
     private HostConnectionPool poolOf(String host) {
         AddressTenure tenure = addresses.tenure(host);
-        return tenure == null ? null : pools.computeIfAbsent(host, id -> new HostConnectionPool(addresses.address(id), tenure));
+        return tenure == null ? null : pools.computeIfAbsent(host, id -> new HostConnectionPool(addresses.address(id), tenure, addresses));
     }
 
     /**
--- a/gateway/src/main/java/marlford/gateway/net/HostConnectionPool.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import marlford.gateway.guard.AddressTenure;
+import marlford.gateway.guard.HostAddresses;
 
 /** The connections to one host during one tenure of its address. Used on the event loop only. */
 final class HostConnectionPool implements HostConnection.Owner {
@@ -26,9 +27,11 @@
     final ArrayDeque<HostConnection> idle = new ArrayDeque<>(); // the most recently used last
     final Set<HostConnection> connecting = new LinkedHashSet<>(); // not established yet
     final AddressTenure tenure;
+    private final HostAddresses<InetSocketAddress> addresses;
     boolean closed;
 
-    HostConnectionPool(InetSocketAddress address, AddressTenure tenure) {
+    HostConnectionPool(InetSocketAddress address, AddressTenure tenure, HostAddresses<InetSocketAddress> addresses) {
+        this.addresses = addresses;
         this.address = address;
         this.tenure = tenure;
     }
@@ -70,7 +73,7 @@
 
     @Override
     public void onLost(double now) {
-        tenure.recordLoss(now);
+        addresses.recordLoss(address, now);
     }
 
     @Override
--- a/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
@@ -212,6 +212,43 @@
         assertTrue(newer.isListedHost(silentMs, Scope.CELL) && newer.wasListedHost(silentMs, Scope.CELL));
     }
 
+    @Test
+    void aLossConcernsWhoeverHasTheAddressThenAndNoHostThatComesLater() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        addresses.recordLoss(ADDRESS, TOLD_MS - 1);
+        assertFalse(oldHostReachedAt(TOLD_MS).isListedHost(TOLD_MS, Scope.CELL));
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        ReachedProcess process = new ReachedProcess(addresses.tenure("fresh"), TOLD_MS + 1);
+        assertTrue(process.isListedHost(TOLD_MS + 2, Scope.CELL));
+        addresses.recordLoss(ADDRESS, TOLD_MS + 2); // on a connection that was opened under the old host's name
+        assertTrue(process.isListedHost(TOLD_MS + 3, Scope.CELL));
+        assertFalse(new ReachedProcess(addresses.tenure("fresh"), TOLD_MS + 2).isListedHost(TOLD_MS + 3, Scope.CELL));
+    }
+
+    @Test
+    void aLossConcernsAllHostsThatShareTheAddressAlsoWhenOneOfThemEnds() {
+        Host same = host("same", 1, HostState.RUNNING, 0);
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING), same);
+        addresses.tenure("old");
+        addresses.recordLoss(ADDRESS, TOLD_MS);
+        addresses.recordConfirmation(TOLD_MS);
+        assertFalse(oldHostReachedAt(TOLD_MS).isListedHost(TOLD_MS, Scope.CELL));
+        assertFalse(new ReachedProcess(addresses.tenure("same"), TOLD_MS).isListedHost(TOLD_MS, Scope.CELL));
+        tell(TOLD_MS, ListKind.CHANGES, host("same", 1, HostState.GONE, 0));
+        assertFalse(oldHostReachedAt(TOLD_MS).isListedHost(TOLD_MS, Scope.CELL));
+        addresses.recordConfirmation(TOLD_MS + DOUBT_MS + 1);
+        assertTrue(oldHostReachedAt(TOLD_MS).isListedHost(TOLD_MS + DOUBT_MS + 1, Scope.CELL));
+    }
+
+    @Test
+    void aLossAtAnAddressOfNoHostIsForgotten() {
+        tell(START_MS, ListKind.FULL, old(HostState.RUNNING));
+        tell(TOLD_MS, ListKind.CHANGES, old(HostState.GONE));
+        addresses.recordLoss(ADDRESS, TOLD_MS);
+        tell(TOLD_MS, ListKind.CHANGES, old(HostState.RUNNING));
+        assertTrue(oldHostReachedAt(TOLD_MS).isListedHost(TOLD_MS, Scope.CELL));
+    }
+
     /** Responses on a connection from before the doubt show that the old process lived on. */
     @Test
     void responsesOnOlderConnectionsRemoveTheDoubtUpToTheLastOfThem() {
--- a/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
@@ -33,6 +33,7 @@
  */
 class SharedHostAddressTest extends SocketTest {
     private static final int ORDERS = 6;
+    private static final int VIEWS = 60;
     private static final int SHORT_TIME_MS = 2500;
     private static final int LONG_ANSWER_BYTES = 24 << 20; // more than the sockets on its way hold
     private static final int SMALL_BUFFER_BYTES = 16 << 10;
@@ -55,6 +56,10 @@
     @BeforeEach
     void startHosts() throws IOException {
         reused = startHost((message, socket) -> {
+            if (message.startLine().contains("/view/")) {
+                echo(message, socket);
+                return;
+            }
             failing.await();
             fail(socket);
         });
@@ -325,6 +330,29 @@
         return closeAfterTest(new Client(socket)).send(Sockets.view("long", Sockets.TIMEOUT_MS));
     }
 
+    /** Connections that were opened under the old host's name are lost after the news: the new host may have ended as well. */
+    @Test
+    void ordersOfTheNewHostAreNotRepeatedOnceConnectionsFromBeforeTheNewsAreLost() throws Exception {
+        Node node = startNodeWithEntries(oldHost("ready"));
+        awaitDiscoveryWatches(1);
+        List<Client> clients = sendOrders(node, Sockets.TIMEOUT_MS);
+        Sockets.await(() -> reused.requests.size() == ORDERS, "the process at the address has all orders");
+        tell(News.NEW_HOST);
+        failing.countDown();
+        assertNotRepeated(clients);
+        Client viewer = connectClient(node);
+        for (int i = 0; i < VIEWS; i++) { // so that the gateway may repeat requests
+            assertEquals(200, viewer.send(Sockets.view("v" + i, Sockets.TIMEOUT_MS)).receive().status());
+        }
+        int requestsBefore = reused.requests.size();
+        for (int i = 0; i < 10 * ORDERS && reused.requests.size() == requestsBefore; i++) {
+            connectClient(node).send(order("later" + i, "body")).receive();
+        }
+        List<String> failed = ids(reused).subList(requestsBefore, reused.requests.size());
+        assertFalse(failed.isEmpty());
+        assertTrue(ids(zoneB).stream().noneMatch(failed::contains));
+    }
+
     /** A new host of the same zone drops the repeats of the old one's orders, so nothing stands in their way. */
     @Test
     void ordersAreRepeatedWhereTheNewHostIsOfTheSameZone() throws Exception {
