Leave it in doubt who has an address where only clocks say which host started last

Seen by callers: two hosts of different groups were listed at one address, and the clock of the one that had ended was ahead. The gateway took it for the one that is there, and orders that the other one ran and reset were repeated in the wrong group.

Cause, by reading and by the new test: where a list brought both hosts, or the later news had the earlier start, `started_ms` decided alone, for the work and for the keys. Clocks may be wrong by an hour (docs/design/clocks.md); only a start of 0, long ago, is certainly the earlier one.

Change: who gets the work is decided as before; until the end of one of the two is told, its keyed orders are repeated only where both share their keys. Where discovery tells of a host later and it started later, or the other's start is 0, nothing changes.

--- a/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
@@ -14,8 +14,8 @@
 /**
  * Which listed host has which address, and since when. Discovery tells of changes late and in any order, so two hosts may be listed at one
  * address. Only one process listens there: the host that started last, or that was told of last where the starts don't say. The other
- * one has ended, whatever the list still says, and counts as gone. Hosts that came with the same list, with the same start, share the
- * address: neither is known to have ended.
+ * one has ended, whatever the list still says, and counts as gone. Where only the starts say so, by clocks that may be wrong, it stays in
+ * doubt which of the two is there. Hosts that came with the same list, with the same start, share the address: neither is known to have ended.
  *
  * <p>Pure: the caller passes the time, in milliseconds. Used on one event loop only.
  *
@@ -44,7 +44,7 @@
         double supersededAtMs;
         final int addedInUpdate; // number of the update
         int lastUpdate; // that named the host
-        boolean shares; // its address, with other hosts of the list that it came with
+        boolean shares; // its address with other hosts, or may not be the one that is there
 
         Listing(Host host, A address, int update) {
             this.host = host;
@@ -247,19 +247,38 @@
     private void settle(Update update, A address, List<Listing<A>> added) {
         double lastStartMs = added.stream().mapToDouble(listing -> listing.host.startedMs()).max().orElse(0);
         List<Listing<A>> started = added.stream().filter(listing -> listing.host.startedMs() == lastStartMs).toList();
+        List<Listing<A>> possible = added.stream().filter(listing -> !isCertainlyEarlier(listing, lastStartMs)).toList();
         added.stream().filter(listing -> listing.host.startedMs() < lastStartMs).forEach(listing -> supersede(update, listing));
         List<Listing<A>> earlier = crowds.getOrDefault(address, Set.of()).stream()
                 .filter(listing -> listing.addedInUpdate != updates && !isSuperseded(listing.host.id())).toList();
         boolean startedEarlier = lastStartMs > 0 && earlier.stream().anyMatch(listing -> listing.host.startedMs() > lastStartMs);
         if (startedEarlier) {
             started.forEach(listing -> supersede(update, listing));
+            doubt(update, address, earlier, possible);
             return;
         }
         earlier.forEach(listing -> supersede(update, listing));
         losses.remove(address); // the change explains them
         holders.put(address, started.get(0));
-        share(started);
-        tellSuccessors(update, address, started);
+        share(started, possible);
+        tellSuccessors(update, address, possible);
+    }
+
+    /** Whether a host certainly started before another one, by their clocks, which may be wrong: only a start of long ago is. */
+    private static <A> boolean isCertainlyEarlier(Listing<A> listing, double otherStartMs) {
+        return listing.host.startedMs() == 0 && otherStartMs > 0;
+    }
+
+    /** The hosts that have an address keep it, but by what is told now it may be another one's. */
+    private void doubt(Update update, A address, List<Listing<A>> present, List<Listing<A>> others) {
+        for (Listing<A> listing : present) {
+            end(update, listing);
+            beginTenure(listing);
+        }
+        List<Listing<A>> possible = new ArrayList<>(present);
+        possible.addAll(others);
+        share(present, possible);
+        tellSuccessors(update, address, possible);
     }
 
     /** Tells the earlier tenures of an address of the hosts that have it now. */
@@ -278,13 +297,13 @@
         end(update, ended);
     }
 
-    /** None of several hosts that came to one address together is known to have ended. */
-    private void share(List<Listing<A>> together) {
-        if (together.size() > 1) {
+    /** Any of several hosts may be the one at the address of those that have it. */
+    private void share(List<Listing<A>> present, List<Listing<A>> possible) {
+        if (possible.size() > 1) {
             KeyGroups groups = new KeyGroups();
-            for (Listing<A> listing : together) {
+            possible.forEach(listing -> groups.add(listing.host));
+            for (Listing<A> listing : present) {
                 listing.shares = true;
-                groups.add(listing.host);
                 tenureOf(listing).shareWith(groups);
             }
         }
@@ -292,9 +311,13 @@
 
     /** Gives a host its address anew. */
     private void renew(Update update, Listing<A> listing) {
+        beginTenure(listing);
+        update.changedIds.add(listing.host.id());
+    }
+
+    private void beginTenure(Listing<A> listing) {
         listing.tenure = null;
         listing.shares = false;
-        update.changedIds.add(listing.host.id());
     }
 
     /** Whether a host has lost its address to one that is no longer listed, and discovery would have told of its own end by now. */
@@ -320,7 +343,7 @@
             superseded.remove(listing.host.id());
             renew(update, listing);
         }
-        share(last);
+        share(last, last);
         tellSuccessors(update, address, last);
     }
 
--- a/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
@@ -90,6 +90,23 @@
         assertFalse(addresses.isSuperseded("running"));
     }
 
+    /** Clocks of hosts may be wrong by an hour, so only a start of long ago (0) is certainly earlier than another. */
+    @Test
+    void theOrderOfTwoStartsLeavesItInDoubtWhichHostHasTheAddress() {
+        Host running = host("running", 1, HostState.RUNNING, 9);
+        Host other = host("other", 2, HostState.RUNNING, 5);
+        for (boolean together : new boolean[] {true, false}) {
+            tell(START_MS, ListKind.FULL, together ? new Host[] {running, other} : new Host[] {running});
+            tell(TOLD_MS, ListKind.CHANGES, other);
+            ReachedProcess process = new ReachedProcess(addresses.tenure("running"), TOLD_MS + 1);
+            assertFalse(isListedHost(process));
+            assertTrue(process.isListedHost(TOLD_MS + 1, Scope.ZONE));
+            tell(TOLD_MS + 1, ListKind.CHANGES, host("other", 2, HostState.GONE, 5));
+            assertTrue(new ReachedProcess(addresses.tenure("running"), TOLD_MS + 2).isListedHost(TOLD_MS + 2, Scope.CELL));
+            tell(TOLD_MS + 1, ListKind.FULL);
+        }
+    }
+
     @Test
     void hostsOfOneListWithTheSameStartShareTheAddressUntilOneEnds() {
         tell(START_MS, ListKind.FULL, old(HostState.RUNNING), fresh(HostState.RUNNING));
