Let the address of a host count whose list entry is otherwise invalid

Seen by callers: discovery told of a new host in a state that this version does not know, at the address of one that had ended. Orders that ran at the new host were repeated in the old one's group.

Cause: an entry with an unknown state lists its host as draining, but without its address, so nobody learned that the address had changed hands.

Change: the address is kept where it can be read.

Measured: SharedHostAddressTest.ordersUnderWayAreNotRepeatedAnywhere (NEW_HOST_OF_UNKNOWN_STATE) failed before (502 expected, 200) and is green, with the rest of its class, DiscoveryTest and the tests of the list.

--- a/gateway/src/main/java/marlford/gateway/net/HostEntryReader.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostEntryReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import marlford.gateway.EngineApi.Host;
@@ -100,11 +101,19 @@
     }
 
     /**
-     * Returns the host of an invalid entry as draining, since it must not get new requests because of an earlier list.
-     * Null if the entry has no id.
+     * Returns the host of an invalid entry as draining, since it must not get new requests because of an earlier list. Its address counts
+     * if it can be read, as no other host is there then. Null if the entry has no id.
      */
     Discovery.Entry toDrainingEntry() {
-        return id.isEmpty() ? null : new Discovery.Entry(host(HostState.DRAINING), null);
+        return id.isEmpty() ? null : new Discovery.Entry(host(HostState.DRAINING), readableAddress());
+    }
+
+    private InetSocketAddress readableAddress() {
+        try {
+            return NodeConfig.address(address);
+        } catch (IllegalArgumentException unreadable) {
+            return null;
+        }
     }
 
     private Host host(HostState hostState) {
--- a/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
@@ -42,7 +42,7 @@
     private static final long STARTED_LATELY_MS = 1_790_000_000_000L;
 
     /** What discovery tells once the orders are at the address. */
-    enum News { NEW_HOST, END, END_THEN_NEW_HOST, LIST_WITH_BOTH, LIST_WITHOUT_THE_OLD_HOST }
+    enum News { NEW_HOST, NEW_HOST_OF_UNKNOWN_STATE, END, END_THEN_NEW_HOST, LIST_WITH_BOTH, LIST_WITHOUT_THE_OLD_HOST }
 
     /** How the process at the address fails the orders that it has run. */
     enum Failure { RESET, CLOSE, ERROR, INVALID_ANSWER, HALF_ANSWER }
@@ -126,6 +126,7 @@
     private void tell(News news) throws InterruptedException {
         List<String> updates = switch (news) {
             case NEW_HOST -> List.of(list(2, false, with(others(), newHost())));
+            case NEW_HOST_OF_UNKNOWN_STATE -> List.of(list(2, false, with(others(), newHost().replace("ready", "starting"))));
             case END -> List.of(list(2, false, with(others(), oldHost("gone"))));
             case END_THEN_NEW_HOST -> List.of(list(2, false, with(others(), oldHost("gone"))), list(3, false, newHost()));
             case LIST_WITH_BOTH -> List.of(list(2, true, with(others(), oldHost("ready"), newHost())));
