Soak: replace hosts while discovery is silent; answer watches when they ask for it

One in three times that discovery would go away it now falls silent for 6.5 to 7.5 s, its connections open, and a host is replaced meanwhile.

The soak's discovery held each watch for 20 s, whatever `hold_ms` it asked for, so a gateway heard nothing as long as nothing changed: "or so many milliseconds have passed" (PROTOCOL). It answers in time now.

--- a/gateway/src/main/java/marlford/gateway/net/EventLog.java
+++ b/gateway/src/main/java/marlford/gateway/net/EventLog.java
@@ -115,6 +115,17 @@
         }
     }
 
+    /**
+     * Records that discovery has confirmed the list of hosts.
+     *
+     * @param ageMs for how long the word may have waited before it was read
+     */
+    void listConfirmed(double ageMs) {
+        if (trace != null) {
+            writeLine("list-confirmed age_ms=" + (long) ageMs);
+        }
+    }
+
     /** Records that the last byte of an attempt was written. */
     void attemptWritten(String request, int number) {
         if (trace != null) {
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -812,7 +812,9 @@
      * @param ageMs upper bound of the time since its agent said so, until that came to this process
      */
     void onHostsConfirmed(double ageMs) {
-        hostAddresses.recordConfirmation(clock.now() - lag.ms() - ageMs);
+        double waitedMs = lag.ms() + ageMs;
+        eventLog.listConfirmed(waitedMs);
+        hostAddresses.recordConfirmation(clock.now() - waitedMs);
     }
 
     /**
--- a/storm/src/main/java/marlford/storm/soak/SoakDiscovery.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakDiscovery.java
@@ -7,18 +7,24 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
-/** Discovery: whole lists and watches, which may be away or silent for a while. A change is told to all watches at once. */
+/**
+ * Discovery: whole lists and watches. A change is told to all watches at once. For a while discovery may be away, so that its connections end, or
+ * silent, so that they stay open and nothing is answered.
+ */
 final class SoakDiscovery implements Closeable {
     private static final long LOOK_MS = 5;
-    private static final long HOLD_MS = 20_000;
+    private static final Pattern HOLD = Pattern.compile("hold_ms=(\\d+)");
     private static final double NANOS_PER_MS = 1e6;
 
     private final SoakHosts hosts;
     private final ServerSocket listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
     private volatile int version = 1;
     private volatile boolean away;
+    private volatile boolean silent;
 
     SoakDiscovery(SoakHosts hosts) throws IOException {
         this.hosts = hosts;
@@ -38,6 +44,10 @@
         away = goes;
     }
 
+    void silent(boolean becomes) {
+        silent = becomes;
+    }
+
     boolean isAway() {
         return away;
     }
@@ -84,9 +94,12 @@
 
     private void hold(String start) throws InterruptedException {
         long began = System.nanoTime();
-        while (start.contains("from=" + version + "&")
-                && !away
-                && (System.nanoTime() - began) / NANOS_PER_MS < HOLD_MS) {
+        Matcher hold = HOLD.matcher(start);
+        long holdMs = hold.find() ? Long.parseLong(hold.group(1)) : 0;
+        while (silent
+                || start.contains("from=" + version + "&")
+                        && !away
+                        && (System.nanoTime() - began) / NANOS_PER_MS < holdMs) {
             Thread.sleep(LOOK_MS);
         }
     }
--- a/storm/src/main/java/marlford/storm/soak/SoakFaults.java
+++ b/storm/src/main/java/marlford/storm/soak/SoakFaults.java
@@ -23,6 +23,9 @@
     private static final int PAUSE_MS = 120;
     private static final int DRAINS_MS = 4000;
     private static final long TOLD_LATE_MS = 6000; // the longest that a list may take where discovery is in trouble
+    private static final int SILENCES = 3; // one in so many times that discovery is away it is silent instead
+    private static final int SILENT_LEAST_MS = 6500; // longer than the list may take
+    private static final int SILENT_MS = 1000;
     private static final int END_TOLD_LEAST_MS = 1000; // after a host that has its address was told
     private static final int END_TOLD_MS = 4000;
     private static final int CROWD = 500;
@@ -253,10 +256,14 @@
         fleet.discoveries().forEach(SoakDiscovery::changed);
     }
 
-    private void away(Random own) throws InterruptedException {
+    private void away(Random own) throws IOException, InterruptedException {
         SoakDiscovery discovery =
                 fleet.discoveries().get(own.nextInt(fleet.discoveries().size()));
         long lasts = AWAY_LEAST_MS + own.nextInt(AWAY_MS);
+        if (own.nextInt(SILENCES) == 0) {
+            silence(discovery, own);
+            return;
+        }
         discovery.away(true);
         Thread.sleep(lasts);
         discovery.away(false);
@@ -266,6 +273,15 @@
         }
     }
 
+    /** A host is replaced while discovery is silent; what it misses counts as told before its return. */
+    private void silence(SoakDiscovery discovery, Random own) throws IOException, InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SILENT_LEAST_MS + own.nextInt(SILENT_MS));
+        discovery.silent(true);
+        replace(own);
+        Thread.sleep(Math.max(0, TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime())));
+        discovery.silent(false);
+    }
+
     private static void crowd(SoakProcess process, Random own) throws InterruptedException {
         List<Socket> idle = new ArrayList<>();
         try {
