Let attempts that were not sent leave a request its others

Seen by callers: a keyed order got 502 although another host of its group could repeat it (ReusedHostAddressTest, once beside load). Its repeats were chosen at the host in doubt, where they are not sent (`unsent ... host_uncertain`), and each used up one of the three attempts and a retry token.

Cause: the engine and the node counted every attempt that was chosen. "An attempt counts when its last byte has come" (PROTOCOL).

Change: an attempt that was not sent from this machine costs no attempt and gives its token back. So that nothing is tried for ever, a request has at most twice as many attempts, counting those.

Measured: DecisionEngineTest.attemptsThatWereNotSentLeaveTheRequestItsOthers failed before (4 attempts, 5 expected); it is green, as are aRequestThatCanNeverBeSentIsNotTriedForEver, EngineRulesTest, NodeTest, EventOrderTest, ReusedHostAddressTest, SharedHostAddressTest, the simulations and the tests of cold hosts.

--- a/gateway/src/main/java/marlford/gateway/DecisionEngine.java
+++ b/gateway/src/main/java/marlford/gateway/DecisionEngine.java
@@ -465,6 +465,8 @@
         attempt.inFlight = false;
         attempt.neverRan = result.outcome().neverRan();
         attempt.undelivered = attempt.neverRan && result.outcome() != Outcome.FULL;
+        attempt.unsent = result.outcome() == Outcome.UNSENT;
+        if (attempt.unsent && attempt.number > 0) retryTokens = Math.min(MAX_RETRY_TOKENS, retryTokens + 1);
         freeSlot(attempt);
         learn(now, active, attempt, result);
         if (result.closed()) {
@@ -1621,7 +1623,7 @@
     private boolean takeRetryToken(double now, ActiveRequest active) {
         boolean may = repeatable(now, active, active.firstPossiblyRun()) && !active.streaming
                 && now < giveUpAt(active) && retryTokens >= 1
-                && active.attempts.size() < settings.limits().maxAttempts();
+                && active.mayHaveAttempt(settings.limits());
         retryTokens -= may ? 1 : 0;
         return may;
     }
--- a/gateway/src/main/java/marlford/gateway/EngineApi.java
+++ b/gateway/src/main/java/marlford/gateway/EngineApi.java
@@ -111,7 +111,12 @@
      * @param maxRetryAfterMs upper limit of that time
      */
     public record Limits(int maxAttempts, boolean mayDuplicate, boolean cancel, boolean probes, boolean peerMessages,
-            boolean retryAfter, double maxRetryAfterMs) { }
+            boolean retryAfter, double maxRetryAfterMs) {
+        /** True where a request may have one more attempt. Those that were not sent cost no host anything, but must come to an end. */
+        public boolean allowAttempt(long sent, long unsent) {
+            return sent < maxAttempts && sent + unsent < 2L * maxAttempts;
+        }
+    }
 
     /**
      * Parameters of the rules that hold whatever else happens.
--- a/gateway/src/main/java/marlford/gateway/EngineState.java
+++ b/gateway/src/main/java/marlford/gateway/EngineState.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import marlford.gateway.EngineApi.Host;
 import marlford.gateway.EngineApi.HostState;
+import marlford.gateway.EngineApi.Limits;
 import marlford.gateway.EngineApi.Outcome;
 import marlford.gateway.EngineApi.Plan;
 import marlford.gateway.EngineApi.Request;
@@ -381,6 +382,7 @@
         boolean holdsSlot; // counts as work of its host
         boolean neverRan;
         boolean undelivered; // it never reached the host completely
+        boolean unsent; // no byte of it left this machine
         boolean overdue;
 
         Attempt(ActiveRequest active, HostRecord host, double sentAt, double expectedMs, double stallMsBefore) {
@@ -434,6 +436,12 @@
             return attempts.stream().anyMatch(attempt -> !attempt.undelivered);
         }
 
+        /** Whether the request may have one more attempt. */
+        boolean mayHaveAttempt(Limits limits) {
+            long unsent = attempts.stream().filter(attempt -> attempt.unsent).count();
+            return limits.allowAttempt(attempts.size() - unsent, unsent);
+        }
+
         boolean hasAttemptInFlight() {
             return attempts.stream().anyMatch(attempt -> attempt.inFlight);
         }
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -856,7 +856,7 @@
         // A body that a host has begun to receive can't be sent to another one.
         boolean bodyPartlySent = bodyStream != null && !bodyStream.isUnclaimed();
         if (bodyPartlySent || sendingStopped || entry.isClosed() || now >= entry.deadlineMs()
-                || attempt.number >= config.settings().limits().maxAttempts() || violatesRule(attempt)) {
+                || !entry.mayHaveAttempt(attempt, config.settings().limits()) || violatesRule(attempt)) {
             attemptEnded(attempt, Outcome.MOOT, null);
             return;
         }
--- a/gateway/src/main/java/marlford/gateway/net/OpenRequest.java
+++ b/gateway/src/main/java/marlford/gateway/net/OpenRequest.java
@@ -4,6 +4,8 @@
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
+import marlford.gateway.EngineApi.Limits;
+import marlford.gateway.EngineApi.Outcome;
 import marlford.gateway.EngineApi.Request;
 import marlford.gateway.guard.RequestDeadline;
 
@@ -42,6 +44,12 @@
         return attempts.stream().anyMatch(attempt -> attempt.ended ? attempt.mayHaveRun() : attempt.isRequestWritten());
     }
 
+    /** Whether it may have this attempt after those before. */
+    boolean mayHaveAttempt(Attempt next, Limits limits) {
+        long unsent = attempts.stream().limit(next.number).filter(attempt -> attempt.outcome == Outcome.UNSENT).count();
+        return limits.allowAttempt(next.number - unsent, unsent);
+    }
+
     boolean isClosed() {
         return closed;
     }
--- a/gateway/src/test/java/marlford/gateway/DecisionEngineTest.java
+++ b/gateway/src/test/java/marlford/gateway/DecisionEngineTest.java
@@ -89,6 +89,31 @@
         assertEquals(1, g.attempts("queries") + g.finalAnswers("queries"));
     }
 
+    /** Guards against orders that failed while a host could repeat them, as repeats were chosen at hosts in doubt and not sent. */
+    @Test
+    void attemptsThatWereNotSentLeaveTheRequestItsOthers() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1", "a2", "a3", "a4", "a5");
+        g.request("r", "read");
+        g.endAttempt("r", 0, EngineApi.Outcome.RESET, 1);
+        for (int number = 1; number <= 3; number++) {
+            g.endAttempt("r", number, EngineApi.Outcome.UNSENT, 1);
+        }
+        assertEquals(5, g.attempts("r"));
+        assertEquals(0, g.finalAnswers("r"));
+    }
+
+    @Test
+    void aRequestThatCanNeverBeSentIsNotTriedForEver() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1");
+        g.request("r", "read");
+        int ended = 0;
+        while (ended < g.attempts("r") && ended < 100) {
+            g.endAttempt("r", ended++, EngineApi.Outcome.UNSENT, 1);
+        }
+        assertEquals(2 * FakeGateway.settings(0, 1).limits().maxAttempts(), ended);
+        assertEquals(1, g.finalAnswers("r"));
+    }
+
     @Test
     void donationKeepsTheSumAndFavoursTheWorstClass() {
         ClassState slow = classState(FakeGateway.READ, 0.3, 1500, 2000);
