Read what discovery has written before an order is repeated

Seen by callers: a gateway was late, and meanwhile a host of another group took over an address, reset the orders that it had run there, and discovery told of it. The gateway then repeated the orders in the old host's group.

Cause, by the trace of the new test: the event loop met the resets first, and repeated all six orders over kept connections ("attempt-written request=o2 number=1") 7 ms before it read discovery's word ("tenure-ended host=a1"), which had been in its socket for 100 ms. "A change of the list is told when discovery has written it to the api gateway" (PROTOCOL).

Change: where an attempt of a keyed order may have run, discovery's socket is read when another one is decided and right before its first byte.

Measured: SharedHostAddressTest.newsThatIsUnreadWhenARepeatIsDecidedCounts failed before (six of six repeated) and is green, with the rest of its class, ReusedHostAddressTest, DiscoveryTest, EventOrderTest, StreamingEventOrderTest, NodeTest, TwoEventRaceTest, StaleAttemptTest and ArchitectureTest.

--- a/gateway/src/main/java/marlford/gateway/net/Discovery.java
+++ b/gateway/src/main/java/marlford/gateway/net/Discovery.java
@@ -71,6 +71,7 @@
     private boolean tooLongLogged; // whether a list that is too long was logged in the current series of failures
     private boolean started;
     private boolean ageLogged; // whether it was logged that the list is too old; false again once it is not
+    private boolean applying; // an update is being passed on
     private boolean hasList; // whether a list is held, from an agent or from the configuration
     private boolean waitsForList; // the gateway is unhealthy until it has a list
 
@@ -171,6 +172,21 @@
         return list.listedIds();
     }
 
+    /**
+     * Takes in what an agent has sent and a late event loop has not read yet. To be called before a decision that may rest on it: a change counts as
+     * told from when the agent has written it.
+     */
+    void readPending() {
+        if (applying) {
+            return;
+        }
+        for (AgentConnection connection : new AgentConnection[] {current, previous}) {
+            if (connection != null && connection.channel != null && connection.channel.isActive()) {
+                Transport.readNow(connection.channel);
+            }
+        }
+    }
+
     /** Records a response of a host. While the list is too old, only hosts with a recent response get new requests. */
     void recordResponse(String host) {
         list.hostAnswered(node.clock.now(), host);
@@ -354,11 +370,14 @@
             if (result.kind() == ListKind.FULL) {
                 Node.log("discovery: agent " + sender + " lists " + result.hosts().size() + " hosts, version " + update.version());
             }
+            applying = true;
             try {
                 node.onHostsUpdated(result.kind(), result.hosts(), addresses(entries));
             } catch (RuntimeException e) { // otherwise these changes would never reach the node
                 list.requireFullList();
                 throw e;
+            } finally {
+                applying = false;
             }
         }
         if (result.accepted()) {
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -848,6 +848,7 @@
             return;
         }
         endIfClientDisconnected(entry);
+        readPendingNews(entry);
         double now = clock.now();
         Attempt attempt = new Attempt(this, entry, host, hostStates.host(host), now);
         entry.attempts.add(attempt);
@@ -875,6 +876,13 @@
         hostClient.send(attempt);
     }
 
+    /** Takes in the word of discovery that waits in its socket, where it may forbid a repeat of the request. */
+    private void readPendingNews(OpenRequest entry) {
+        if (sendRules.isBoundToHosts(entry)) {
+            discovery.readPending();
+        }
+    }
+
     /** Whether an attempt that the engine has just decided violates a rule; such an attempt is not sent, but counted and logged. */
     private boolean violatesRule(Attempt attempt) {
         Rule broken = sendRules.ruleBrokenByRepeat(attempt);
@@ -895,6 +903,7 @@
      */
     boolean mayWrite(Attempt attempt, ReachedProcess process) {
         endIfClientDisconnected(attempt.owner);
+        readPendingNews(attempt.owner);
         if (attempt.ended) {
             return false;
         }
--- a/gateway/src/main/java/marlford/gateway/net/SendRules.java
+++ b/gateway/src/main/java/marlford/gateway/net/SendRules.java
@@ -127,11 +127,19 @@
         return null;
     }
 
+    /** Whether an attempt of the request may have run, so that only the hosts that know its key may get another one. */
+    boolean isBoundToHosts(OpenRequest entry) {
+        return hasKeyOfSomeHosts(entry) && entry.attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
+    private boolean hasKeyOfSomeHosts(OpenRequest entry) {
+        RequestClass requestClass = classOf(entry.request);
+        return requestClass.effect() == Effect.KEYED && requestClass.scope() != Scope.ALL;
+    }
+
     /** Whether an earlier attempt may have run, so that only the hosts that know its key may get another one. */
     private boolean isRepeatBoundToHosts(Attempt attempt) {
-        RequestClass requestClass = classOf(attempt.owner.request);
-        boolean bound = requestClass.effect() == Effect.KEYED && requestClass.scope() != Scope.ALL;
-        return bound && earlierAttempts(attempt).anyMatch(Attempt::mayHaveRun);
+        return hasKeyOfSomeHosts(attempt.owner) && earlierAttempts(attempt).anyMatch(Attempt::mayHaveRun);
     }
 
     /** Whether an earlier attempt may have run at another process than the listed host, so that no host is known to know its key. */
--- a/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
@@ -354,6 +354,56 @@
         assertTrue(ids(zoneB).stream().noneMatch(failed::contains));
     }
 
+    /**
+     * "A change of the list is told when discovery has written it to the api gateway" (the platform's protocol), also where the event loop was late and
+     * reads of the failed orders first.
+     */
+    @Test
+    void newsThatIsUnreadWhenARepeatIsDecidedCounts() throws Exception {
+        Node node = startNodeWithEntries(oldHost("ready"));
+        awaitDiscoveryWatches(1);
+        List<Client> clients = sendOrders(node, Sockets.TIMEOUT_MS);
+        Sockets.await(() -> reused.requests.size() == ORDERS, "the process at the address has all orders");
+        registry.updates.add(list(2, false, others()));
+        awaitDiscoveryWatches(2);
+        keepConnectionsToAllHosts(node);
+        CountDownLatch late = new CountDownLatch(1);
+        CountDownLatch again = new CountDownLatch(1);
+        node.loop.execute(() -> {
+            late.countDown();
+            awaitUninterruptibly(again);
+        });
+        late.await();
+        failing.countDown();
+        Sockets.await(() -> reused.endedConnections.size() >= ORDERS, "all orders have failed");
+        registry.updates.add(list(3, false, newHost()));
+        Thread.sleep(LOOP_SETTLES_MS); // the news is in its socket
+        again.countDown();
+        for (Client client : clients) {
+            assertEquals(502, client.receive().status());
+        }
+        assertTrue(ids(zoneA).stream().noneMatch(id -> id.startsWith("o")));
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void keepConnectionsToAllHosts(Node node) throws IOException, InterruptedException {
+        List<Client> viewers = new ArrayList<>();
+        for (int i = 0; i < VIEWS; i++) {
+            viewers.add(connectClient(node).send(Sockets.view("v" + i, Sockets.TIMEOUT_MS)));
+        }
+        for (Client viewer : viewers) {
+            assertEquals(200, viewer.receive().status());
+        }
+        Thread.sleep(LOOP_SETTLES_MS); // a connection rests after a response
+    }
+
     /** A new host of the same zone drops the repeats of the old one's orders, so nothing stands in their way. */
     @Test
     void ordersAreRepeatedWhereTheNewHostIsOfTheSameZone() throws Exception {
