Let only the agent in use confirm the list of hosts

Seen by callers: a new configuration moved discovery to another agent, which did not answer, and the one before had fallen behind. A host was replaced, and orders that the new one ran and reset were repeated in the old one's group, as long as the old agent said that nothing had changed.

Cause, by the new test: the watch at the previous agent goes on until the new one has sent a list, and its answers confirmed the list like any.

Change: only the agent in use confirms it.

Measured: SharedHostAddressTest.theWordOfAnAgentThatWasReplacedDoesNotConfirmTheList failed before (an order in two zones) and is green, with the rest of its class, HostAddressesTest, HostIdentityTest, DiscoveryTest, ArchitectureTest and the tests of reloads.

--- a/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
@@ -83,6 +83,11 @@
         confirmation.record(atMs);
     }
 
+    /** Records that another agent of discovery is called from now on. */
+    public void recordAgentChange(double now) {
+        confirmation.recordAgentChange(now);
+    }
+
     /**
      * Takes over a list of hosts, or changes to it.
      *
--- a/gateway/src/main/java/marlford/gateway/guard/ListConfirmation.java
+++ b/gateway/src/main/java/marlford/gateway/guard/ListConfirmation.java
@@ -13,11 +13,23 @@
     /** The time from which on a change counts as told, whether or not it was. */
     private static final double COUNTS_AS_TOLD_MS = 6000;
 
+    /** The same after a change of the agent, for what the new one has. */
+    private static final double COUNTS_AS_TOLD_BY_NEW_AGENT_MS = 4000;
+
     private double atMs = Double.NEGATIVE_INFINITY;
+    private double currentUntilMs = Double.NEGATIVE_INFINITY;
 
     /** Records that discovery has confirmed the list. */
     void record(double confirmedAtMs) {
-        atMs = Math.max(atMs, confirmedAtMs);
+        if (confirmedAtMs > atMs) {
+            atMs = confirmedAtMs;
+            currentUntilMs = confirmedAtMs + COUNTS_AS_TOLD_MS;
+        }
+    }
+
+    /** Records that another agent is called from now on, which may know of changes that the one before has not heard of. */
+    void recordAgentChange(double now) {
+        currentUntilMs = Math.min(currentUntilMs, now + COUNTS_AS_TOLD_BY_NEW_AGENT_MS);
     }
 
     /** Returns the earliest time of a change that the list does not cover. */
@@ -32,6 +44,6 @@
 
     /** Whether no change that the list does not cover can count as told by now. */
     boolean isCurrent(double now) {
-        return now - atMs <= COUNTS_AS_TOLD_MS;
+        return now <= currentUntilMs;
     }
 }
--- a/gateway/src/main/java/marlford/gateway/net/Discovery.java
+++ b/gateway/src/main/java/marlford/gateway/net/Discovery.java
@@ -122,6 +122,7 @@
         Node.log("discovery: changing from agent " + agent + " to " + address + "; the list has version "
                 + list.heldVersion(agent) + " and is " + (long) list.ageMs(node.clock.now()) + " ms old");
         agent = address;
+        node.onDiscoveryAgentChanged();
         failures = 0;
         backoff.agentChanged();
         resetFailureLog();
@@ -380,7 +381,7 @@
                 applying = false;
             }
         }
-        if (result.accepted()) {
+        if (result.accepted() && sender.equals(agent)) { // a previous agent may have fallen behind
             node.onHostsConfirmed(ageMs);
         }
         return result.accepted();
--- a/gateway/src/main/java/marlford/gateway/net/Node.java
+++ b/gateway/src/main/java/marlford/gateway/net/Node.java
@@ -832,6 +832,11 @@
         hostClient.failPendingConnects(list);
     }
 
+    /** Records that another agent of discovery is called from now on, whose word alone confirms the list. */
+    void onDiscoveryAgentChanged() {
+        hostAddresses.recordAgentChange(clock.now());
+    }
+
     /** Passes a message from another gateway to the decision engine. */
     void onPeerMessage(int peer, byte[] data) {
         if (serving) {
--- a/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
+++ b/gateway/src/test/java/marlford/gateway/net/SharedHostAddressTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -38,6 +39,7 @@
     private static final int LONG_ANSWER_BYTES = 24 << 20; // more than the sockets on its way hold
     private static final int SMALL_BUFFER_BYTES = 16 << 10;
     private static final double SILENCE_MS = 6500; // longer than discovery takes to tell of a change
+    private static final double AGENT_CHANGE_MS = 4500; // longer than discovery takes to tell after a change of its agent
     private static final long LOOP_SETTLES_MS = 100; // after a jump of the clock
     private static final long STARTED_LATELY_MS = 1_790_000_000_000L;
 
@@ -404,6 +406,30 @@
         Thread.sleep(LOOP_SETTLES_MS); // a connection rests after a response
     }
 
+    /** The agent that the gateway has been told to leave says that nothing has changed; the new one, which knows better, does not answer. */
+    @Test
+    void theWordOfAnAgentThatWasReplacedDoesNotConfirmTheList() throws Exception {
+        failing.countDown();
+        registry = closeAfterTest(new DiscoveryAgent(list(1, true, with(others(), oldHost("ready")))));
+        RecordingServer silent = startHost((message, socket) -> { });
+        String config = Sockets.config(registry.server.address(), "127.0.0.1:0");
+        ManualClock clock = new ManualClock();
+        Node node = startNodeWithClock(config, clock);
+        awaitDiscoveryWatches(1);
+        node.reload(NodeConfig.of(new ObjectMapper().readTree(config.replace(registry.server.address(), silent.address()))));
+        Sockets.await(() -> !silent.requests.isEmpty(), "the new agent is called");
+        clock.advance(AGENT_CHANGE_MS);
+        Thread.sleep(LOOP_SETTLES_MS);
+        registry.updates.add(list(1, false));
+        awaitDiscoveryWatches(2);
+        for (int i = 0; i < 10 * ORDERS && ids(reused).isEmpty(); i++) {
+            connectClient(node).send(order("o" + i, "body")).receive();
+        }
+        List<String> failed = ids(reused);
+        assertFalse(failed.isEmpty());
+        assertTrue(ids(zoneA).stream().noneMatch(failed::contains));
+    }
+
     /** A new host of the same zone drops the repeats of the old one's orders, so nothing stands in their way. */
     @Test
     void ordersAreRepeatedWhereTheNewHostIsOfTheSameZone() throws Exception {
