Trust connections that the list covers though a host goes on losing others

Seen by callers: where a host resets a connection every few seconds, keyed orders that failed there got 502 although another host of the group could repeat them, however long ago the order's connection had been opened.

Cause, by reading and by the new test: the doubt lasts until the last loss is settled, and each loss extends it for all connections since the first.

Change: a connection that is older than any change of which discovery can still have to tell leads to the listed host, whatever was lost since.

Measured: HostIdentityTest.aConnectionThatTheListCoversIsCertainThoughLossesGoOn failed before and is green, with HostAddressesTest, ReusedHostAddressTest and SharedHostAddressTest.

--- a/gateway/src/main/java/marlford/gateway/guard/HostIdentity.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostIdentity.java
@@ -4,7 +4,7 @@
  * Whether a connection leads to the process that discovery lists at an address. A host that resets a connection, ends it within an exchange
  * or refuses one may have ended, and another host may come up at its address before discovery says so. A connection that was open before
  * and still is leads to the same process. A newer one is certain only once discovery has confirmed the list without a change of the host, long
- * enough after the loss. Time alone proves nothing, as discovery may be silent.
+ * enough after the loss, or after the connection was opened. Time alone proves nothing, as discovery may be silent.
  *
  * <p>No clock and no I/O. Times are milliseconds on the caller's clock.
  */
@@ -27,7 +27,7 @@
 
     /** Whether a connection that is open now leads to the listed host. */
     boolean isCertain(double openedAtMs) {
-        return isSettled() || openedAtMs < firstLossMs;
+        return isSettled() || openedAtMs < firstLossMs || confirmation.covers(openedAtMs);
     }
 
     private boolean isSettled() {
--- a/gateway/src/test/java/marlford/gateway/guard/HostIdentityTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/HostIdentityTest.java
@@ -40,4 +40,15 @@
         confirmation.record(TOLD_MS + 1);
         assertFalse(identity.isCertain(LOSS_MS + 200));
     }
+
+    /** Guards against repeats that fail for as long as a host resets a connection every few seconds, on whatever connection they were to go. */
+    @Test
+    void aConnectionThatTheListCoversIsCertainThoughLossesGoOn() {
+        identity.recordLoss(LOSS_MS);
+        identity.recordLoss(LOSS_MS + 5000);
+        identity.recordLoss(LOSS_MS + 10_000);
+        confirmation.record(LOSS_MS + 10_001);
+        assertTrue(identity.isCertain(LOSS_MS + 10_000 - ListConfirmation.TOLD_WITHIN_MS));
+        assertFalse(identity.isCertain(LOSS_MS + 10_001 - ListConfirmation.TOLD_WITHIN_MS));
+    }
 }
