Doubt an address whose later host started before the one it takes over from

By reading: where discovery told of a host of long ago (start 0) after one with a known start at the same address, as an agent that has fallen behind may, the later word alone decided, and orders were repeated in that host's group although the other one may be there.

Change: the later word gets the work as before; until the end of one of the two is told, keyed orders are repeated only where both share their keys.

Measured: HostAddressesTest.aHostOfLongAgoThatIsToldOfAfterOneWithAKnownStartLeavesItInDoubt failed before and is green, with the rest of its class, SharedHostAddressTest, UnconfirmedListTest, ReusedHostAddressTest, LongHostListTest and ArchitectureTest.

--- a/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
+++ b/gateway/src/main/java/marlford/gateway/guard/HostAddresses.java
@@ -252,12 +252,16 @@
     private void settle(Update update, A address, List<Listing<A>> added) {
         double lastStartMs = added.stream().mapToDouble(listing -> listing.host.startedMs()).max().orElse(0);
         List<Listing<A>> started = added.stream().filter(listing -> listing.host.startedMs() == lastStartMs).toList();
-        List<Listing<A>> possible = added.stream().filter(listing -> !isCertainlyEarlier(listing, lastStartMs)).toList();
+        List<Listing<A>> possible = new ArrayList<>(added);
+        possible.removeIf(listing -> isCertainlyEarlier(listing, lastStartMs));
         added.stream().filter(listing -> listing.host.startedMs() < lastStartMs).forEach(listing -> supersede(update, listing));
         List<Listing<A>> earlier = crowds.getOrDefault(address, Set.of()).stream()
                 .filter(listing -> listing.addedInUpdate != updates && !isSuperseded(listing.host.id())).toList();
-        boolean startedEarlier = lastStartMs > 0 && earlier.stream().anyMatch(listing -> listing.host.startedMs() > lastStartMs);
-        if (startedEarlier) {
+        boolean startedEarlier = earlier.stream().anyMatch(listing -> listing.host.startedMs() > lastStartMs);
+        if (startedEarlier) { // though it is told of later
+            possible.addAll(earlier);
+        }
+        if (startedEarlier && lastStartMs > 0) {
             started.forEach(listing -> supersede(update, listing));
             doubt(update, address, earlier, possible);
             return;
@@ -275,13 +279,11 @@
     }
 
     /** The hosts that have an address keep it, but by what is told now it may be another one's. */
-    private void doubt(Update update, A address, List<Listing<A>> present, List<Listing<A>> others) {
+    private void doubt(Update update, A address, List<Listing<A>> present, List<Listing<A>> possible) {
         for (Listing<A> listing : present) {
             end(update, listing);
             beginTenure(listing);
         }
-        List<Listing<A>> possible = new ArrayList<>(present);
-        possible.addAll(others);
         share(present, possible);
         tellSuccessors(update, address, possible);
     }
--- a/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
+++ b/gateway/src/test/java/marlford/gateway/guard/HostAddressesTest.java
@@ -107,6 +107,17 @@
         }
     }
 
+    /** The later word is of the host that started long ago; it gets the work, but the other one may be there. */
+    @Test
+    void aHostOfLongAgoThatIsToldOfAfterOneWithAKnownStartLeavesItInDoubt() {
+        tell(START_MS, ListKind.FULL, host("running", 1, HostState.RUNNING, 9));
+        tell(TOLD_MS, ListKind.CHANGES, fresh(HostState.RUNNING));
+        assertTrue(addresses.isSuperseded("running"));
+        assertFalse(isListedHost(new ReachedProcess(addresses.tenure("fresh"), TOLD_MS)));
+        tell(TOLD_MS, ListKind.CHANGES, host("running", 1, HostState.GONE, 9));
+        assertTrue(isListedHost(new ReachedProcess(addresses.tenure("fresh"), TOLD_MS)));
+    }
+
     @Test
     void hostsOfOneListWithTheSameStartShareTheAddressUntilOneEnds() {
         tell(START_MS, ListKind.FULL, old(HostState.RUNNING), fresh(HostState.RUNNING));
