Count for new connections what they waited before a late loop began to accept

Change: it counts from when the first of them can have come, which is the loop's lag earlier.

Measured: AcceptRetryTest.connectionsThatWaitedWhileTheLoopWasLateWaitedFromBefore is green, and red with the line as it was.

--- a/gateway/src/main/java/marlford/gateway/accept/AcceptRetry.java
+++ b/gateway/src/main/java/marlford/gateway/accept/AcceptRetry.java
@@ -26,8 +26,9 @@
     private final Consumer<String> log;
     private final Runnable makeRoom;
     private final DoubleSupplier clock;
+    private final DoubleSupplier earliestArrivalMs;
     private int acceptedInRead; // connections accepted in the current read loop
-    private double readStartMs; // when that loop accepted its first connection
+    private double readStartMs; // when the first connection of that loop can have come
     private double backlogBeforeReadMs = NO_BACKLOG; // the next field as it was before the latest read loop ended
     private double backlogSinceMs = NO_BACKLOG; // since when each read loop may have left connections behind
     private long acceptCalls; // connections accepted, and failures
@@ -39,16 +40,19 @@
 
     /** For a listener whose connections' waiting time is not needed, and which has no descriptors to release. */
     public AcceptRetry(Consumer<String> log) {
-        this(log, () -> { }, () -> 0);
+        this(log, () -> { }, () -> 0, () -> 0);
     }
 
     /**
      * @param log receives one line per second at most while accepts fail
      * @param makeRoom runs when no file descriptor was left
      * @param clock current time in milliseconds
+     * @param earliestArrivalMs the earliest time at which a connection that is accepted now can have come, if none came before it: a late event
+     *     loop accepts none
      */
-    public AcceptRetry(Consumer<String> log, Runnable makeRoom, DoubleSupplier clock) {
+    public AcceptRetry(Consumer<String> log, Runnable makeRoom, DoubleSupplier clock, DoubleSupplier earliestArrivalMs) {
         this.clock = clock;
+        this.earliestArrivalMs = earliestArrivalMs;
         this.log = log;
         this.makeRoom = makeRoom;
     }
@@ -63,7 +67,7 @@
         acceptCalls++;
         failures = 0;
         backoff.reset();
-        readStartMs = acceptedInRead++ == 0 ? clock.getAsDouble() : readStartMs;
+        readStartMs = acceptedInRead++ == 0 ? earliestArrivalMs.getAsDouble() : readStartMs;
         ctx.fireChannelRead(accepted);
     }
 
@@ -73,7 +77,7 @@
         if (acceptedInRead < MAX_ACCEPTS_PER_READ && !paused) {
             backlogSinceMs = NO_BACKLOG;
         } else if (backlogSinceMs == NO_BACKLOG) {
-            backlogSinceMs = acceptedInRead == 0 ? clock.getAsDouble() : readStartMs;
+            backlogSinceMs = acceptedInRead == 0 ? earliestArrivalMs.getAsDouble() : readStartMs;
         }
         acceptedInRead = 0;
         ctx.fireChannelReadComplete();
@@ -101,7 +105,7 @@
     /** A failure ends a read loop early, after which connections may still wait. Netty reports it behind the end of the loop. */
     private void keepBacklog() {
         if (backlogSinceMs == NO_BACKLOG) {
-            backlogSinceMs = backlogBeforeReadMs == NO_BACKLOG ? clock.getAsDouble() : backlogBeforeReadMs;
+            backlogSinceMs = backlogBeforeReadMs == NO_BACKLOG ? earliestArrivalMs.getAsDouble() : backlogBeforeReadMs;
         }
     }
 
@@ -121,7 +125,7 @@
 
     private void pause(Channel listener) {
         paused = true;
-        backlogSinceMs = backlogSinceMs == NO_BACKLOG ? clock.getAsDouble() : backlogSinceMs;
+        backlogSinceMs = backlogSinceMs == NO_BACKLOG ? earliestArrivalMs.getAsDouble() : backlogSinceMs;
         listener.config().setAutoRead(false);
         listener.eventLoop().schedule(() -> {
             paused = false;
--- a/gateway/src/main/java/marlford/gateway/net/ClientServer.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientServer.java
@@ -34,7 +34,8 @@
         if (node.isDraining()) {
             node.ruleCounter.countBreach(Rule.LISTENED_WHILE_ENDING);
         }
-        AcceptRetry retry = new AcceptRetry(Node::log, this::onDescriptorShortage, node.clock::now);
+        AcceptRetry retry = new AcceptRetry(Node::log, this::onDescriptorShortage, node.clock::now,
+                () -> node.clock.now() - node.lag.ms());
         ChannelFuture bound = node.transport.server(node.group)
                 .handler(retry)
                 .childHandler(new ChannelInitializer<>() {
--- a/gateway/src/test/java/marlford/gateway/accept/AcceptRetryTest.java
+++ b/gateway/src/test/java/marlford/gateway/accept/AcceptRetryTest.java
@@ -13,6 +13,7 @@
     private static final int FAILURES = 10_000;
     private static final int ACCEPTS_IN_A_FULL_READ = 16;
     private static final double WAIT_MS = 180;
+    private static final double LAG_MS = 300;
 
     /** Thousands of single failures a second among accepted connections, as on a system that is short of buffers. */
     @Test
@@ -35,7 +36,7 @@
     @Test
     void aFailureDoesNotEndTheWaitOfOthers() {
         double[] nowMs = {1};
-        AcceptRetry retry = new AcceptRetry(line -> { }, () -> { }, () -> nowMs[0]);
+        AcceptRetry retry = new AcceptRetry(line -> { }, () -> { }, () -> nowMs[0], () -> nowMs[0]);
         EmbeddedChannel listener = new EmbeddedChannel(retry);
         for (int i = 0; i < ACCEPTS_IN_A_FULL_READ; i++) {
             listener.pipeline().fireChannelRead("a connection");
@@ -50,4 +51,20 @@
         assertEquals(0, retry.backlogWaitMs());
         listener.finishAndReleaseAll();
     }
+
+    /** Guards against hosts that were told more time than their client had left: the queue stood as long as the event loop did. */
+    @Test
+    void connectionsThatWaitedWhileTheLoopWasLateWaitedFromBefore() {
+        double[] nowMs = {1000};
+        AcceptRetry retry = new AcceptRetry(line -> { }, () -> { }, () -> nowMs[0], () -> nowMs[0] - LAG_MS);
+        EmbeddedChannel listener = new EmbeddedChannel(retry);
+        for (int i = 0; i < ACCEPTS_IN_A_FULL_READ; i++) {
+            listener.pipeline().fireChannelRead("a connection");
+        }
+        listener.pipeline().fireChannelReadComplete();
+        nowMs[0] += WAIT_MS;
+        listener.pipeline().fireChannelRead("a connection");
+        assertEquals(WAIT_MS + LAG_MS, retry.backlogWaitMs());
+        listener.finishAndReleaseAll();
+    }
 }
