Wait for what follows in a closed window before the last part of an order is released

Seen by callers: a long order ran although its client had closed, reset or ended its sending 0.8 s before, with 2 MB sent behind the order (WaitingBodyDisconnectTest, listed in KNOWN-RED.txt).

When the host read on, the client's socket was read to find its end ("presence_unknown" for 30 others); for this one the check found the socket empty and the last part went at once ("attempt-written request=now-61"). A socket whose window was closed looks empty once it has been read, until the client's system has heard of the room and sends what follows; beside load that takes longer than the next read.

Change: where a check has read 16 KB or more, as a socket with a closed window holds, it is made again 20 ms later, and the last part waits.

--- a/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
+++ b/gateway/src/main/java/marlford/gateway/net/ClientConnection.java
@@ -40,6 +40,12 @@
     private static final int MAX_READ_AHEAD_BYTES = 256 * 1024; // read on one connection to find out whether its client is connected
     /** A presence check is not repeated within this time, which is less than half of {@link ClientDepartureCounters#SEND_GRACE_MS}. */
     private static final double PRESENCE_VALID_MS = 40;
+    /**
+     * A socket that held this much may have been full. It looks empty once it has been read, until the client's system has heard that there is room
+     * and sends what follows, such as the end of the connection.
+     */
+    private static final int CLOSED_WINDOW_BYTES = 16 * 1024;
+    private static final long WINDOW_UPDATE_MS = 20; // for that, on a busy machine
     private static final double JUST_OPENED_MS = 50; // a first request within this time may have arrived with the connection
     private static final int BAD_REQUEST_LIMIT = 2; // from this number on, each bad request pauses reading
     private static final long BAD_REQUEST_PAUSE_MS = 200;
@@ -491,11 +497,19 @@
      * that out, the request gets its final answer, and no host receives it whole.
      */
     private void confirmBody(RequestBodyStream body) {
+        confirmBody(body, reader.receivedBytes());
+    }
+
+    /** @param receivedBefore bytes that had been received when the confirmation began */
+    private void confirmBody(RequestBodyStream body, long receivedBefore) {
         Presence presence = readToEnd(node.buffers.readAheadBytes());
-        if (presence == Presence.CONNECTED) {
+        boolean windowMayHaveClosed = reader.receivedBytes() - receivedBefore >= CLOSED_WINDOW_BYTES;
+        if (presence == Presence.CONNECTED && windowMayHaveClosed) {
+            node.loop.schedule(() -> confirmBody(body), WINDOW_UPDATE_MS, TimeUnit.MILLISECONDS);
+        } else if (presence == Presence.CONNECTED) {
             body.confirm();
         } else if (presence == Presence.UNKNOWN && !inputHidden) { // the rest is read in the next iteration
-            node.loop.schedule(() -> confirmBody(body), Node.LOOP_ITERATION_MS, TimeUnit.MILLISECONDS);
+            node.loop.schedule(() -> confirmBody(body, receivedBefore), Node.LOOP_ITERATION_MS, TimeUnit.MILLISECONDS);
         } else if (presence == Presence.UNKNOWN && body == upload && current != null) {
             node.endWithUnknownPresence(current);
         }
