Close a connection to a host whose pool has ended while it was about to be used

Cause, by reading: since discovery's socket is read right before an order is repeated, its word may end the pool whose connection was just taken. A repeat that then must not be written put it back into the closed pool, where nothing closes it before its host does.

Change: a closed pool closes what returns to it.

Measured: HostConnectionPoolTest.aConnectionThatReturnsToAClosedPoolIsClosed failed before and is green, with UnconfirmedListTest and ArchitectureTest.

--- a/gateway/src/main/java/marlford/gateway/net/HostConnectionPool.java
+++ b/gateway/src/main/java/marlford/gateway/net/HostConnectionPool.java
@@ -63,7 +63,11 @@
 
     @Override
     public void onIdle(HostConnection connection) {
-        idle.addLast(connection);
+        if (closed) {
+            connection.close();
+        } else {
+            idle.addLast(connection);
+        }
     }
 
     @Override
