--- a/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
+++ b/gateway/src/main/java/marlford/gateway/guard/AddressTenure.java
@@ -26,7 +26,7 @@
     private final ListConfirmation confirmation;
     private HostIdentity losses; // at the address; null until the first one, as lists may be long and most hosts have none
     private List<Successor> successors = List.of();
-    private KeyGroups sharedWith; // hosts that came to the address together with this one; null if there are none
+    private KeyGroups sharedWith; // hosts of which any may be at the address, this one among them; null if it is this one
     private double aliveSinceMs = Double.NEGATIVE_INFINITY; // one process had the address from here
     private double aliveUntilMs = Double.NEGATIVE_INFINITY; // to here, by its responses
     private double endToldAtMs = Double.POSITIVE_INFINITY;
@@ -78,7 +78,7 @@
         }
     }
 
-    /** Records that the host came to the address together with others. */
+    /** Records that any of these hosts may be the one at the address. */
     void shareWith(KeyGroups others) {
         sharedWith = others;
     }
--- a/gateway/src/test/java/marlford/gateway/accept/AcceptRetryTest.java
+++ b/gateway/src/test/java/marlford/gateway/accept/AcceptRetryTest.java
@@ -32,16 +32,21 @@
         listener.finishAndReleaseAll();
     }
 
+    /** Accepts as many connections as one read takes, behind which others may wait. */
+    private static void acceptFullRead(EmbeddedChannel listener) {
+        for (int i = 0; i < ACCEPTS_IN_A_FULL_READ; i++) {
+            listener.pipeline().fireChannelRead("a connection");
+        }
+        listener.pipeline().fireChannelReadComplete();
+    }
+
     /** The connections behind a failed accept go on waiting, and what they sent may be older than it seems. */
     @Test
     void aFailureDoesNotEndTheWaitOfOthers() {
         double[] nowMs = {1};
         AcceptRetry retry = new AcceptRetry(line -> { }, () -> { }, () -> nowMs[0], () -> nowMs[0]);
         EmbeddedChannel listener = new EmbeddedChannel(retry);
-        for (int i = 0; i < ACCEPTS_IN_A_FULL_READ; i++) {
-            listener.pipeline().fireChannelRead("a connection");
-        }
-        listener.pipeline().fireChannelReadComplete();
+        acceptFullRead(listener);
         nowMs[0] += WAIT_MS;
         listener.pipeline().fireChannelRead("a connection");
         listener.pipeline().fireChannelReadComplete();
@@ -58,10 +63,7 @@
         double[] nowMs = {1000};
         AcceptRetry retry = new AcceptRetry(line -> { }, () -> { }, () -> nowMs[0], () -> nowMs[0] - LAG_MS);
         EmbeddedChannel listener = new EmbeddedChannel(retry);
-        for (int i = 0; i < ACCEPTS_IN_A_FULL_READ; i++) {
-            listener.pipeline().fireChannelRead("a connection");
-        }
-        listener.pipeline().fireChannelReadComplete();
+        acceptFullRead(listener);
         nowMs[0] += WAIT_MS;
         listener.pipeline().fireChannelRead("a connection");
         assertEquals(WAIT_MS + LAG_MS, retry.backlogWaitMs());
